--- a/include/crocusmount/Reason.h
+++ b/include/crocusmount/Reason.h
@@ -24,6 +24,12 @@
     Isolated,
     NotRepeatable,
     CallerGone,
+    NotConfigured, ///< no configuration has been read yet
+    UnknownRoute,
+    UnknownKey,
+    NoCapacity, ///< every server that could take it is full
+    TimedOut,
+    ServerFailure, ///< a backend server answered with a failure of its own
     // Ends of attempts that lead to a retry or a failure.
     ConnectFailed,
     ConnectionLost,
--- /dev/null
+++ b/programs/crocusmount-entry.cpp
@@ -0,0 +1,209 @@
+// The entry instance on the users' platform: the relay, with the platform's adapter around it.
+
+#include "edge/DecisionLog.h"
+#include "edge/FrontServer.h"
+#include "edge/InstanceRegistry.h"
+#include "edge/PlacementDriver.h"
+#include "edge/RelayMetrics.h"
+#include "edge/RelayNode.h"
+#include "platform/KvStoreClient.h"
+#include "platform/PlatformCallReader.h"
+#include "platform/PlatformEndpoints.h"
+#include "platform/PlatformEngineControl.h"
+#include "platform/PlatformFollower.h"
+#include "platform/PlatformSettings.h"
+#include "platform/WireNames.h"
+#include "programs/CommandLine.h"
+
+#include <cstdlib>
+#include <iostream>
+#include <random>
+
+namespace {
+
+using namespace crocusmount;
+using platform::PlatformSettings;
+
+constexpr const char* SettingsVariable = "CROCUSMOUNT_NODE_FILE";
+constexpr const char* DefaultSettingsFile = "/etc/crocusmount/settings.yaml";
+/// Where metrics are served; deploy/system.toml names it too.
+constexpr const char* MetricsPort = "9464";
+/// Log lines on single calls in one second; the state's own lines come on top.
+constexpr std::uint32_t LogLinesPerSecond = 200;
+/// Part of the retries that the platform allows which this product uses; the rest covers uneven load.
+constexpr double RetryShare = 0.6;
+/// Callers that know this instance still connect for up to three lifetimes of a directory answer.
+constexpr std::chrono::milliseconds LingerAfterDrain { 3500 };
+/// Part of the grace after which no call begins any more.
+constexpr double LastCallShare = 0.6;
+/// Part of the grace after which the process ends whatever still runs.
+constexpr double EndShare = 0.93;
+
+std::string instanceId(const PlatformSettings& settings)
+{
+    std::random_device random;
+    return settings.instanceName + "-" + std::to_string(random()) + std::to_string(random());
+}
+
+relay::RelayOptions relayOptions(const PlatformSettings& settings)
+{
+    relay::RelayOptions options;
+    options.dataCentre = DataCentreId(settings.dataCentre);
+    options.retryRatio = settings.retryRatio * RetryShare;
+    options.retrySlack = settings.retrySlack * RetryShare / 2;
+    options.retryWindow = std::chrono::seconds(settings.retryWindowSeconds);
+    return options;
+}
+
+/// All parts of one instance, put together.
+class EntryInstance {
+public:
+    EntryInstance(net::io_context& context, const PlatformSettings& settings)
+        : m_context(context)
+        , m_settings(settings)
+        , m_node(context, relayOptions(settings), platform::headerNames())
+        , m_store(context, settings.storeAddress)
+        , m_registry(context, m_store, m_store,
+              { instanceId(settings), settings.callerAddress, settings.dataCentre })
+        , m_follower(m_node, m_registry)
+        , m_mirror(context, m_store, [this](const StoreEvent& event) { m_follower.storeChanged(event); })
+        , m_control(context)
+        , m_placement(context, m_node, m_registry, m_control)
+        , m_endpoints({ [this] { return ready(); }, [this] { return m_registry.callerAddresses(); },
+              [this] { return metrics(); } })
+        , m_signals(context, SIGTERM, SIGINT, SIGHUP)
+    {
+    }
+
+    absl::Status start()
+    {
+        auto front = relay::FrontServer::make(m_context, m_settings.callerAddress, m_node, m_reader);
+        if (!front.ok())
+            return front.status();
+        m_front = *std::move(front);
+        for (const std::string& address : { m_settings.readyAddress, m_settings.directoryAddress,
+                 m_settings.ip + ":" + MetricsPort }) {
+            auto server = HttpServer::make(m_context, address, HttpLimits(), m_endpoints);
+            if (!server.ok())
+                return server.status();
+            m_servers.push_back(*std::move(server));
+        }
+        m_mirror.start();
+        m_registry.start();
+        m_placement.start();
+        waitForSignal();
+        return absl::OkStatus();
+    }
+
+private:
+    bool ready() const
+    {
+        return m_mirror.isComplete() && m_node.reducer().routes() && !m_node.reducer().isDraining();
+    }
+
+    std::string metrics() const
+    {
+        const auto& reducer = m_node.reducer();
+        relay::RelayGauges gauges;
+        gauges.openCalls = reducer.openCalls();
+        gauges.waitingCalls = reducer.waitingCalls();
+        gauges.connections = m_front->connections();
+        gauges.servers = reducer.fleet().servers().size();
+        gauges.instances = m_registry.count();
+        gauges.configurationVersion = reducer.routes() ? reducer.routes()->configuration().version : 0;
+        gauges.storeAgeMs = m_mirror.age().count();
+        gauges.storeCalls = m_store.calls();
+        gauges.logLinesDropped = relay::DecisionLog::dropped();
+        return relay::renderMetrics(reducer.counters(), gauges);
+    }
+
+    void waitForSignal()
+    {
+        m_signals.async_wait([this](const boost::system::error_code& error, int signal) {
+            if (error)
+                return;
+            if (signal == SIGHUP) {
+                // All that these settings hold is fixed for a process's life.
+                relay::DecisionLog::state("reload", { { "changed", false } });
+                waitForSignal();
+                return;
+            }
+            net::co_spawn(m_context.get_executor(), drain(), net::detached);
+        });
+    }
+
+    /// Leaves without cutting a call: callers are sent elsewhere first, what runs may end.
+    Awaitable<void> drain()
+    {
+        using Clock = std::chrono::steady_clock;
+        const auto start = Clock::now();
+        const auto grace = std::chrono::seconds(m_settings.graceSeconds);
+        relay::DecisionLog::state("drain", { { "open_calls", m_node.reducer().openCalls() } });
+        m_node.post(relay::event::DrainRequested {});
+        m_registry.withdraw();
+        m_front->announceClose();
+        Timer timer(m_context.get_executor());
+        while (Clock::now() < start + EndShare * grace) {
+            timer.expires_after(std::chrono::milliseconds(50));
+            co_await timer.async_wait(net::as_tuple(useAwaitable));
+            if (Clock::now() > start + LingerAfterDrain && !m_front->busy())
+                break;
+        }
+        relay::DecisionLog::state("stop", { { "open_calls", m_node.reducer().openCalls() } });
+        m_context.stop();
+    }
+
+    net::io_context& m_context;
+    PlatformSettings m_settings;
+    relay::RelayNode m_node;
+    platform::PlatformCallReader m_reader;
+    platform::KvStoreClient m_store;
+    InstanceRegistry m_registry;
+    platform::PlatformFollower m_follower;
+    StoreMirror m_mirror;
+    platform::PlatformEngineControl m_control;
+    PlacementDriver m_placement;
+    platform::PlatformEndpoints m_endpoints;
+    net::signal_set m_signals;
+    std::unique_ptr<relay::FrontServer> m_front;
+    std::vector<std::unique_ptr<HttpServer>> m_servers;
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const Arguments arguments = readArguments(argc, argv, "Usage: crocusmount-entry [options]\n",
+        { { "settings", "FILE", "the platform's settings (default: the file that CROCUSMOUNT_NODE_FILE names)" },
+            { "check-config", "", "check the settings and end" } });
+    const char* variable = std::getenv(SettingsVariable);
+    const std::string file = arguments.get("settings", variable ? variable : DefaultSettingsFile);
+    if (!arguments.words.empty()) {
+        std::cerr << "crocusmount-entry: unexpected argument; see --help\n";
+        return ExitUsage;
+    }
+    const auto settings = platform::readPlatformSettings(file);
+    if (!settings.ok()) {
+        std::cerr << "crocusmount-entry: " << settings.status().message() << "\n";
+        return ExitUsage;
+    }
+    if (arguments.has("check-config")) {
+        std::cout << file << ": ok\n";
+        return ExitOk;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    relay::DecisionLog::setUp(settings->instanceName, LogLinesPerSecond);
+    // All of the process but its log runs on this thread, so Asio need not lock.
+    net::io_context context(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE);
+    EntryInstance instance(context, *settings);
+    if (const absl::Status status = instance.start(); !status.ok()) {
+        std::cerr << "crocusmount-entry: " << status.message() << "\n";
+        return ExitFailed;
+    }
+    relay::DecisionLog::state("start",
+        { { "address", settings->callerAddress }, { "data_centre", settings->dataCentre },
+            { "store", settings->storeAddress } });
+    context.run();
+    relay::DecisionLog::shutDown();
+    return ExitOk;
+}
--- /dev/null
+++ b/src/edge/EventSplitter.cpp
@@ -0,0 +1,59 @@
+#include "edge/EventSplitter.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/strip.h>
+#include <algorithm>
+
+namespace crocusmount::relay {
+
+namespace {
+
+    /// @return the place after the blank line that ends the first event, or npos
+    std::size_t endOfEvent(std::string_view text)
+    {
+        for (auto line = text.find('\n'); line != std::string_view::npos; line = text.find('\n', line + 1)) {
+            const std::string_view after = text.substr(line + 1);
+            if (!after.empty() && after.front() == '\n')
+                return line + 2;
+            if (after.size() > 1 && after[0] == '\r' && after[1] == '\n')
+                return line + 3;
+        }
+        return std::string_view::npos;
+    }
+
+    std::optional<std::uint64_t> idOf(std::string_view event)
+    {
+        while (!event.empty()) {
+            const auto end = std::min(event.find('\n'), event.size());
+            absl::string_view line(event.data(), end);
+            event.remove_prefix(std::min(end + 1, event.size()));
+            std::uint64_t id = 0;
+            if (absl::ConsumePrefix(&line, "id:") && absl::SimpleAtoi(line, &id))
+                return id;
+        }
+        return std::nullopt;
+    }
+
+} // namespace
+
+void EventSplitter::feed(std::string_view bytes)
+{
+    m_buffer.erase(0, m_taken);
+    m_taken = 0;
+    m_buffer.append(bytes);
+}
+
+std::optional<EventSplitter::Event> EventSplitter::next()
+{
+    const std::string_view left = rest();
+    const auto end = endOfEvent(left);
+    if (end == std::string_view::npos)
+        return std::nullopt;
+    m_taken += end;
+    const std::string_view bytes = left.substr(0, end);
+    return Event { bytes, idOf(bytes) };
+}
+
+std::string_view EventSplitter::rest() const { return std::string_view(m_buffer).substr(m_taken); }
+
+} // namespace crocusmount::relay
--- /dev/null
+++ b/src/edge/InstanceRegistry.cpp
@@ -0,0 +1,165 @@
+#include "edge/InstanceRegistry.h"
+
+#include "edge/DecisionLog.h"
+#include "shell/Json.h"
+
+#include <absl/strings/match.h>
+
+namespace crocusmount {
+
+namespace {
+
+    constexpr const char* InstancePrefix = "crocusmount/instances/";
+    constexpr const char* PlannerKey = "crocusmount/planner";
+    /// A dead instance stays listed this long; each third of it costs one renewal.
+    constexpr std::chrono::milliseconds LeaseLifetime { 3000 };
+    constexpr std::chrono::milliseconds KeepInterval { 1000 };
+    constexpr std::chrono::milliseconds RetryPause { 300 };
+    /// Clocks of the store and this instance may run apart, and a renewal takes time to arrive.
+    constexpr std::chrono::milliseconds LeaseMargin { 300 };
+    /// How often a free lock is looked for; instances differ by a random part so that one of them is first.
+    constexpr std::chrono::milliseconds LockInterval { 200 };
+    constexpr std::uint32_t LockJitterMs = 200;
+
+} // namespace
+
+InstanceRegistry::InstanceRegistry(net::io_context& context, StoreClient& store, LeaseClient& leases, Entry self)
+    : m_context(context)
+    , m_store(store)
+    , m_leases(leases)
+    , m_self(std::move(self))
+    , m_key(InstancePrefix + m_self.id)
+{
+}
+
+void InstanceRegistry::start()
+{
+    net::co_spawn(m_context.get_executor(), keepLoop(), net::detached);
+    net::co_spawn(m_context.get_executor(), lockLoop(), net::detached);
+}
+
+void InstanceRegistry::withdraw()
+{
+    if (std::exchange(m_withdrawn, true))
+        return;
+    net::co_spawn(m_context.get_executor(), leave(), net::detached);
+}
+
+void InstanceRegistry::storeChanged(const StoreEvent& event)
+{
+    const std::string& key = event.entry.key;
+    if (key == PlannerKey) {
+        m_plannerId = event.deleted ? std::string() : event.entry.value;
+        relay::DecisionLog::state("planner_changed",
+            { { "planner", m_plannerId }, { "revision", event.entry.modRevision } });
+        return;
+    }
+    if (!absl::StartsWith(key, InstancePrefix))
+        return;
+    if (key == m_key) {
+        m_listed = !event.deleted;
+        return;
+    }
+    if (event.deleted) {
+        m_others.erase(key);
+    } else {
+        const boost::json::object value = parseObject(event.entry.value);
+        m_others[key] = { key.substr(std::string_view(InstancePrefix).size()), textOf(value, "address"),
+            textOf(value, "data_centre") };
+    }
+    relay::DecisionLog::state(event.deleted ? "instance_gone" : "instance_seen",
+        { { "other", key }, { "instances", count() }, { "revision", event.entry.modRevision } });
+}
+
+std::vector<std::string> InstanceRegistry::callerAddresses() const
+{
+    std::vector<std::string> addresses;
+    if (!m_withdrawn)
+        addresses.push_back(m_self.address);
+    for (const auto& [key, entry] : m_others)
+        addresses.push_back(entry.address);
+    return addresses;
+}
+
+std::uint32_t InstanceRegistry::count() const { return static_cast<std::uint32_t>(m_others.size()) + 1; }
+
+bool InstanceRegistry::isPlanner() const
+{
+    return !m_withdrawn && m_plannerId == m_self.id && std::chrono::steady_clock::now() + LeaseMargin < m_leaseEnds;
+}
+
+Awaitable<void> InstanceRegistry::keepLoop()
+{
+    Timer timer(m_context.get_executor());
+    while (!m_withdrawn) {
+        const bool kept = co_await keep();
+        timer.expires_after(kept ? KeepInterval : RetryPause);
+        co_await timer.async_wait(net::as_tuple(useAwaitable));
+    }
+}
+
+Awaitable<bool> InstanceRegistry::keep()
+{
+    const auto asked = std::chrono::steady_clock::now();
+    if (!m_lease.id) {
+        const auto lease = co_await m_leases.grantLease(LeaseLifetime);
+        if (!lease.ok())
+            co_return false;
+        m_lease = *lease;
+        m_leaseEnds = asked + m_lease.lifetime;
+        m_listed = false;
+    } else {
+        const absl::Status status = co_await m_leases.keepLease(m_lease.id);
+        if (absl::IsNotFound(status)) {
+            relay::DecisionLog::state("lease_ended", { { "lease", m_lease.id } });
+            m_lease = {};
+            co_return co_await keep();
+        }
+        if (!status.ok())
+            co_return false;
+        m_leaseEnds = asked + m_lease.lifetime;
+    }
+    co_return m_listed || co_await registerSelf();
+}
+
+Awaitable<bool> InstanceRegistry::registerSelf()
+{
+    const boost::json::object value { { "address", m_self.address }, { "data_centre", m_self.dataCentre } };
+    StoreWrite write;
+    write.puts.emplace_back(m_key, boost::json::serialize(value));
+    write.lease = m_lease.id;
+    const StoreWriteResult result = co_await m_store.write(std::move(write));
+    // Where the answer is lost, the mirror shows whether it took effect; until then it is written again.
+    m_listed = m_listed || result.outcome == WriteOutcome::Committed;
+    co_return m_listed;
+}
+
+Awaitable<void> InstanceRegistry::lockLoop()
+{
+    Timer timer(m_context.get_executor());
+    const auto jitter = std::chrono::milliseconds(std::hash<std::string> {}(m_self.id) % LockJitterMs);
+    while (!m_withdrawn) {
+        timer.expires_after(LockInterval + jitter);
+        co_await timer.async_wait(net::as_tuple(useAwaitable));
+        if (!m_plannerId.empty() || !m_lease.id || !m_listed)
+            continue;
+        StoreWrite write;
+        write.guardKey = PlannerKey;
+        write.puts.emplace_back(PlannerKey, m_self.id);
+        write.lease = m_lease.id;
+        // Whoever won, the mirror tells.
+        (void)co_await m_store.write(std::move(write));
+    }
+}
+
+Awaitable<void> InstanceRegistry::leave()
+{
+    const std::int64_t lease = m_lease.id;
+    if (!lease)
+        co_return;
+    // Ends the entry and the planner's lock, if held, together.
+    const absl::Status status = co_await m_leases.endLease(lease);
+    relay::DecisionLog::state("withdrawn", { { "lease", lease }, { "store", status.ToString() } });
+}
+
+} // namespace crocusmount
--- /dev/null
+++ b/src/edge/PlacementDriver.cpp
@@ -0,0 +1,94 @@
+#include "edge/PlacementDriver.h"
+
+#include "edge/DecisionLog.h"
+#include "edge/InstanceRegistry.h"
+#include "edge/RelayNode.h"
+
+namespace crocusmount {
+
+namespace {
+
+    constexpr std::chrono::milliseconds PlanInterval { 200 };
+    /// An order that was refused, as by an engine still busy with another, is given again after this.
+    constexpr std::chrono::milliseconds RefusedPause { 1000 };
+    /// Time beyond the loading itself until the registry shows it, an engine's heartbeat included.
+    constexpr std::chrono::milliseconds ReportSlack { 3000 };
+    /// Loads slow each other down; the estimate leaves room for that.
+    constexpr double LoadSlack = 3;
+
+} // namespace
+
+PlacementDriver::PlacementDriver(
+    net::io_context& context, const relay::RelayNode& node, const InstanceRegistry& registry, EngineControl& control)
+    : m_context(context)
+    , m_node(node)
+    , m_registry(registry)
+    , m_control(control)
+{
+}
+
+void PlacementDriver::start() { net::co_spawn(m_context.get_executor(), planLoop(), net::detached); }
+
+Awaitable<void> PlacementDriver::planLoop()
+{
+    Timer timer(m_context.get_executor());
+    while (true) {
+        timer.expires_after(PlanInterval);
+        co_await timer.async_wait(net::as_tuple(useAwaitable));
+        if (!m_registry.isPlanner()) {
+            m_outstanding.clear();
+            continue;
+        }
+        const auto routes = m_node.reducer().routes();
+        if (!routes)
+            continue;
+        for (const relay::Service& service : routes->configuration().services) {
+            if (service.engine)
+                planService(service);
+        }
+    }
+}
+
+void PlacementDriver::planService(const relay::Service& service)
+{
+    const auto now = std::chrono::steady_clock::now();
+    const auto& servers = m_node.reducer().fleet().servers();
+    std::vector<LayerPlanner::Engine> engines;
+    for (const auto& [id, server] : servers) {
+        const relay::RegisteredServer& entry = server.entry;
+        if (entry.service != service.id)
+            continue;
+        LayerPlanner::Engine engine { id, entry.dataCentre, entry.accelerator, entry.layers, std::nullopt,
+            entry.leaving };
+        const auto outstanding = m_outstanding.find(id);
+        if (outstanding != m_outstanding.end()) {
+            if (entry.layers == outstanding->second.layers || now > outstanding->second.until)
+                m_outstanding.erase(outstanding);
+            else
+                engine.ordered = outstanding->second.layers;
+        }
+        engines.push_back(std::move(engine));
+    }
+    for (const LayerPlanner::Order& order : LayerPlanner::plan(*service.engine, engines)) {
+        const double loadMs = 1000.0 * service.engine->loadSeconds * order.layers.size() / service.engine->layers;
+        const auto expected = std::chrono::milliseconds(static_cast<std::int64_t>(loadMs * LoadSlack)) + ReportSlack;
+        m_outstanding[order.engine] = { order.layers, now + expected };
+        net::co_spawn(m_context.get_executor(), give(order, servers.at(order.engine).entry.address, expected),
+            net::detached);
+    }
+}
+
+Awaitable<void> PlacementDriver::give(
+    LayerPlanner::Order order, std::string address, std::chrono::milliseconds expected)
+{
+    const OrderAnswer answer = co_await m_control.placeLayers(address, order.layers);
+    relay::DecisionLog::state("order",
+        { { "engine", order.engine.value() }, { "from", order.layers.begin }, { "to", order.layers.end },
+            { "answer", static_cast<int>(answer) }, { "expected_ms", expected.count() } });
+    if (answer == OrderAnswer::Refused) {
+        if (const auto outstanding = m_outstanding.find(order.engine); outstanding != m_outstanding.end())
+            outstanding->second.until = std::chrono::steady_clock::now() + RefusedPause;
+    }
+}
+
+} // namespace crocusmount
--- /dev/null
+++ b/src/edge/PlacementDriver.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "edge/EngineControl.h"
+#include "planning/LayerPlanner.h"
+
+#include <map>
+
+namespace crocusmount {
+
+class InstanceRegistry;
+
+namespace relay {
+    class RelayNode;
+}
+
+/// While this instance is the planner, orders engines to hold what LayerPlanner says.
+class PlacementDriver {
+public:
+    PlacementDriver(net::io_context&, const relay::RelayNode&, const InstanceRegistry&, EngineControl&);
+
+    void start();
+
+private:
+    struct Outstanding {
+        LayerRange layers;
+        std::chrono::steady_clock::time_point until; ///< by then it should be reported
+    };
+
+    Awaitable<void> planLoop();
+    void planService(const relay::Service&);
+    Awaitable<void> give(LayerPlanner::Order, std::string address, std::chrono::milliseconds expected);
+
+    net::io_context& m_context;
+    const relay::RelayNode& m_node;
+    const InstanceRegistry& m_registry;
+    EngineControl& m_control;
+    std::map<BackendId, Outstanding> m_outstanding;
+};
+
+} // namespace crocusmount
--- /dev/null
+++ b/src/edge/RelayNode.cpp
@@ -0,0 +1,192 @@
+#include "edge/RelayNode.h"
+
+#include "edge/DecisionLog.h"
+
+#include <random>
+
+namespace crocusmount::relay {
+
+namespace {
+
+    /// Granularity of waits, stalls and deadlines.
+    constexpr std::chrono::milliseconds BusyTick { 20 };
+    /// The same with no call open, when nothing can be due.
+    constexpr std::chrono::milliseconds IdleTick { 200 };
+
+    std::string chainText(const Chain& chain)
+    {
+        std::string text;
+        for (const Hop& hop : chain.hops()) {
+            text += (text.empty() ? "" : ",") + hop.backend.value() + "=" + std::to_string(hop.layers.begin) + "-"
+                + std::to_string(hop.layers.end);
+        }
+        return text;
+    }
+
+    std::int64_t toMs(Duration duration)
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+    }
+
+} // namespace
+
+RelayNode::RelayNode(net::io_context& context, RelayOptions options, HeaderNames names)
+    : m_context(context)
+    , m_names(std::move(names))
+    , m_reducer(std::move(options))
+    , m_random(std::random_device {}())
+    , m_tick(context.get_executor())
+{
+    net::co_spawn(m_context.get_executor(), tickLoop(), net::detached);
+}
+
+RelayNode::~RelayNode() = default;
+
+TimePoint RelayNode::now() const
+{
+    return TimePoint(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+std::uint64_t RelayNode::entropy() { return m_random(); }
+
+CallLimits RelayNode::limits() const
+{
+    return m_reducer.routes() ? m_reducer.routes()->configuration().limits : CallLimits();
+}
+
+Awaitable<void> RelayNode::tickLoop()
+{
+    while (true) {
+        m_tick.expires_after(m_reducer.openCalls() ? BusyTick : IdleTick);
+        const auto [error] = co_await m_tick.async_wait(net::as_tuple(useAwaitable));
+        (void)error; // Woken early by the first call: the tick only comes sooner.
+        post(event::Tick {});
+    }
+}
+
+RelayNode::OpenCall RelayNode::open(std::shared_ptr<const CallerRequest> request, CallSpec spec)
+{
+    const RequestId id(m_nextCall++);
+    auto pipe = std::make_shared<AnswerPipe>(m_context);
+    m_open[id] = { spec.name, std::move(request), pipe, now(), AttemptId() };
+    if (!m_reducer.openCalls())
+        m_tick.cancel();
+    post(event::CallArrived { id, std::move(spec) });
+    return { id, std::move(pipe) };
+}
+
+void RelayNode::callerLeft(RequestId id)
+{
+    const auto found = m_open.find(id);
+    if (found == m_open.end())
+        return;
+    logEnd(found->second, "caller_left");
+    m_open.erase(found);
+    post(event::CallerLeft { id });
+}
+
+void RelayNode::post(RelayEventBody body)
+{
+    m_events.push_back(std::move(body));
+    if (m_reducing)
+        return;
+    m_reducing = true;
+    while (!m_events.empty()) {
+        RelayEvent event { now(), entropy(), std::move(m_events.front()) };
+        m_events.pop_front();
+        RelayEffects effects;
+        if (const auto* ended = std::get_if<event::AttemptEnded>(&event.body)) {
+            m_attempts.erase(ended->attempt);
+            for (const auto& [id, open] : m_open) {
+                if (open.attempt != ended->attempt)
+                    continue;
+                if (ended->result == AttemptResult::Completed) {
+                    logEnd(open, "completed", { { "status", ended->status } });
+                    m_open.erase(id);
+                } else {
+                    DecisionLog::call("attempt_failed", open.name,
+                        { { "result", static_cast<int>(ended->result) }, { "status", ended->status },
+                            { "culprit", ended->culprit } });
+                }
+                break;
+            }
+        }
+        m_reducer.reduce(event, effects);
+        apply(effects);
+    }
+    m_reducing = false;
+}
+
+void RelayNode::apply(const RelayEffects& effects)
+{
+    for (const RelayEffect& effect : effects)
+        std::visit([this](const auto& body) { on(body); }, effect);
+}
+
+void RelayNode::on(const effect::StartAttempt& start)
+{
+    const auto found = m_open.find(start.call);
+    if (found == m_open.end())
+        return;
+    found->second.attempt = start.attempt;
+    DecisionLog::call("attempt", found->second.name,
+        { { "server", start.server.value() }, { "address", start.address }, { "chain", chainText(start.chain) },
+            { "remaining_ms", toMs(start.remaining) }, { "resume_after", start.resumeAfter.value_or(0) },
+            { "waited_ms", toMs(now() - found->second.arrived) } });
+    auto attempt = std::make_shared<UpstreamAttempt>(m_context, m_names, start, found->second.request,
+        found->second.pipe, [this](RelayEventBody body) { post(std::move(body)); });
+    m_attempts[start.attempt] = attempt;
+    attempt->start();
+}
+
+void RelayNode::on(const effect::CancelAttempt& cancel)
+{
+    const auto found = m_attempts.find(cancel.attempt);
+    if (found == m_attempts.end())
+        return;
+    found->second->cancel();
+    m_attempts.erase(found);
+}
+
+void RelayNode::on(const effect::Refuse& refusal)
+{
+    const auto found = m_open.find(refusal.call);
+    if (found == m_open.end())
+        return;
+    logEnd(found->second, "refused",
+        { { "reason", toString(refusal.reason) }, { "run", toString(refusal.run) },
+            { "retry_after_ms", toMs(refusal.retryAfter) } });
+    found->second.pipe->refuse(refusal);
+    m_open.erase(found);
+}
+
+void RelayNode::on(const effect::DeliverServerFailure& failure)
+{
+    const auto found = m_open.find(failure.call);
+    if (found == m_open.end())
+        return;
+    logEnd(found->second, "server_failure");
+    found->second.pipe->deliverHeld();
+    m_open.erase(found);
+}
+
+void RelayNode::on(const effect::BreakAnswer& broken)
+{
+    const auto found = m_open.find(broken.call);
+    if (found == m_open.end())
+        return;
+    logEnd(found->second, "broken_off", { { "reason", toString(broken.reason) } });
+    found->second.pipe->breakOff();
+    m_open.erase(found);
+}
+
+void RelayNode::logEnd(const Open& open, std::string_view outcome, boost::json::object inputs)
+{
+    inputs["outcome"] = outcome;
+    inputs["total_ms"] = toMs(now() - open.arrived);
+    if (m_reducer.routes())
+        inputs["configuration"] = m_reducer.routes()->configuration().version;
+    DecisionLog::call("answer", open.name, std::move(inputs));
+}
+
+} // namespace crocusmount::relay
--- /dev/null
+++ b/src/edge/RelayNode.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "edge/AnswerPipe.h"
+#include "edge/HeaderNames.h"
+#include "edge/UpstreamAttempt.h"
+#include "relay/RelayReducer.h"
+#include "shell/Net.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <deque>
+#include <memory>
+#include <pcg_random.hpp>
+
+namespace crocusmount::relay {
+
+/// Runs the reducer: brings it events with time and entropy, and carries out its effects.
+class RelayNode {
+public:
+    RelayNode(net::io_context&, RelayOptions, HeaderNames);
+    ~RelayNode();
+    RelayNode(const RelayNode&) = delete;
+    RelayNode& operator=(const RelayNode&) = delete;
+
+    /// One call as its caller's connection sees it.
+    struct OpenCall {
+        RequestId id;
+        std::shared_ptr<AnswerPipe> pipe;
+    };
+
+    /// Takes a call in; its answer comes through the pipe.
+    OpenCall open(std::shared_ptr<const CallerRequest>, CallSpec);
+    void callerLeft(RequestId);
+    void post(RelayEventBody);
+
+    const RelayReducer& reducer() const { return m_reducer; }
+    const HeaderNames& names() const { return m_names; }
+    CallLimits limits() const;
+    TimePoint now() const;
+    std::uint64_t entropy();
+
+private:
+    struct Open {
+        std::string name; ///< the caller's id, for logs
+        std::shared_ptr<const CallerRequest> request;
+        std::shared_ptr<AnswerPipe> pipe;
+        TimePoint arrived;
+        AttemptId attempt;
+    };
+
+    Awaitable<void> tickLoop();
+    void apply(const RelayEffects&);
+    void on(const effect::StartAttempt&);
+    void on(const effect::CancelAttempt&);
+    void on(const effect::Refuse&);
+    void on(const effect::DeliverServerFailure&);
+    void on(const effect::BreakAnswer&);
+    void logEnd(const Open&, std::string_view outcome, boost::json::object inputs = {});
+
+    net::io_context& m_context;
+    HeaderNames m_names;
+    RelayReducer m_reducer;
+    pcg64 m_random;
+    Timer m_tick;
+    std::uint64_t m_nextCall = 1;
+    absl::flat_hash_map<RequestId, Open> m_open;
+    absl::flat_hash_map<AttemptId, std::shared_ptr<UpstreamAttempt>> m_attempts;
+    std::deque<RelayEventBody> m_events;
+    bool m_reducing = false;
+};
+
+} // namespace crocusmount::relay
--- /dev/null
+++ b/src/edge/StoreMirror.cpp
@@ -0,0 +1,145 @@
+#include "edge/StoreMirror.h"
+
+#include "edge/DecisionLog.h"
+
+#include <set>
+
+namespace crocusmount {
+
+namespace {
+
+    constexpr std::chrono::milliseconds FirstPause { 100 };
+    /// Keeps the copy no later than this behind the store's return.
+    constexpr std::chrono::milliseconds LongestPause { 400 };
+    /// A silence that may have made other clients' leases lapse: shorter ones are retried calls.
+    constexpr std::chrono::milliseconds Outage { 1000 };
+    /// After an outage, entries that lapsed come back within about two seconds if their owners live.
+    constexpr std::chrono::milliseconds LapseGrace { 2300 };
+
+} // namespace
+
+StoreMirror::StoreMirror(net::io_context& context, StoreClient& store, OnChange onChange)
+    : m_context(context)
+    , m_store(store)
+    , m_onChange(std::move(onChange))
+    , m_lastAnswer(std::chrono::steady_clock::now())
+{
+}
+
+void StoreMirror::start() { net::co_spawn(m_context.get_executor(), followLoop(), net::detached); }
+
+std::chrono::milliseconds StoreMirror::age() const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - m_lastAnswer);
+}
+
+Awaitable<void> StoreMirror::followLoop()
+{
+    Timer timer(m_context.get_executor());
+    std::chrono::milliseconds pause = FirstPause;
+    while (true) {
+        const bool read = !m_stale || co_await readAll();
+        if (read) {
+            const absl::Status status = co_await watchOnce();
+            m_stale = m_stale || absl::IsOutOfRange(status);
+            if (absl::IsOutOfRange(status)) {
+                relay::DecisionLog::state("store_history_lost", { { "revision", m_revision } });
+                continue;
+            }
+        }
+        contact(false);
+        timer.expires_after(pause);
+        co_await timer.async_wait(net::as_tuple(useAwaitable));
+        pause = m_inContact ? FirstPause : std::min(pause * 2, LongestPause);
+    }
+}
+
+Awaitable<bool> StoreMirror::readAll()
+{
+    const auto range = co_await m_store.range({}, {});
+    if (!range.ok())
+        co_return false;
+    contact(true);
+    std::set<std::string> present;
+    for (const StoreEntry& entry : range->entries) {
+        present.insert(entry.key);
+        take({ entry, false });
+    }
+    std::vector<std::string> gone;
+    for (const auto& [key, revision] : m_revisions) {
+        if (!present.count(key))
+            gone.push_back(key);
+    }
+    for (const std::string& key : gone)
+        take({ { key, {}, range->revision }, true });
+    m_revision = range->revision;
+    m_stale = false;
+    m_complete = true;
+    co_return true;
+}
+
+Awaitable<absl::Status> StoreMirror::watchOnce()
+{
+    co_return co_await m_store.watch({}, {}, m_revision + 1, [this](const StoreWatchBatch& batch) {
+        contact(true);
+        for (const StoreEvent& event : batch.events)
+            take(event);
+        m_revision = std::max(m_revision, batch.revision);
+        reportLapsed();
+        return true;
+    });
+}
+
+void StoreMirror::take(const StoreEvent& event)
+{
+    const std::string& key = event.entry.key;
+    const auto known = m_revisions.find(key);
+    if (known != m_revisions.end() && event.entry.modRevision < known->second)
+        return;
+    if (event.deleted) {
+        if (known == m_revisions.end())
+            return;
+        if (std::chrono::steady_clock::now() < m_trustDeletionsFrom) {
+            m_lapsed.try_emplace(key, m_trustDeletionsFrom);
+            return;
+        }
+        m_revisions.erase(known);
+        m_lapsed.erase(key);
+        m_onChange(event);
+        return;
+    }
+    m_lapsed.erase(key);
+    if (known != m_revisions.end() && event.entry.modRevision == known->second)
+        return;
+    m_revisions[key] = event.entry.modRevision;
+    m_onChange(event);
+}
+
+void StoreMirror::reportLapsed()
+{
+    const auto now = std::chrono::steady_clock::now();
+    std::vector<std::string> due;
+    for (const auto& [key, time] : m_lapsed) {
+        if (now >= time)
+            due.push_back(key);
+    }
+    for (const std::string& key : due)
+        take({ { key, {}, m_revision }, true });
+}
+
+void StoreMirror::contact(bool answered)
+{
+    const auto now = std::chrono::steady_clock::now();
+    if (answered && now - m_lastAnswer > Outage && m_complete)
+        m_trustDeletionsFrom = now + LapseGrace;
+    if (answered != m_inContact) {
+        const auto silent = std::chrono::duration_cast<std::chrono::milliseconds>(now - m_lastAnswer).count();
+        relay::DecisionLog::state(answered ? "store_regained" : "store_lost",
+            { { "silent_ms", silent }, { "revision", m_revision } });
+    }
+    if (answered)
+        m_lastAnswer = now;
+    m_inContact = answered;
+}
+
+} // namespace crocusmount
--- /dev/null
+++ b/src/planning/LayerPlanner.cpp
@@ -0,0 +1,157 @@
+#include "planning/LayerPlanner.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+
+namespace crocusmount {
+
+namespace {
+
+    /// KV cache beside the layers, in tokens, best first. With the first, about 85 streams of a thousand tokens run
+    /// through an engine; the others serve fleets too small to hold the model that way.
+    constexpr double KvTargets[] = { 80000, 60000, 40000, 25000, 12000, 6000, 1000 };
+    /// Copies of the model that the fleet should hold before engines are given more KV cache.
+    constexpr double WantedCopies = 1.5;
+    /// What one more holder of a layer is worth after each holder in the same data centre.
+    constexpr double LocalDecay = 0.2;
+    /// The same after each holder anywhere.
+    constexpr double GlobalDecay = 0.5;
+    constexpr double GlobalWeight = 0.5;
+
+    /// Holders of each layer, by data centre and in all.
+    class Coverage {
+    public:
+        explicit Coverage(std::uint32_t layers)
+            : m_layers(layers)
+            , m_all(layers)
+        {
+        }
+
+        void add(const DataCentreId& dataCentre, const LayerRange& range, int holders)
+        {
+            auto& local = m_local.try_emplace(dataCentre, m_layers).first->second;
+            for (std::uint32_t layer = range.begin; layer < std::min(range.end, m_layers); ++layer) {
+                local[layer] += holders;
+                m_all[layer] += holders;
+            }
+        }
+
+        /// @return what one more holder of that range is worth
+        double worth(const DataCentreId& dataCentre, const LayerRange& range)
+        {
+            const auto& local = m_local.try_emplace(dataCentre, m_layers).first->second;
+            double sum = 0;
+            for (std::uint32_t layer = range.begin; layer < std::min(range.end, m_layers); ++layer)
+                sum += std::pow(LocalDecay, local[layer]) + GlobalWeight * std::pow(GlobalDecay, m_all[layer]);
+            return sum;
+        }
+
+        LayerRange best(const DataCentreId& dataCentre, std::uint32_t count)
+        {
+            LayerRange chosen { 0, std::min(count, m_layers) };
+            double most = worth(dataCentre, chosen);
+            for (std::uint32_t begin = 1; begin + count <= m_layers; ++begin) {
+                const LayerRange range { begin, begin + count };
+                const double value = worth(dataCentre, range);
+                if (value > most * (1 + 1e-9)) {
+                    most = value;
+                    chosen = range;
+                }
+            }
+            return chosen;
+        }
+
+        bool hasHole() const { return std::find(m_all.begin(), m_all.end(), 0) != m_all.end(); }
+
+    private:
+        std::uint32_t m_layers;
+        std::vector<int> m_all;
+        std::map<DataCentreId, std::vector<int>> m_local;
+    };
+
+    double chooseKvTarget(const relay::EngineModel& model, const std::vector<LayerPlanner::Engine>& engines)
+    {
+        for (const double target : KvTargets) {
+            double layers = 0;
+            for (const auto& engine : engines) {
+                const auto* kind = model.kind(engine.accelerator);
+                if (kind && !engine.leaving)
+                    layers += LayerPlanner::layersFor(model, *kind, target);
+            }
+            if (layers >= WantedCopies * model.layers)
+                return target;
+        }
+        return KvTargets[std::size(KvTargets) - 1];
+    }
+
+    /// Gives up a range that others hold too, where that closes a hole.
+    std::optional<LayerPlanner::Order> moveIntoHole(
+        const std::vector<LayerPlanner::Engine>& engines, Coverage& coverage)
+    {
+        std::optional<LayerPlanner::Order> best;
+        double most = 0;
+        for (const auto& engine : engines) {
+            if (engine.leaving || engine.ordered || !engine.held.size())
+                continue;
+            coverage.add(engine.dataCentre, engine.held, -1);
+            const LayerRange range = coverage.best(engine.dataCentre, engine.held.size());
+            const double gain
+                = coverage.worth(engine.dataCentre, range) - coverage.worth(engine.dataCentre, engine.held);
+            coverage.add(engine.dataCentre, engine.held, 1);
+            if (gain > most) {
+                most = gain;
+                best = LayerPlanner::Order { engine.id, range };
+            }
+        }
+        return best;
+    }
+
+} // namespace
+
+std::uint32_t LayerPlanner::layersFor(
+    const relay::EngineModel& model, const relay::AcceleratorKind& kind, double kvTokens)
+{
+    std::uint32_t count = 0;
+    while (count < model.layers && model.kvTokenLayers(kind, count + 1) >= kvTokens * (count + 1))
+        ++count;
+    return count;
+}
+
+std::vector<LayerPlanner::Order> LayerPlanner::plan(
+    const relay::EngineModel& model, const std::vector<Engine>& engines)
+{
+    Coverage coverage(model.layers);
+    std::vector<std::pair<std::uint32_t, const Engine*>> empty;
+    const double target = chooseKvTarget(model, engines);
+    bool orderUnderWay = false;
+    for (const Engine& engine : engines) {
+        if (engine.leaving)
+            continue;
+        orderUnderWay = orderUnderWay || engine.ordered;
+        const LayerRange range = engine.ordered.value_or(engine.held);
+        if (range.size()) {
+            coverage.add(engine.dataCentre, range, 1);
+            continue;
+        }
+        const auto* kind = model.kind(engine.accelerator);
+        const std::uint32_t count = kind ? layersFor(model, *kind, target) : 0;
+        if (count)
+            empty.emplace_back(count, &engine);
+    }
+    // Large ranges first: small ones fill the gaps that these leave.
+    std::stable_sort(empty.begin(), empty.end(), [](const auto& a, const auto& b) { return a.first > b.first; });
+    std::vector<Order> orders;
+    for (const auto& [count, engine] : empty) {
+        const LayerRange range = coverage.best(engine->dataCentre, count);
+        coverage.add(engine->dataCentre, range, 1);
+        orders.push_back({ engine->id, range });
+    }
+    if (orders.empty() && !orderUnderWay && coverage.hasHole()) {
+        if (const auto move = moveIntoHole(engines, coverage))
+            orders.push_back(*move);
+    }
+    return orders;
+}
+
+} // namespace crocusmount
--- /dev/null
+++ b/src/relay/RegisteredServer.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "crocusmount/Ids.h"
+#include "crocusmount/LayerRange.h"
+#include "relay/ServiceConfiguration.h"
+
+#include <string>
+
+namespace crocusmount::relay {
+
+/// What the platform's registry says of one backend server. Each start of a server is a new id.
+struct RegisteredServer {
+    BackendId id;
+    ServiceId service;
+    std::string address; ///< "ip:port"
+    DataCentreId dataCentre;
+    std::string accelerator; ///< name of its AcceleratorKind; empty for a plain service
+    std::uint32_t slots = 1;
+    bool leaving = false;
+    LayerRange layers; ///< held and ready to run; empty if none
+    std::int64_t layersVersion = 0; ///< of the weights held
+
+    bool operator==(const RegisteredServer&) const = default;
+};
+
+} // namespace crocusmount::relay
--- /dev/null
+++ b/src/relay/RelayCounters.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "crocusmount/Reason.h"
+
+#include <array>
+#include <cstdint>
+
+namespace crocusmount::relay {
+
+/// Monotonic counts of the relay.
+struct RelayCounters {
+    std::uint64_t calls = 0;
+    std::uint64_t completed = 0;
+    std::uint64_t attempts = 0;
+    std::uint64_t resumed = 0; ///< streams that went on at another chain after their first event
+    std::uint64_t callersLeft = 0;
+    std::uint64_t configurationsAccepted = 0;
+    std::array<std::uint64_t, ReasonCount> refused {}; ///< final answers other than a server's, by reason
+    std::array<std::uint64_t, ReasonCount> retried {}; ///< further attempts, by the reason of the one before
+};
+
+} // namespace crocusmount::relay
--- /dev/null
+++ b/src/relay/RelayEffect.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "crocusmount/Chain.h"
+#include "crocusmount/Ids.h"
+#include "crocusmount/Reason.h"
+#include "crocusmount/RunState.h"
+#include "crocusmount/Time.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace crocusmount::relay {
+
+/// The closed family of the relay's effects.
+namespace effect {
+
+    /// Send the call to a backend server.
+    struct StartAttempt {
+        AttemptId attempt;
+        RequestId call;
+        BackendId server; ///< the first stage; no other server may take the call
+        std::string address;
+        Chain chain; ///< no hops for a plain service
+        Duration remaining {}; ///< until the call's deadline
+        std::optional<std::uint64_t> resumeAfter; ///< the last event that the caller has
+        std::string workspace; ///< empty for an anonymous route
+        bool stream = false;
+        bool repeatable = false;
+    };
+
+    /// Close the attempt's connection, so that the server stops its work.
+    struct CancelAttempt {
+        AttemptId attempt;
+    };
+
+    /// The final answer to a call of which nothing was delivered.
+    struct Refuse {
+        RequestId call;
+        Reason reason = Reason::NoCapacity;
+        RunState run = RunState::NotRun;
+        Duration retryAfter {}; ///< zero: no use in coming back
+    };
+
+    /// The final answer: the failure that a server gave, which the shell keeps.
+    struct DeliverServerFailure {
+        RequestId call;
+    };
+
+    /// End a partly delivered answer so that it cannot look complete.
+    struct BreakAnswer {
+        RequestId call;
+        Reason reason = Reason::ConnectionLost;
+    };
+
+} // namespace effect
+
+using RelayEffect = std::variant<effect::StartAttempt, effect::CancelAttempt, effect::Refuse,
+    effect::DeliverServerFailure, effect::BreakAnswer>;
+using RelayEffects = std::vector<RelayEffect>;
+
+} // namespace crocusmount::relay
--- /dev/null
+++ b/src/relay/RelayEvent.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "crocusmount/Ids.h"
+#include "relay/CallSpec.h"
+#include "relay/RegisteredServer.h"
+
+#include <memory>
+#include <variant>
+
+namespace crocusmount::relay {
+
+class RouteTable;
+
+/// How an attempt at a backend server ended.
+enum class AttemptResult {
+    Completed, ///< the whole answer, a success, was handed over
+    ServerFailure, ///< the server's own failure, whole and kept by the shell; it counts as run
+    NotRun, ///< the server says that it did not run the call
+    ConnectFailed, ///< no byte of the call was sent
+    Broken, ///< after bytes were sent: no answer, a part of one, or bytes that are none
+};
+
+/// The closed family of the relay's events.
+namespace event {
+
+    struct ConfigurationAccepted {
+        std::shared_ptr<const RouteTable> routes;
+    };
+
+    struct ServerRegistered {
+        RegisteredServer server;
+    };
+
+    struct ServerUnregistered {
+        BackendId server;
+    };
+
+    /// How many instances share the backend servers, this one included.
+    struct InstancesCounted {
+        std::uint32_t instances = 1;
+    };
+
+    struct CallArrived {
+        RequestId call;
+        CallSpec spec;
+    };
+
+    /// The caller closed its connection before the final answer.
+    struct CallerLeft {
+        RequestId call;
+    };
+
+    /// Bytes of the call go out: from here on it may have run.
+    struct AttemptSent {
+        AttemptId attempt;
+    };
+
+    /// A whole event of a stream was handed to the caller.
+    struct EventDelivered {
+        AttemptId attempt;
+        std::uint64_t eventId = 0;
+    };
+
+    struct AttemptEnded {
+        AttemptId attempt;
+        AttemptResult result = AttemptResult::Broken;
+        unsigned status = 0; ///< of the server's answer, if there was one
+        std::string culprit; ///< address of the stage that the server names; empty if none
+    };
+
+    struct DrainRequested { };
+
+    struct Tick { };
+
+} // namespace event
+
+using RelayEventBody = std::variant<event::ConfigurationAccepted, event::ServerRegistered, event::ServerUnregistered,
+    event::InstancesCounted, event::CallArrived, event::CallerLeft, event::AttemptSent, event::EventDelivered,
+    event::AttemptEnded, event::DrainRequested, event::Tick>;
+
+/// Something that happened, with all the time and entropy that the relay may use for it.
+struct RelayEvent {
+    TimePoint now;
+    std::uint64_t entropy = 0;
+    RelayEventBody body;
+};
+
+} // namespace crocusmount::relay
--- /dev/null
+++ b/src/relay/RelayOptions.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "crocusmount/Ids.h"
+#include "crocusmount/Time.h"
+
+namespace crocusmount::relay {
+
+/// The settings of the relay's decisions. Where a figure has no other origin, docs/decisions/0007-platform.md says
+/// how it was chosen.
+struct RelayOptions {
+    DataCentreId dataCentre; ///< of this instance
+    double retryRatio = 0.15; ///< retries that each call earns; the platform allows 0.2 over all instances
+    double retrySlack = 100; ///< retries over all instances beyond that, in each window of ten seconds
+    Duration retryWindow = std::chrono::seconds(10);
+    /// Part of the objective for which a call waits for room. Longer waits turn late what then runs.
+    double queueWaitShare = 0.5;
+    /// Multiple of this instance's equal share of an engine's memory that it may book; others may use less.
+    double memoryOvercommit = 1.6;
+    Duration firstEventLimit = std::chrono::milliseconds(900); ///< without an event, before a chain counts as stalled
+    Duration minStall = std::chrono::milliseconds(450); ///< shortest gap in a stream that counts as a stall
+    double stallFactor = 8; ///< a stall is this many of the stream's usual gaps
+    Duration suspicion = std::chrono::seconds(3); ///< how long a stage that stands still is avoided
+    /// Multiple of the objective after which an idempotent call tries another server.
+    double slowCallFactor = 2;
+};
+
+} // namespace crocusmount::relay
--- /dev/null
+++ b/src/relay/ServerFleet.cpp
@@ -0,0 +1,105 @@
+#include "relay/ServerFleet.h"
+
+#include <algorithm>
+
+namespace crocusmount::relay {
+
+namespace {
+
+    /// Weight of a new sample; about the last ten decide.
+    constexpr double SampleWeight = 0.1;
+    /// A failure's weight: three in a row bring the rate above a half.
+    constexpr double FailureWeight = 0.25;
+    constexpr Duration FirstAvoidance = std::chrono::milliseconds(500);
+    constexpr std::uint32_t MostDoublings = 3; ///< longest avoidance: 4 s, about the time a dead server stays listed
+
+} // namespace
+
+bool ServerFleet::upsert(const RegisteredServer& entry)
+{
+    const auto [position, added] = m_servers.try_emplace(entry.id);
+    if (!added && position->second.entry == entry)
+        return false;
+    position->second.entry = entry;
+    return true;
+}
+
+void ServerFleet::remove(const BackendId& id) { m_servers.erase(id); }
+
+FleetServer* ServerFleet::find(const BackendId& id)
+{
+    const auto found = m_servers.find(id);
+    return found == m_servers.end() ? nullptr : &found->second;
+}
+
+FleetServer* ServerFleet::findByAddress(const std::string& address)
+{
+    const auto found = std::find_if(
+        m_servers.begin(), m_servers.end(), [&](const auto& each) { return each.second.entry.address == address; });
+    return found == m_servers.end() ? nullptr : &found->second;
+}
+
+void ServerFleet::book(const Chain& chain, double tokens)
+{
+    for (const Hop& hop : chain.hops()) {
+        if (FleetServer* server = find(hop.backend))
+            server->ownTokenLayers += tokens * hop.layers.size();
+    }
+    if (FleetServer* first = chain.hops().empty() ? nullptr : find(chain.hops().front().backend))
+        ++first->ownCalls;
+}
+
+void ServerFleet::unbook(const Chain& chain, double tokens)
+{
+    for (const Hop& hop : chain.hops()) {
+        if (FleetServer* server = find(hop.backend))
+            server->ownTokenLayers = std::max(0.0, server->ownTokenLayers - tokens * hop.layers.size());
+    }
+    FleetServer* first = chain.hops().empty() ? nullptr : find(chain.hops().front().backend);
+    if (first && first->ownCalls)
+        --first->ownCalls;
+}
+
+void ServerFleet::progressed(const Chain& chain, TimePoint now)
+{
+    for (const Hop& hop : chain.hops()) {
+        if (FleetServer* server = find(hop.backend))
+            server->lastProgress = now;
+    }
+}
+
+void ServerFleet::observeSlowness(const Chain& chain, double ratio)
+{
+    for (const Hop& hop : chain.hops()) {
+        if (FleetServer* server = find(hop.backend))
+            server->slowness += SampleWeight * (ratio - server->slowness);
+    }
+}
+
+void ServerFleet::failed(const BackendId& id, TimePoint now)
+{
+    FleetServer* server = find(id);
+    if (!server)
+        return;
+    server->failureRate += FailureWeight * (1 - server->failureRate);
+    const Duration avoidance = FirstAvoidance * (1U << std::min(server->failuresInRow, MostDoublings));
+    server->avoidUntil = std::max(server->avoidUntil, now + avoidance);
+    ++server->failuresInRow;
+}
+
+void ServerFleet::succeeded(const BackendId& id)
+{
+    FleetServer* server = find(id);
+    if (!server)
+        return;
+    server->failureRate -= SampleWeight * server->failureRate;
+    server->failuresInRow = 0;
+}
+
+void ServerFleet::suspect(const BackendId& id, TimePoint until)
+{
+    if (FleetServer* server = find(id))
+        server->avoidUntil = std::max(server->avoidUntil, until);
+}
+
+} // namespace crocusmount::relay
--- /dev/null
+++ b/src/relay/ServerFleet.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "crocusmount/Chain.h"
+#include "crocusmount/Time.h"
+#include "relay/RegisteredServer.h"
+
+#include <map>
+#include <vector>
+
+namespace crocusmount::relay {
+
+/// One backend server: what is registered, and what this instance has seen of it.
+struct FleetServer {
+    RegisteredServer entry;
+    std::uint32_t ownCalls = 0; ///< of this instance, running there as first stage or alone
+    double ownTokenLayers = 0; ///< KV cache that this instance's calls hold there, estimated
+    double slowness = 1; ///< moving average of observed over expected time
+    double failureRate = 0; ///< moving average of failed over all attempts
+    std::uint32_t failuresInRow = 0;
+    TimePoint avoidUntil; ///< no new work before, where another server will do
+    TimePoint lastProgress; ///< last event of any call through it
+};
+
+/// All registered backend servers.
+class ServerFleet {
+public:
+    /// @return whether anything changed that placement or routing depends on
+    bool upsert(const RegisteredServer&);
+    void remove(const BackendId&);
+
+    const std::map<BackendId, FleetServer>& servers() const { return m_servers; }
+    FleetServer* find(const BackendId&);
+    FleetServer* findByAddress(const std::string& address);
+
+    /// Books a call's KV cache on each stage. @param tokens  prompt and expected answer
+    void book(const Chain&, double tokens);
+    void unbook(const Chain&, double tokens);
+    void progressed(const Chain&, TimePoint now);
+    void observeSlowness(const Chain&, double ratio);
+
+    /// Notes a failed attempt: the server is avoided for a time that doubles with each failure in a row.
+    void failed(const BackendId&, TimePoint now);
+    void succeeded(const BackendId&);
+    /// Notes that a server stands still. @param until  it is avoided so long
+    void suspect(const BackendId&, TimePoint until);
+
+private:
+    std::map<BackendId, FleetServer> m_servers;
+};
+
+} // namespace crocusmount::relay
--- /dev/null
+++ b/src/relay/ServiceConfiguration.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "crocusmount/Ids.h"
+#include "crocusmount/Time.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// The configuration of the relay: which calls go to which services, within which limits. Plain data.
+namespace crocusmount::relay {
+
+using RouteId = StrongId<struct RouteTag, std::string>;
+using ServiceId = StrongId<struct ServiceTag, std::string>;
+
+/// What may be done again with a call.
+enum class CallKind {
+    Idempotent, ///< may run more than once
+    NonIdempotent, ///< runs at most once
+    Stream, ///< a stream of events that runs at most once
+    ResumableStream, ///< a stream that may go on at another server after its last delivered event
+};
+
+constexpr bool isStream(CallKind kind) { return kind == CallKind::Stream || kind == CallKind::ResumableStream; }
+constexpr bool isRepeatable(CallKind kind)
+{
+    return kind == CallKind::Idempotent || kind == CallKind::ResumableStream;
+}
+
+/// One service's part of a route's calls.
+struct TrafficShare {
+    ServiceId service;
+    std::uint32_t weight = 1;
+};
+
+struct Route {
+    RouteId id;
+    std::string host;
+    std::string prefix; ///< begins and ends with a slash
+    CallKind kind = CallKind::NonIdempotent;
+    Duration timeout = std::chrono::seconds(10); ///< longest time until the final answer
+    Duration objective = std::chrono::milliseconds(500); ///< to the answer; of a stream, to its first event
+    Duration maxEventGap {}; ///< longest pause between two events that is still on time
+    int rank = 5; ///< 0 is the most urgent
+    std::uint32_t maxAttempts = 1; ///< servers that one call may be sent to
+    bool anonymous = false; ///< needs no key
+    std::vector<TrafficShare> split; ///< at least one
+};
+
+/// A kind of card that engines run on.
+struct AcceleratorKind {
+    std::string name;
+    double memoryMb = 0;
+    double stepFactor = 1; ///< its steps take this many times as long as the model's figures say
+    double readFactor = 1; ///< the same for reading prompts
+};
+
+/// Figures of a model whose layers are spread over engines.
+struct EngineModel {
+    std::string model;
+    std::uint32_t layers = 1;
+    double layerMb = 0;
+    double kvBytesPerToken = 0; ///< over all layers
+    double stepMs = 1; ///< one token through all layers on the reference card
+    double stepMsPerStream = 0;
+    double readTokensPerMs = 1;
+    double loadSeconds = 0; ///< of all layers
+    std::uint32_t loadsAtOnce = 1; ///< more loads than this slow each other down
+    double usualPromptTokens = 500;
+    double usualAnswerTokens = 200;
+    std::vector<AcceleratorKind> kinds;
+
+    /// @return the kind of that name, or null
+    const AcceleratorKind* kind(const std::string& name) const;
+    /// @return tokens times layers of KV cache beside a number of held layers; zero where they do not fit
+    double kvTokenLayers(const AcceleratorKind&, std::uint32_t heldLayers) const;
+};
+
+struct Service {
+    ServiceId id;
+    std::string healthPath;
+    std::uint32_t maxConnections = 100; ///< of one server, from all instances together
+    std::optional<EngineModel> engine; ///< absent for a plain service
+};
+
+/// What one caller may take.
+struct CallLimits {
+    std::uint32_t headerBytes = 16384;
+    std::uint64_t bodyBytes = 1U << 20U;
+    Duration headerTimeout = std::chrono::seconds(3);
+    Duration idleTimeout = std::chrono::seconds(15);
+};
+
+struct KeyHolder {
+    WorkspaceId workspace;
+    std::vector<std::string> keys;
+    std::optional<int> rank; ///< goes before that of the route
+};
+
+struct ServiceConfiguration {
+    std::uint64_t version = 0;
+    std::vector<Route> routes;
+    std::vector<Service> services;
+    std::vector<KeyHolder> workspaces; ///< empty: calls need no key
+    CallLimits limits;
+};
+
+} // namespace crocusmount::relay
--- a/src/shell/StoreClient.h
+++ b/src/shell/StoreClient.h
@@ -24,9 +24,10 @@
 
 /// One atomic write: applied as a whole if the guarded key still stands at the expected revision.
 struct StoreWrite {
-    std::string guardKey;
+    std::string guardKey; ///< empty: written whatever stands there
     std::int64_t expectedModRevision = 0; ///< 0: the key must not exist
     std::vector<std::pair<std::string, std::string>> puts;
+    std::int64_t lease = 0; ///< of the keys put; 0: they last. Only where the client is a LeaseClient too.
     std::vector<std::string> deletes;
     std::vector<std::pair<std::string, std::string>> deleteRanges; ///< [begin, end)
 };
