--- a/src/edge/FrontServer.cpp
+++ b/src/edge/FrontServer.cpp
@@ -176,7 +176,8 @@
         }
         DecisionLog::call("unread", "-", { { "status", answer.status }, { "error", error.message() } });
         m_closeAnnounced = true;
-        co_await writeOwn(answer, {});
+        const std::string noId;
+        co_await writeOwn(answer, noId);
     }
 
     Awaitable<bool> answer(std::shared_ptr<CallerRequest> request, bool keepAlive)
@@ -264,8 +265,9 @@
 
     Awaitable<bool> writeRefusal(const effect::Refuse& refusal, const std::string& callId)
     {
-        co_return co_await writeOwn(
-            { statusOf(refusal), toString(refusal.reason), refusal.run, refusal.retryAfter }, callId);
+        // A named value: g++ 12 destroys temporaries of a co_await expression twice.
+        const OwnAnswer answer { statusOf(refusal), toString(refusal.reason), refusal.run, refusal.retryAfter };
+        co_return co_await writeOwn(answer, callId);
     }
 
     Awaitable<bool> writeOwn(const OwnAnswer& answer, const std::string& callId)
--- a/src/edge/PlacementDriver.cpp
+++ b/src/edge/PlacementDriver.cpp
@@ -81,7 +81,7 @@
 Awaitable<void> PlacementDriver::give(
     LayerPlanner::Order order, std::string address, std::chrono::milliseconds expected)
 {
-    const OrderAnswer answer = co_await m_control.placeLayers(address, order.layers);
+    const OrderAnswer answer = co_await m_control.placeLayers(std::move(address), order.layers);
     relay::DecisionLog::state("order",
         { { "engine", order.engine.value() }, { "from", order.layers.begin }, { "to", order.layers.end },
             { "answer", static_cast<int>(answer) }, { "expected_ms", expected.count() } });
--- a/src/edge/RelayNode.cpp
+++ b/src/edge/RelayNode.cpp
@@ -68,7 +68,7 @@
 {
     const RequestId id(m_nextCall++);
     auto pipe = std::make_shared<AnswerPipe>(m_context);
-    m_open[id] = { spec.name, std::move(request), pipe, now(), AttemptId() };
+    m_open[id] = { spec.name, std::move(request), pipe, now() };
     if (!m_reducer.openCalls())
         m_tick.cancel();
     post(event::CallArrived { id, std::move(spec) });
@@ -95,28 +95,33 @@
         RelayEvent event { now(), entropy(), std::move(m_events.front()) };
         m_events.pop_front();
         RelayEffects effects;
-        if (const auto* ended = std::get_if<event::AttemptEnded>(&event.body)) {
-            m_attempts.erase(ended->attempt);
-            for (const auto& [id, open] : m_open) {
-                if (open.attempt != ended->attempt)
-                    continue;
-                if (ended->result == AttemptResult::Completed) {
-                    logEnd(open, "completed", { { "status", ended->status } });
-                    m_open.erase(id);
-                } else {
-                    DecisionLog::call("attempt_failed", open.name,
-                        { { "result", static_cast<int>(ended->result) }, { "status", ended->status },
-                            { "culprit", ended->culprit } });
-                }
-                break;
-            }
-        }
+        if (const auto* ended = std::get_if<event::AttemptEnded>(&event.body))
+            noteEnd(*ended);
         m_reducer.reduce(event, effects);
         apply(effects);
     }
     m_reducing = false;
 }
 
+void RelayNode::noteEnd(const event::AttemptEnded& ended)
+{
+    const auto running = m_attempts.find(ended.attempt);
+    if (running == m_attempts.end())
+        return;
+    const RequestId call = running->second.call;
+    m_attempts.erase(running);
+    const auto open = m_open.find(call);
+    if (open == m_open.end())
+        return;
+    if (ended.result == AttemptResult::Completed) {
+        logEnd(open->second, "completed", { { "status", ended.status } });
+        m_open.erase(open);
+        return;
+    }
+    DecisionLog::call("attempt_failed", open->second.name,
+        { { "result", toString(ended.result) }, { "status", ended.status }, { "culprit", ended.culprit } });
+}
+
 void RelayNode::apply(const RelayEffects& effects)
 {
     for (const RelayEffect& effect : effects)
@@ -128,14 +133,13 @@
     const auto found = m_open.find(start.call);
     if (found == m_open.end())
         return;
-    found->second.attempt = start.attempt;
     DecisionLog::call("attempt", found->second.name,
         { { "server", start.server.value() }, { "address", start.address }, { "chain", chainText(start.chain) },
             { "remaining_ms", toMs(start.remaining) }, { "resume_after", start.resumeAfter.value_or(0) },
             { "waited_ms", toMs(now() - found->second.arrived) } });
     auto attempt = std::make_shared<UpstreamAttempt>(m_context, m_names, start, found->second.request,
         found->second.pipe, [this](RelayEventBody body) { post(std::move(body)); });
-    m_attempts[start.attempt] = attempt;
+    m_attempts[start.attempt] = { start.call, attempt };
     attempt->start();
 }
 
@@ -144,7 +148,7 @@
     const auto found = m_attempts.find(cancel.attempt);
     if (found == m_attempts.end())
         return;
-    found->second->cancel();
+    found->second.attempt->cancel();
     m_attempts.erase(found);
 }
 
--- a/src/edge/RelayNode.h
+++ b/src/edge/RelayNode.h
@@ -44,10 +44,15 @@
         std::shared_ptr<const CallerRequest> request;
         std::shared_ptr<AnswerPipe> pipe;
         TimePoint arrived;
-        AttemptId attempt;
+    };
+
+    struct Running {
+        RequestId call;
+        std::shared_ptr<UpstreamAttempt> attempt;
     };
 
     Awaitable<void> tickLoop();
+    void noteEnd(const event::AttemptEnded&);
     void apply(const RelayEffects&);
     void on(const effect::StartAttempt&);
     void on(const effect::CancelAttempt&);
@@ -63,7 +68,7 @@
     Timer m_tick;
     std::uint64_t m_nextCall = 1;
     absl::flat_hash_map<RequestId, Open> m_open;
-    absl::flat_hash_map<AttemptId, std::shared_ptr<UpstreamAttempt>> m_attempts;
+    absl::flat_hash_map<AttemptId, Running> m_attempts;
     std::deque<RelayEventBody> m_events;
     bool m_reducing = false;
 };
--- a/src/edge/StoreMirror.cpp
+++ b/src/edge/StoreMirror.cpp
@@ -56,7 +56,9 @@
 
 Awaitable<bool> StoreMirror::readAll()
 {
-    const auto range = co_await m_store.range({}, {});
+    std::string begin;
+    std::string end;
+    const auto range = co_await m_store.range(std::move(begin), std::move(end));
     if (!range.ok())
         co_return false;
     contact(true);
@@ -80,14 +82,17 @@
 
 Awaitable<absl::Status> StoreMirror::watchOnce()
 {
-    co_return co_await m_store.watch({}, {}, m_revision + 1, [this](const StoreWatchBatch& batch) {
+    std::string begin;
+    std::string end;
+    StoreClient::OnWatch onWatch = [this](const StoreWatchBatch& batch) {
         contact(true);
         for (const StoreEvent& event : batch.events)
             take(event);
         m_revision = std::max(m_revision, batch.revision);
         reportLapsed();
         return true;
-    });
+    };
+    co_return co_await m_store.watch(std::move(begin), std::move(end), m_revision + 1, std::move(onWatch));
 }
 
 void StoreMirror::take(const StoreEvent& event)
--- a/src/relay/RelayEvent.h
+++ b/src/relay/RelayEvent.h
@@ -20,6 +20,9 @@
     Broken, ///< after bytes were sent: no answer, a part of one, or bytes that are none
 };
 
+/// @return the snake_case name used in logs
+const char* toString(AttemptResult);
+
 /// The closed family of the relay's events.
 namespace event {
 
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -59,6 +59,23 @@
 
 } // namespace
 
+const char* toString(AttemptResult result)
+{
+    switch (result) {
+    case AttemptResult::Completed:
+        return "completed";
+    case AttemptResult::ServerFailure:
+        return "server_failure";
+    case AttemptResult::NotRun:
+        return "not_run";
+    case AttemptResult::ConnectFailed:
+        return "connect_failed";
+    case AttemptResult::Broken:
+        return "broken";
+    }
+    return "unknown";
+}
+
 RelayReducer::RelayReducer(RelayOptions options)
     : m_options(std::move(options))
 {
