--- a/src/edge/PlacementDriver.cpp
+++ b/src/edge/PlacementDriver.cpp
@@ -9,6 +9,8 @@
 namespace {
 
     constexpr std::chrono::milliseconds PlanInterval { 200 };
+    /// No plan is made while engines come and go faster than this: one made for a part of them fits badly.
+    constexpr std::chrono::milliseconds SettleTime { 500 };
     /// An order that was refused, as by an engine still busy with another, is given again after this.
     constexpr std::chrono::milliseconds RefusedPause { 1000 };
     /// Time beyond the loading itself until the registry shows it, an engine's heartbeat included.
@@ -54,10 +56,12 @@
     const auto now = std::chrono::steady_clock::now();
     const auto& servers = m_node.reducer().fleet().servers();
     std::vector<LayerPlanner::Engine> engines;
+    std::set<BackendId> present;
     for (const auto& [id, server] : servers) {
         const relay::RegisteredServer& entry = server.entry;
         if (entry.service != service.id)
             continue;
+        present.insert(id);
         LayerPlanner::Engine engine { id, entry.dataCentre, entry.accelerator, entry.layers, std::nullopt,
             entry.leaving };
         const auto outstanding = m_outstanding.find(id);
@@ -69,6 +73,11 @@
         }
         engines.push_back(std::move(engine));
     }
+    Seen& seen = m_seen[service.id];
+    if (present != seen.engines)
+        seen = { std::move(present), now };
+    if (now - seen.since < SettleTime)
+        return;
     for (const LayerPlanner::Order& order : LayerPlanner::plan(*service.engine, engines)) {
         const double loadMs = 1000.0 * service.engine->loadSeconds * order.layers.size() / service.engine->layers;
         const auto expected = std::chrono::milliseconds(static_cast<std::int64_t>(loadMs * LoadSlack)) + ReportSlack;
--- a/src/edge/PlacementDriver.h
+++ b/src/edge/PlacementDriver.h
@@ -4,6 +4,7 @@
 #include "planning/LayerPlanner.h"
 
 #include <map>
+#include <set>
 
 namespace crocusmount {
 
@@ -26,6 +27,11 @@
         std::chrono::steady_clock::time_point until; ///< by then it should be reported
     };
 
+    struct Seen {
+        std::set<BackendId> engines;
+        std::chrono::steady_clock::time_point since;
+    };
+
     Awaitable<void> planLoop();
     void planService(const relay::Service&);
     Awaitable<void> give(LayerPlanner::Order, std::string address, std::chrono::milliseconds expected);
@@ -35,6 +41,7 @@
     const InstanceRegistry& m_registry;
     EngineControl& m_control;
     std::map<BackendId, Outstanding> m_outstanding;
+    std::map<relay::ServiceId, Seen> m_seen;
 };
 
 } // namespace crocusmount
--- a/src/planning/LayerPlanner.cpp
+++ b/src/planning/LayerPlanner.cpp
@@ -8,11 +8,11 @@
 
 namespace {
 
-    /// KV cache beside the layers, in tokens, best first. With the first, about 85 streams of a thousand tokens run
-    /// through an engine; the others serve fleets too small to hold the model that way.
-    constexpr double KvTargets[] = { 80000, 60000, 40000, 25000, 12000, 6000, 1000 };
+    /// KV cache beside the layers, in tokens, best first. With more of it fewer copies of the model fit; what counts is
+    /// that streams in flight fit at all, because an engine that runs out of memory reads the newest one again.
+    constexpr double KvTargets[] = { 110000, 88000, 60000, 40000, 25000, 12000, 6000, 1000 };
     /// Copies of the model that the fleet should hold before engines are given more KV cache.
-    constexpr double WantedCopies = 1.5;
+    constexpr double WantedCopies = 2.5;
     /// What one more holder of a layer is worth after each holder in the same data centre.
     constexpr double LocalDecay = 0.2;
     /// The same after each holder anywhere.
@@ -122,7 +122,12 @@
     const relay::EngineModel& model, const std::vector<Engine>& engines)
 {
     Coverage coverage(model.layers);
-    std::vector<std::pair<std::uint32_t, const Engine*>> empty;
+    struct Empty {
+        std::uint32_t count = 0; ///< layers to hold
+        double slowness = 1; ///< of its kind of card
+        const Engine* engine = nullptr;
+    };
+    std::vector<Empty> empty;
     const double target = chooseKvTarget(model, engines);
     bool orderUnderWay = false;
     for (const Engine& engine : engines) {
@@ -137,15 +142,15 @@
         const auto* kind = model.kind(engine.accelerator);
         const std::uint32_t count = kind ? layersFor(model, *kind, target) : 0;
         if (count)
-            empty.emplace_back(count, &engine);
+            empty.push_back({ count, kind->stepFactor, &engine });
     }
-    // Large ranges first: small ones fill the gaps that these leave.
-    std::stable_sort(empty.begin(), empty.end(), [](const auto& a, const auto& b) { return a.first > b.first; });
+    // Fast cards tile the model first; slow ones fill the gaps that these leave, then stand by.
+    std::stable_sort(empty.begin(), empty.end(), [](const Empty& a, const Empty& b) { return a.slowness < b.slowness; });
     std::vector<Order> orders;
-    for (const auto& [count, engine] : empty) {
-        const LayerRange range = coverage.best(engine->dataCentre, count);
-        coverage.add(engine->dataCentre, range, 1);
-        orders.push_back({ engine->id, range });
+    for (const Empty& each : empty) {
+        const LayerRange range = coverage.best(each.engine->dataCentre, each.count);
+        coverage.add(each.engine->dataCentre, range, 1);
+        orders.push_back({ each.engine->id, range });
     }
     if (orders.empty() && !orderUnderWay && coverage.hasHole()) {
         if (const auto move = moveIntoHole(engines, coverage))
--- a/src/relay/ChainFinder.h
+++ b/src/relay/ChainFinder.h
@@ -19,9 +19,9 @@
 
 /// What crossing costs, as time of one token.
 struct ChainCosts {
-    double hopMs = 0.15; ///< each further stage: hand-over and half a pass of waiting
-    double crossingMs = 2; ///< each crossing between data centres; prompts share one pipe there
-    double entryCrossingMs = 1; ///< the first stage in another data centre than this instance
+    double hopMs = 0.2; ///< each further stage: hand-over and half a pass of waiting
+    double crossingMs = 1; ///< each crossing between data centres; prompts share one pipe there
+    double entryCrossingMs = 0.5; ///< the first stage in another data centre than this instance
 };
 
 /// Finds the chain of least cost through engines whose ranges may overlap.
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -14,6 +14,10 @@
     constexpr double FailedBeforePenaltyMs = 5000;
     /// How fast an engine's cost grows with its fill: at a full share its time counts this many times more.
     constexpr double FillPenalty = 4;
+    /// Part of a stage's pass that a token waits for it.
+    constexpr double PassWaitShare = 0.5;
+    /// How long a stage is left alone after it turned a call away: it is full, and some streams end within this time.
+    constexpr Duration FullPause = std::chrono::milliseconds(250);
     /// Random part of a cost, so that instances with the same view do not all choose the same engine.
     constexpr double CostJitter = 0.2;
     /// Connection attempts of one call that reached no server, before it is refused.
@@ -252,6 +256,9 @@
     case AttemptResult::ServerFailure:
         // Some calls fail by their nature; only a rate of failures tells on the server.
         return;
+    case AttemptResult::NotRun:
+        m_fleet.suspect(blamed, context.now + FullPause);
+        return;
     default:
         m_fleet.failed(blamed, context.now);
     }
@@ -399,12 +406,15 @@
             continue;
         const double jitter = 1 + CostJitter * fraction(context.entropy, ++use);
         const double msPerLayer = model.stepMs * card->stepFactor / model.layers;
-        const double penalty = (context.now < server.avoidUntil ? AvoidedPenaltyMs : 0)
+        const double busyMs = msPerLayer * server.slowness;
+        // A stage takes a token up only after its pass under way, which runs all of its layers: half of it on average.
+        const double penalty = PassWaitShare * busyMs * entry.layers.size()
+            + (context.now < server.avoidUntil ? AvoidedPenaltyMs : 0)
             + (contains(call.avoid, id) ? FailedBeforePenaltyMs : 0);
         const auto dataCentre
             = dataCentres.emplace(entry.dataCentre, static_cast<std::uint32_t>(dataCentres.size())).first->second;
         candidates.push_back({ id, entry.address, entry.layers, dataCentre,
-            msPerLayer * server.slowness * (1 + FillPenalty * fill * fill) * jitter, penalty });
+            busyMs * (1 + FillPenalty * fill * fill) * jitter, penalty });
     }
     auto chain = ChainFinder::find(model.layers, candidates, 0);
     if (!chain)
