Mirror: an idle watch is no outage; registration once; last call after SIGTERM

An outage is now measured from the first failed call, or from the last answer where a call was never answered.

--- a/programs/crocusmount-entry.cpp
+++ b/programs/crocusmount-entry.cpp
@@ -63,8 +63,7 @@
         , m_settings(settings)
         , m_node(context, relayOptions(settings), platform::headerNames())
         , m_store(context, settings.storeAddress)
-        , m_registry(context, m_store, m_store,
-              { instanceId(settings), settings.callerAddress, settings.dataCentre })
+        , m_registry(context, m_store, m_store, { instanceId(settings), settings.callerAddress, settings.dataCentre })
         , m_follower(m_node, m_registry)
         , m_mirror(context, m_store, [this](const StoreEvent& event) { m_follower.storeChanged(event); })
         , m_control(context)
@@ -81,8 +80,8 @@
         if (!front.ok())
             return front.status();
         m_front = *std::move(front);
-        for (const std::string& address : { m_settings.readyAddress, m_settings.directoryAddress,
-                 m_settings.ip + ":" + MetricsPort }) {
+        for (const std::string& address :
+            { m_settings.readyAddress, m_settings.directoryAddress, m_settings.ip + ":" + MetricsPort }) {
             auto server = HttpServer::make(m_context, address, HttpLimits(), m_endpoints);
             if (!server.ok())
                 return server.status();
@@ -96,10 +95,7 @@
     }
 
 private:
-    bool ready() const
-    {
-        return m_mirror.isComplete() && m_node.reducer().routes() && !m_node.reducer().isDraining();
-    }
+    bool ready() const { return m_mirror.isComplete() && m_node.reducer().routes() && !m_node.reducer().isDraining(); }
 
     std::string metrics() const
     {
--- a/src/edge/AnswerPipe.h
+++ b/src/edge/AnswerPipe.h
@@ -44,7 +44,10 @@
         bool empty() const { return !head && bytes.empty() && !ended && !broken && !whole && !refusal; }
     };
 
-    void begin(AnswerHead head) { change([&] { m_batch.head = std::move(head); }); }
+    void begin(AnswerHead head)
+    {
+        change([&] { m_batch.head = std::move(head); });
+    }
     void append(std::string_view bytes)
     {
         change([&] { m_batch.bytes.append(bytes); });
--- a/src/edge/DecisionLog.cpp
+++ b/src/edge/DecisionLog.cpp
@@ -55,9 +55,8 @@
     log.instance = std::move(instance);
     log.linesPerSecond = linesPerSecond;
     spdlog::init_thread_pool(QueueLength, 1);
-    log.logger = std::make_shared<spdlog::async_logger>("decisions",
-        std::make_shared<spdlog::sinks::stdout_sink_mt>(), spdlog::thread_pool(),
-        spdlog::async_overflow_policy::overrun_oldest);
+    log.logger = std::make_shared<spdlog::async_logger>("decisions", std::make_shared<spdlog::sinks::stdout_sink_mt>(),
+        spdlog::thread_pool(), spdlog::async_overflow_policy::overrun_oldest);
     log.logger->set_pattern("%v");
 }
 
--- a/src/edge/FrontServer.cpp
+++ b/src/edge/FrontServer.cpp
@@ -204,8 +204,8 @@
     void watch(const RelayNode::OpenCall& call)
     {
         m_stream.socket().async_wait(Tcp::socket::wait_read,
-            net::bind_cancellation_slot(m_stopWatch.slot(),
-                [self = shared_from_this(), call](const boost::system::error_code& error) {
+            net::bind_cancellation_slot(
+                m_stopWatch.slot(), [self = shared_from_this(), call](const boost::system::error_code& error) {
                     if (error)
                         return;
                     boost::system::error_code failed;
--- a/src/edge/InstanceRegistry.cpp
+++ b/src/edge/InstanceRegistry.cpp
@@ -50,8 +50,8 @@
     const std::string& key = event.entry.key;
     if (key == PlannerKey) {
         m_plannerId = event.deleted ? std::string() : event.entry.value;
-        relay::DecisionLog::state("planner_changed",
-            { { "planner", m_plannerId }, { "revision", event.entry.modRevision } });
+        relay::DecisionLog::state(
+            "planner_changed", { { "planner", m_plannerId }, { "revision", event.entry.modRevision } });
         return;
     }
     if (!absl::StartsWith(key, InstancePrefix))
@@ -119,7 +119,10 @@
             co_return false;
         m_leaseEnds = asked + m_lease.lifetime;
     }
-    co_return m_listed || co_await registerSelf();
+    // Not one expression: g++ 12 awaits the right side of || also where the left is true.
+    if (m_listed)
+        co_return true;
+    co_return co_await registerSelf();
 }
 
 Awaitable<bool> InstanceRegistry::registerSelf()
--- a/src/edge/PlacementDriver.cpp
+++ b/src/edge/PlacementDriver.cpp
@@ -82,8 +82,8 @@
         const double loadMs = 1000.0 * service.engine->loadSeconds * order.layers.size() / service.engine->layers;
         const auto expected = std::chrono::milliseconds(static_cast<std::int64_t>(loadMs * LoadSlack)) + ReportSlack;
         m_outstanding[order.engine] = { order.layers, now + expected };
-        net::co_spawn(m_context.get_executor(), give(order, servers.at(order.engine).entry.address, expected),
-            net::detached);
+        net::co_spawn(
+            m_context.get_executor(), give(order, servers.at(order.engine).entry.address, expected), net::detached);
     }
 }
 
--- a/src/edge/RelayMetrics.cpp
+++ b/src/edge/RelayMetrics.cpp
@@ -19,8 +19,8 @@
         families.push_back({ name, help, type, { std::move(metric) } });
     }
 
-    void addByReason(Families& families, const char* name, const char* help,
-        const std::array<std::uint64_t, ReasonCount>& counts)
+    void addByReason(
+        Families& families, const char* name, const char* help, const std::array<std::uint64_t, ReasonCount>& counts)
     {
         prometheus::MetricFamily family { name, help, prometheus::MetricType::Counter, {} };
         for (std::size_t reason = 0; reason < ReasonCount; ++reason) {
@@ -50,8 +50,8 @@
     add(families, "crocusmount_callers_left_total", "Callers gone before the answer", counter,
         double(counters.callersLeft));
     addByReason(families, "crocusmount_refused_total", "Final answers of this instance's own", counters.refused);
-    addByReason(families, "crocusmount_retried_total", "Further attempts, by the reason of the one before",
-        counters.retried);
+    addByReason(
+        families, "crocusmount_retried_total", "Further attempts, by the reason of the one before", counters.retried);
     add(families, "crocusmount_open_calls", "Calls without a final answer", gauge, double(gauges.openCalls));
     add(families, "crocusmount_waiting_calls", "Calls that wait for room", gauge, double(gauges.waitingCalls));
     add(families, "crocusmount_connections", "Callers' connections", gauge, double(gauges.connections));
@@ -60,8 +60,7 @@
     add(families, "crocusmount_configuration_version", "In force", gauge, double(gauges.configurationVersion));
     add(families, "crocusmount_store_age_ms", "Since the store last answered", gauge, double(gauges.storeAgeMs));
     add(families, "crocusmount_store_calls_total", "Calls to the store", counter, double(gauges.storeCalls));
-    add(families, "crocusmount_log_lines_dropped_total", "Log lines left out", counter,
-        double(gauges.logLinesDropped));
+    add(families, "crocusmount_log_lines_dropped_total", "Log lines left out", counter, double(gauges.logLinesDropped));
     return prometheus::TextSerializer().Serialize(families);
 }
 
--- a/src/edge/StoreMirror.cpp
+++ b/src/edge/StoreMirror.cpp
@@ -13,6 +13,8 @@
     constexpr std::chrono::milliseconds LongestPause { 400 };
     /// A silence that may have made other clients' leases lapse: shorter ones are retried calls.
     constexpr std::chrono::milliseconds Outage { 1000 };
+    /// A watch is answered within two seconds, with changes or without; a call that fails later was not answered.
+    constexpr std::chrono::milliseconds SilentCall { 2200 };
     /// After an outage, entries that lapsed come back within about two seconds if their owners live.
     constexpr std::chrono::milliseconds LapseGrace { 2300 };
 
@@ -38,16 +40,17 @@
     Timer timer(m_context.get_executor());
     std::chrono::milliseconds pause = FirstPause;
     while (true) {
-        const bool read = !m_stale || co_await readAll();
-        if (read) {
+        if (m_stale)
+            co_await readAll();
+        if (!m_stale) {
             const absl::Status status = co_await watchOnce();
-            m_stale = m_stale || absl::IsOutOfRange(status);
             if (absl::IsOutOfRange(status)) {
                 relay::DecisionLog::state("store_history_lost", { { "revision", m_revision } });
+                m_stale = true;
                 continue;
             }
         }
-        contact(false);
+        lostContact();
         timer.expires_after(pause);
         co_await timer.async_wait(net::as_tuple(useAwaitable));
         pause = m_inContact ? FirstPause : std::min(pause * 2, LongestPause);
@@ -61,7 +64,7 @@
     const auto range = co_await m_store.range(std::move(begin), std::move(end));
     if (!range.ok())
         co_return false;
-    contact(true);
+    regainedContact();
     std::set<std::string> present;
     for (const StoreEntry& entry : range->entries) {
         present.insert(entry.key);
@@ -85,7 +88,7 @@
     std::string begin;
     std::string end;
     StoreClient::OnWatch onWatch = [this](const StoreWatchBatch& batch) {
-        contact(true);
+        regainedContact();
         for (const StoreEvent& event : batch.events)
             take(event);
         m_revision = std::max(m_revision, batch.revision);
@@ -132,19 +135,27 @@
         take({ { key, {}, m_revision }, true });
 }
 
-void StoreMirror::contact(bool answered)
+void StoreMirror::lostContact()
+{
+    if (!m_inContact)
+        return;
+    m_inContact = false;
+    const auto now = std::chrono::steady_clock::now();
+    // A call that was cut ended at once; one that was never answered shows a silence since the last answer.
+    m_lostSince = now - m_lastAnswer >= SilentCall ? m_lastAnswer : now;
+    relay::DecisionLog::state("store_lost", { { "silent_ms", age().count() }, { "revision", m_revision } });
+}
+
+void StoreMirror::regainedContact()
 {
     const auto now = std::chrono::steady_clock::now();
-    if (answered && now - m_lastAnswer > Outage && m_complete)
-        m_trustDeletionsFrom = now + LapseGrace;
-    if (answered != m_inContact) {
-        const auto silent = std::chrono::duration_cast<std::chrono::milliseconds>(now - m_lastAnswer).count();
-        relay::DecisionLog::state(answered ? "store_regained" : "store_lost",
-            { { "silent_ms", silent }, { "revision", m_revision } });
+    if (!m_inContact && m_complete) {
+        if (now - m_lostSince > Outage)
+            m_trustDeletionsFrom = now + LapseGrace;
+        relay::DecisionLog::state("store_regained", { { "silent_ms", age().count() }, { "revision", m_revision } });
     }
-    if (answered)
-        m_lastAnswer = now;
-    m_inContact = answered;
+    m_inContact = true;
+    m_lastAnswer = now;
 }
 
 } // namespace crocusmount
--- a/src/edge/StoreMirror.h
+++ b/src/edge/StoreMirror.h
@@ -33,7 +33,8 @@
     Awaitable<bool> readAll();
     Awaitable<absl::Status> watchOnce();
     void take(const StoreEvent&);
-    void contact(bool answered);
+    void lostContact();
+    void regainedContact();
     void reportLapsed();
 
     net::io_context& m_context;
@@ -42,6 +43,7 @@
     std::map<std::string, std::int64_t> m_revisions; ///< of each key that was reported and not deleted since
     std::map<std::string, std::chrono::steady_clock::time_point> m_lapsed; ///< deletions held back, with their time
     std::chrono::steady_clock::time_point m_lastAnswer;
+    std::chrono::steady_clock::time_point m_lostSince;
     std::chrono::steady_clock::time_point m_trustDeletionsFrom;
     std::int64_t m_revision = 0;
     bool m_complete = false;
--- a/src/planning/LayerPlanner.cpp
+++ b/src/planning/LayerPlanner.cpp
@@ -118,8 +118,7 @@
     return count;
 }
 
-std::vector<LayerPlanner::Order> LayerPlanner::plan(
-    const relay::EngineModel& model, const std::vector<Engine>& engines)
+std::vector<LayerPlanner::Order> LayerPlanner::plan(const relay::EngineModel& model, const std::vector<Engine>& engines)
 {
     Coverage coverage(model.layers);
     struct Empty {
@@ -145,7 +144,8 @@
             empty.push_back({ count, kind->stepFactor, &engine });
     }
     // Fast cards tile the model first; slow ones fill the gaps that these leave, then stand by.
-    std::stable_sort(empty.begin(), empty.end(), [](const Empty& a, const Empty& b) { return a.slowness < b.slowness; });
+    std::stable_sort(
+        empty.begin(), empty.end(), [](const Empty& a, const Empty& b) { return a.slowness < b.slowness; });
     std::vector<Order> orders;
     for (const Empty& each : empty) {
         const LayerRange range = coverage.best(each.engine->dataCentre, each.count);
--- a/src/relay/ChainFinder.h
+++ b/src/relay/ChainFinder.h
@@ -30,8 +30,8 @@
     /// @param layerCount  the layers of the model
     /// @param home        this instance's data centre, as an index like the candidates'
     /// @return a chain that runs each layer once and in order, or nothing where no candidates tile the model
-    static std::optional<Chain> find(std::uint32_t layerCount, const std::vector<ChainCandidate>&,
-        std::uint32_t home, const ChainCosts& = {});
+    static std::optional<Chain> find(
+        std::uint32_t layerCount, const std::vector<ChainCandidate>&, std::uint32_t home, const ChainCosts& = {});
 };
 
 } // namespace crocusmount::relay
--- a/src/relay/RelayOptions.h
+++ b/src/relay/RelayOptions.h
@@ -20,6 +20,8 @@
     Duration minStall = std::chrono::milliseconds(450); ///< shortest gap in a stream that counts as a stall
     double stallFactor = 8; ///< a stall is this many of the stream's usual gaps
     Duration suspicion = std::chrono::seconds(3); ///< how long a stage that stands still is avoided
+    /// After the order to leave, calls are taken only this long: longer ones could not end before the process must.
+    Duration lastCall = std::chrono::milliseconds(2800);
     /// Multiple of the objective after which an idempotent call tries another server.
     double slowCallFactor = 2;
 };
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -122,14 +122,21 @@
         dispatchAll(context, effects);
 }
 
-void RelayReducer::on(const event::ServerUnregistered& gone, const Context&, RelayEffects&) { m_fleet.remove(gone.server); }
+void RelayReducer::on(const event::ServerUnregistered& gone, const Context&, RelayEffects&)
+{
+    m_fleet.remove(gone.server);
+}
 
 void RelayReducer::on(const event::InstancesCounted& counted, const Context&, RelayEffects&)
 {
     m_instances = std::max(1U, counted.instances);
 }
 
-void RelayReducer::on(const event::DrainRequested&, const Context&, RelayEffects&) { m_draining = true; }
+void RelayReducer::on(const event::DrainRequested&, const Context& context, RelayEffects&)
+{
+    if (!m_drainedAt)
+        m_drainedAt = context.now;
+}
 
 // ---- A call's life -------------------------------------------------------------------------------------------------
 
@@ -141,6 +148,8 @@
     call.route = m_routes->route(call.spec.host, call.spec.path);
     if (!call.route)
         return Reason::UnknownRoute;
+    if (m_drainedAt && context.now > *m_drainedAt + m_options.lastCall)
+        return Reason::Draining;
     call.rank = call.route->rank;
     if (!m_routes->configuration().workspaces.empty() && !call.route->anonymous) {
         const KeyHolder* holder = m_routes->holderOf(call.spec.key);
@@ -535,7 +544,8 @@
 {
     const auto spread = [&](std::int64_t leastMs, std::int64_t mostMs) {
         const double part = fraction(context.entropy, static_cast<std::uint64_t>(reason));
-        return Duration(std::chrono::milliseconds(leastMs + static_cast<std::int64_t>(part * double(mostMs - leastMs))));
+        return Duration(
+            std::chrono::milliseconds(leastMs + static_cast<std::int64_t>(part * double(mostMs - leastMs))));
     };
     switch (reason) {
     case Reason::UnknownRoute:
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -32,7 +32,7 @@
     const std::shared_ptr<const RouteTable>& routes() const { return m_routes; }
     std::size_t openCalls() const { return m_calls.size(); }
     std::size_t waitingCalls() const;
-    bool isDraining() const { return m_draining; }
+    bool isDraining() const { return m_drainedAt.has_value(); }
     const Call* find(RequestId) const;
 
 private:
@@ -87,7 +87,7 @@
     std::map<ServiceId, RetryBudget> m_budgets;
     std::uint32_t m_instances = 1;
     std::uint64_t m_nextAttempt = 1;
-    bool m_draining = false;
+    std::optional<TimePoint> m_drainedAt;
 };
 
 } // namespace crocusmount::relay
--- a/src/relay/ServiceConfiguration.h
+++ b/src/relay/ServiceConfiguration.h
@@ -23,10 +23,7 @@
 };
 
 constexpr bool isStream(CallKind kind) { return kind == CallKind::Stream || kind == CallKind::ResumableStream; }
-constexpr bool isRepeatable(CallKind kind)
-{
-    return kind == CallKind::Idempotent || kind == CallKind::ResumableStream;
-}
+constexpr bool isRepeatable(CallKind kind) { return kind == CallKind::Idempotent || kind == CallKind::ResumableStream; }
 
 /// One service's part of a route's calls.
 struct TrafficShare {
