--- a/src/edge/RelayNode.cpp
+++ b/src/edge/RelayNode.cpp
@@ -68,7 +68,7 @@
 {
     const RequestId id(m_nextCall++);
     auto pipe = std::make_shared<AnswerPipe>(m_context);
-    m_open[id] = { spec.name, std::move(request), pipe, now() };
+    m_open[id] = { spec.name, std::move(request), pipe, now(), std::nullopt, 0 };
     if (!m_reducer.openCalls())
         m_tick.cancel();
     post(event::CallArrived { id, std::move(spec) });
@@ -97,12 +97,25 @@
         RelayEffects effects;
         if (const auto* ended = std::get_if<event::AttemptEnded>(&event.body))
             noteEnd(*ended);
+        if (const auto* delivered = std::get_if<event::EventDelivered>(&event.body))
+            noteEvent(*delivered);
         m_reducer.reduce(event, effects);
         apply(effects);
     }
     m_reducing = false;
 }
 
+void RelayNode::noteEvent(const event::EventDelivered& delivered)
+{
+    const auto running = m_attempts.find(delivered.attempt);
+    const auto open = running == m_attempts.end() ? m_open.end() : m_open.find(running->second.call);
+    if (open == m_open.end())
+        return;
+    if (!open->second.firstEvent)
+        open->second.firstEvent = now();
+    ++open->second.events;
+}
+
 void RelayNode::noteEnd(const event::AttemptEnded& ended)
 {
     const auto running = m_attempts.find(ended.attempt);
@@ -187,6 +200,10 @@
 void RelayNode::logEnd(const Open& open, std::string_view outcome, boost::json::object inputs)
 {
     inputs["outcome"] = outcome;
+    if (open.firstEvent) {
+        inputs["first_event_ms"] = toMs(*open.firstEvent - open.arrived);
+        inputs["events"] = open.events;
+    }
     inputs["total_ms"] = toMs(now() - open.arrived);
     if (m_reducer.routes())
         inputs["configuration"] = m_reducer.routes()->configuration().version;
--- a/src/edge/RelayNode.h
+++ b/src/edge/RelayNode.h
@@ -44,6 +44,8 @@
         std::shared_ptr<const CallerRequest> request;
         std::shared_ptr<AnswerPipe> pipe;
         TimePoint arrived;
+        std::optional<TimePoint> firstEvent;
+        std::uint32_t events = 0; ///< delivered, over all attempts
     };
 
     struct Running {
@@ -52,6 +54,7 @@
     };
 
     Awaitable<void> tickLoop();
+    void noteEvent(const event::EventDelivered&);
     void noteEnd(const event::AttemptEnded&);
     void apply(const RelayEffects&);
     void on(const effect::StartAttempt&);
--- a/src/relay/ChainFinder.h
+++ b/src/relay/ChainFinder.h
@@ -13,15 +13,15 @@
     std::string address;
     LayerRange layers; ///< held
     std::uint32_t dataCentre = 0; ///< a small index
-    double msPerLayer = 0; ///< one token through one layer, load and slowness included
+    double msPerLayer = 0; ///< one event through one layer, load and slowness included
     double penaltyMs = 0; ///< once, if the chain uses it
 };
 
-/// What crossing costs, as time of one token.
+/// What crossing costs, as time of one event.
 struct ChainCosts {
-    double hopMs = 0.2; ///< each further stage: hand-over and half a pass of waiting
-    double crossingMs = 1; ///< each crossing between data centres; prompts share one pipe there
-    double entryCrossingMs = 0.5; ///< the first stage in another data centre than this instance
+    double hopMs = 2; ///< each further stage
+    double crossingMs = 10; ///< each crossing between data centres; prompts share one pipe there
+    double entryCrossingMs = 3; ///< the first stage in another data centre than this instance
 };
 
 /// Finds the chain of least cost through engines whose ranges may overlap.
--- /dev/null
+++ b/src/relay/EngineCost.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "relay/ServiceConfiguration.h"
+
+namespace crocusmount::relay {
+
+/// What runs on an engine, by all instances together, as far as one of them can tell.
+struct EngineLoad {
+    double contextTokens = 0; ///< of all streams
+    double slowness = 1; ///< observed over expected time
+};
+
+/// The time that an engine needs for an event of a stream, from the model's figures and its load. Load patterns that it
+/// answers: many streams on few fast cards, where each further one slows all others; and memory about to run out, where
+/// the newest stream is thrown back and read again.
+class EngineCost {
+public:
+    /// @param heldLayers  layers that the engine holds
+    EngineCost(const EngineModel&, const AcceleratorKind&, std::uint32_t heldLayers, const EngineLoad&);
+
+    /// @return how long one pass over all held layers takes, in ms
+    double passMs() const { return m_passMs; }
+    /// @return part of the memory for requests that is taken
+    double fill() const { return m_fill; }
+    /// @return cost of one layer for a further stream, with what it costs the others, in ms an event
+    double marginalMsPerLayer() const { return m_marginalMsPerLayer; }
+
+private:
+    double m_passMs = 0;
+    double m_fill = 0;
+    double m_marginalMsPerLayer = 0;
+};
+
+} // namespace crocusmount::relay
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -1,6 +1,7 @@
 #include "relay/RelayReducer.h"
 
 #include "relay/ChainFinder.h"
+#include "relay/EngineCost.h"
 
 #include <algorithm>
 
@@ -12,8 +13,8 @@
     constexpr double AvoidedPenaltyMs = 1000;
     /// A stage on which this very call failed before.
     constexpr double FailedBeforePenaltyMs = 5000;
-    /// How fast an engine's cost grows with its fill: at a full share its time counts this many times more.
-    constexpr double FillPenalty = 4;
+    /// How much the cost of a plain service's server grows with its rate of failures.
+    constexpr double FailurePenalty = 4;
     /// Part of a stage's pass that a token waits for it.
     constexpr double PassWaitShare = 0.5;
     /// How long a stage is left alone after it turned a call away: it is full, and some streams end within this time.
@@ -409,21 +410,18 @@
         const AcceleratorKind* card = model.kind(entry.accelerator);
         if (entry.service != call.service || entry.leaving || !entry.layers.size() || !card)
             continue;
-        const double share = model.kvTokenLayers(*card, entry.layers.size()) / m_instances;
-        const double fill = share > 0 ? (server.ownTokenLayers + call.tokens * entry.layers.size()) / share : 1e9;
-        if (fill > m_options.memoryOvercommit && server.ownTokenLayers > 0)
+        const double held = entry.layers.size();
+        const double contextTokens = server.ownTokenLayers / held * m_instances + call.tokens;
+        const EngineCost cost(model, *card, entry.layers.size(), { contextTokens, server.slowness });
+        if (cost.fill() > m_options.memoryOvercommit && server.ownTokenLayers > 0)
             continue;
         const double jitter = 1 + CostJitter * fraction(context.entropy, ++use);
-        const double msPerLayer = model.stepMs * card->stepFactor / model.layers;
-        const double busyMs = msPerLayer * server.slowness;
-        // A stage takes a token up only after its pass under way, which runs all of its layers: half of it on average.
-        const double penalty = PassWaitShare * busyMs * entry.layers.size()
-            + (context.now < server.avoidUntil ? AvoidedPenaltyMs : 0)
+        // A stage takes a token up only after its pass under way, which runs all of its layers.
+        const double penalty = PassWaitShare * cost.passMs() + (context.now < server.avoidUntil ? AvoidedPenaltyMs : 0)
             + (contains(call.avoid, id) ? FailedBeforePenaltyMs : 0);
         const auto dataCentre
             = dataCentres.emplace(entry.dataCentre, static_cast<std::uint32_t>(dataCentres.size())).first->second;
-        candidates.push_back({ id, entry.address, entry.layers, dataCentre,
-            busyMs * (1 + FillPenalty * fill * fill) * jitter, penalty });
+        candidates.push_back({ id, entry.address, entry.layers, dataCentre, cost.marginalMsPerLayer() * jitter, penalty });
     }
     auto chain = ChainFinder::find(model.layers, candidates, 0);
     if (!chain)
@@ -444,7 +442,7 @@
         const double share = std::max(1.0, SlotOvercommit * entry.slots / m_instances);
         if (server.ownCalls >= share + 1)
             continue;
-        const double cost = (1 + server.ownCalls) * server.slowness * (1 + FillPenalty * server.failureRate)
+        const double cost = (1 + server.ownCalls) * server.slowness * (1 + FailurePenalty * server.failureRate)
                 * (1 + CostJitter * fraction(context.entropy, ++use))
             + (entry.dataCentre == m_options.dataCentre ? 0 : CostJitter)
             + (context.now < server.avoidUntil ? AvoidedPenaltyMs : 0)
--- a/src/relay/ServiceConfiguration.h
+++ b/src/relay/ServiceConfiguration.h
@@ -61,6 +61,8 @@
     double kvBytesPerToken = 0; ///< over all layers
     double stepMs = 1; ///< one token through all layers on the reference card
     double stepMsPerStream = 0;
+    double contextMsPerK = 0; ///< for each thousand tokens of a stream's context
+    std::uint32_t stride = 1; ///< steps of one pass
     double readTokensPerMs = 1;
     double loadSeconds = 0; ///< of all layers
     std::uint32_t loadsAtOnce = 1; ///< more loads than this slow each other down
