--- a/programs/crocusmount-entry.cpp
+++ b/programs/crocusmount-entry.cpp
@@ -30,8 +30,9 @@
 constexpr const char* MetricsPort = "9464";
 /// Log lines on single calls in one second; the state's own lines come on top.
 constexpr std::uint32_t LogLinesPerSecond = 200;
-/// Part of the retries that the platform allows which this product uses; the rest covers uneven load.
-constexpr double RetryShare = 0.6;
+/// Part of the retries that the platform allows which this product uses; the rest covers instances that are counted
+/// late.
+constexpr double RetryShare = 0.85;
 /// Callers that know this instance still connect for up to three lifetimes of a directory answer.
 constexpr std::chrono::milliseconds LingerAfterDrain { 3500 };
 /// Part of the grace after which no call begins any more.
@@ -50,7 +51,7 @@
     relay::RelayOptions options;
     options.dataCentre = DataCentreId(settings.dataCentre);
     options.retryRatio = settings.retryRatio * RetryShare;
-    options.retrySlack = settings.retrySlack * RetryShare / 2;
+    options.retrySlack = settings.retrySlack * RetryShare;
     options.retryWindow = std::chrono::seconds(settings.retryWindowSeconds);
     return options;
 }
@@ -68,7 +69,7 @@
         , m_mirror(context, m_store, [this](const StoreEvent& event) { m_follower.storeChanged(event); })
         , m_control(context)
         , m_placement(context, m_node, m_registry, m_control)
-        , m_endpoints({ [this] { return ready(); }, [this] { return m_registry.callerAddresses(); },
+        , m_endpoints({ [this] { return ready(); }, [this] { return callerAddresses(); },
               [this] { return metrics(); } })
         , m_signals(context, SIGTERM, SIGINT, SIGHUP)
     {
@@ -97,6 +98,12 @@
 private:
     bool ready() const { return m_mirror.isComplete() && m_node.reducer().routes() && !m_node.reducer().isDraining(); }
 
+    /// An instance that cannot serve calls does not send callers to itself, nor to others that it may not know.
+    std::vector<std::string> callerAddresses() const
+    {
+        return m_node.reducer().routes() ? m_registry.callerAddresses() : std::vector<std::string>();
+    }
+
     std::string metrics() const
     {
         const auto& reducer = m_node.reducer();
--- a/src/relay/Call.h
+++ b/src/relay/Call.h
@@ -34,8 +34,8 @@
     TimePoint lastProgress;
     Duration usualGap {}; ///< moving average between two events
     std::uint32_t attemptEvents = 0;
-    std::uint32_t attempts = 0; ///< that may have reached a server
-    std::uint32_t connectFailures = 0;
+    std::uint32_t attempts = 0; ///< ended ones that a server may have run
+    std::uint32_t rejections = 0; ///< attempts that reached no server, or one that did not run the call
     bool sent = false; ///< the running attempt's bytes went out
     bool mayHaveRun = false;
     bool answering = false; ///< the caller has a part of the answer
--- a/src/relay/ChainFinder.h
+++ b/src/relay/ChainFinder.h
@@ -20,7 +20,7 @@
 /// What crossing costs, as time of one event.
 struct ChainCosts {
     double hopMs = 2; ///< each further stage
-    double crossingMs = 10; ///< each crossing between data centres; prompts share one pipe there
+    double crossingMs = 15; ///< each crossing between data centres; prompts share one pipe there
     double entryCrossingMs = 3; ///< the first stage in another data centre than this instance
 };
 
--- a/src/relay/EngineCost.cpp
+++ b/src/relay/EngineCost.cpp
@@ -6,7 +6,7 @@
 
     /// How fast the cost of an engine grows with the fill of its memory: when full, it counts this many times more. It
     /// stands for the larger batch, and for the streams that are thrown back when memory runs out.
-    constexpr double FillGrowth = 4;
+    constexpr double FillGrowth = 8;
 
 } // namespace
 
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -21,8 +21,6 @@
     constexpr Duration FullPause = std::chrono::milliseconds(250);
     /// Random part of a cost, so that instances with the same view do not all choose the same engine.
     constexpr double CostJitter = 0.2;
-    /// Connection attempts of one call that reached no server, before it is refused.
-    constexpr std::uint32_t MostConnectFailures = 3;
     /// A retry that waits for room gives up after this; by then the caller's own limit is near.
     constexpr Duration RetryWait = std::chrono::milliseconds(800);
     /// A stage with an event this shortly before a stall began is still held to have stalled.
@@ -214,7 +212,6 @@
         return;
     Call& call = m_calls.at(attempt->second);
     call.sent = true;
-    ++call.attempts;
 }
 
 void RelayReducer::on(const event::EventDelivered& delivered, const Context& context, RelayEffects&)
@@ -246,10 +243,12 @@
         ++m_counters.completed;
         remove(call.id);
     } else {
-        if (ended.result == AttemptResult::ConnectFailed)
-            ++call.connectFailures;
-        else if (ended.result != AttemptResult::NotRun)
+        if (ended.result == AttemptResult::ConnectFailed || ended.result == AttemptResult::NotRun) {
+            ++call.rejections;
+        } else {
+            ++call.attempts;
             call.mayHaveRun = call.mayHaveRun || call.sent;
+        }
         retryOrFinish(call, reasonOf(ended), ended.result == AttemptResult::ServerFailure, context, effects);
     }
     dispatchAll(context, effects);
@@ -278,7 +277,7 @@
     Call& call, Reason reason, bool serverFailure, const Context& context, RelayEffects& effects)
 {
     const bool safe = !call.mayHaveRun || isRepeatable(call.route->kind);
-    const bool attemptsLeft = call.attempts < call.route->maxAttempts && call.connectFailures < MostConnectFailures;
+    const bool attemptsLeft = call.attempts < call.route->maxAttempts && call.rejections < m_options.mostRejections;
     const bool timeLeft = context.now < call.deadline;
     if (safe && attemptsLeft && timeLeft && budgetOf(call.service).spend()) {
         ++m_counters.retried.at(static_cast<std::size_t>(reason));
@@ -492,7 +491,7 @@
 
 void RelayReducer::checkRunning(Call& call, const Context& context, RelayEffects& effects)
 {
-    if (!isRepeatable(call.route->kind) || call.attempts >= call.route->maxAttempts)
+    if (!isRepeatable(call.route->kind) || call.attempts + 1 >= call.route->maxAttempts)
         return;
     if (!isStalled(call, context.now))
         return;
@@ -508,6 +507,7 @@
     effects.emplace_back(effect::CancelAttempt { call.attempt });
     releaseAttempt(call);
     call.mayHaveRun = true;
+    ++call.attempts;
     retryOrFinish(call, Reason::Stalled, false, context, effects);
 }
 
