--- a/src/edge/RelayNode.cpp
+++ b/src/edge/RelayNode.cpp
@@ -68,7 +68,7 @@
 {
     const RequestId id(m_nextCall++);
     auto pipe = std::make_shared<AnswerPipe>(m_context);
-    m_open[id] = { spec.name, std::move(request), pipe, now(), std::nullopt, 0 };
+    m_open[id] = { spec.name, std::move(request), pipe, now(), std::nullopt, std::nullopt, Duration(0), 0 };
     if (!m_reducer.openCalls())
         m_tick.cancel();
     post(event::CallArrived { id, std::move(spec) });
@@ -111,9 +111,14 @@
     const auto open = running == m_attempts.end() ? m_open.end() : m_open.find(running->second.call);
     if (open == m_open.end())
         return;
-    if (!open->second.firstEvent)
-        open->second.firstEvent = now();
-    ++open->second.events;
+    Open& call = open->second;
+    const TimePoint at = now();
+    if (call.lastEvent)
+        call.longestGap = std::max(call.longestGap, at - *call.lastEvent);
+    else
+        call.firstEvent = at;
+    call.lastEvent = at;
+    ++call.events;
 }
 
 void RelayNode::noteEnd(const event::AttemptEnded& ended)
@@ -202,6 +207,7 @@
     inputs["outcome"] = outcome;
     if (open.firstEvent) {
         inputs["first_event_ms"] = toMs(*open.firstEvent - open.arrived);
+        inputs["longest_gap_ms"] = toMs(open.longestGap);
         inputs["events"] = open.events;
     }
     inputs["total_ms"] = toMs(now() - open.arrived);
--- a/src/edge/RelayNode.h
+++ b/src/edge/RelayNode.h
@@ -45,6 +45,8 @@
         std::shared_ptr<AnswerPipe> pipe;
         TimePoint arrived;
         std::optional<TimePoint> firstEvent;
+        std::optional<TimePoint> lastEvent;
+        Duration longestGap {}; ///< between two events
         std::uint32_t events = 0; ///< delivered, over all attempts
     };
 
--- a/src/planning/LayerPlanner.cpp
+++ b/src/planning/LayerPlanner.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <set>
 
 namespace crocusmount {
 
@@ -18,6 +19,11 @@
     /// The same after each holder anywhere.
     constexpr double GlobalDecay = 0.5;
     constexpr double GlobalWeight = 0.5;
+    /// Least gain of a move, for each layer moved: about what the first holder in a data centre is worth beside a
+    /// second. A move costs its load, and the engine serves nothing meanwhile.
+    constexpr double MoveThreshold = 0.4;
+    /// Orders under way with which no engine is moved: the store of weights is shared, and each takes capacity out.
+    constexpr std::size_t MostAtOnce = 2;
 
     /// Holders of each layer, by data centre and in all.
     class Coverage {
@@ -62,8 +68,6 @@
             return chosen;
         }
 
-        bool hasHole() const { return std::find(m_all.begin(), m_all.end(), 0) != m_all.end(); }
-
     private:
         std::uint32_t m_layers;
         std::vector<int> m_all;
@@ -85,21 +89,21 @@
         return KvTargets[std::size(KvTargets) - 1];
     }
 
-    /// Gives up a range that others hold too, where that closes a hole.
-    std::optional<LayerPlanner::Order> moveIntoHole(
-        const std::vector<LayerPlanner::Engine>& engines, Coverage& coverage)
+    /// Finds the engine whose range is worth more elsewhere.
+    std::optional<LayerPlanner::Order> bestMove(
+        const std::vector<LayerPlanner::Engine>& engines, const std::set<BackendId>& moving, Coverage& coverage)
     {
         std::optional<LayerPlanner::Order> best;
         double most = 0;
         for (const auto& engine : engines) {
-            if (engine.leaving || engine.ordered || !engine.held.size())
+            if (engine.leaving || engine.ordered || !engine.held.size() || moving.count(engine.id))
                 continue;
             coverage.add(engine.dataCentre, engine.held, -1);
             const LayerRange range = coverage.best(engine.dataCentre, engine.held.size());
             const double gain
                 = coverage.worth(engine.dataCentre, range) - coverage.worth(engine.dataCentre, engine.held);
             coverage.add(engine.dataCentre, engine.held, 1);
-            if (gain > most) {
+            if (gain > MoveThreshold * engine.held.size() && gain > most) {
                 most = gain;
                 best = LayerPlanner::Order { engine.id, range };
             }
@@ -128,11 +132,11 @@
     };
     std::vector<Empty> empty;
     const double target = chooseKvTarget(model, engines);
-    bool orderUnderWay = false;
+    std::size_t underWay = 0;
     for (const Engine& engine : engines) {
         if (engine.leaving)
             continue;
-        orderUnderWay = orderUnderWay || engine.ordered;
+        underWay += engine.ordered ? 1 : 0;
         const LayerRange range = engine.ordered.value_or(engine.held);
         if (range.size()) {
             coverage.add(engine.dataCentre, range, 1);
@@ -152,9 +156,17 @@
         coverage.add(each.engine->dataCentre, range, 1);
         orders.push_back({ each.engine->id, range });
     }
-    if (orders.empty() && !orderUnderWay && coverage.hasHole()) {
-        if (const auto move = moveIntoHole(engines, coverage))
-            orders.push_back(*move);
+    std::set<BackendId> moving;
+    while (orders.size() + underWay < MostAtOnce) {
+        const auto move = bestMove(engines, moving, coverage);
+        if (!move)
+            break;
+        const auto engine = std::find_if(
+            engines.begin(), engines.end(), [&](const Engine& each) { return each.id == move->engine; });
+        coverage.add(engine->dataCentre, engine->held, -1);
+        coverage.add(engine->dataCentre, move->layers, 1);
+        moving.insert(move->engine);
+        orders.push_back(*move);
     }
     return orders;
 }
--- a/src/planning/LayerPlanner.h
+++ b/src/planning/LayerPlanner.h
@@ -32,8 +32,8 @@
 
     /// @param model    figures of the model
     /// @param engines  all that are registered
-    /// @return a range for each engine that holds nothing, and at most one move of a range that others hold too, where
-    ///         a layer is held nowhere; never more layers than fit
+    /// @return a range for each engine that holds nothing, and moves of engines whose range others hold too, to where
+    ///         holders are missing; never more layers than fit
     static std::vector<Order> plan(const relay::EngineModel& model, const std::vector<Engine>& engines);
 
     /// @return how many layers an engine of that kind is to hold beside a KV cache for so many tokens
