--- /dev/null
+++ b/src/admission/ConcurrencyLimit.cpp
@@ -0,0 +1,43 @@
+#include "admission/ConcurrencyLimit.h"
+
+#include <algorithm>
+
+namespace crocusmount {
+
+namespace {
+
+    /// Few enough to end any overload, enough to notice that it is over.
+    constexpr double Least = 4;
+    constexpr double Most = 512;
+    /// An answer that begins this late, as part of the objective, shows that the next ones may miss it.
+    constexpr double LateRatio = 0.6;
+    /// Below this part of the objective there is room for more.
+    constexpr double EarlyRatio = 0.4;
+    /// The bound grows only while it binds: in flight at least this part of it.
+    constexpr double BindingShare = 0.8;
+    constexpr double Increase = 0.5;
+    constexpr double DecreaseFactor = 0.92;
+    /// Calls in flight answer to a smaller bound only after some of them ended; until then further decreases overshoot.
+    constexpr Duration DecreaseInterval = std::chrono::milliseconds(150);
+
+} // namespace
+
+void ConcurrencyLimit::answered(double ratio, double inFlight, TimePoint now)
+{
+    if (ratio > LateRatio)
+        decrease(inFlight, now);
+    else if (ratio < EarlyRatio && inFlight >= BindingShare * m_limit)
+        m_limit = std::min(Most, m_limit + Increase);
+}
+
+void ConcurrencyLimit::rejected(double inFlight, TimePoint now) { decrease(inFlight, now); }
+
+void ConcurrencyLimit::decrease(double inFlight, TimePoint now)
+{
+    if (now < m_lastDecrease + DecreaseInterval)
+        return;
+    m_lastDecrease = now;
+    m_limit = std::max(Least, std::min(m_limit, inFlight) * DecreaseFactor);
+}
+
+} // namespace crocusmount
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -28,6 +28,10 @@
     /// A chain whose stages all move for other calls may be slow with this one: it gets this many times longer.
     constexpr int UnexplainedStallFactor = 3;
     constexpr double GapWeight = 0.2;
+    /// Weight of one end in the rate of ends.
+    constexpr double EndWeight = 0.05;
+    /// Bounds what two ends at the same moment count.
+    constexpr double MostEndsPerSecond = 200;
     /// Times at which a plain service's server counts as full, in own calls over its share of slots.
     constexpr double SlotOvercommit = 2;
 
@@ -93,8 +97,8 @@
 std::size_t RelayReducer::waitingCalls() const
 {
     std::size_t waiting = 0;
-    for (const auto& [service, queue] : m_queues)
-        waiting += queue.size();
+    for (const auto& [service, state] : m_services)
+        waiting += state.waiting.size();
     return waiting;
 }
 
@@ -187,6 +191,10 @@
     Call& stored = m_calls.emplace(call.id, std::move(call)).first->second;
     if (queueOf(stored.service).empty() && place(stored, context, effects))
         return;
+    if (waitsInVain(stored, context)) {
+        finishUnanswered(stored, Reason::NoCapacity, context, effects);
+        return;
+    }
     queueOf(stored.service).push(stored.workspace, 1, -stored.rank, { stored.id, std::max(1.0, stored.tokens) });
     dispatch(queueOf(stored.service), context, effects);
 }
@@ -199,7 +207,7 @@
     ++m_counters.callersLeft;
     if (found->second.state == CallState::Running) {
         effects.emplace_back(effect::CancelAttempt { found->second.attempt });
-        releaseAttempt(found->second);
+        releaseAttempt(found->second, context.now);
     }
     remove(left.call);
     dispatchAll(context, effects);
@@ -220,7 +228,12 @@
     if (attempt == m_attempts.end())
         return;
     Call& call = m_calls.at(attempt->second);
-    if (call.attemptEvents > 0) {
+    if (!call.attemptEvents) {
+        ServiceState& service = m_services[call.service];
+        const double ratio = std::chrono::duration<double>(context.now - call.attemptStarted)
+            / std::chrono::duration<double>(call.route->objective);
+        service.limit.answered(ratio, service.running, context.now);
+    } else {
         const Duration gap = context.now - call.lastProgress;
         call.usualGap += std::chrono::duration_cast<Duration>(GapWeight * (gap - call.usualGap));
     }
@@ -238,7 +251,7 @@
         return;
     Call& call = m_calls.at(attempt->second);
     noteOutcome(call, ended, context);
-    releaseAttempt(call);
+    releaseAttempt(call, context.now);
     if (ended.result == AttemptResult::Completed) {
         ++m_counters.completed;
         remove(call.id);
@@ -266,6 +279,7 @@
         // Some calls fail by their nature; only a rate of failures tells on the server.
         return;
     case AttemptResult::NotRun:
+        m_services[call.service].limit.rejected(m_services[call.service].running, context.now);
         m_fleet.suspect(blamed, context.now + FullPause);
         return;
     default:
@@ -308,9 +322,14 @@
     remove(call.id);
 }
 
-void RelayReducer::releaseAttempt(Call& call)
+void RelayReducer::releaseAttempt(Call& call, TimePoint now)
 {
     m_attempts.erase(call.attempt);
+    ServiceState& service = m_services[call.service];
+    service.running = std::max(0.0, service.running - 1);
+    const double seconds = std::max(1e-3, std::chrono::duration<double>(now - service.lastEnd).count());
+    service.lastEnd = now;
+    service.endsPerSecond += EndWeight * (std::min(1 / seconds, MostEndsPerSecond) - service.endsPerSecond);
     if (call.chain.hops().empty()) {
         if (FleetServer* server = m_fleet.find(call.server); server && server->ownCalls)
             --server->ownCalls;
@@ -333,8 +352,8 @@
 
 void RelayReducer::dispatchAll(const Context& context, RelayEffects& effects)
 {
-    for (auto& [service, queue] : m_queues)
-        dispatch(queue, context, effects);
+    for (auto& [service, state] : m_services)
+        dispatch(state.waiting, context, effects);
 }
 
 void RelayReducer::dispatch(FairQueue& queue, const Context& context, RelayEffects& effects)
@@ -351,8 +370,28 @@
     }
 }
 
+bool RelayReducer::hasRoom(const Call& call) const
+{
+    // A stream that the caller has a part of goes on in any case.
+    if (!isStream(call.route->kind) || call.answering)
+        return true;
+    const auto service = m_services.find(call.service);
+    return service == m_services.end() || service->second.running < service->second.limit.value();
+}
+
+bool RelayReducer::waitsInVain(const Call& call, const Context& context) const
+{
+    const auto service = m_services.find(call.service);
+    if (service == m_services.end() || service->second.endsPerSecond <= 0)
+        return false;
+    const double seconds = static_cast<double>(service->second.waiting.size()) / service->second.endsPerSecond;
+    return std::chrono::duration<double>(call.waitUntil - context.now).count() < seconds;
+}
+
 bool RelayReducer::place(Call& call, const Context& context, RelayEffects& effects)
 {
+    if (!hasRoom(call))
+        return false;
     auto placement = findPlacement(call, context);
     if (!placement)
         return false;
@@ -366,6 +405,7 @@
     call.attemptEvents = 0;
     call.sent = false;
     m_attempts[call.attempt] = call.id;
+    ++m_services[call.service].running;
     if (call.chain.hops().empty())
         ++m_fleet.find(call.server)->ownCalls;
     else
@@ -472,7 +512,7 @@
         if (call.state == CallState::Running) {
             call.mayHaveRun = call.mayHaveRun || call.sent;
             effects.emplace_back(effect::CancelAttempt { call.attempt });
-            releaseAttempt(call);
+            releaseAttempt(call, context.now);
             reason = Reason::TimedOut;
         }
         finishUnanswered(call, reason, context, effects);
@@ -505,7 +545,7 @@
         call.avoid.push_back(culprit);
     }
     effects.emplace_back(effect::CancelAttempt { call.attempt });
-    releaseAttempt(call);
+    releaseAttempt(call, context.now);
     call.mayHaveRun = true;
     ++call.attempts;
     retryOrFinish(call, Reason::Stalled, false, context, effects);
@@ -557,8 +597,6 @@
     }
 }
 
-FairQueue& RelayReducer::queueOf(const ServiceId& service) { return m_queues[service]; }
-
 RetryBudget& RelayReducer::budgetOf(const ServiceId& service)
 {
     const double burst = std::max(2.0, m_options.retrySlack / m_instances);
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/ConcurrencyLimit.h"
 #include "admission/FairQueue.h"
 #include "admission/RetryBudget.h"
 #include "relay/Call.h"
@@ -40,6 +41,14 @@
         TimePoint now;
         std::uint64_t entropy = 0;
     };
+    /// What waits for a service and runs at it.
+    struct ServiceState {
+        FairQueue waiting;
+        ConcurrencyLimit limit; ///< of streams
+        double running = 0; ///< calls at its servers
+        double endsPerSecond = 0; ///< moving average
+        TimePoint lastEnd;
+    };
     struct Placement {
         BackendId server;
         std::string address;
@@ -65,7 +74,7 @@
     std::optional<Placement> findPlacement(const Call&, const Context&);
     std::optional<Placement> findChain(const Call&, const Service&, const Context&);
     std::optional<Placement> findServer(const Call&, const Context&);
-    void releaseAttempt(Call&);
+    void releaseAttempt(Call&, TimePoint now);
     void noteOutcome(const Call&, const event::AttemptEnded&, const Context&);
     void retryOrFinish(Call&, Reason, bool serverFailure, const Context&, RelayEffects&);
     void finishUnanswered(Call&, Reason, const Context&, RelayEffects&);
@@ -74,7 +83,9 @@
     std::vector<BackendId> stalledStages(const Call&) const;
     Duration comeBackAfter(Reason, const Context&) const;
     void remove(RequestId);
-    FairQueue& queueOf(const ServiceId&);
+    FairQueue& queueOf(const ServiceId& service) { return m_services[service].waiting; }
+    bool hasRoom(const Call&) const;
+    bool waitsInVain(const Call&, const Context&) const;
     RetryBudget& budgetOf(const ServiceId&);
 
     RelayOptions m_options;
@@ -83,7 +94,7 @@
     std::shared_ptr<const RouteTable> m_routes;
     std::map<RequestId, Call> m_calls;
     absl::flat_hash_map<AttemptId, RequestId> m_attempts;
-    std::map<ServiceId, FairQueue> m_queues;
+    std::map<ServiceId, ServiceState> m_services;
     std::map<ServiceId, RetryBudget> m_budgets;
     std::uint32_t m_instances = 1;
     std::uint64_t m_nextAttempt = 1;
