--- a/programs/crocusmount-entry.cpp
+++ b/programs/crocusmount-entry.cpp
@@ -62,12 +62,12 @@
     EntryInstance(net::io_context& context, const PlatformSettings& settings)
         : m_context(context)
         , m_settings(settings)
-        , m_node(context, relayOptions(settings), platform::headerNames())
+        , m_control(context)
+        , m_node(context, relayOptions(settings), platform::headerNames(), m_control)
         , m_store(context, settings.storeAddress)
         , m_registry(context, m_store, m_store, { instanceId(settings), settings.callerAddress, settings.dataCentre })
         , m_follower(m_node, m_registry)
         , m_mirror(context, m_store, [this](const StoreEvent& event) { m_follower.storeChanged(event); })
-        , m_control(context)
         , m_placement(context, m_node, m_registry, m_control)
         , m_endpoints({ [this] { return ready(); }, [this] { return callerAddresses(); },
               [this] { return metrics(); } })
@@ -158,13 +158,13 @@
 
     net::io_context& m_context;
     PlatformSettings m_settings;
+    platform::PlatformEngineControl m_control;
     relay::RelayNode m_node;
     platform::PlatformCallReader m_reader;
     platform::KvStoreClient m_store;
     InstanceRegistry m_registry;
     platform::PlatformFollower m_follower;
     StoreMirror m_mirror;
-    platform::PlatformEngineControl m_control;
     PlacementDriver m_placement;
     platform::PlatformEndpoints m_endpoints;
     net::signal_set m_signals;
--- a/src/edge/EngineControl.h
+++ b/src/edge/EngineControl.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "crocusmount/Chain.h"
 #include "crocusmount/LayerRange.h"
 #include "shell/Net.h"
 
@@ -26,7 +27,15 @@
         return onPlaceLayers(std::move(address), layers);
     }
 
+    /// Orders the first stage of a running stream to go on over another chain.
+    /// @param call  the caller's id of the call, under which the engine knows it
+    Awaitable<OrderAnswer> reroute(std::string address, std::string call, Chain chain)
+    {
+        return onReroute(std::move(address), std::move(call), std::move(chain));
+    }
+
 private:
+    virtual Awaitable<OrderAnswer> onReroute(std::string address, std::string call, Chain) = 0;
     virtual Awaitable<OrderAnswer> onPlaceLayers(std::string address, LayerRange) = 0;
 };
 
--- a/src/edge/RelayMetrics.cpp
+++ b/src/edge/RelayMetrics.cpp
@@ -47,6 +47,10 @@
     add(families, "crocusmount_attempts_total", "Attempts at backend servers", counter, double(counters.attempts));
     add(families, "crocusmount_streams_resumed_total", "Streams that went on elsewhere", counter,
         double(counters.resumed));
+    add(families, "crocusmount_streams_rerouted_total", "Running streams ordered onto another chain", counter,
+        double(counters.rerouted));
+    add(families, "crocusmount_reroutes_refused_total", "Such orders that no engine took", counter,
+        double(counters.reroutesRefused));
     add(families, "crocusmount_callers_left_total", "Callers gone before the answer", counter,
         double(counters.callersLeft));
     addByReason(families, "crocusmount_refused_total", "Final answers of this instance's own", counters.refused);
--- a/src/edge/RelayNode.cpp
+++ b/src/edge/RelayNode.cpp
@@ -30,9 +30,10 @@
 
 } // namespace
 
-RelayNode::RelayNode(net::io_context& context, RelayOptions options, HeaderNames names)
+RelayNode::RelayNode(net::io_context& context, RelayOptions options, HeaderNames names, EngineControl& control)
     : m_context(context)
     , m_names(std::move(names))
+    , m_control(control)
     , m_reducer(std::move(options))
     , m_random(std::random_device {}())
     , m_tick(context.get_executor())
@@ -170,6 +171,24 @@
     m_attempts.erase(found);
 }
 
+void RelayNode::on(const effect::RerouteAttempt& order)
+{
+    const auto found = m_open.find(order.call);
+    if (found == m_open.end())
+        return;
+    net::co_spawn(m_context.get_executor(), giveReroute(order, found->second.name), net::detached);
+}
+
+Awaitable<void> RelayNode::giveReroute(effect::RerouteAttempt order, std::string name)
+{
+    std::string address = order.address;
+    std::string call = name;
+    const OrderAnswer answer = co_await m_control.reroute(std::move(address), std::move(call), order.chain);
+    const bool accepted = answer == OrderAnswer::Begun || answer == OrderAnswer::Holds;
+    DecisionLog::call("reroute", name, { { "chain", chainText(order.chain) }, { "accepted", accepted } });
+    post(event::RerouteAnswered { order.attempt, accepted });
+}
+
 void RelayNode::on(const effect::Refuse& refusal)
 {
     const auto found = m_open.find(refusal.call);
--- a/src/edge/RelayNode.h
+++ b/src/edge/RelayNode.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "edge/AnswerPipe.h"
+#include "edge/EngineControl.h"
 #include "edge/HeaderNames.h"
 #include "edge/UpstreamAttempt.h"
 #include "relay/RelayReducer.h"
@@ -16,7 +17,7 @@
 /// Runs the reducer: brings it events with time and entropy, and carries out its effects.
 class RelayNode {
 public:
-    RelayNode(net::io_context&, RelayOptions, HeaderNames);
+    RelayNode(net::io_context&, RelayOptions, HeaderNames, EngineControl&);
     ~RelayNode();
     RelayNode(const RelayNode&) = delete;
     RelayNode& operator=(const RelayNode&) = delete;
@@ -58,9 +59,11 @@
     Awaitable<void> tickLoop();
     void noteEvent(const event::EventDelivered&);
     void noteEnd(const event::AttemptEnded&);
+    Awaitable<void> giveReroute(effect::RerouteAttempt, std::string name);
     void apply(const RelayEffects&);
     void on(const effect::StartAttempt&);
     void on(const effect::CancelAttempt&);
+    void on(const effect::RerouteAttempt&);
     void on(const effect::Refuse&);
     void on(const effect::DeliverServerFailure&);
     void on(const effect::BreakAnswer&);
@@ -68,6 +71,7 @@
 
     net::io_context& m_context;
     HeaderNames m_names;
+    EngineControl& m_control;
     RelayReducer m_reducer;
     pcg64 m_random;
     Timer m_tick;
--- a/src/edge/UpstreamAttempt.cpp
+++ b/src/edge/UpstreamAttempt.cpp
@@ -1,5 +1,6 @@
 #include "edge/UpstreamAttempt.h"
 
+#include "edge/ChainText.h"
 #include "edge/HopByHop.h"
 #include "shell/Endpoint.h"
 
@@ -35,14 +36,6 @@
         return head;
     }
 
-    std::string chainHeader(const Chain& chain)
-    {
-        std::string text;
-        for (const Hop& hop : chain.hops())
-            absl::StrAppend(&text, text.empty() ? "" : ",", hop.address, "=", hop.layers.begin, "-", hop.layers.end);
-        return text;
-    }
-
 } // namespace
 
 UpstreamAttempt::UpstreamAttempt(net::io_context& context, const HeaderNames& names, effect::StartAttempt order,
@@ -99,7 +92,7 @@
     if (!order.workspace.empty())
         out.set(names.workspace, order.workspace);
     if (!order.chain.hops().empty())
-        out.set(names.chain, chainHeader(order.chain));
+        out.set(names.chain, wireText(order.chain));
     if (order.resumeAfter)
         out.set(names.resumeAfter, std::to_string(*order.resumeAfter));
     out.body() = request.body();
--- a/src/relay/Call.h
+++ b/src/relay/Call.h
@@ -40,6 +40,8 @@
     bool mayHaveRun = false;
     bool answering = false; ///< the caller has a part of the answer
     std::uint64_t lastEvent = 0; ///< that the caller has
+    Chain reroute; ///< ordered and not yet answered; no hops: none
+    std::uint32_t reroutes = 0; ///< of the running attempt
     std::vector<BackendId> avoid; ///< failed this call before
 };
 
--- a/src/relay/ChainFinder.cpp
+++ b/src/relay/ChainFinder.cpp
@@ -22,10 +22,11 @@
     class Search {
     public:
         Search(std::uint32_t layerCount, const std::vector<ChainCandidate>& candidates, std::uint32_t home,
-            const ChainCosts& costs, bool partial)
+            std::uint32_t start, const ChainCosts& costs, bool partial)
             : m_layerCount(layerCount)
             , m_candidates(candidates)
             , m_home(home)
+            , m_start(start)
             , m_costs(costs)
             , m_partial(partial)
         {
@@ -44,8 +45,8 @@
 
         std::vector<Hop> run()
         {
-            leave(0, m_home, 0, true);
-            for (std::uint32_t boundary = 1; boundary < m_layerCount; ++boundary) {
+            leave(m_start, m_home, 0, m_start == 0);
+            for (std::uint32_t boundary = m_start + 1; boundary < m_layerCount; ++boundary) {
                 if (!m_isBoundary[boundary])
                     continue;
                 for (std::uint32_t dataCentre = 0; dataCentre < m_dataCentres; ++dataCentre) {
@@ -90,7 +91,7 @@
             }
             std::vector<Hop> hops;
             std::uint32_t boundary = m_layerCount;
-            while (boundary > 0) {
+            while (boundary > m_start) {
                 const Label& reached = label(boundary, dataCentre);
                 if (!reached.by)
                     return {};
@@ -105,6 +106,7 @@
         std::uint32_t m_layerCount;
         const std::vector<ChainCandidate>& m_candidates;
         std::uint32_t m_home;
+        std::uint32_t m_start; ///< the first layer that the chain is to run
         const ChainCosts& m_costs;
         bool m_partial; ///< whether a stage may stop before its last layer
         std::uint32_t m_dataCentres = 1;
@@ -126,12 +128,19 @@
 } // namespace
 
 std::optional<Chain> ChainFinder::find(std::uint32_t layerCount, const std::vector<ChainCandidate>& candidates,
-    std::uint32_t home, const ChainCosts& costs)
+    std::uint32_t home, const Hop* first, const ChainCosts& costs)
 {
-    std::vector<Hop> hops = Search(layerCount, candidates, home, costs, true).run();
+    const std::uint32_t start = first ? first->layers.end : 0;
+    const auto search = [&](bool partial) {
+        std::vector<Hop> hops = Search(layerCount, candidates, home, start, costs, partial).run();
+        if (first)
+            hops.insert(hops.begin(), *first);
+        return hops;
+    };
+    std::vector<Hop> hops = search(true);
     // Engines take a request once. Stages that always run to their last layer cannot come up twice.
     if (repeats(hops))
-        hops = Search(layerCount, candidates, home, costs, false).run();
+        hops = search(false);
     auto chain = Chain::make(layerCount, std::move(hops));
     if (!chain.ok())
         return std::nullopt;
--- a/src/relay/ChainFinder.h
+++ b/src/relay/ChainFinder.h
@@ -28,10 +28,11 @@
 class ChainFinder {
 public:
     /// @param layerCount  the layers of the model
-    /// @param home        this instance's data centre, as an index like the candidates'
+    /// @param home        data centre from which the chain is entered, as an index like the candidates'
     /// @return a chain that runs each layer once and in order, or nothing where no candidates tile the model
+    /// @param first       if set, the chain begins with this stage as it is
     static std::optional<Chain> find(
-        std::uint32_t layerCount, const std::vector<ChainCandidate>&, std::uint32_t home, const ChainCosts& = {});
+        std::uint32_t layerCount, const std::vector<ChainCandidate>&, std::uint32_t home, const Hop* first = nullptr, const ChainCosts& = {});
 };
 
 } // namespace crocusmount::relay
--- a/src/relay/RelayCounters.h
+++ b/src/relay/RelayCounters.h
@@ -13,6 +13,8 @@
     std::uint64_t completed = 0;
     std::uint64_t attempts = 0;
     std::uint64_t resumed = 0; ///< streams that went on at another chain after their first event
+    std::uint64_t rerouted = 0; ///< running streams that were ordered onto another chain
+    std::uint64_t reroutesRefused = 0;
     std::uint64_t callersLeft = 0;
     std::uint64_t configurationsAccepted = 0;
     std::array<std::uint64_t, ReasonCount> refused {}; ///< final answers other than a server's, by reason
--- a/src/relay/RelayEffect.h
+++ b/src/relay/RelayEffect.h
@@ -36,6 +36,15 @@
         AttemptId attempt;
     };
 
+    /// Order the first stage to go on with a running stream over another chain, which begins with the same stage. The
+    /// stages that stay keep their KV cache.
+    struct RerouteAttempt {
+        AttemptId attempt;
+        RequestId call;
+        std::string address; ///< of the first stage
+        Chain chain;
+    };
+
     /// The final answer to a call of which nothing was delivered.
     struct Refuse {
         RequestId call;
@@ -57,7 +66,7 @@
 
 } // namespace effect
 
-using RelayEffect = std::variant<effect::StartAttempt, effect::CancelAttempt, effect::Refuse,
+using RelayEffect = std::variant<effect::StartAttempt, effect::CancelAttempt, effect::RerouteAttempt, effect::Refuse,
     effect::DeliverServerFailure, effect::BreakAnswer>;
 using RelayEffects = std::vector<RelayEffect>;
 
--- a/src/relay/RelayEvent.h
+++ b/src/relay/RelayEvent.h
@@ -71,6 +71,12 @@
         std::string culprit; ///< address of the stage that the server names; empty if none
     };
 
+    /// The answer to an order to go on over another chain.
+    struct RerouteAnswered {
+        AttemptId attempt;
+        bool accepted = false;
+    };
+
     struct DrainRequested { };
 
     struct Tick { };
@@ -79,7 +85,7 @@
 
 using RelayEventBody = std::variant<event::ConfigurationAccepted, event::ServerRegistered, event::ServerUnregistered,
     event::InstancesCounted, event::CallArrived, event::CallerLeft, event::AttemptSent, event::EventDelivered,
-    event::AttemptEnded, event::DrainRequested, event::Tick>;
+    event::AttemptEnded, event::RerouteAnswered, event::DrainRequested, event::Tick>;
 
 /// Something that happened, with all the time and entropy that the relay may use for it.
 struct RelayEvent {
--- a/src/relay/RelayOptions.h
+++ b/src/relay/RelayOptions.h
@@ -23,6 +23,10 @@
     Duration minStall = std::chrono::milliseconds(450); ///< shortest gap in a stream that counts as a stall
     double stallFactor = 8; ///< a stall is this many of the stream's usual gaps
     Duration suspicion = std::chrono::seconds(3); ///< how long a stage that stands still is avoided
+    /// Streams are moved off a leaving server after this time; most end by themselves before, and the server serves for
+    /// at least twice as long.
+    Duration rerouteDelay = std::chrono::milliseconds(1000);
+    std::uint32_t mostReroutes = 3; ///< of one attempt
     /// After the order to leave, calls are taken only this long: longer ones could not end before the process must.
     Duration lastCall = std::chrono::milliseconds(2800);
     /// Multiple of the objective after which an idempotent call tries another server.
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -121,13 +121,18 @@
 
 void RelayReducer::on(const event::ServerRegistered& registered, const Context& context, RelayEffects& effects)
 {
+    const BackendId& id = registered.server.id;
+    if (registered.server.leaving)
+        m_moveOffAt.try_emplace(id, context.now + m_options.rerouteDelay);
     if (m_fleet.upsert(registered.server))
         dispatchAll(context, effects);
 }
 
-void RelayReducer::on(const event::ServerUnregistered& gone, const Context&, RelayEffects&)
+void RelayReducer::on(const event::ServerUnregistered& gone, const Context& context, RelayEffects&)
 {
     m_fleet.remove(gone.server);
+    // Some servers leave without a word; they too go on serving for a while.
+    m_moveOffAt.try_emplace(gone.server, context.now + m_options.rerouteDelay);
 }
 
 void RelayReducer::on(const event::InstancesCounted& counted, const Context&, RelayEffects&)
@@ -325,6 +330,9 @@
 void RelayReducer::releaseAttempt(Call& call, TimePoint now)
 {
     m_attempts.erase(call.attempt);
+    if (!call.reroute.hops().empty())
+        m_fleet.unbook(call.reroute, call.tokens);
+    call.reroute = Chain();
     ServiceState& service = m_services[call.service];
     service.running = std::max(0.0, service.running - 1);
     const double seconds = std::max(1e-3, std::chrono::duration<double>(now - service.lastEnd).count());
@@ -404,6 +412,8 @@
     call.usualGap = Duration(0);
     call.attemptEvents = 0;
     call.sent = false;
+    call.reroute = Chain();
+    call.reroutes = 0;
     m_attempts[call.attempt] = call.id;
     ++m_services[call.service].running;
     if (call.chain.hops().empty())
@@ -432,13 +442,17 @@
 std::optional<RelayReducer::Placement> RelayReducer::findPlacement(const Call& call, const Context& context)
 {
     const Service* service = call.routes->service(call.service);
-    if (service && service->engine)
-        return findChain(call, *service, context);
-    return findServer(call, context);
+    if (!service || !service->engine)
+        return findServer(call, context);
+    const auto chain = findChain(call, *service, context);
+    if (!chain)
+        return std::nullopt;
+    const Hop& first = chain->hops().front();
+    return Placement { first.backend, first.address, *chain };
 }
 
-std::optional<RelayReducer::Placement> RelayReducer::findChain(
-    const Call& call, const Service& service, const Context& context)
+std::optional<Chain> RelayReducer::findChain(
+    const Call& call, const Service& service, const Context& context, const Hop* first)
 {
     const EngineModel& model = *service.engine;
     std::vector<ChainCandidate> candidates;
@@ -449,6 +463,8 @@
         const AcceleratorKind* card = model.kind(entry.accelerator);
         if (entry.service != call.service || entry.leaving || !entry.layers.size() || !card)
             continue;
+        if (first && id == first->backend)
+            continue;
         const double held = entry.layers.size();
         const double contextTokens = server.ownTokenLayers / held * m_instances + call.tokens;
         const EngineCost cost(model, *card, entry.layers.size(), { contextTokens, server.slowness });
@@ -462,11 +478,9 @@
             = dataCentres.emplace(entry.dataCentre, static_cast<std::uint32_t>(dataCentres.size())).first->second;
         candidates.push_back({ id, entry.address, entry.layers, dataCentre, cost.marginalMsPerLayer() * jitter, penalty });
     }
-    auto chain = ChainFinder::find(model.layers, candidates, 0);
-    if (!chain)
-        return std::nullopt;
-    const Hop& first = chain->hops().front();
-    return Placement { first.backend, first.address, *chain };
+    const FleetServer* entrance = first ? m_fleet.find(first->backend) : nullptr;
+    const auto home = entrance ? dataCentres.emplace(entrance->entry.dataCentre, dataCentres.size()).first->second : 0;
+    return ChainFinder::find(model.layers, candidates, home, first);
 }
 
 std::optional<RelayReducer::Placement> RelayReducer::findServer(const Call& call, const Context& context)
@@ -517,6 +531,7 @@
         }
         finishUnanswered(call, reason, context, effects);
     }
+    moveOffLeaving(context, effects);
     std::vector<RequestId> running;
     for (const auto& [id, call] : m_calls) {
         if (call.state == CallState::Running)
@@ -531,9 +546,7 @@
 
 void RelayReducer::checkRunning(Call& call, const Context& context, RelayEffects& effects)
 {
-    if (!isRepeatable(call.route->kind) || call.attempts + 1 >= call.route->maxAttempts)
-        return;
-    if (!isStalled(call, context.now))
+    if (!isRepeatable(call.route->kind) || call.reroute.hops().size() || !isStalled(call, context.now))
         return;
     const std::vector<BackendId> culprits = stalledStages(call);
     const Duration still = context.now - call.lastProgress;
@@ -544,6 +557,10 @@
         m_fleet.suspect(culprit, context.now + m_options.suspicion);
         call.avoid.push_back(culprit);
     }
+    if (!culprits.empty() && reroute(call, culprits, context, effects))
+        return;
+    if (call.attempts + 1 >= call.route->maxAttempts)
+        return;
     effects.emplace_back(effect::CancelAttempt { call.attempt });
     releaseAttempt(call, context.now);
     call.mayHaveRun = true;
@@ -551,6 +568,61 @@
     retryOrFinish(call, Reason::Stalled, false, context, effects);
 }
 
+bool RelayReducer::reroute(
+    Call& call, const std::vector<BackendId>& away, const Context& context, RelayEffects& effects)
+{
+    if (call.chain.hops().empty() || contains(away, call.server) || !call.reroute.hops().empty()
+        || call.reroutes >= m_options.mostReroutes)
+        return false;
+    const Service* service = call.routes->service(call.service);
+    auto chain = findChain(call, *service, context, &call.chain.hops().front());
+    if (!chain)
+        return false;
+    if (std::any_of(away.begin(), away.end(), [&](const BackendId& id) { return chain->contains(id); }))
+        return false;
+    ++call.reroutes;
+    ++m_counters.rerouted;
+    // The new stages need the room from now on; the old ones are given free when the order is answered.
+    m_fleet.book(*chain, call.tokens);
+    call.reroute = *chain;
+    call.lastProgress = context.now;
+    effects.emplace_back(
+        effect::RerouteAttempt { call.attempt, call.id, call.chain.hops().front().address, *std::move(chain) });
+    return true;
+}
+
+void RelayReducer::on(const event::RerouteAnswered& answered, const Context&, RelayEffects&)
+{
+    const auto attempt = m_attempts.find(answered.attempt);
+    if (attempt == m_attempts.end())
+        return;
+    Call& call = m_calls.at(attempt->second);
+    if (call.reroute.hops().empty())
+        return;
+    if (!answered.accepted)
+        ++m_counters.reroutesRefused;
+    m_fleet.unbook(answered.accepted ? call.chain : call.reroute, call.tokens);
+    if (answered.accepted)
+        call.chain = call.reroute;
+    call.reroute = Chain();
+}
+
+void RelayReducer::moveOffLeaving(const Context& context, RelayEffects& effects)
+{
+    for (auto leaving = m_moveOffAt.begin(); leaving != m_moveOffAt.end();) {
+        if (context.now < leaving->second) {
+            ++leaving;
+            continue;
+        }
+        const std::vector<BackendId> away { leaving->first };
+        for (auto& [id, call] : m_calls) {
+            if (call.state == CallState::Running && call.chain.contains(away.front()))
+                reroute(call, away, context, effects);
+        }
+        leaving = m_moveOffAt.erase(leaving);
+    }
+}
+
 bool RelayReducer::isStalled(const Call& call, TimePoint now) const
 {
     const Duration still = now - call.lastProgress;
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -64,6 +64,7 @@
     void on(const event::AttemptSent&, const Context&, RelayEffects&);
     void on(const event::EventDelivered&, const Context&, RelayEffects&);
     void on(const event::AttemptEnded&, const Context&, RelayEffects&);
+    void on(const event::RerouteAnswered&, const Context&, RelayEffects&);
     void on(const event::DrainRequested&, const Context&, RelayEffects&);
     void on(const event::Tick&, const Context&, RelayEffects&);
 
@@ -72,12 +73,14 @@
     void dispatch(FairQueue&, const Context&, RelayEffects&);
     bool place(Call&, const Context&, RelayEffects&);
     std::optional<Placement> findPlacement(const Call&, const Context&);
-    std::optional<Placement> findChain(const Call&, const Service&, const Context&);
+    std::optional<Chain> findChain(const Call&, const Service&, const Context&, const Hop* first = nullptr);
     std::optional<Placement> findServer(const Call&, const Context&);
     void releaseAttempt(Call&, TimePoint now);
     void noteOutcome(const Call&, const event::AttemptEnded&, const Context&);
     void retryOrFinish(Call&, Reason, bool serverFailure, const Context&, RelayEffects&);
     void finishUnanswered(Call&, Reason, const Context&, RelayEffects&);
+    bool reroute(Call&, const std::vector<BackendId>& away, const Context&, RelayEffects&);
+    void moveOffLeaving(const Context&, RelayEffects&);
     void checkRunning(Call&, const Context&, RelayEffects&);
     bool isStalled(const Call&, TimePoint now) const;
     std::vector<BackendId> stalledStages(const Call&) const;
@@ -96,6 +99,7 @@
     absl::flat_hash_map<AttemptId, RequestId> m_attempts;
     std::map<ServiceId, ServiceState> m_services;
     std::map<ServiceId, RetryBudget> m_budgets;
+    std::map<BackendId, TimePoint> m_moveOffAt; ///< servers that leave, with the time at which streams are moved
     std::uint32_t m_instances = 1;
     std::uint64_t m_nextAttempt = 1;
     std::optional<TimePoint> m_drainedAt;
