Relay: a stalled attempt goes on until another one does better; placement is a unit of its own

Now the second attempt runs beside the first and the one that goes on first is kept; nothing is cut for a server's silence. RelayReducer is split: CallPlacer chooses, ServiceQueue counts.

--- a/programs/crocusmount-entry.cpp
+++ b/programs/crocusmount-entry.cpp
@@ -69,8 +69,8 @@
         , m_follower(m_node, m_registry)
         , m_mirror(context, m_store, [this](const StoreEvent& event) { m_follower.storeChanged(event); })
         , m_placement(context, m_node, m_registry, m_control)
-        , m_endpoints({ [this] { return ready(); }, [this] { return callerAddresses(); },
-              [this] { return metrics(); } })
+        , m_endpoints(
+              { [this] { return ready(); }, [this] { return callerAddresses(); }, [this] { return metrics(); } })
         , m_signals(context, SIGTERM, SIGINT, SIGHUP)
     {
     }
--- a/src/admission/ConcurrencyLimit.h
+++ b/src/admission/ConcurrencyLimit.h
@@ -7,9 +7,9 @@
 /// An adaptive bound on the calls that one instance keeps in flight at a service: additive increase while answers begin
 /// early, multiplicative decrease when they begin late or servers turn calls away.
 ///
-/// The load that it answers: capacity is lost while calls keep coming. Without a bound all of them are taken and all are
-/// late; with it, those taken are on time, and the others learn at once when to come back. Instances need not agree:
-/// each sees the same engines, so their bounds shrink and grow alike.
+/// The load that it answers: capacity is lost while calls keep coming. Without a bound all of them are taken and all
+/// are late; with it, those taken are on time, and the others learn at once when to come back. Instances need not
+/// agree: each sees the same engines, so their bounds shrink and grow alike.
 class ConcurrencyLimit {
 public:
     /// Takes in how long an answer took to begin.
--- a/src/planning/LayerPlanner.cpp
+++ b/src/planning/LayerPlanner.cpp
@@ -161,8 +161,8 @@
         const auto move = bestMove(engines, moving, coverage);
         if (!move)
             break;
-        const auto engine = std::find_if(
-            engines.begin(), engines.end(), [&](const Engine& each) { return each.id == move->engine; });
+        const auto engine
+            = std::find_if(engines.begin(), engines.end(), [&](const Engine& each) { return each.id == move->engine; });
         coverage.add(engine->dataCentre, engine->held, -1);
         coverage.add(engine->dataCentre, move->layers, 1);
         moving.insert(move->engine);
--- a/src/relay/Call.h
+++ b/src/relay/Call.h
@@ -5,6 +5,7 @@
 #include "relay/RouteTable.h"
 
 #include <memory>
+#include <optional>
 
 namespace crocusmount::relay {
 
@@ -13,6 +14,18 @@
     Running,
 };
 
+/// One try at a call.
+struct Attempt {
+    AttemptId id;
+    BackendId server; ///< the first stage, or the plain service's server
+    Chain chain; ///< its stages; empty for a plain service
+    Chain reroute; ///< ordered and not yet answered; no hops: none
+    std::uint32_t reroutes = 0;
+    std::uint32_t events = 0; ///< delivered to the caller
+    bool sent = false; ///< its bytes went out
+    TimePoint started;
+};
+
 /// One call between its arrival and its final answer.
 struct Call {
     RequestId id;
@@ -26,22 +39,16 @@
     TimePoint arrived;
     TimePoint deadline; ///< the earlier of the caller's and the route's
     TimePoint waitUntil; ///< the longest wait for room
-    AttemptId attempt; ///< the one running
-    BackendId server; ///< its first stage
-    Chain chain; ///< its stages; empty for a plain service
     double tokens = 0; ///< prompt and expected answer, booked on the stages
-    TimePoint attemptStarted;
-    TimePoint lastProgress;
+    Attempt main; ///< while running
+    std::optional<Attempt> second; ///< started because the main one stands still; the first to go on is kept
+    TimePoint lastProgress; ///< an event, or the start of the main attempt
     Duration usualGap {}; ///< moving average between two events
-    std::uint32_t attemptEvents = 0;
     std::uint32_t attempts = 0; ///< ended ones that a server may have run
     std::uint32_t rejections = 0; ///< attempts that reached no server, or one that did not run the call
-    bool sent = false; ///< the running attempt's bytes went out
     bool mayHaveRun = false;
     bool answering = false; ///< the caller has a part of the answer
     std::uint64_t lastEvent = 0; ///< that the caller has
-    Chain reroute; ///< ordered and not yet answered; no hops: none
-    std::uint32_t reroutes = 0; ///< of the running attempt
     std::vector<BackendId> avoid; ///< failed this call before
 };
 
--- /dev/null
+++ b/src/relay/CallPlacer.cpp
@@ -0,0 +1,125 @@
+#include "relay/CallPlacer.h"
+
+#include "relay/ChainFinder.h"
+#include "relay/EngineCost.h"
+#include "relay/Spread.h"
+
+#include <algorithm>
+
+namespace crocusmount::relay {
+
+namespace {
+
+    /// A server avoided after a failure is still better than none.
+    constexpr double AvoidedPenaltyMs = 1000;
+    /// A server on which this very call failed before.
+    constexpr double FailedBeforePenaltyMs = 5000;
+    /// Part of a stage's pass that an event waits for it.
+    constexpr double PassWaitShare = 0.5;
+    /// Random part of a cost, so that instances with the same view do not all choose the same server.
+    constexpr double CostJitter = 0.2;
+    /// Cost of a stage that a rerouted stream has already: it keeps its KV cache, others read all tokens again.
+    constexpr double KeptStageDiscount = 0.2;
+    /// How much the cost of a plain service's server grows with its rate of failures.
+    constexpr double FailurePenalty = 4;
+    /// Own calls at which a plain service's server counts as full, over this instance's share of its slots.
+    constexpr double SlotOvercommit = 2;
+
+} // namespace
+
+CallPlacer::CallPlacer(const RelayOptions& options, const ServerFleet& fleet)
+    : m_options(options)
+    , m_fleet(fleet)
+{
+}
+
+std::optional<Placement> CallPlacer::place(const Call& call, TimePoint now, std::uint64_t entropy) const
+{
+    const Service* service = call.routes->service(call.service);
+    if (!service || !service->engine)
+        return findServer(call, now, entropy);
+    auto chain = findChain(call, *service->engine, nullptr, now, entropy);
+    if (!chain)
+        return std::nullopt;
+    const Hop& first = chain->hops().front();
+    return Placement { first.backend, first.address, *chain };
+}
+
+std::optional<Chain> CallPlacer::reroute(const Call& call, const Attempt& attempt, const std::vector<BackendId>& away,
+    TimePoint now, std::uint64_t entropy) const
+{
+    const Service* service = call.routes->service(call.service);
+    if (!service || !service->engine || attempt.chain.hops().empty())
+        return std::nullopt;
+    auto chain = findChain(call, *service->engine, &attempt, now, entropy);
+    if (!chain || std::any_of(away.begin(), away.end(), [&](const BackendId& id) { return chain->contains(id); }))
+        return std::nullopt;
+    return chain;
+}
+
+double CallPlacer::penaltyMs(const Call& call, const FleetServer& server, TimePoint now) const
+{
+    const bool failedBefore
+        = std::find(call.avoid.begin(), call.avoid.end(), server.entry.id) != call.avoid.end();
+    return (now < server.avoidUntil ? AvoidedPenaltyMs : 0) + (failedBefore ? FailedBeforePenaltyMs : 0);
+}
+
+std::optional<Chain> CallPlacer::findChain(const Call& call, const EngineModel& model, const Attempt* running,
+    TimePoint now, std::uint64_t entropy) const
+{
+    const Hop* first = running ? &running->chain.hops().front() : nullptr;
+    std::vector<ChainCandidate> candidates;
+    std::map<DataCentreId, std::uint32_t> indices { { m_options.dataCentre, 0 } };
+    const auto indexOf = [&](const DataCentreId& id) {
+        return indices.emplace(id, static_cast<std::uint32_t>(indices.size())).first->second;
+    };
+    std::uint32_t home = 0;
+    std::uint64_t use = 0;
+    for (const auto& [id, server] : m_fleet.servers()) {
+        const RegisteredServer& entry = server.entry;
+        if (first && id == first->backend) {
+            home = indexOf(entry.dataCentre);
+            continue;
+        }
+        const AcceleratorKind* card = model.kind(entry.accelerator);
+        if (entry.service != call.service || entry.leaving || !entry.layers.size() || !card)
+            continue;
+        const double contextTokens = server.ownTokenLayers / entry.layers.size() * m_instances + call.tokens;
+        const EngineCost cost(model, *card, entry.layers.size(), { contextTokens, server.slowness });
+        if (cost.fill() > m_options.memoryOvercommit && server.ownTokenLayers > 0)
+            continue;
+        const double kept = running && running->chain.contains(id) ? KeptStageDiscount : 1;
+        const double jitter = 1 + CostJitter * spread(entropy, ++use);
+        // A stage takes an event up only after its pass under way, which runs all of its layers.
+        const double entering = kept * PassWaitShare * cost.passMs() + penaltyMs(call, server, now);
+        candidates.push_back({ id, entry.address, entry.layers, indexOf(entry.dataCentre),
+            kept * cost.marginalMsPerLayer() * jitter, entering });
+    }
+    return ChainFinder::find(model.layers, candidates, home, first);
+}
+
+std::optional<Placement> CallPlacer::findServer(const Call& call, TimePoint now, std::uint64_t entropy) const
+{
+    const FleetServer* best = nullptr;
+    double bestCost = 0;
+    std::uint64_t use = 0;
+    for (const auto& [id, server] : m_fleet.servers()) {
+        const RegisteredServer& entry = server.entry;
+        if (entry.service != call.service || entry.leaving)
+            continue;
+        if (server.ownCalls >= std::max(1.0, SlotOvercommit * entry.slots / m_instances) + 1)
+            continue;
+        const double cost = (1 + server.ownCalls) * server.slowness * (1 + FailurePenalty * server.failureRate)
+                * (1 + CostJitter * spread(entropy, ++use))
+            + (entry.dataCentre == m_options.dataCentre ? 0 : CostJitter) + penaltyMs(call, server, now);
+        if (!best || cost < bestCost) {
+            best = &server;
+            bestCost = cost;
+        }
+    }
+    if (!best)
+        return std::nullopt;
+    return Placement { best->entry.id, best->entry.address, Chain() };
+}
+
+} // namespace crocusmount::relay
--- a/src/relay/ChainFinder.h
+++ b/src/relay/ChainFinder.h
@@ -31,8 +31,8 @@
     /// @param home        data centre from which the chain is entered, as an index like the candidates'
     /// @return a chain that runs each layer once and in order, or nothing where no candidates tile the model
     /// @param first       if set, the chain begins with this stage as it is
-    static std::optional<Chain> find(
-        std::uint32_t layerCount, const std::vector<ChainCandidate>&, std::uint32_t home, const Hop* first = nullptr, const ChainCosts& = {});
+    static std::optional<Chain> find(std::uint32_t layerCount, const std::vector<ChainCandidate>&, std::uint32_t home,
+        const Hop* first = nullptr, const ChainCosts& = {});
 };
 
 } // namespace crocusmount::relay
--- a/src/relay/RelayEffect.h
+++ b/src/relay/RelayEffect.h
@@ -28,7 +28,6 @@
         std::optional<std::uint64_t> resumeAfter; ///< the last event that the caller has
         std::string workspace; ///< empty for an anonymous route
         bool stream = false;
-        bool repeatable = false;
     };
 
     /// Close the attempt's connection, so that the server stops its work.
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -1,7 +1,6 @@
 #include "relay/RelayReducer.h"
 
-#include "relay/ChainFinder.h"
-#include "relay/EngineCost.h"
+#include "relay/Spread.h"
 
 #include <algorithm>
 
@@ -9,50 +8,20 @@
 
 namespace {
 
-    /// A stage avoided after a failure is still better than no chain.
-    constexpr double AvoidedPenaltyMs = 1000;
-    /// A stage on which this very call failed before.
-    constexpr double FailedBeforePenaltyMs = 5000;
-    /// How much the cost of a plain service's server grows with its rate of failures.
-    constexpr double FailurePenalty = 4;
-    /// Part of a stage's pass that a token waits for it.
-    constexpr double PassWaitShare = 0.5;
     /// How long a stage is left alone after it turned a call away: it is full, and some streams end within this time.
     constexpr Duration FullPause = std::chrono::milliseconds(250);
-    /// Random part of a cost, so that instances with the same view do not all choose the same engine.
-    constexpr double CostJitter = 0.2;
     /// A retry that waits for room gives up after this; by then the caller's own limit is near.
     constexpr Duration RetryWait = std::chrono::milliseconds(800);
     /// A stage with an event this shortly before a stall began is still held to have stalled.
     constexpr Duration StallTolerance = std::chrono::milliseconds(40);
     /// A chain whose stages all move for other calls may be slow with this one: it gets this many times longer.
     constexpr int UnexplainedStallFactor = 3;
+    /// Weight of one gap in a stream's usual one.
     constexpr double GapWeight = 0.2;
-    /// Weight of one end in the rate of ends.
-    constexpr double EndWeight = 0.05;
-    /// Bounds what two ends at the same moment count.
-    constexpr double MostEndsPerSecond = 200;
-    /// Times at which a plain service's server counts as full, in own calls over its share of slots.
-    constexpr double SlotOvercommit = 2;
-
-    /// Spreads one random word over several uses. @return a number in [0, 1)
-    double fraction(std::uint64_t entropy, std::uint64_t use)
-    {
-        std::uint64_t mixed = entropy + (use + 1) * 0x9E3779B97F4A7C15ULL; // SplitMix64's step and finalizer
-        mixed = (mixed ^ (mixed >> 30U)) * 0xBF58476D1CE4E5B9ULL;
-        mixed = (mixed ^ (mixed >> 27U)) * 0x94D049BB133111EBULL;
-        mixed ^= mixed >> 31U;
-        return static_cast<double>(mixed >> 11U) / 9007199254740992.0; // 2^53
-    }
-
-    bool contains(const std::vector<BackendId>& ids, const BackendId& id)
-    {
-        return std::find(ids.begin(), ids.end(), id) != ids.end();
-    }
 
-    Reason reasonOf(const event::AttemptEnded& ended)
+    Reason reasonOf(AttemptResult result)
     {
-        switch (ended.result) {
+        switch (result) {
         case AttemptResult::NotRun:
             return Reason::RefusedByBackend;
         case AttemptResult::ConnectFailed:
@@ -64,6 +33,11 @@
         }
     }
 
+    Duration scaled(Duration duration, double factor)
+    {
+        return Duration(static_cast<std::int64_t>(static_cast<double>(duration.count()) * factor));
+    }
+
 } // namespace
 
 const char* toString(AttemptResult result)
@@ -85,62 +59,63 @@
 
 RelayReducer::RelayReducer(RelayOptions options)
     : m_options(std::move(options))
+    , m_placer(m_options, m_fleet)
 {
 }
 
 void RelayReducer::reduce(const RelayEvent& event, RelayEffects& effects)
 {
-    const Context context { event.now, event.entropy };
-    std::visit([&](const auto& body) { on(body, context, effects); }, event.body);
+    Context context { event.now, event.entropy, effects };
+    std::visit([&](const auto& body) { on(body, context); }, event.body);
 }
 
 std::size_t RelayReducer::waitingCalls() const
 {
     std::size_t waiting = 0;
-    for (const auto& [service, state] : m_services)
-        waiting += state.waiting.size();
+    for (const auto& [service, queue] : m_services)
+        waiting += queue.waiting().size();
     return waiting;
 }
 
-const Call* RelayReducer::find(RequestId id) const
+Call* RelayReducer::findByAttempt(AttemptId id)
 {
-    const auto found = m_calls.find(id);
-    return found == m_calls.end() ? nullptr : &found->second;
+    const auto attempt = m_attempts.find(id);
+    return attempt == m_attempts.end() ? nullptr : &m_calls.at(attempt->second);
 }
 
 // ---- What is known -------------------------------------------------------------------------------------------------
 
-void RelayReducer::on(const event::ConfigurationAccepted& accepted, const Context& context, RelayEffects& effects)
+void RelayReducer::on(const event::ConfigurationAccepted& accepted, Context& context)
 {
     if (m_routes && accepted.routes->configuration().version <= m_routes->configuration().version)
         return;
     m_routes = accepted.routes;
     ++m_counters.configurationsAccepted;
-    dispatchAll(context, effects);
+    dispatchAll(context);
 }
 
-void RelayReducer::on(const event::ServerRegistered& registered, const Context& context, RelayEffects& effects)
+void RelayReducer::on(const event::ServerRegistered& registered, Context& context)
 {
-    const BackendId& id = registered.server.id;
     if (registered.server.leaving)
-        m_moveOffAt.try_emplace(id, context.now + m_options.rerouteDelay);
+        m_moveOffAt.try_emplace(registered.server.id, context.now + m_options.rerouteDelay);
     if (m_fleet.upsert(registered.server))
-        dispatchAll(context, effects);
+        dispatchAll(context);
 }
 
-void RelayReducer::on(const event::ServerUnregistered& gone, const Context& context, RelayEffects&)
+void RelayReducer::on(const event::ServerUnregistered& gone, Context& context)
 {
     m_fleet.remove(gone.server);
     // Some servers leave without a word; they too go on serving for a while.
     m_moveOffAt.try_emplace(gone.server, context.now + m_options.rerouteDelay);
 }
 
-void RelayReducer::on(const event::InstancesCounted& counted, const Context&, RelayEffects&)
+void RelayReducer::on(const event::InstancesCounted& counted, Context&)
 {
     m_instances = std::max(1U, counted.instances);
+    m_placer.setInstances(m_instances);
 }
 
-void RelayReducer::on(const event::DrainRequested&, const Context& context, RelayEffects&)
+void RelayReducer::on(const event::DrainRequested&, Context& context)
 {
     if (!m_drainedAt)
         m_drainedAt = context.now;
@@ -170,7 +145,7 @@
     return std::nullopt;
 }
 
-void RelayReducer::on(const event::CallArrived& arrival, const Context& context, RelayEffects& effects)
+void RelayReducer::on(const event::CallArrived& arrival, Context& context)
 {
     ++m_counters.calls;
     Call call;
@@ -179,171 +154,204 @@
     call.arrived = context.now;
     if (const auto refusal = admit(call, context)) {
         ++m_counters.refused.at(static_cast<std::size_t>(*refusal));
-        effects.emplace_back(effect::Refuse { call.id, *refusal, RunState::NotRun, comeBackAfter(*refusal, context) });
+        context.effects.emplace_back(
+            effect::Refuse { call.id, *refusal, RunState::NotRun, comeBackAfter(*refusal, context) });
         return;
     }
     const Route& route = *call.route;
     const Duration patience = call.spec.patience.count() > 0 ? call.spec.patience : route.timeout;
     call.deadline = context.now + std::min(patience, route.timeout);
-    call.waitUntil = context.now
-        + std::chrono::duration_cast<Duration>(
-            std::chrono::duration<double, std::micro>(route.objective.count() * m_options.queueWaitShare));
+    call.waitUntil = context.now + scaled(route.objective, m_options.queueWaitShare);
     const std::uint32_t expected
         = call.spec.expectedAnswerTokens ? call.spec.expectedAnswerTokens : call.spec.maxAnswerTokens;
     call.tokens = call.spec.promptTokens + expected;
     call.lastEvent = call.spec.resumeAfter.value_or(0);
     budgetOf(call.service).earn();
     Call& stored = m_calls.emplace(call.id, std::move(call)).first->second;
-    if (queueOf(stored.service).empty() && place(stored, context, effects))
+    FairQueue& waiting = queueOf(stored).waiting();
+    if (waiting.empty() && place(stored, context))
         return;
-    if (waitsInVain(stored, context)) {
-        finishUnanswered(stored, Reason::NoCapacity, context, effects);
+    if (context.now + queueOf(stored).expectedWait() > stored.waitUntil) {
+        finishUnanswered(stored, Reason::NoCapacity, context);
         return;
     }
-    queueOf(stored.service).push(stored.workspace, 1, -stored.rank, { stored.id, std::max(1.0, stored.tokens) });
-    dispatch(queueOf(stored.service), context, effects);
+    waiting.push(stored.workspace, 1, -stored.rank, { stored.id, std::max(1.0, stored.tokens) });
+    dispatch(waiting, context);
 }
 
-void RelayReducer::on(const event::CallerLeft& left, const Context& context, RelayEffects& effects)
+void RelayReducer::on(const event::CallerLeft& left, Context& context)
 {
     const auto found = m_calls.find(left.call);
     if (found == m_calls.end())
         return;
     ++m_counters.callersLeft;
-    if (found->second.state == CallState::Running) {
-        effects.emplace_back(effect::CancelAttempt { found->second.attempt });
-        releaseAttempt(found->second, context.now);
-    }
+    keepOnly(found->second, AttemptId(), context);
     remove(left.call);
-    dispatchAll(context, effects);
+    dispatchAll(context);
 }
 
-void RelayReducer::on(const event::AttemptSent& sent, const Context&, RelayEffects&)
+void RelayReducer::on(const event::AttemptSent& sent, Context&)
 {
-    const auto attempt = m_attempts.find(sent.attempt);
-    if (attempt == m_attempts.end())
+    Call* call = findByAttempt(sent.attempt);
+    if (!call)
         return;
-    Call& call = m_calls.at(attempt->second);
-    call.sent = true;
+    Attempt& attempt = call->main.id == sent.attempt ? call->main : *call->second;
+    attempt.sent = true;
 }
 
-void RelayReducer::on(const event::EventDelivered& delivered, const Context& context, RelayEffects&)
+void RelayReducer::on(const event::EventDelivered& delivered, Context& context)
 {
-    const auto attempt = m_attempts.find(delivered.attempt);
-    if (attempt == m_attempts.end())
+    Call* call = findByAttempt(delivered.attempt);
+    if (!call)
         return;
-    Call& call = m_calls.at(attempt->second);
-    if (!call.attemptEvents) {
-        ServiceState& service = m_services[call.service];
-        const double ratio = std::chrono::duration<double>(context.now - call.attemptStarted)
-            / std::chrono::duration<double>(call.route->objective);
-        service.limit.answered(ratio, service.running, context.now);
+    keepOnly(*call, delivered.attempt, context);
+    if (!call->main.events) {
+        const double ratio = std::chrono::duration<double>(context.now - call->main.started)
+            / std::chrono::duration<double>(call->route->objective);
+        queueOf(*call).limit().answered(ratio, queueOf(*call).running(), context.now);
     } else {
-        const Duration gap = context.now - call.lastProgress;
-        call.usualGap += std::chrono::duration_cast<Duration>(GapWeight * (gap - call.usualGap));
+        call->usualGap += scaled(context.now - call->lastProgress - call->usualGap, GapWeight);
     }
-    ++call.attemptEvents;
-    call.answering = true;
-    call.lastEvent = delivered.eventId;
-    call.lastProgress = context.now;
-    m_fleet.progressed(call.chain, context.now);
+    ++call->main.events;
+    call->answering = true;
+    call->lastEvent = delivered.eventId;
+    call->lastProgress = context.now;
+    m_fleet.progressed(call->main.chain, context.now);
 }
 
-void RelayReducer::on(const event::AttemptEnded& ended, const Context& context, RelayEffects& effects)
+void RelayReducer::on(const event::AttemptEnded& ended, Context& context)
 {
-    const auto attempt = m_attempts.find(ended.attempt);
-    if (attempt == m_attempts.end())
+    Call* found = findByAttempt(ended.attempt);
+    if (!found)
         return;
-    Call& call = m_calls.at(attempt->second);
-    noteOutcome(call, ended, context);
-    releaseAttempt(call, context.now);
+    Call& call = *found;
     if (ended.result == AttemptResult::Completed) {
+        keepOnly(call, ended.attempt, context);
+        m_fleet.succeeded(call.main.server);
+        release(call, call.main, context);
         ++m_counters.completed;
         remove(call.id);
+        dispatchAll(context);
+        return;
+    }
+    const bool wasSecond = call.second && call.second->id == ended.attempt;
+    const Attempt attempt = wasSecond ? *call.second : call.main;
+    noteOutcome(attempt, call, ended, context);
+    release(call, attempt, context);
+    if (ended.result == AttemptResult::ConnectFailed || ended.result == AttemptResult::NotRun) {
+        ++call.rejections;
     } else {
-        if (ended.result == AttemptResult::ConnectFailed || ended.result == AttemptResult::NotRun) {
-            ++call.rejections;
-        } else {
-            ++call.attempts;
-            call.mayHaveRun = call.mayHaveRun || call.sent;
-        }
-        retryOrFinish(call, reasonOf(ended), ended.result == AttemptResult::ServerFailure, context, effects);
+        ++call.attempts;
+        call.mayHaveRun = call.mayHaveRun || attempt.sent;
+    }
+    if (call.second) {
+        // The other attempt goes on.
+        if (!wasSecond)
+            call.main = *call.second;
+        call.second.reset();
+    } else {
+        call.avoid.push_back(attempt.server);
+        retryOrFinish(call, reasonOf(ended.result), context);
     }
-    dispatchAll(context, effects);
+    dispatchAll(context);
 }
 
-void RelayReducer::noteOutcome(const Call& call, const event::AttemptEnded& ended, const Context& context)
+void RelayReducer::noteOutcome(
+    const Attempt& attempt, const Call& call, const event::AttemptEnded& ended, Context& context)
 {
     const FleetServer* named = ended.culprit.empty() ? nullptr : m_fleet.findByAddress(ended.culprit);
-    const BackendId blamed = named ? named->entry.id : call.server;
+    const BackendId blamed = named ? named->entry.id : attempt.server;
     switch (ended.result) {
-    case AttemptResult::Completed:
-        m_fleet.succeeded(call.server);
-        return;
-    case AttemptResult::ServerFailure:
-        // Some calls fail by their nature; only a rate of failures tells on the server.
-        return;
     case AttemptResult::NotRun:
-        m_services[call.service].limit.rejected(m_services[call.service].running, context.now);
+        queueOf(call).limit().rejected(queueOf(call).running(), context.now);
         m_fleet.suspect(blamed, context.now + FullPause);
         return;
-    default:
+    case AttemptResult::ConnectFailed:
+    case AttemptResult::Broken:
         m_fleet.failed(blamed, context.now);
+        return;
+    default:
+        // Some calls fail by their nature; that tells nothing of the server.
+        return;
     }
 }
 
-void RelayReducer::retryOrFinish(
-    Call& call, Reason reason, bool serverFailure, const Context& context, RelayEffects& effects)
+bool RelayReducer::mayRetry(const Call& call, const Context& context) const
 {
     const bool safe = !call.mayHaveRun || isRepeatable(call.route->kind);
     const bool attemptsLeft = call.attempts < call.route->maxAttempts && call.rejections < m_options.mostRejections;
-    const bool timeLeft = context.now < call.deadline;
-    if (safe && attemptsLeft && timeLeft && budgetOf(call.service).spend()) {
+    return safe && attemptsLeft && context.now < call.deadline;
+}
+
+void RelayReducer::retryOrFinish(Call& call, Reason reason, Context& context)
+{
+    if (mayRetry(call, context) && budgetOf(call.service).spend()) {
         ++m_counters.retried.at(static_cast<std::size_t>(reason));
-        call.avoid.push_back(call.server);
         call.waitUntil = std::min(call.deadline, context.now + RetryWait);
         call.state = CallState::Waiting;
-        if (!place(call, context, effects))
-            queueOf(call.service).pushFront(call.workspace, 1, -call.rank, call.id);
+        if (!place(call, context))
+            queueOf(call).waiting().pushFront(call.workspace, 1, -call.rank, call.id);
         return;
     }
-    if (serverFailure && !call.answering) {
-        effects.emplace_back(effect::DeliverServerFailure { call.id });
+    if (reason == Reason::ServerFailure && !call.answering) {
+        context.effects.emplace_back(effect::DeliverServerFailure { call.id });
         remove(call.id);
         return;
     }
-    finishUnanswered(call, reason, context, effects);
+    finishUnanswered(call, reason, context);
 }
 
-void RelayReducer::finishUnanswered(Call& call, Reason reason, const Context& context, RelayEffects& effects)
+void RelayReducer::finishUnanswered(Call& call, Reason reason, Context& context)
 {
     ++m_counters.refused.at(static_cast<std::size_t>(reason));
     if (call.answering) {
-        effects.emplace_back(effect::BreakAnswer { call.id, reason });
+        context.effects.emplace_back(effect::BreakAnswer { call.id, reason });
     } else {
         const RunState run = call.mayHaveRun ? RunState::MayHaveRun : RunState::NotRun;
-        effects.emplace_back(effect::Refuse { call.id, reason, run, comeBackAfter(reason, context) });
+        context.effects.emplace_back(effect::Refuse { call.id, reason, run, comeBackAfter(reason, context) });
     }
     remove(call.id);
 }
 
-void RelayReducer::releaseAttempt(Call& call, TimePoint now)
+void RelayReducer::cancel(Call& call, const Attempt& attempt, Context& context)
+{
+    context.effects.emplace_back(effect::CancelAttempt { attempt.id });
+    call.mayHaveRun = call.mayHaveRun || attempt.sent;
+    ++call.attempts;
+    release(call, attempt, context);
+}
+
+/// Cancels the call's attempts but for one, which becomes the main one.
+void RelayReducer::keepOnly(Call& call, AttemptId kept, Context& context)
+{
+    if (call.state != CallState::Running)
+        return;
+    if (call.second && call.second->id != kept) {
+        cancel(call, *call.second, context);
+        call.second.reset();
+    }
+    if (call.main.id == kept)
+        return;
+    cancel(call, call.main, context);
+    if (call.second) {
+        call.main = *call.second;
+        call.second.reset();
+        ++m_counters.resumed;
+    }
+}
+
+void RelayReducer::release(Call& call, const Attempt& attempt, Context& context)
 {
-    m_attempts.erase(call.attempt);
-    if (!call.reroute.hops().empty())
-        m_fleet.unbook(call.reroute, call.tokens);
-    call.reroute = Chain();
-    ServiceState& service = m_services[call.service];
-    service.running = std::max(0.0, service.running - 1);
-    const double seconds = std::max(1e-3, std::chrono::duration<double>(now - service.lastEnd).count());
-    service.lastEnd = now;
-    service.endsPerSecond += EndWeight * (std::min(1 / seconds, MostEndsPerSecond) - service.endsPerSecond);
-    if (call.chain.hops().empty()) {
-        if (FleetServer* server = m_fleet.find(call.server); server && server->ownCalls)
+    m_attempts.erase(attempt.id);
+    queueOf(call).ended(context.now);
+    if (attempt.chain.hops().empty()) {
+        if (FleetServer* server = m_fleet.find(attempt.server); server && server->ownCalls)
             --server->ownCalls;
-    } else {
-        m_fleet.unbook(call.chain, call.tokens);
+        return;
     }
+    m_fleet.unbook(attempt.chain, call.tokens);
+    if (!attempt.reroute.hops().empty())
+        m_fleet.unbook(attempt.reroute, call.tokens);
 }
 
 void RelayReducer::remove(RequestId id)
@@ -352,262 +360,173 @@
     if (found == m_calls.end())
         return;
     if (found->second.state == CallState::Waiting)
-        queueOf(found->second.service).erase(id);
+        queueOf(found->second).waiting().erase(id);
     m_calls.erase(found);
 }
 
 // ---- Waiting and placing -------------------------------------------------------------------------------------------
 
-void RelayReducer::dispatchAll(const Context& context, RelayEffects& effects)
+void RelayReducer::dispatchAll(Context& context)
 {
-    for (auto& [service, state] : m_services)
-        dispatch(state.waiting, context, effects);
+    for (auto& [service, queue] : m_services)
+        dispatch(queue.waiting(), context);
 }
 
-void RelayReducer::dispatch(FairQueue& queue, const Context& context, RelayEffects& effects)
+void RelayReducer::dispatch(FairQueue& queue, Context& context)
 {
     while (const auto next = queue.pop()) {
         const auto found = m_calls.find(*next);
         if (found == m_calls.end())
             continue;
         Call& call = found->second;
-        if (place(call, context, effects))
+        if (place(call, context))
             continue;
         queue.pushFront(call.workspace, 1, -call.rank, call.id);
         return;
     }
 }
 
-bool RelayReducer::hasRoom(const Call& call) const
+bool RelayReducer::place(Call& call, Context& context)
 {
     // A stream that the caller has a part of goes on in any case.
-    if (!isStream(call.route->kind) || call.answering)
-        return true;
-    const auto service = m_services.find(call.service);
-    return service == m_services.end() || service->second.running < service->second.limit.value();
-}
-
-bool RelayReducer::waitsInVain(const Call& call, const Context& context) const
-{
-    const auto service = m_services.find(call.service);
-    if (service == m_services.end() || service->second.endsPerSecond <= 0)
-        return false;
-    const double seconds = static_cast<double>(service->second.waiting.size()) / service->second.endsPerSecond;
-    return std::chrono::duration<double>(call.waitUntil - context.now).count() < seconds;
-}
-
-bool RelayReducer::place(Call& call, const Context& context, RelayEffects& effects)
-{
-    if (!hasRoom(call))
+    if (isStream(call.route->kind) && !call.answering && !queueOf(call).hasRoom())
         return false;
-    auto placement = findPlacement(call, context);
-    if (!placement)
+    auto attempt = startAttempt(call, context);
+    if (!attempt)
         return false;
+    if (call.answering)
+        ++m_counters.resumed;
     call.state = CallState::Running;
-    call.attempt = AttemptId(m_nextAttempt++);
-    call.server = placement->server;
-    call.chain = std::move(placement->chain);
-    call.attemptStarted = context.now;
+    call.main = *std::move(attempt);
     call.lastProgress = context.now;
     call.usualGap = Duration(0);
-    call.attemptEvents = 0;
-    call.sent = false;
-    call.reroute = Chain();
-    call.reroutes = 0;
-    m_attempts[call.attempt] = call.id;
-    ++m_services[call.service].running;
-    if (call.chain.hops().empty())
-        ++m_fleet.find(call.server)->ownCalls;
+    return true;
+}
+
+std::optional<Attempt> RelayReducer::startAttempt(Call& call, Context& context)
+{
+    auto placement = m_placer.place(call, context.now, context.entropy);
+    if (!placement)
+        return std::nullopt;
+    Attempt attempt;
+    attempt.id = AttemptId(m_nextAttempt++);
+    attempt.server = placement->server;
+    attempt.chain = std::move(placement->chain);
+    attempt.started = context.now;
+    m_attempts[attempt.id] = call.id;
+    queueOf(call).started();
+    if (attempt.chain.hops().empty())
+        ++m_fleet.find(attempt.server)->ownCalls;
     else
-        m_fleet.book(call.chain, call.tokens);
+        m_fleet.book(attempt.chain, call.tokens);
     ++m_counters.attempts;
-    if (call.answering)
-        ++m_counters.resumed;
     effect::StartAttempt start;
-    start.attempt = call.attempt;
+    start.attempt = attempt.id;
     start.call = call.id;
-    start.server = call.server;
+    start.server = attempt.server;
     start.address = placement->address;
-    start.chain = call.chain;
+    start.chain = attempt.chain;
     start.remaining = call.deadline - context.now;
     if (call.answering || call.spec.resumeAfter)
         start.resumeAfter = call.lastEvent;
     start.workspace = call.workspace.value();
     start.stream = isStream(call.route->kind);
-    start.repeatable = isRepeatable(call.route->kind);
-    effects.emplace_back(std::move(start));
-    return true;
-}
-
-std::optional<RelayReducer::Placement> RelayReducer::findPlacement(const Call& call, const Context& context)
-{
-    const Service* service = call.routes->service(call.service);
-    if (!service || !service->engine)
-        return findServer(call, context);
-    const auto chain = findChain(call, *service, context);
-    if (!chain)
-        return std::nullopt;
-    const Hop& first = chain->hops().front();
-    return Placement { first.backend, first.address, *chain };
+    context.effects.emplace_back(std::move(start));
+    return attempt;
 }
 
-std::optional<Chain> RelayReducer::findChain(
-    const Call& call, const Service& service, const Context& context, const Hop* first)
-{
-    const EngineModel& model = *service.engine;
-    std::vector<ChainCandidate> candidates;
-    std::map<DataCentreId, std::uint32_t> dataCentres { { m_options.dataCentre, 0 } };
-    std::uint64_t use = 0;
-    for (const auto& [id, server] : m_fleet.servers()) {
-        const RegisteredServer& entry = server.entry;
-        const AcceleratorKind* card = model.kind(entry.accelerator);
-        if (entry.service != call.service || entry.leaving || !entry.layers.size() || !card)
-            continue;
-        if (first && id == first->backend)
-            continue;
-        const double held = entry.layers.size();
-        const double contextTokens = server.ownTokenLayers / held * m_instances + call.tokens;
-        const EngineCost cost(model, *card, entry.layers.size(), { contextTokens, server.slowness });
-        if (cost.fill() > m_options.memoryOvercommit && server.ownTokenLayers > 0)
-            continue;
-        const double jitter = 1 + CostJitter * fraction(context.entropy, ++use);
-        // A stage takes a token up only after its pass under way, which runs all of its layers.
-        const double penalty = PassWaitShare * cost.passMs() + (context.now < server.avoidUntil ? AvoidedPenaltyMs : 0)
-            + (contains(call.avoid, id) ? FailedBeforePenaltyMs : 0);
-        const auto dataCentre
-            = dataCentres.emplace(entry.dataCentre, static_cast<std::uint32_t>(dataCentres.size())).first->second;
-        candidates.push_back({ id, entry.address, entry.layers, dataCentre, cost.marginalMsPerLayer() * jitter, penalty });
-    }
-    const FleetServer* entrance = first ? m_fleet.find(first->backend) : nullptr;
-    const auto home = entrance ? dataCentres.emplace(entrance->entry.dataCentre, dataCentres.size()).first->second : 0;
-    return ChainFinder::find(model.layers, candidates, home, first);
-}
+// ---- Time ----------------------------------------------------------------------------------------------------------
 
-std::optional<RelayReducer::Placement> RelayReducer::findServer(const Call& call, const Context& context)
+void RelayReducer::on(const event::Tick&, Context& context)
 {
-    const FleetServer* best = nullptr;
-    double bestCost = 0;
-    std::uint64_t use = 0;
-    for (const auto& [id, server] : m_fleet.servers()) {
-        const RegisteredServer& entry = server.entry;
-        if (entry.service != call.service || entry.leaving)
-            continue;
-        const double share = std::max(1.0, SlotOvercommit * entry.slots / m_instances);
-        if (server.ownCalls >= share + 1)
-            continue;
-        const double cost = (1 + server.ownCalls) * server.slowness * (1 + FailurePenalty * server.failureRate)
-                * (1 + CostJitter * fraction(context.entropy, ++use))
-            + (entry.dataCentre == m_options.dataCentre ? 0 : CostJitter)
-            + (context.now < server.avoidUntil ? AvoidedPenaltyMs : 0)
-            + (contains(call.avoid, id) ? FailedBeforePenaltyMs : 0);
-        if (!best || cost < bestCost) {
-            best = &server;
-            bestCost = cost;
-        }
+    refuseOverdue(context);
+    moveOffLeaving(context);
+    for (auto& [id, call] : m_calls) {
+        if (call.state == CallState::Running)
+            checkRunning(call, context);
     }
-    if (!best)
-        return std::nullopt;
-    return Placement { best->entry.id, best->entry.address, Chain() };
+    dispatchAll(context);
 }
 
-// ---- Time ----------------------------------------------------------------------------------------------------------
-
-void RelayReducer::on(const event::Tick&, const Context& context, RelayEffects& effects)
+void RelayReducer::refuseOverdue(Context& context)
 {
     std::vector<RequestId> due;
-    for (auto& [id, call] : m_calls) {
-        const bool waiting = call.state == CallState::Waiting;
-        if (context.now >= call.deadline || (waiting && context.now >= call.waitUntil))
+    for (const auto& [id, call] : m_calls) {
+        const bool waitedOut = call.state == CallState::Waiting && context.now >= call.waitUntil;
+        if (waitedOut || context.now >= call.deadline)
             due.push_back(id);
     }
     for (const RequestId& id : due) {
         Call& call = m_calls.at(id);
-        Reason reason = context.now >= call.deadline ? Reason::TimedOut : Reason::NoCapacity;
-        if (call.state == CallState::Running) {
-            call.mayHaveRun = call.mayHaveRun || call.sent;
-            effects.emplace_back(effect::CancelAttempt { call.attempt });
-            releaseAttempt(call, context.now);
-            reason = Reason::TimedOut;
-        }
-        finishUnanswered(call, reason, context, effects);
-    }
-    moveOffLeaving(context, effects);
-    std::vector<RequestId> running;
-    for (const auto& [id, call] : m_calls) {
-        if (call.state == CallState::Running)
-            running.push_back(id);
-    }
-    for (const RequestId& id : running) {
-        if (const auto found = m_calls.find(id); found != m_calls.end())
-            checkRunning(found->second, context, effects);
+        const bool late = context.now >= call.deadline;
+        keepOnly(call, AttemptId(), context);
+        finishUnanswered(call, late ? Reason::TimedOut : Reason::NoCapacity, context);
     }
-    dispatchAll(context, effects);
 }
 
-void RelayReducer::checkRunning(Call& call, const Context& context, RelayEffects& effects)
+void RelayReducer::checkRunning(Call& call, Context& context)
 {
-    if (!isRepeatable(call.route->kind) || call.reroute.hops().size() || !isStalled(call, context.now))
+    if (!isRepeatable(call.route->kind) || call.second || !call.main.reroute.hops().empty()
+        || !isStalled(call, context.now))
         return;
     const std::vector<BackendId> culprits = stalledStages(call);
-    const Duration still = context.now - call.lastProgress;
     const Duration limit = call.answering ? m_options.minStall : m_options.firstEventLimit;
-    if (culprits.empty() && still < limit * UnexplainedStallFactor)
+    if (culprits.empty() && context.now - call.lastProgress < limit * UnexplainedStallFactor)
         return;
     for (const BackendId& culprit : culprits) {
         m_fleet.suspect(culprit, context.now + m_options.suspicion);
         call.avoid.push_back(culprit);
     }
-    if (!culprits.empty() && reroute(call, culprits, context, effects))
-        return;
-    if (call.attempts + 1 >= call.route->maxAttempts)
+    if (culprits.empty() || !reroute(call, culprits, context))
+        startSecond(call, context);
+}
+
+/// Tries the call elsewhere while the main attempt goes on: a server's silence is no reason to end an answer.
+void RelayReducer::startSecond(Call& call, Context& context)
+{
+    if (call.attempts + 1 >= call.route->maxAttempts || !mayRetry(call, context) || !budgetOf(call.service).spend())
         return;
-    effects.emplace_back(effect::CancelAttempt { call.attempt });
-    releaseAttempt(call, context.now);
-    call.mayHaveRun = true;
-    ++call.attempts;
-    retryOrFinish(call, Reason::Stalled, false, context, effects);
+    ++m_counters.retried.at(static_cast<std::size_t>(Reason::Stalled));
+    call.second = startAttempt(call, context);
 }
 
-bool RelayReducer::reroute(
-    Call& call, const std::vector<BackendId>& away, const Context& context, RelayEffects& effects)
+bool RelayReducer::reroute(Call& call, const std::vector<BackendId>& away, Context& context)
 {
-    if (call.chain.hops().empty() || contains(away, call.server) || !call.reroute.hops().empty()
-        || call.reroutes >= m_options.mostReroutes)
+    Attempt& attempt = call.main;
+    const bool firstGoes = std::find(away.begin(), away.end(), attempt.server) != away.end();
+    if (firstGoes || !attempt.reroute.hops().empty() || attempt.reroutes >= m_options.mostReroutes)
         return false;
-    const Service* service = call.routes->service(call.service);
-    auto chain = findChain(call, *service, context, &call.chain.hops().front());
+    auto chain = m_placer.reroute(call, attempt, away, context.now, context.entropy);
     if (!chain)
         return false;
-    if (std::any_of(away.begin(), away.end(), [&](const BackendId& id) { return chain->contains(id); }))
-        return false;
-    ++call.reroutes;
+    ++attempt.reroutes;
     ++m_counters.rerouted;
     // The new stages need the room from now on; the old ones are given free when the order is answered.
     m_fleet.book(*chain, call.tokens);
-    call.reroute = *chain;
+    attempt.reroute = *chain;
     call.lastProgress = context.now;
-    effects.emplace_back(
-        effect::RerouteAttempt { call.attempt, call.id, call.chain.hops().front().address, *std::move(chain) });
+    context.effects.emplace_back(
+        effect::RerouteAttempt { attempt.id, call.id, attempt.chain.hops().front().address, *std::move(chain) });
     return true;
 }
 
-void RelayReducer::on(const event::RerouteAnswered& answered, const Context&, RelayEffects&)
+void RelayReducer::on(const event::RerouteAnswered& answered, Context&)
 {
-    const auto attempt = m_attempts.find(answered.attempt);
-    if (attempt == m_attempts.end())
+    Call* call = findByAttempt(answered.attempt);
+    if (!call)
         return;
-    Call& call = m_calls.at(attempt->second);
-    if (call.reroute.hops().empty())
+    Attempt& attempt = call->main.id == answered.attempt ? call->main : *call->second;
+    if (attempt.reroute.hops().empty())
         return;
     if (!answered.accepted)
         ++m_counters.reroutesRefused;
-    m_fleet.unbook(answered.accepted ? call.chain : call.reroute, call.tokens);
+    m_fleet.unbook(answered.accepted ? attempt.chain : attempt.reroute, call->tokens);
     if (answered.accepted)
-        call.chain = call.reroute;
-    call.reroute = Chain();
+        attempt.chain = attempt.reroute;
+    attempt.reroute = Chain();
 }
 
-void RelayReducer::moveOffLeaving(const Context& context, RelayEffects& effects)
+void RelayReducer::moveOffLeaving(Context& context)
 {
     for (auto leaving = m_moveOffAt.begin(); leaving != m_moveOffAt.end();) {
         if (context.now < leaving->second) {
@@ -616,8 +535,8 @@
         }
         const std::vector<BackendId> away { leaving->first };
         for (auto& [id, call] : m_calls) {
-            if (call.state == CallState::Running && call.chain.contains(away.front()))
-                reroute(call, away, context, effects);
+            if (call.state == CallState::Running && call.main.chain.contains(away.front()))
+                reroute(call, away, context);
         }
         leaving = m_moveOffAt.erase(leaving);
     }
@@ -626,23 +545,19 @@
 bool RelayReducer::isStalled(const Call& call, TimePoint now) const
 {
     const Duration still = now - call.lastProgress;
-    if (!isStream(call.route->kind)) {
-        const auto limit = std::chrono::duration<double, std::micro>(
-            static_cast<double>(call.route->objective.count()) * m_options.slowCallFactor);
-        return still > limit;
-    }
-    if (!call.attemptEvents)
+    if (!isStream(call.route->kind))
+        return still > scaled(call.route->objective, m_options.slowCallFactor);
+    if (!call.main.events)
         return still > m_options.firstEventLimit;
-    const auto usual = std::chrono::duration_cast<Duration>(m_options.stallFactor * call.usualGap);
-    return still > std::max(m_options.minStall, usual);
+    return still > std::max(m_options.minStall, scaled(call.usualGap, m_options.stallFactor));
 }
 
 std::vector<BackendId> RelayReducer::stalledStages(const Call& call) const
 {
+    if (call.main.chain.hops().empty())
+        return { call.main.server };
     std::vector<BackendId> stalled;
-    if (call.chain.hops().empty())
-        return { call.server };
-    for (const Hop& hop : call.chain.hops()) {
+    for (const Hop& hop : call.main.chain.hops()) {
         const auto found = m_fleet.servers().find(hop.backend);
         if (found == m_fleet.servers().end() || found->second.lastProgress <= call.lastProgress + StallTolerance)
             stalled.push_back(hop.backend);
@@ -652,10 +567,10 @@
 
 Duration RelayReducer::comeBackAfter(Reason reason, const Context& context) const
 {
-    const auto spread = [&](std::int64_t leastMs, std::int64_t mostMs) {
-        const double part = fraction(context.entropy, static_cast<std::uint64_t>(reason));
-        return Duration(
-            std::chrono::milliseconds(leastMs + static_cast<std::int64_t>(part * double(mostMs - leastMs))));
+    const auto between = [&](std::int64_t leastMs, std::int64_t mostMs) {
+        const double part = spread(context.entropy, static_cast<std::uint64_t>(reason));
+        const double ms = static_cast<double>(leastMs) + part * static_cast<double>(mostMs - leastMs);
+        return Duration(static_cast<std::int64_t>(ms * 1000));
     };
     switch (reason) {
     case Reason::UnknownRoute:
@@ -663,9 +578,9 @@
         return Duration(0);
     case Reason::NoCapacity:
         // Half of the calls in flight end within about a second; the spread keeps the return from being a wave.
-        return spread(600, 2000);
+        return between(600, 2000);
     default:
-        return spread(200, 600);
+        return between(200, 600);
     }
 }
 
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -1,14 +1,14 @@
 #pragma once
 
-#include "admission/ConcurrencyLimit.h"
-#include "admission/FairQueue.h"
 #include "admission/RetryBudget.h"
 #include "relay/Call.h"
+#include "relay/CallPlacer.h"
 #include "relay/RelayCounters.h"
 #include "relay/RelayEffect.h"
 #include "relay/RelayEvent.h"
 #include "relay/RelayOptions.h"
 #include "relay/ServerFleet.h"
+#include "relay/ServiceQueue.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <optional>
@@ -21,6 +21,8 @@
 class RelayReducer {
 public:
     explicit RelayReducer(RelayOptions);
+    RelayReducer(const RelayReducer&) = delete;
+    RelayReducer& operator=(const RelayReducer&) = delete;
 
     /// Takes one event in.
     /// @param event    what happened
@@ -34,70 +36,60 @@
     std::size_t openCalls() const { return m_calls.size(); }
     std::size_t waitingCalls() const;
     bool isDraining() const { return m_drainedAt.has_value(); }
-    const Call* find(RequestId) const;
 
 private:
     struct Context {
         TimePoint now;
         std::uint64_t entropy = 0;
-    };
-    /// What waits for a service and runs at it.
-    struct ServiceState {
-        FairQueue waiting;
-        ConcurrencyLimit limit; ///< of streams
-        double running = 0; ///< calls at its servers
-        double endsPerSecond = 0; ///< moving average
-        TimePoint lastEnd;
-    };
-    struct Placement {
-        BackendId server;
-        std::string address;
-        Chain chain;
+        RelayEffects& effects;
     };
 
-    void on(const event::ConfigurationAccepted&, const Context&, RelayEffects&);
-    void on(const event::ServerRegistered&, const Context&, RelayEffects&);
-    void on(const event::ServerUnregistered&, const Context&, RelayEffects&);
-    void on(const event::InstancesCounted&, const Context&, RelayEffects&);
-    void on(const event::CallArrived&, const Context&, RelayEffects&);
-    void on(const event::CallerLeft&, const Context&, RelayEffects&);
-    void on(const event::AttemptSent&, const Context&, RelayEffects&);
-    void on(const event::EventDelivered&, const Context&, RelayEffects&);
-    void on(const event::AttemptEnded&, const Context&, RelayEffects&);
-    void on(const event::RerouteAnswered&, const Context&, RelayEffects&);
-    void on(const event::DrainRequested&, const Context&, RelayEffects&);
-    void on(const event::Tick&, const Context&, RelayEffects&);
+    void on(const event::ConfigurationAccepted&, Context&);
+    void on(const event::ServerRegistered&, Context&);
+    void on(const event::ServerUnregistered&, Context&);
+    void on(const event::InstancesCounted&, Context&);
+    void on(const event::CallArrived&, Context&);
+    void on(const event::CallerLeft&, Context&);
+    void on(const event::AttemptSent&, Context&);
+    void on(const event::EventDelivered&, Context&);
+    void on(const event::AttemptEnded&, Context&);
+    void on(const event::RerouteAnswered&, Context&);
+    void on(const event::DrainRequested&, Context&);
+    void on(const event::Tick&, Context&);
 
     std::optional<Reason> admit(Call&, const Context&) const;
-    void dispatchAll(const Context&, RelayEffects&);
-    void dispatch(FairQueue&, const Context&, RelayEffects&);
-    bool place(Call&, const Context&, RelayEffects&);
-    std::optional<Placement> findPlacement(const Call&, const Context&);
-    std::optional<Chain> findChain(const Call&, const Service&, const Context&, const Hop* first = nullptr);
-    std::optional<Placement> findServer(const Call&, const Context&);
-    void releaseAttempt(Call&, TimePoint now);
-    void noteOutcome(const Call&, const event::AttemptEnded&, const Context&);
-    void retryOrFinish(Call&, Reason, bool serverFailure, const Context&, RelayEffects&);
-    void finishUnanswered(Call&, Reason, const Context&, RelayEffects&);
-    bool reroute(Call&, const std::vector<BackendId>& away, const Context&, RelayEffects&);
-    void moveOffLeaving(const Context&, RelayEffects&);
-    void checkRunning(Call&, const Context&, RelayEffects&);
+    void dispatchAll(Context&);
+    void dispatch(FairQueue&, Context&);
+    bool place(Call&, Context&);
+    std::optional<Attempt> startAttempt(Call&, Context&);
+    void cancel(Call&, const Attempt&, Context&);
+    void release(Call&, const Attempt&, Context&);
+    void keepOnly(Call&, AttemptId, Context&);
+    void noteOutcome(const Attempt&, const Call&, const event::AttemptEnded&, Context&);
+    void retryOrFinish(Call&, Reason, Context&);
+    bool mayRetry(const Call&, const Context&) const;
+    void finishUnanswered(Call&, Reason, Context&);
+    void refuseOverdue(Context&);
+    void checkRunning(Call&, Context&);
+    void startSecond(Call&, Context&);
+    bool reroute(Call&, const std::vector<BackendId>& away, Context&);
+    void moveOffLeaving(Context&);
     bool isStalled(const Call&, TimePoint now) const;
     std::vector<BackendId> stalledStages(const Call&) const;
     Duration comeBackAfter(Reason, const Context&) const;
     void remove(RequestId);
-    FairQueue& queueOf(const ServiceId& service) { return m_services[service].waiting; }
-    bool hasRoom(const Call&) const;
-    bool waitsInVain(const Call&, const Context&) const;
+    Call* findByAttempt(AttemptId);
+    ServiceQueue& queueOf(const Call& call) { return m_services[call.service]; }
     RetryBudget& budgetOf(const ServiceId&);
 
     RelayOptions m_options;
     RelayCounters m_counters;
     ServerFleet m_fleet;
+    CallPlacer m_placer;
     std::shared_ptr<const RouteTable> m_routes;
     std::map<RequestId, Call> m_calls;
     absl::flat_hash_map<AttemptId, RequestId> m_attempts;
-    std::map<ServiceId, ServiceState> m_services;
+    std::map<ServiceId, ServiceQueue> m_services;
     std::map<ServiceId, RetryBudget> m_budgets;
     std::map<BackendId, TimePoint> m_moveOffAt; ///< servers that leave, with the time at which streams are moved
     std::uint32_t m_instances = 1;
--- /dev/null
+++ b/src/relay/ServiceQueue.cpp
@@ -0,0 +1,33 @@
+#include "relay/ServiceQueue.h"
+
+#include <algorithm>
+
+namespace crocusmount::relay {
+
+namespace {
+
+    /// Weight of one end in the rate of ends.
+    constexpr double EndWeight = 0.05;
+    /// Bounds what two ends at the same moment count.
+    constexpr double MostEndsPerSecond = 200;
+    constexpr double LeastSeconds = 1e-3;
+
+} // namespace
+
+void ServiceQueue::ended(TimePoint now)
+{
+    m_running = std::max(0.0, m_running - 1);
+    const double seconds = std::max(LeastSeconds, std::chrono::duration<double>(now - m_lastEnd).count());
+    m_lastEnd = now;
+    m_endsPerSecond += EndWeight * (std::min(1 / seconds, MostEndsPerSecond) - m_endsPerSecond);
+}
+
+Duration ServiceQueue::expectedWait() const
+{
+    if (m_endsPerSecond <= 0)
+        return Duration(0);
+    const std::chrono::duration<double> wait(static_cast<double>(m_waiting.size()) / m_endsPerSecond);
+    return std::chrono::duration_cast<Duration>(wait);
+}
+
+} // namespace crocusmount::relay
