--- a/src/shell/HttpClient.cpp
+++ b/src/shell/HttpClient.cpp
@@ -3,6 +3,7 @@
 #include "shell/Endpoint.h"
 
 #include <absl/strings/ascii.h>
+#include <netinet/tcp.h>
 
 namespace crocusmount {
 
@@ -13,6 +14,23 @@
     constexpr std::uint64_t AnswerLimit = 64ULL << 20;
     constexpr std::chrono::milliseconds ConnectTimeout { 1000 };
 
+    /// Lets TCP find a peer that is silent for good, within about two seconds.
+    template <typename Socket>
+    void probe(Socket& socket)
+    {
+        const int on = 1;
+        const int idleSeconds = 1;
+        const int intervalSeconds = 1;
+        const int probes = 1;
+        const unsigned userTimeoutMs = 2000;
+        const int handle = socket.native_handle();
+        setsockopt(handle, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+        setsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &idleSeconds, sizeof idleSeconds);
+        setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &intervalSeconds, sizeof intervalSeconds);
+        setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
+        setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &userTimeoutMs, sizeof userTimeoutMs);
+    }
+
     http::request<http::string_body> requestOf(const HttpCall& call)
     {
         http::request<http::string_body> request(call.verb, call.target, 11);
@@ -75,6 +93,8 @@
         co_return Connected { nullptr, false, error.message() };
     boost::system::error_code ignored;
     stream->socket().set_option(Tcp::no_delay(true), ignored);
+    if (call.probed)
+        probe(stream->socket());
     co_return Connected { std::move(stream), false, {} };
 }
 
--- a/src/shell/HttpClient.h
+++ b/src/shell/HttpClient.h
@@ -26,6 +26,7 @@
     std::string contentType = "application/json";
     std::vector<std::pair<std::string, std::string>> headers;
     std::chrono::milliseconds timeout { 2000 };
+    bool probed = false; ///< TCP probes an idle connection and resets it after two to three seconds of silence
     bool freshConnection = false; ///< never an idle one, which the other side may have closed
 };
 
