--- a/src/admission/ConcurrencyLimit.cpp
+++ b/src/admission/ConcurrencyLimit.cpp
@@ -10,13 +10,13 @@
     constexpr double Least = 4;
     constexpr double Most = 512;
     /// An answer that begins this late, as part of the objective, shows that the next ones may miss it.
-    constexpr double LateRatio = 0.6;
+    constexpr double LateRatio = 0.8;
     /// Below this part of the objective there is room for more.
-    constexpr double EarlyRatio = 0.4;
+    constexpr double EarlyRatio = 0.5;
     /// The bound grows only while it binds: in flight at least this part of it.
     constexpr double BindingShare = 0.8;
     constexpr double Increase = 0.5;
-    constexpr double DecreaseFactor = 0.92;
+    constexpr double DecreaseFactor = 0.95;
     /// Calls in flight answer to a smaller bound only after some of them ended; until then further decreases overshoot.
     constexpr Duration DecreaseInterval = std::chrono::milliseconds(150);
 
--- a/src/edge/StoreMirror.cpp
+++ b/src/edge/StoreMirror.cpp
@@ -13,8 +13,8 @@
     constexpr std::chrono::milliseconds LongestPause { 400 };
     /// A silence that may have made other clients' leases lapse: shorter ones are retried calls.
     constexpr std::chrono::milliseconds Outage { 1000 };
-    /// A watch is answered within two seconds, with changes or without; a call that fails later was not answered.
-    constexpr std::chrono::milliseconds SilentCall { 2200 };
+    /// After this, a call to a store that has fallen silent fails.
+    constexpr std::chrono::milliseconds SilenceShows { 2000 };
     /// After an outage, entries that lapsed come back within about two seconds if their owners live.
     constexpr std::chrono::milliseconds LapseGrace { 2300 };
 
@@ -40,30 +40,31 @@
     Timer timer(m_context.get_executor());
     std::chrono::milliseconds pause = FirstPause;
     while (true) {
+        absl::Status status;
         if (m_stale)
-            co_await readAll();
+            status = co_await readAll();
         if (!m_stale) {
-            const absl::Status status = co_await watchOnce();
+            status = co_await watchOnce();
             if (absl::IsOutOfRange(status)) {
                 relay::DecisionLog::state("store_history_lost", { { "revision", m_revision } });
                 m_stale = true;
                 continue;
             }
         }
-        lostContact();
+        lostContact(status);
         timer.expires_after(pause);
         co_await timer.async_wait(net::as_tuple(useAwaitable));
         pause = m_inContact ? FirstPause : std::min(pause * 2, LongestPause);
     }
 }
 
-Awaitable<bool> StoreMirror::readAll()
+Awaitable<absl::Status> StoreMirror::readAll()
 {
     std::string begin;
     std::string end;
     const auto range = co_await m_store.range(std::move(begin), std::move(end));
     if (!range.ok())
-        co_return false;
+        co_return range.status();
     regainedContact();
     std::set<std::string> present;
     for (const StoreEntry& entry : range->entries) {
@@ -80,7 +81,7 @@
     m_revision = range->revision;
     m_stale = false;
     m_complete = true;
-    co_return true;
+    co_return absl::OkStatus();
 }
 
 Awaitable<absl::Status> StoreMirror::watchOnce()
@@ -135,15 +136,16 @@
         take({ { key, {}, m_revision }, true });
 }
 
-void StoreMirror::lostContact()
+void StoreMirror::lostContact(const absl::Status& status)
 {
     if (!m_inContact)
         return;
     m_inContact = false;
     const auto now = std::chrono::steady_clock::now();
-    // A call that was cut ended at once; one that was never answered shows a silence since the last answer.
-    m_lostSince = now - m_lastAnswer >= SilentCall ? m_lastAnswer : now;
-    relay::DecisionLog::state("store_lost", { { "silent_ms", age().count() }, { "revision", m_revision } });
+    // A call that was cut ended at once; one that fell silent took its time to show it.
+    m_lostSince = absl::IsDeadlineExceeded(status) ? now - SilenceShows : now;
+    relay::DecisionLog::state("store_lost",
+        { { "silent_ms", age().count() }, { "revision", m_revision }, { "error", std::string(status.message()) } });
 }
 
 void StoreMirror::regainedContact()
--- a/src/edge/StoreMirror.h
+++ b/src/edge/StoreMirror.h
@@ -30,10 +30,10 @@
 
 private:
     Awaitable<void> followLoop();
-    Awaitable<bool> readAll();
+    Awaitable<absl::Status> readAll();
     Awaitable<absl::Status> watchOnce();
     void take(const StoreEvent&);
-    void lostContact();
+    void lostContact(const absl::Status&);
     void regainedContact();
     void reportLapsed();
 
--- a/src/shell/HttpClient.cpp
+++ b/src/shell/HttpClient.cpp
@@ -126,6 +126,7 @@
         std::tie(error, count) = co_await http::async_read(stream, buffer, parser, asTuple);
     if (error) {
         answer.error = error.message();
+        answer.silent = error == beast::error::timeout || error == net::error::timed_out;
         co_return answer;
     }
     answer.phase = CallPhase::Answered;
--- a/src/shell/HttpClient.h
+++ b/src/shell/HttpClient.h
@@ -36,6 +36,7 @@
     std::string body;
     std::string contentType;
     std::string error; ///< empty if answered
+    bool silent = false; ///< not answered because of a time limit, this call's or TCP's
     std::map<std::string, std::string> headers; ///< names in lower case
 };
 
--- a/src/shell/StoreClient.h
+++ b/src/shell/StoreClient.h
@@ -61,7 +61,8 @@
     }
     Awaitable<StoreWriteResult> write(StoreWrite write) { return onWrite(std::move(write)); }
     /// Reports changes of [begin, end) from a revision on, until the callback returns false or the watch breaks.
-    /// @return OutOfRange where the revision is compacted, else why the watch ended
+    /// @return OutOfRange where the revision is compacted, DeadlineExceeded where the store fell silent, else why the
+    ///         watch ended
     Awaitable<absl::Status> watch(std::string begin, std::string end, std::int64_t fromRevision, OnWatch onWatch)
     {
         return this->onWatch(std::move(begin), std::move(end), fromRevision, std::move(onWatch));
