--- a/src/edge/InstanceRegistry.cpp
+++ b/src/edge/InstanceRegistry.cpp
@@ -62,8 +62,12 @@
     }
     if (event.deleted) {
         m_others.erase(key);
+    } else if (textOf(parseObject(event.entry.value), "address") == m_self.address) {
+        return; // This instance's own, from before its restart.
     } else {
         const boost::json::object value = parseObject(event.entry.value);
+        // A restarted instance takes the place of the one before, whose lease may have a while to run.
+        std::erase_if(m_others, [&](const auto& other) { return other.second.address == textOf(value, "address"); });
         m_others[key] = { key.substr(std::string_view(InstancePrefix).size()), textOf(value, "address"),
             textOf(value, "data_centre") };
     }
--- a/src/relay/RelayOptions.h
+++ b/src/relay/RelayOptions.h
@@ -18,7 +18,7 @@
     /// Part of the objective for which a call waits for room. Longer waits turn late what then runs.
     double queueWaitShare = 0.5;
     /// Multiple of this instance's equal share of an engine's memory that it may book; others may use less.
-    double memoryOvercommit = 1.6;
+    double memoryOvercommit = 2;
     Duration firstEventLimit = std::chrono::milliseconds(900); ///< without an event, before a chain counts as stalled
     Duration minStall = std::chrono::milliseconds(450); ///< shortest gap in a stream that counts as a stall
     double stallFactor = 8; ///< a stall is this many of the stream's usual gaps
