--- a/programs/crocusmount-entry.cpp
+++ b/programs/crocusmount-entry.cpp
@@ -33,6 +33,8 @@
 /// Part of the retries that the platform allows which this product uses; the rest covers instances that are counted
 /// late.
 constexpr double RetryShare = 0.85;
+/// By then the other instances send callers elsewhere; what comes on a kept connection would come too late to end.
+constexpr std::chrono::milliseconds CloseIdleAfter { 700 };
 /// Callers that know this instance still connect for up to three lifetimes of a directory answer.
 constexpr std::chrono::milliseconds LingerAfterDrain { 3500 };
 /// Part of the grace after which no call begins any more.
@@ -149,6 +151,8 @@
         while (Clock::now() < start + EndShare * grace) {
             timer.expires_after(std::chrono::milliseconds(50));
             co_await timer.async_wait(net::as_tuple(useAwaitable));
+            if (Clock::now() > start + CloseIdleAfter)
+                m_front->closeIdle();
             if (Clock::now() > start + LingerAfterDrain && !m_front->busy())
                 break;
         }
--- a/src/edge/FrontServer.cpp
+++ b/src/edge/FrontServer.cpp
@@ -6,6 +6,7 @@
 
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
+#include <set>
 
 namespace crocusmount::relay {
 
@@ -80,6 +81,7 @@
     std::size_t connections = 0;
     std::size_t busy = 0;
     bool closing = false;
+    std::set<Connection*> idle; ///< those that wait for a call
 };
 
 /// One caller's connection.
@@ -96,6 +98,13 @@
     Connection& operator=(const Connection&) = delete;
 
     TcpStream& stream() { return m_stream; }
+    /// Ends the wait for a call. Bytes that have come by then are still read and answered.
+    void stopWaiting()
+    {
+        boost::system::error_code ignored;
+        if (!m_stream.socket().available(ignored))
+            m_stream.socket().cancel(ignored);
+    }
 
     Awaitable<void> serve()
     {
@@ -136,7 +145,9 @@
     Awaitable<bool> waitForBytes(const CallLimits& limits)
     {
         m_stream.expires_after(toMs(limits.idleTimeout));
+        m_shared->idle.insert(this);
         const auto [error, count] = co_await m_stream.async_read_some(m_buffer.prepare(4096), asTuple);
+        m_shared->idle.erase(this);
         if (error)
             co_return false;
         m_buffer.commit(count);
@@ -333,6 +344,12 @@
 
 void FrontServer::announceClose() { m_shared->closing = true; }
 
+void FrontServer::closeIdle()
+{
+    for (Connection* connection : std::set<Connection*>(m_shared->idle))
+        connection->stopWaiting();
+}
+
 void FrontServer::stopAccepting()
 {
     boost::system::error_code ignored;
--- a/src/edge/FrontServer.h
+++ b/src/edge/FrontServer.h
@@ -21,6 +21,8 @@
 
     /// From now on each answer asks its caller to close the connection.
     void announceClose();
+    /// Closes the connections that wait for a next call, so that it goes elsewhere.
+    void closeIdle();
     /// Takes no further connections.
     void stopAccepting();
     std::size_t connections() const;
--- a/src/relay/RelayOptions.h
+++ b/src/relay/RelayOptions.h
@@ -12,6 +12,9 @@
     double retryRatio = 0.15; ///< retries that each call earns; the platform allows 0.2 over all instances
     double retrySlack = 100; ///< retries over all instances beyond that, in each window of ten seconds
     Duration retryWindow = std::chrono::seconds(10);
+    /// How long a call waits for the first configuration of an instance that has just started; reading it takes some
+    /// tens of milliseconds where the store answers.
+    Duration configurationWait = std::chrono::milliseconds(250);
     /// Servers that may turn one call away before it is refused. They did not run it, so that maxAttempts of the route
     /// does not count them; the retry budget does.
     std::uint32_t mostRejections = 3;
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -10,12 +10,16 @@
 
     /// How long a stage is left alone after it turned a call away: it is full, and some streams end within this time.
     constexpr Duration FullPause = std::chrono::milliseconds(250);
+    /// Status of a server that is not the one expected, or does not hold the layers that it was asked for.
+    constexpr unsigned Misdirected = 421;
     /// A retry that waits for room gives up after this; by then the caller's own limit is near.
     constexpr Duration RetryWait = std::chrono::milliseconds(800);
     /// A stage with an event this shortly before a stall began is still held to have stalled.
     constexpr Duration StallTolerance = std::chrono::milliseconds(40);
     /// A chain whose stages all move for other calls may be slow with this one: it gets this many times longer.
     constexpr int UnexplainedStallFactor = 3;
+    /// Calls that wait for the first configuration; an instance that starts late takes no more.
+    constexpr std::size_t MostUnrouted = 256;
     /// Weight of one gap in a stream's usual one.
     constexpr double GapWeight = 0.2;
 
@@ -91,6 +95,8 @@
         return;
     m_routes = accepted.routes;
     ++m_counters.configurationsAccepted;
+    for (const Unrouted& waiting : std::exchange(m_unrouted, {}))
+        admitOrRefuse(waiting.arrival, context);
     dispatchAll(context);
 }
 
@@ -153,6 +159,15 @@
 void RelayReducer::on(const event::CallArrived& arrival, Context& context)
 {
     ++m_counters.calls;
+    if (!m_routes && m_unrouted.size() < MostUnrouted) {
+        m_unrouted.push_back({ arrival, context.now + m_options.configurationWait });
+        return;
+    }
+    admitOrRefuse(arrival, context);
+}
+
+void RelayReducer::admitOrRefuse(const event::CallArrived& arrival, Context& context)
+{
     Call call;
     call.id = arrival.call;
     call.spec = arrival.spec;
@@ -186,6 +201,7 @@
 
 void RelayReducer::on(const event::CallerLeft& left, Context& context)
 {
+    std::erase_if(m_unrouted, [&](const Unrouted& waiting) { return waiting.arrival.call == left.call; });
     const auto found = m_calls.find(left.call);
     if (found == m_calls.end())
         return;
@@ -268,6 +284,11 @@
     const BackendId blamed = named ? named->entry.id : attempt.server;
     switch (ended.result) {
     case AttemptResult::NotRun:
+        if (ended.status == Misdirected) {
+            // It does not hold what is registered: no call will do better until its entry changes.
+            m_fleet.suspect(blamed, context.now + m_options.suspicion);
+            return;
+        }
         queueOf(call).limit().rejected(queueOf(call).running(), context.now);
         m_fleet.suspect(blamed, context.now + FullPause);
         return;
@@ -455,6 +476,11 @@
 
 void RelayReducer::refuseOverdue(Context& context)
 {
+    while (!m_unrouted.empty() && context.now >= m_unrouted.front().until) {
+        const event::CallArrived arrival = m_unrouted.front().arrival;
+        m_unrouted.pop_front();
+        admitOrRefuse(arrival, context);
+    }
     std::vector<RequestId> due;
     for (const auto& [id, call] : m_calls) {
         const bool waitedOut = call.state == CallState::Waiting && context.now >= call.waitUntil;
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -11,6 +11,7 @@
 #include "relay/ServiceQueue.h"
 
 #include <absl/container/flat_hash_map.h>
+#include <deque>
 #include <optional>
 
 namespace crocusmount::relay {
@@ -33,7 +34,7 @@
     const ServerFleet& fleet() const { return m_fleet; }
     /// @return the configuration in force, or null before the first
     const std::shared_ptr<const RouteTable>& routes() const { return m_routes; }
-    std::size_t openCalls() const { return m_calls.size(); }
+    std::size_t openCalls() const { return m_calls.size() + m_unrouted.size(); }
     std::size_t waitingCalls() const;
     bool isDraining() const { return m_drainedAt.has_value(); }
 
@@ -57,6 +58,12 @@
     void on(const event::DrainRequested&, Context&);
     void on(const event::Tick&, Context&);
 
+    struct Unrouted {
+        event::CallArrived arrival;
+        TimePoint until;
+    };
+
+    void admitOrRefuse(const event::CallArrived&, Context&);
     std::optional<Reason> admit(Call&, const Context&) const;
     void dispatchAll(Context&);
     void dispatch(FairQueue&, Context&);
@@ -87,6 +94,7 @@
     ServerFleet m_fleet;
     CallPlacer m_placer;
     std::shared_ptr<const RouteTable> m_routes;
+    std::deque<Unrouted> m_unrouted; ///< calls that came before the first configuration, oldest first
     std::map<RequestId, Call> m_calls;
     absl::flat_hash_map<AttemptId, RequestId> m_attempts;
     std::map<ServiceId, ServiceQueue> m_services;
--- a/tests/RelayReducerTest.cpp
+++ b/tests/RelayReducerTest.cpp
@@ -38,6 +38,8 @@
     RelayReducer reducer({});
     RelayEffects effects;
     reducer.reduce({ timePoint(1), 1, relay::event::CallArrived { RequestId(1), {} } }, effects);
+    CHECK_EQUAL(0U, effects.size()); // An instance that has just started reads it within this time.
+    reducer.reduce({ timePoint(300000), 1, relay::event::Tick {} }, effects);
     const auto& refusal = std::get<relay::effect::Refuse>(effects.at(0));
     CHECK_TRUE(refusal.reason == Reason::NotConfigured);
     CHECK_TRUE(refusal.retryAfter > Duration(0));
@@ -300,3 +302,35 @@
     CHECK_EQUAL(2U, second->resumeAfter.value_or(0));
     CHECK_FALSE(harness.last<relay::effect::CancelAttempt>().has_value());
 }
+
+TEST(RelayReducer, ACallThatComesJustBeforeTheFirstConfigurationIsServed)
+{
+    RelayReducer reducer({});
+    RelayEffects effects;
+    CallSpec spec;
+    spec.host = "h.example";
+    spec.path = "/look/1";
+    spec.key = "key";
+    reducer.reduce({ timePoint(1), 1, relay::event::ServerRegistered { RelayHarness::plain("x") } }, effects);
+    reducer.reduce({ timePoint(1), 1, relay::event::CallArrived { RequestId(1), spec } }, effects);
+    const auto routes = RouteTable::make(RelayHarness::configuration());
+    reducer.reduce({ timePoint(2), 1, relay::event::ConfigurationAccepted { routes } }, effects);
+    CHECK_TRUE(std::holds_alternative<relay::effect::StartAttempt>(effects.at(0)));
+}
+
+// Incident 23f4 of odpoklic-lj: an engine that came back without its layers turned 146 calls away in two seconds.
+TEST(RelayReducer, AStageThatDoesNotHoldItsPartIsLeftAlone)
+{
+    RelayHarness harness;
+    const auto start = harness.running("/draft/1");
+    const Hop stage = start.chain.hops().back();
+    harness.send(relay::event::AttemptEnded { start.attempt, AttemptResult::NotRun, 421, stage.address });
+    const auto again = *harness.last<relay::effect::StartAttempt>();
+    harness.send(relay::event::AttemptEnded { again.attempt, AttemptResult::Completed, 200, "" });
+    for (int i = 0; i < 20; ++i) {
+        harness.tick(milliseconds(100));
+        const auto next = harness.running("/draft/1");
+        CHECK_FALSE(next.chain.contains(stage.backend));
+        harness.send(relay::event::AttemptEnded { next.attempt, AttemptResult::Completed, 200, "" });
+    }
+}
