--- a/programs/crocusmount-entry.cpp
+++ b/programs/crocusmount-entry.cpp
@@ -119,7 +119,7 @@
         gauges.storeAgeMs = m_mirror.age().count();
         gauges.storeCalls = m_store.calls();
         gauges.logLinesDropped = relay::DecisionLog::dropped();
-        return relay::renderMetrics(reducer.counters(), gauges);
+        return relay::renderMetrics(reducer.counters(), gauges, m_node.latencies());
     }
 
     void waitForSignal()
--- a/src/edge/RelayMetrics.h
+++ b/src/edge/RelayMetrics.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include "crocusmount/Reason.h"
 #include "relay/RelayCounters.h"
+#include "shell/LatencyHistogram.h"
 
+#include <array>
 #include <cstdint>
 #include <string>
 
@@ -20,7 +23,15 @@
     std::uint64_t logLinesDropped = 0;
 };
 
-/// @return counters and gauges in the Prometheus text format
-std::string renderMetrics(const RelayCounters&, const RelayGauges&);
+/// Spans of time that callers saw on this instance.
+struct RelayLatencies {
+    LatencyHistogram firstEvent; ///< of streams, from arrival
+    LatencyHistogram longestGap; ///< of each stream
+    LatencyHistogram completed; ///< from arrival to the end of a success
+    LatencyHistogram refused; ///< from arrival to a final answer of this instance's own
+};
+
+/// @return all figures in the Prometheus text format
+std::string renderMetrics(const RelayCounters&, const RelayGauges&, const RelayLatencies&);
 
 } // namespace crocusmount::relay
--- a/src/edge/RelayNode.cpp
+++ b/src/edge/RelayNode.cpp
@@ -81,7 +81,7 @@
     const auto found = m_open.find(id);
     if (found == m_open.end())
         return;
-    logEnd(found->second, "caller_left");
+    noteAnswer(found->second, "caller_left");
     m_open.erase(found);
     post(event::CallerLeft { id });
 }
@@ -133,7 +133,7 @@
     if (open == m_open.end())
         return;
     if (ended.result == AttemptResult::Completed) {
-        logEnd(open->second, "completed", { { "status", ended.status } });
+        noteAnswer(open->second, "completed", { { "status", ended.status } });
         m_open.erase(open);
         return;
     }
@@ -194,7 +194,7 @@
     const auto found = m_open.find(refusal.call);
     if (found == m_open.end())
         return;
-    logEnd(found->second, "refused",
+    noteAnswer(found->second, "refused",
         { { "reason", toString(refusal.reason) }, { "run", toString(refusal.run) },
             { "retry_after_ms", toMs(refusal.retryAfter) } });
     found->second.pipe->refuse(refusal);
@@ -206,7 +206,7 @@
     const auto found = m_open.find(failure.call);
     if (found == m_open.end())
         return;
-    logEnd(found->second, "server_failure");
+    noteAnswer(found->second, "server_failure");
     found->second.pipe->deliverHeld();
     m_open.erase(found);
 }
@@ -216,20 +216,24 @@
     const auto found = m_open.find(broken.call);
     if (found == m_open.end())
         return;
-    logEnd(found->second, "broken_off", { { "reason", toString(broken.reason) } });
+    noteAnswer(found->second, "broken_off", { { "reason", toString(broken.reason) } });
     found->second.pipe->breakOff();
     m_open.erase(found);
 }
 
-void RelayNode::logEnd(const Open& open, std::string_view outcome, boost::json::object inputs)
+void RelayNode::noteAnswer(const Open& open, std::string_view outcome, boost::json::object inputs)
 {
     inputs["outcome"] = outcome;
+    const Duration total = now() - open.arrived;
+    (outcome == "completed" ? m_latencies.completed : m_latencies.refused).observe(total);
     if (open.firstEvent) {
+        m_latencies.firstEvent.observe(*open.firstEvent - open.arrived);
+        m_latencies.longestGap.observe(open.longestGap);
         inputs["first_event_ms"] = toMs(*open.firstEvent - open.arrived);
         inputs["longest_gap_ms"] = toMs(open.longestGap);
         inputs["events"] = open.events;
     }
-    inputs["total_ms"] = toMs(now() - open.arrived);
+    inputs["total_ms"] = toMs(total);
     if (m_reducer.routes())
         inputs["configuration"] = m_reducer.routes()->configuration().version;
     DecisionLog::call("answer", open.name, std::move(inputs));
--- a/src/edge/RelayNode.h
+++ b/src/edge/RelayNode.h
@@ -3,6 +3,7 @@
 #include "edge/AnswerPipe.h"
 #include "edge/EngineControl.h"
 #include "edge/HeaderNames.h"
+#include "edge/RelayMetrics.h"
 #include "edge/UpstreamAttempt.h"
 #include "relay/RelayReducer.h"
 #include "shell/Net.h"
@@ -35,6 +36,7 @@
     void post(RelayEventBody);
 
     const RelayReducer& reducer() const { return m_reducer; }
+    const RelayLatencies& latencies() const { return m_latencies; }
     const HeaderNames& names() const { return m_names; }
     CallLimits limits() const;
     TimePoint now() const;
@@ -68,12 +70,13 @@
     void on(const effect::Refuse&);
     void on(const effect::DeliverServerFailure&);
     void on(const effect::BreakAnswer&);
-    void logEnd(const Open&, std::string_view outcome, boost::json::object inputs = {});
+    void noteAnswer(const Open&, std::string_view outcome, boost::json::object inputs = {});
 
     net::io_context& m_context;
     HeaderNames m_names;
     EngineControl& m_control;
     RelayReducer m_reducer;
+    RelayLatencies m_latencies;
     pcg64 m_random;
     Timer m_tick;
     std::uint64_t m_nextCall = 1;
