--- a/src/admission/ConcurrencyLimit.cpp
+++ b/src/admission/ConcurrencyLimit.cpp
@@ -16,6 +16,9 @@
     /// The bound grows only while it binds: in flight at least this part of it.
     constexpr double BindingShare = 0.8;
     constexpr double Increase = 0.5;
+    /// A bound far above what is in flight would take many steps to bind. An instance with few calls sees their number
+    /// vary by chance, so it keeps this multiple of it.
+    constexpr double Headroom = 1.2;
     constexpr double DecreaseFactor = 0.95;
     /// Calls in flight answer to a smaller bound only after some of them ended; until then further decreases overshoot.
     constexpr Duration DecreaseInterval = std::chrono::milliseconds(150);
@@ -37,7 +40,7 @@
     if (now < m_lastDecrease + DecreaseInterval)
         return;
     m_lastDecrease = now;
-    m_limit = std::max(Least, std::min(m_limit, inFlight) * DecreaseFactor);
+    m_limit = std::max(Least, std::min(m_limit, Headroom * inFlight) * DecreaseFactor);
 }
 
 } // namespace crocusmount
