--- a/src/admission/ConcurrencyLimit.cpp
+++ b/src/admission/ConcurrencyLimit.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-    /// Few enough to end any overload, enough to notice that it is over.
-    constexpr double Least = 4;
+    /// Enough to notice that an overload is over. Many instances share few engines: more would keep these overloaded.
+    constexpr double Least = 1;
     constexpr double Most = 512;
     /// An answer that begins this late, as part of the objective, shows that the next ones may miss it.
     constexpr double LateRatio = 0.8;
--- a/src/relay/Call.h
+++ b/src/relay/Call.h
@@ -23,6 +23,7 @@
     std::uint32_t reroutes = 0;
     std::uint32_t events = 0; ///< delivered to the caller
     bool sent = false; ///< its bytes went out
+    bool late = false; ///< no event came within the objective
     TimePoint started;
 };
 
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -226,11 +226,11 @@
     if (!call)
         return;
     keepOnly(*call, delivered.attempt, context);
-    if (!call->main.events) {
+    if (!call->main.events && !call->main.late) {
         const double ratio = std::chrono::duration<double>(context.now - call->main.started)
             / std::chrono::duration<double>(call->route->objective);
         queueOf(*call).limit().answered(ratio, queueOf(*call).running(), context.now);
-    } else {
+    } else if (call->main.events) {
         call->usualGap += scaled(context.now - call->lastProgress - call->usualGap, GapWeight);
     }
     ++call->main.events;
@@ -468,8 +468,10 @@
     refuseOverdue(context);
     moveOffLeaving(context);
     for (auto& [id, call] : m_calls) {
-        if (call.state == CallState::Running)
-            checkRunning(call, context);
+        if (call.state != CallState::Running)
+            continue;
+        noteLateness(call, context);
+        checkRunning(call, context);
     }
     dispatchAll(context);
 }
@@ -495,6 +497,16 @@
     }
 }
 
+/// Streams that have no event yet tell of an overload sooner than those that at last get one.
+void RelayReducer::noteLateness(Call& call, Context& context)
+{
+    if (!isStream(call.route->kind) || call.main.events || call.main.late
+        || context.now - call.main.started < call.route->objective)
+        return;
+    call.main.late = true;
+    queueOf(call).limit().answered(1, queueOf(call).running(), context.now);
+}
+
 void RelayReducer::checkRunning(Call& call, Context& context)
 {
     if (!isRepeatable(call.route->kind) || call.second || !call.main.reroute.hops().empty()
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -77,6 +77,7 @@
     bool mayRetry(const Call&, const Context&) const;
     void finishUnanswered(Call&, Reason, Context&);
     void refuseOverdue(Context&);
+    void noteLateness(Call&, Context&);
     void checkRunning(Call&, Context&);
     void startSecond(Call&, Context&);
     bool reroute(Call&, const std::vector<BackendId>& away, Context&);
