The first stage is asked where a stream stands still

Ruled out: coverage (six to eight copies of each layer all the while). The first stage's report names the stage; a second attempt begins only when that is not known after 200 ms.

--- a/src/edge/EngineControl.h
+++ b/src/edge/EngineControl.h
@@ -34,7 +34,15 @@
         return onReroute(std::move(address), std::move(call), std::move(chain));
     }
 
+    /// Asks the first stage of a running stream at which stage it stands still.
+    /// @return that stage's address, the asked engine's own where it does not answer, or nothing where it knows of none
+    Awaitable<std::string> stalledStage(std::string address, std::string call)
+    {
+        return onStalledStage(std::move(address), std::move(call));
+    }
+
 private:
+    virtual Awaitable<std::string> onStalledStage(std::string address, std::string call) = 0;
     virtual Awaitable<OrderAnswer> onReroute(std::string address, std::string call, Chain) = 0;
     virtual Awaitable<OrderAnswer> onPlaceLayers(std::string address, LayerRange) = 0;
 };
--- a/src/edge/FrontServer.cpp
+++ b/src/edge/FrontServer.cpp
@@ -16,7 +16,7 @@
     constexpr int ListenBacklog = 1024;
     /// Longest write to a caller that does not read.
     constexpr std::chrono::seconds WriteLimit { 10 };
-    /// How often a connection with bytes of a next request is looked at again for the caller's close.
+    /// After an error of accept() other than the end, such as a lack of descriptors.
     constexpr std::chrono::milliseconds PauseAfterAcceptError { 50 };
 
     std::chrono::milliseconds toMs(Duration duration)
@@ -130,7 +130,9 @@
         parser.header_limit(limits.headerBytes);
         parser.body_limit(limits.bodyBytes);
         const auto error = co_await readRequest(parser, limits);
-        if (error == http::error::end_of_stream || error == net::error::connection_reset)
+        // After its time the stream has closed the socket, and a slow caller cannot be told.
+        if (error == http::error::end_of_stream || error == net::error::connection_reset
+            || error == beast::error::timeout)
             co_return false;
         if (error) {
             co_await refuseUnread(error);
@@ -179,12 +181,6 @@
             answer.status = 431;
         else if (error == http::error::body_limit)
             answer.status = 413;
-        else if (error == beast::error::timeout)
-            answer.status = 408;
-        if (error == beast::error::timeout) {
-            // The stream's timer has closed the socket: nothing can be written.
-            co_return;
-        }
         DecisionLog::call("unread", "-", { { "status", answer.status }, { "error", error.message() } });
         m_closeAnnounced = true;
         const std::string noId;
--- a/src/edge/RelayMetrics.cpp
+++ b/src/edge/RelayMetrics.cpp
@@ -17,6 +17,8 @@
         "crocusmount_streams_rerouted_total", "Running streams ordered onto another chain", double(counters.rerouted));
     families.addCounter(
         "crocusmount_reroutes_refused_total", "Such orders that no engine took", double(counters.reroutesRefused));
+    families.addCounter(
+        "crocusmount_stall_questions_total", "Reports asked of first stages", double(counters.stallQuestions));
     families.addCounter(
         "crocusmount_callers_left_total", "Callers gone before the answer", double(counters.callersLeft));
     families.addByReason("crocusmount_refused_total", "Final answers of this instance's own", counters.refused);
--- a/src/edge/RelayNode.cpp
+++ b/src/edge/RelayNode.cpp
@@ -171,6 +171,23 @@
     m_attempts.erase(found);
 }
 
+void RelayNode::on(const effect::AskStalledStage& question)
+{
+    const auto found = m_open.find(question.call);
+    if (found == m_open.end())
+        return;
+    net::co_spawn(m_context.get_executor(), askStalledStage(question, found->second.name), net::detached);
+}
+
+Awaitable<void> RelayNode::askStalledStage(effect::AskStalledStage question, std::string name)
+{
+    std::string address = question.address;
+    std::string call = name;
+    const std::string stage = co_await m_control.stalledStage(std::move(address), std::move(call));
+    DecisionLog::call("stalled", name, { { "asked", question.address }, { "stage", stage } });
+    post(event::StalledStageNamed { question.attempt, stage });
+}
+
 void RelayNode::on(const effect::RerouteAttempt& order)
 {
     const auto found = m_open.find(order.call);
--- a/src/relay/Call.h
+++ b/src/relay/Call.h
@@ -21,6 +21,8 @@
     Chain chain; ///< its stages; empty for a plain service
     Chain reroute; ///< ordered and not yet answered; no hops: none
     std::uint32_t reroutes = 0;
+    std::uint32_t questions = 0; ///< to its first stage, where it stands still
+    TimePoint lastQuestion;
     std::uint32_t events = 0; ///< delivered to the caller
     bool sent = false; ///< its bytes went out
     bool late = false; ///< no event came within the objective
--- a/src/relay/RelayEffect.h
+++ b/src/relay/RelayEffect.h
@@ -35,6 +35,13 @@
         AttemptId attempt;
     };
 
+    /// Ask the first stage at which stage a running stream stands still.
+    struct AskStalledStage {
+        AttemptId attempt;
+        RequestId call;
+        std::string address; ///< of the first stage
+    };
+
     /// Order the first stage to go on with a running stream over another chain, which begins with the same stage. The
     /// stages that stay keep their KV cache.
     struct RerouteAttempt {
@@ -65,8 +72,8 @@
 
 } // namespace effect
 
-using RelayEffect = std::variant<effect::StartAttempt, effect::CancelAttempt, effect::RerouteAttempt, effect::Refuse,
-    effect::DeliverServerFailure, effect::BreakAnswer>;
+using RelayEffect = std::variant<effect::StartAttempt, effect::CancelAttempt, effect::AskStalledStage,
+    effect::RerouteAttempt, effect::Refuse, effect::DeliverServerFailure, effect::BreakAnswer>;
 using RelayEffects = std::vector<RelayEffect>;
 
 } // namespace crocusmount::relay
--- a/src/relay/RelayEvent.h
+++ b/src/relay/RelayEvent.h
@@ -77,6 +77,12 @@
         bool accepted = false;
     };
 
+    /// The first stage's answer to the question at which stage a stream stands still.
+    struct StalledStageNamed {
+        AttemptId attempt;
+        std::string address; ///< of that stage; empty: the first stage knows of none
+    };
+
     struct DrainRequested { };
 
     struct Tick { };
@@ -85,7 +91,7 @@
 
 using RelayEventBody = std::variant<event::ConfigurationAccepted, event::ServerRegistered, event::ServerUnregistered,
     event::InstancesCounted, event::CallArrived, event::CallerLeft, event::AttemptSent, event::EventDelivered,
-    event::AttemptEnded, event::RerouteAnswered, event::DrainRequested, event::Tick>;
+    event::AttemptEnded, event::RerouteAnswered, event::StalledStageNamed, event::DrainRequested, event::Tick>;
 
 /// Something that happened, with all the time and entropy that the relay may use for it.
 struct RelayEvent {
--- a/src/relay/RelayOptions.h
+++ b/src/relay/RelayOptions.h
@@ -29,6 +29,9 @@
     /// Streams are moved off a leaving server after this time; most end by themselves before, and the server serves for
     /// at least twice as long.
     Duration rerouteDelay = std::chrono::milliseconds(1000);
+    std::uint32_t mostQuestions = 3; ///< to the first stage of one attempt, where it stands still
+    /// Between two such questions; reports are as old as that.
+    Duration questionInterval = std::chrono::milliseconds(200);
     std::uint32_t mostReroutes = 3; ///< of one attempt
     /// After the order to leave, calls are taken only this long: longer ones could not end before the process must.
     Duration lastCall = std::chrono::milliseconds(2800);
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -18,6 +18,8 @@
     constexpr Duration StallTolerance = std::chrono::milliseconds(40);
     /// A chain whose stages all move for other calls may be slow with this one: it gets this many times longer.
     constexpr int UnexplainedStallFactor = 3;
+    /// So many stages without a sign of life are few enough to leave them all.
+    constexpr std::size_t ClearCulprits = 2;
     /// Calls that wait for the first configuration; an instance that starts late takes no more.
     constexpr std::size_t MostUnrouted = 256;
     /// Weight of one gap in a stream's usual one.
@@ -513,14 +515,50 @@
         || !isStalled(call, context.now))
         return;
     const std::vector<BackendId> culprits = stalledStages(call);
+    if (!culprits.empty() && culprits.size() <= ClearCulprits) {
+        leaveStages(call, culprits, context);
+        return;
+    }
+    // None or many: an instance with few streams cannot tell by itself whom to leave alone.
+    askStalledStage(call, context);
+    if (call.main.questions == 1 && context.now < call.main.lastQuestion + m_options.questionInterval)
+        return; // The answer may still name the one.
     const Duration limit = call.answering ? m_options.minStall : m_options.firstEventLimit;
     if (culprits.empty() && context.now - call.lastProgress < limit * UnexplainedStallFactor)
         return;
-    for (const BackendId& culprit : culprits) {
-        m_fleet.suspect(culprit, context.now + m_options.suspicion);
-        call.avoid.push_back(culprit);
+    call.avoid.insert(call.avoid.end(), culprits.begin(), culprits.end());
+    startSecond(call, context);
+}
+
+void RelayReducer::askStalledStage(Call& call, Context& context)
+{
+    Attempt& attempt = call.main;
+    if (attempt.chain.hops().empty() || attempt.questions >= m_options.mostQuestions
+        || context.now < attempt.lastQuestion + m_options.questionInterval)
+        return;
+    ++attempt.questions;
+    attempt.lastQuestion = context.now;
+    ++m_counters.stallQuestions;
+    context.effects.emplace_back(effect::AskStalledStage { attempt.id, call.id, attempt.chain.hops().front().address });
+}
+
+void RelayReducer::on(const event::StalledStageNamed& named, Context& context)
+{
+    Call* call = findByAttempt(named.attempt);
+    if (!call || call->main.id != named.attempt)
+        return;
+    const FleetServer* stage = named.address.empty() ? nullptr : m_fleet.findByAddress(named.address);
+    if (stage)
+        leaveStages(*call, { stage->entry.id }, context);
+}
+
+void RelayReducer::leaveStages(Call& call, const std::vector<BackendId>& stages, Context& context)
+{
+    for (const BackendId& stage : stages) {
+        m_fleet.suspect(stage, context.now + m_options.suspicion);
+        call.avoid.push_back(stage);
     }
-    if (culprits.empty() || !reroute(call, culprits, context))
+    if (!call.second && !reroute(call, stages, context))
         startSecond(call, context);
 }
 
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -55,6 +55,7 @@
     void on(const event::EventDelivered&, Context&);
     void on(const event::AttemptEnded&, Context&);
     void on(const event::RerouteAnswered&, Context&);
+    void on(const event::StalledStageNamed&, Context&);
     void on(const event::DrainRequested&, Context&);
     void on(const event::Tick&, Context&);
 
@@ -79,6 +80,8 @@
     void refuseOverdue(Context&);
     void noteLateness(Call&, Context&);
     void checkRunning(Call&, Context&);
+    void leaveStages(Call&, const std::vector<BackendId>&, Context&);
+    void askStalledStage(Call&, Context&);
     void startSecond(Call&, Context&);
     bool reroute(Call&, const std::vector<BackendId>& away, Context&);
     void moveOffLeaving(Context&);
--- a/tests/RelayReducerTest.cpp
+++ b/tests/RelayReducerTest.cpp
@@ -334,3 +334,41 @@
         harness.send(relay::event::AttemptEnded { next.attempt, AttemptResult::Completed, 200, "" });
     }
 }
+
+// Grown sites: an instance with few streams took all stages of a stalled one for dead and left sound engines alone.
+TEST(RelayReducer, AStageIsTakenForDeadOnlyWhereTheFirstStageNamesIt)
+{
+    RelayHarness harness;
+    for (const char* id : { "b", "d" })
+        harness.send(relay::event::ServerUnregistered { BackendId(id) });
+    harness.send(relay::event::ServerRegistered { RelayHarness::engine("e", 4, 6) });
+    harness.send(relay::event::ServerRegistered { RelayHarness::engine("f", 6, 8) });
+    harness.send(relay::event::ServerRegistered { RelayHarness::engine("g", 6, 8) });
+    const auto start = harness.running("/draft/1", 5);
+    CHECK_EQUAL(3U, start.chain.hops().size());
+    harness.tick(milliseconds(600));
+    const auto question = harness.last<relay::effect::AskStalledStage>();
+    CHECK_TRUE(question.has_value());
+    CHECK_TEXT(start.address, question->address);
+    CHECK_FALSE(harness.last<relay::effect::StartAttempt>().has_value());
+    const Hop last = start.chain.hops().back();
+    harness.send(relay::event::StalledStageNamed { start.attempt, last.address });
+    const auto order = harness.last<relay::effect::RerouteAttempt>();
+    CHECK_TRUE(order.has_value());
+    CHECK_FALSE(order->chain.contains(last.backend));
+    for (const auto& [id, server] : harness.reducer().fleet().servers())
+        CHECK_EQUAL_TEXT(id == last.backend, harness.now() < server.avoidUntil, id.value().c_str());
+}
+
+TEST(RelayReducer, WhereNoStageIsNamedASecondAttemptRuns)
+{
+    RelayHarness harness;
+    const auto start = harness.running("/draft/1", 5);
+    const std::size_t stages = start.chain.hops().size();
+    harness.tick(milliseconds(600));
+    if (stages > 2) {
+        harness.send(relay::event::StalledStageNamed { start.attempt, "" });
+        harness.tick(milliseconds(220));
+    }
+    CHECK_TRUE(harness.last<relay::effect::StartAttempt>().has_value());
+}
