--- a/src/edge/FrontServer.cpp
+++ b/src/edge/FrontServer.cpp
@@ -2,7 +2,7 @@
 
 #include "edge/DecisionLog.h"
 #include "edge/RelayNode.h"
-#include "shell/Endpoint.h"
+#include "shell/Listener.h"
 
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
@@ -75,7 +75,7 @@
 
 struct FrontServer::Shared {
     net::io_context& context;
-    net::basic_socket_acceptor<Tcp, Executor> acceptor;
+    Acceptor acceptor;
     RelayNode& node;
     const CallReader& reader;
     std::size_t connections = 0;
@@ -319,21 +319,10 @@
 absl::StatusOr<std::unique_ptr<FrontServer>> FrontServer::make(
     net::io_context& context, const std::string& address, RelayNode& node, const CallReader& reader)
 {
-    const auto endpoint = parseEndpoint<Tcp>(address);
-    if (!endpoint.ok())
-        return endpoint.status();
-    auto shared = std::make_shared<Shared>(
-        Shared { context, net::basic_socket_acceptor<Tcp, Executor>(context.get_executor()), node, reader });
-    boost::system::error_code error;
-    shared->acceptor.open(endpoint->protocol(), error);
-    if (!error)
-        shared->acceptor.set_option(net::socket_base::reuse_address(true), error);
-    if (!error)
-        shared->acceptor.bind(*endpoint, error);
-    if (!error)
-        shared->acceptor.listen(ListenBacklog, error);
-    if (error)
-        return absl::UnavailableError(absl::StrCat("cannot listen on ", address, ": ", error.message()));
+    auto acceptor = listenOn(context, address, ListenBacklog);
+    if (!acceptor.ok())
+        return acceptor.status();
+    auto shared = std::make_shared<Shared>(Shared { context, *std::move(acceptor), node, reader });
     net::co_spawn(context.get_executor(), acceptLoop(shared), net::detached);
     return std::unique_ptr<FrontServer>(new FrontServer(std::move(shared)));
 }
--- a/src/edge/RelayNode.cpp
+++ b/src/edge/RelayNode.cpp
@@ -253,7 +253,7 @@
     inputs["total_ms"] = toMs(total);
     if (m_reducer.routes())
         inputs["configuration"] = m_reducer.routes()->configuration().version;
-    DecisionLog::call("answer", open.name, std::move(inputs));
+    DecisionLog::call("answer", open.name, inputs);
 }
 
 } // namespace crocusmount::relay
--- /dev/null
+++ b/src/relay/RelayReducerTime.cpp
@@ -0,0 +1,205 @@
+// What RelayReducer does as time passes: deadlines, stalls, reroutes, second attempts.
+
+#include "relay/RelayReducer.h"
+#include "relay/ScaledDuration.h"
+
+#include <algorithm>
+
+namespace crocusmount::relay {
+
+namespace {
+
+    /// A stage with an event this shortly before a stall began is still held to have stalled.
+    constexpr Duration StallTolerance = std::chrono::milliseconds(40);
+    /// A chain whose stages all move for other calls may be slow with this one: it gets this many times longer.
+    constexpr int UnexplainedStallFactor = 3;
+    /// So many stages without a sign of life are few enough to leave them all.
+    constexpr std::size_t ClearCulprits = 2;
+
+} // namespace
+
+void RelayReducer::on(const event::Tick&, Context& context)
+{
+    refuseOverdue(context);
+    moveOffLeaving(context);
+    for (auto& [id, call] : m_calls) {
+        if (call.state != CallState::Running)
+            continue;
+        noteLateness(call, context);
+        checkRunning(call, context);
+    }
+    dispatchAll(context);
+}
+
+void RelayReducer::refuseOverdue(Context& context)
+{
+    while (!m_unrouted.empty() && context.now >= m_unrouted.front().until) {
+        const event::CallArrived arrival = m_unrouted.front().arrival;
+        m_unrouted.pop_front();
+        admitOrRefuse(arrival, context);
+    }
+    std::vector<RequestId> due;
+    for (const auto& [id, call] : m_calls) {
+        const bool waitedOut = call.state == CallState::Waiting && context.now >= call.waitUntil;
+        if (waitedOut || context.now >= call.deadline)
+            due.push_back(id);
+    }
+    for (const RequestId& id : due) {
+        Call& call = m_calls.at(id);
+        const bool late = context.now >= call.deadline;
+        keepOnly(call, AttemptId(), context);
+        finishUnanswered(call, late ? Reason::TimedOut : Reason::NoCapacity, context);
+    }
+}
+
+/// Streams that have no event yet tell of an overload sooner than those that at last get one.
+void RelayReducer::noteLateness(Call& call, Context& context)
+{
+    if (!isStream(call.route->kind) || call.main.events || call.main.late
+        || context.now - call.main.started < call.route->objective)
+        return;
+    call.main.late = true;
+    queueOf(call).limit().answered(1, queueOf(call).running(), context.now);
+}
+
+void RelayReducer::checkRunning(Call& call, Context& context)
+{
+    if (!isRepeatable(call.route->kind) || call.second || !call.main.reroute.hops().empty()
+        || !isStalled(call, context.now))
+        return;
+    const std::vector<BackendId> culprits = stalledStages(call);
+    if (!culprits.empty() && culprits.size() <= ClearCulprits) {
+        leaveStages(call, culprits, context);
+        return;
+    }
+    // None or many: an instance with few streams cannot tell by itself whom to leave alone.
+    askStalledStage(call, context);
+    if (call.main.questions == 1 && context.now < call.main.lastQuestion + m_options.questionInterval)
+        return; // The answer may still name the one.
+    const Duration limit = call.answering ? m_options.minStall : m_options.firstEventLimit;
+    if (culprits.empty() && context.now - call.lastProgress < limit * UnexplainedStallFactor)
+        return;
+    call.avoid.insert(call.avoid.end(), culprits.begin(), culprits.end());
+    startSecond(call, context);
+}
+
+void RelayReducer::askStalledStage(Call& call, Context& context)
+{
+    Attempt& attempt = call.main;
+    if (attempt.chain.hops().empty() || attempt.questions >= m_options.mostQuestions
+        || context.now < attempt.lastQuestion + m_options.questionInterval)
+        return;
+    ++attempt.questions;
+    attempt.lastQuestion = context.now;
+    ++m_counters.stallQuestions;
+    context.effects.emplace_back(effect::AskStalledStage { attempt.id, call.id, attempt.chain.hops().front().address });
+}
+
+void RelayReducer::on(const event::StalledStageNamed& named, Context& context)
+{
+    Call* call = findByAttempt(named.attempt);
+    if (!call || call->main.id != named.attempt)
+        return;
+    const FleetServer* stage = named.address.empty() ? nullptr : m_fleet.findByAddress(named.address);
+    if (stage)
+        leaveStages(*call, { stage->entry.id }, context);
+}
+
+void RelayReducer::leaveStages(Call& call, const std::vector<BackendId>& stages, Context& context)
+{
+    for (const BackendId& stage : stages) {
+        m_fleet.suspect(stage, context.now + m_options.suspicion);
+        call.avoid.push_back(stage);
+    }
+    if (!call.second && !reroute(call, stages, context))
+        startSecond(call, context);
+}
+
+/// Tries the call elsewhere while the main attempt goes on: a server's silence is no reason to end an answer.
+void RelayReducer::startSecond(Call& call, Context& context)
+{
+    if (call.attempts + 1 >= call.route->maxAttempts || !mayRetry(call, context) || !budgetOf(call.service).spend())
+        return;
+    ++m_counters.retried.at(static_cast<std::size_t>(Reason::Stalled));
+    call.second = startAttempt(call, context);
+}
+
+bool RelayReducer::reroute(Call& call, const std::vector<BackendId>& away, Context& context)
+{
+    Attempt& attempt = call.main;
+    const bool firstGoes = std::find(away.begin(), away.end(), attempt.server) != away.end();
+    if (firstGoes || !attempt.reroute.hops().empty() || attempt.reroutes >= m_options.mostReroutes)
+        return false;
+    auto chain = m_placer.reroute(call, attempt, away, context.now, context.entropy);
+    if (!chain)
+        return false;
+    ++attempt.reroutes;
+    ++m_counters.rerouted;
+    // The new stages need the room from now on; the old ones are given free when the order is answered.
+    m_fleet.book(*chain, call.tokens);
+    attempt.reroute = *chain;
+    call.lastProgress = context.now;
+    context.effects.emplace_back(
+        effect::RerouteAttempt { attempt.id, call.id, attempt.chain.hops().front().address, *std::move(chain) });
+    return true;
+}
+
+void RelayReducer::on(const event::RerouteAnswered& answered, Context&)
+{
+    Call* call = findByAttempt(answered.attempt);
+    if (!call)
+        return;
+    Attempt& attempt = call->main.id == answered.attempt ? call->main : *call->second;
+    if (attempt.reroute.hops().empty())
+        return;
+    if (!answered.accepted)
+        ++m_counters.reroutesRefused;
+    m_fleet.unbook(answered.accepted ? attempt.chain : attempt.reroute, call->tokens);
+    if (answered.accepted)
+        attempt.chain = attempt.reroute;
+    attempt.reroute = Chain();
+}
+
+void RelayReducer::moveOffLeaving(Context& context)
+{
+    for (auto leaving = m_moveOffAt.begin(); leaving != m_moveOffAt.end();) {
+        if (context.now < leaving->second) {
+            ++leaving;
+            continue;
+        }
+        const std::vector<BackendId> away { leaving->first };
+        for (auto& [id, call] : m_calls) {
+            if (call.state != CallState::Running || call.second || !call.main.chain.contains(away.front()))
+                continue;
+            // The first stage cannot be changed: the stream goes on at another chain once that delivers.
+            if (!reroute(call, away, context) && call.main.server == away.front() && isRepeatable(call.route->kind))
+                startSecond(call, context);
+        }
+        leaving = m_moveOffAt.erase(leaving);
+    }
+}
+
+bool RelayReducer::isStalled(const Call& call, TimePoint now) const
+{
+    const Duration still = now - call.lastProgress;
+    if (!isStream(call.route->kind))
+        return still > scaled(call.route->objective, m_options.slowCallFactor);
+    if (!call.main.events)
+        return still > m_options.firstEventLimit;
+    return still > std::max(m_options.minStall, scaled(call.usualGap, m_options.stallFactor));
+}
+
+std::vector<BackendId> RelayReducer::stalledStages(const Call& call) const
+{
+    if (call.main.chain.hops().empty())
+        return { call.main.server };
+    std::vector<BackendId> stalled;
+    for (const Hop& hop : call.main.chain.hops()) {
+        const auto found = m_fleet.servers().find(hop.backend);
+        if (found == m_fleet.servers().end() || found->second.lastProgress <= call.lastProgress + StallTolerance)
+            stalled.push_back(hop.backend);
+    }
+    return stalled;
+}
+
+} // namespace crocusmount::relay
--- /dev/null
+++ b/src/relay/ScaledDuration.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "crocusmount/Time.h"
+
+namespace crocusmount::relay {
+
+/// @return a multiple of a span of time
+constexpr Duration scaled(Duration duration, double factor)
+{
+    return Duration(static_cast<std::int64_t>(static_cast<double>(duration.count()) * factor));
+}
+
+} // namespace crocusmount::relay
--- a/src/shell/HttpServer.cpp
+++ b/src/shell/HttpServer.cpp
@@ -1,6 +1,6 @@
 #include "shell/HttpServer.h"
 
-#include "shell/Endpoint.h"
+#include "shell/Listener.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -9,6 +9,7 @@
 namespace {
 
     constexpr auto asTuple = net::as_tuple(useAwaitable);
+    constexpr int ListenBacklog = 4096;
 
     template <typename Body>
     void setCommonHeaders(http::response<Body>& response, const std::string& contentType)
@@ -176,7 +177,7 @@
 
 struct HttpServer::Shared {
     net::io_context& context;
-    net::basic_socket_acceptor<Tcp, Executor> acceptor;
+    Acceptor acceptor;
     HttpLimits limits;
     HttpHandler& handler;
     std::size_t connections = 0;
@@ -193,21 +194,10 @@
 absl::StatusOr<std::unique_ptr<HttpServer>> HttpServer::make(
     net::io_context& context, const std::string& address, HttpLimits limits, HttpHandler& handler)
 {
-    const auto endpoint = parseEndpoint<Tcp>(address);
-    if (!endpoint.ok())
-        return endpoint.status();
-    auto shared = std::make_shared<Shared>(
-        Shared { context, net::basic_socket_acceptor<Tcp, Executor>(context.get_executor()), limits, handler });
-    boost::system::error_code error;
-    shared->acceptor.open(endpoint->protocol(), error);
-    if (!error)
-        shared->acceptor.set_option(net::socket_base::reuse_address(true), error);
-    if (!error)
-        shared->acceptor.bind(*endpoint, error);
-    if (!error)
-        shared->acceptor.listen(4096, error);
-    if (error)
-        return absl::UnavailableError(absl::StrCat("cannot listen on ", address, ": ", error.message()));
+    auto acceptor = listenOn(context, address, ListenBacklog);
+    if (!acceptor.ok())
+        return acceptor.status();
+    auto shared = std::make_shared<Shared>(Shared { context, *std::move(acceptor), limits, handler });
     net::co_spawn(context.get_executor(), acceptLoop(shared), net::detached);
     return std::unique_ptr<HttpServer>(new HttpServer(std::move(shared)));
 }
--- /dev/null
+++ b/src/shell/Listener.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "shell/Endpoint.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace crocusmount {
+
+using Acceptor = net::basic_socket_acceptor<Tcp, Executor>;
+
+/// Opens a listening socket.
+/// @param address  "ip:port"
+/// @param backlog  connections that may wait to be accepted
+/// @return the socket, or Unavailable with the address and the reason
+inline absl::StatusOr<Acceptor> listenOn(net::io_context& context, const std::string& address, int backlog)
+{
+    const auto endpoint = parseEndpoint<Tcp>(address);
+    if (!endpoint.ok())
+        return endpoint.status();
+    Acceptor acceptor(context.get_executor());
+    boost::system::error_code error;
+    acceptor.open(endpoint->protocol(), error);
+    if (!error)
+        acceptor.set_option(net::socket_base::reuse_address(true), error);
+    if (!error)
+        acceptor.bind(*endpoint, error);
+    if (!error)
+        acceptor.listen(backlog, error);
+    if (error)
+        return absl::UnavailableError(absl::StrCat("cannot listen on ", address, ": ", error.message()));
+    return acceptor;
+}
+
+} // namespace crocusmount
