--- a/tests/RelayLoopbackTest.cpp
+++ b/tests/RelayLoopbackTest.cpp
@@ -83,7 +83,7 @@
 };
 
 /// Runs one call through front, node and attempt, with one scripted server for all services.
-Exchange exchange(const std::string& request, std::vector<std::string> answers)
+Exchange runCall(const std::string& request, std::vector<std::string> answers)
 {
     net::io_context context(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE);
     NoControl control;
@@ -158,7 +158,7 @@
             "Retry-After: " },
     };
     for (const auto& each : cases) {
-        const Exchange result = exchange(call(each.path), each.answers);
+        const Exchange result = runCall(call(each.path), each.answers);
         CHECK_TRUE_TEXT(
             has(result.answer, std::string("HTTP/1.1 ") + each.status), (each.name + result.answer).c_str());
         CHECK_TRUE_TEXT(has(result.answer, each.contains), (each.name + result.answer).c_str());
@@ -177,17 +177,17 @@
     const std::string two = "id: 2\ndata: b\n\n";
     const std::string end = "0\r\n\r\n";
     const Exchange complete
-        = exchange(call("/once/1"), { begin + chunk(one + two.substr(0, 4)) + chunk(two.substr(4)) + end });
+        = runCall(call("/once/1"), { begin + chunk(one + two.substr(0, 4)) + chunk(two.substr(4)) + end });
     CHECK_TRUE_TEXT(has(complete.answer, one) && has(complete.answer, two) && has(complete.answer, "\r\n" + end),
         complete.answer.c_str());
-    const Exchange torn = exchange(call("/once/1"), { begin + chunk(one + two.substr(0, 9)) });
+    const Exchange torn = runCall(call("/once/1"), { begin + chunk(one + two.substr(0, 9)) });
     CHECK_TRUE_TEXT(has(torn.answer, one), torn.answer.c_str());
     CHECK_FALSE_TEXT(has(torn.answer, "id: 2") || has(torn.answer, end), torn.answer.c_str());
-    const Exchange resumed = exchange(call("/draft/1"), { begin + chunk(one + "id: 2\nda"), begin + chunk(two) + end });
+    const Exchange resumed = runCall(call("/draft/1"), { begin + chunk(one + "id: 2\nda"), begin + chunk(two) + end });
     CHECK_TRUE_TEXT(has(resumed.answer, one) && has(resumed.answer, two) && has(resumed.answer, "\r\n" + end),
         resumed.answer.c_str());
     CHECK_EQUAL(2U, resumed.requests);
-    const Exchange doubled = exchange(call("/draft/1"), { begin + chunk(one) + chunk(one) + end });
+    const Exchange doubled = runCall(call("/draft/1"), { begin + chunk(one) + chunk(one) + end });
     CHECK_FALSE_TEXT(has(doubled.answer, "\r\n" + end), doubled.answer.c_str()); // An event twice is no whole answer.
 }
 
@@ -222,7 +222,7 @@
             "413" },
     };
     for (const auto& each : cases) {
-        const Exchange result = exchange(each.request, { whole });
+        const Exchange result = runCall(each.request, { whole });
         CHECK_TRUE_TEXT(
             has(result.answer, std::string("HTTP/1.1 ") + each.status), (each.name + result.answer).c_str());
         CHECK_EQUAL_TEXT(0U, result.requests, each.name);
@@ -234,6 +234,6 @@
 {
     std::string request = call("/book/1");
     request.insert(request.find("X-Attempt-Id"), "X-Deadline-Ms: 100\r\n");
-    const Exchange result = exchange(request, { "" });
+    const Exchange result = runCall(request, { "" });
     CHECK_TRUE_TEXT(has(result.answer, "HTTP/1.1 504") && has(result.answer, "timed_out"), result.answer.c_str());
 }
