--- a/programs/crocusmount-entry.cpp
+++ b/programs/crocusmount-entry.cpp
@@ -54,7 +54,6 @@
     options.dataCentre = DataCentreId(settings.dataCentre);
     options.retryRatio = settings.retryRatio * RetryShare;
     options.retrySlack = settings.retrySlack * RetryShare;
-    options.retryWindow = std::chrono::seconds(settings.retryWindowSeconds);
     return options;
 }
 
--- a/src/relay/CallPlacer.cpp
+++ b/src/relay/CallPlacer.cpp
@@ -84,7 +84,7 @@
         if (entry.service != call.service || entry.leaving || !entry.layers.size() || !card)
             continue;
         const double contextTokens = server.ownTokenLayers / entry.layers.size() * m_instances + call.tokens;
-        const EngineCost cost(model, *card, entry.layers.size(), { contextTokens, server.slowness });
+        const EngineCost cost(model, *card, entry.layers.size(), contextTokens);
         if (cost.fill() > m_options.memoryOvercommit && server.ownTokenLayers > 0)
             continue;
         const double kept = running && running->chain.contains(id) ? KeptStageDiscount : 1;
@@ -108,7 +108,7 @@
             continue;
         if (server.ownCalls >= std::max(1.0, SlotOvercommit * entry.slots / m_instances) + 1)
             continue;
-        const double cost = (1 + server.ownCalls) * server.slowness * (1 + FailurePenalty * server.failureRate)
+        const double cost = (1 + server.ownCalls) * (1 + FailurePenalty * server.failureRate)
                 * (1 + CostJitter * spread(entropy, ++use))
             + (entry.dataCentre == m_options.dataCentre ? 0 : CostJitter) + penaltyMs(call, server, now);
         if (!best || cost < bestCost) {
--- a/src/relay/EngineCost.cpp
+++ b/src/relay/EngineCost.cpp
@@ -11,12 +11,12 @@
 } // namespace
 
 EngineCost::EngineCost(
-    const EngineModel& model, const AcceleratorKind& card, std::uint32_t heldLayers, const EngineLoad& load)
+    const EngineModel& model, const AcceleratorKind& card, std::uint32_t heldLayers, double contextTokens)
 {
-    const double eventMs = model.stride * model.stepMs * card.stepFactor * load.slowness;
+    const double eventMs = model.stride * model.stepMs * card.stepFactor;
     m_passMs = eventMs * heldLayers / model.layers;
     const double capacity = model.kvTokenLayers(card, heldLayers);
-    m_fill = capacity > 0 ? load.contextTokens * heldLayers / capacity : 1;
+    m_fill = capacity > 0 ? contextTokens * heldLayers / capacity : 1;
     m_marginalMsPerLayer = eventMs / model.layers * (1 + FillGrowth * m_fill * m_fill);
 }
 
--- a/src/relay/EngineCost.h
+++ b/src/relay/EngineCost.h
@@ -4,19 +4,14 @@
 
 namespace crocusmount::relay {
 
-/// What runs on an engine, by all instances together, as far as one of them can tell.
-struct EngineLoad {
-    double contextTokens = 0; ///< of all streams
-    double slowness = 1; ///< observed over expected time
-};
-
 /// The time that an engine needs for an event of a stream, from the model's figures and its load. Load patterns that it
 /// answers: many streams on few fast cards, where each further one slows all others; and memory about to run out, where
 /// the newest stream is thrown back and read again.
 class EngineCost {
 public:
-    /// @param heldLayers  layers that the engine holds
-    EngineCost(const EngineModel&, const AcceleratorKind&, std::uint32_t heldLayers, const EngineLoad&);
+    /// @param heldLayers     layers that the engine holds
+    /// @param contextTokens  of all streams through it, of all instances together, as far as one of them can tell
+    EngineCost(const EngineModel&, const AcceleratorKind&, std::uint32_t heldLayers, double contextTokens);
 
     /// @return how long one pass over all held layers takes, in ms
     double passMs() const { return m_passMs; }
--- a/src/relay/RegisteredServer.h
+++ b/src/relay/RegisteredServer.h
@@ -18,7 +18,6 @@
     std::uint32_t slots = 1;
     bool leaving = false;
     LayerRange layers; ///< held and ready to run; empty if none
-    std::int64_t layersVersion = 0; ///< of the weights held
 
     bool operator==(const RegisteredServer&) const = default;
 };
--- a/src/relay/RelayOptions.h
+++ b/src/relay/RelayOptions.h
@@ -10,8 +10,7 @@
 struct RelayOptions {
     DataCentreId dataCentre; ///< of this instance
     double retryRatio = 0.15; ///< retries that each call earns; the platform allows 0.2 over all instances
-    double retrySlack = 100; ///< retries over all instances beyond that, in each window of ten seconds
-    Duration retryWindow = std::chrono::seconds(10);
+    double retrySlack = 100; ///< retries over all instances beyond that, within the platform's window
     /// How long a call waits for the first configuration of an instance that has just started; reading it takes some
     /// tens of milliseconds where the store answers.
     Duration configurationWait = std::chrono::milliseconds(250);
--- a/src/relay/ServerFleet.cpp
+++ b/src/relay/ServerFleet.cpp
@@ -68,14 +68,6 @@
     }
 }
 
-void ServerFleet::observeSlowness(const Chain& chain, double ratio)
-{
-    for (const Hop& hop : chain.hops()) {
-        if (FleetServer* server = find(hop.backend))
-            server->slowness += SampleWeight * (ratio - server->slowness);
-    }
-}
-
 void ServerFleet::failed(const BackendId& id, TimePoint now)
 {
     FleetServer* server = find(id);
--- a/src/relay/ServerFleet.h
+++ b/src/relay/ServerFleet.h
@@ -14,7 +14,6 @@
     RegisteredServer entry;
     std::uint32_t ownCalls = 0; ///< of this instance, running there as first stage or alone
     double ownTokenLayers = 0; ///< KV cache that this instance's calls hold there, estimated
-    double slowness = 1; ///< moving average of observed over expected time
     double failureRate = 0; ///< moving average of failed over all attempts
     std::uint32_t failuresInRow = 0;
     TimePoint avoidUntil; ///< no new work before, where another server will do
@@ -36,7 +35,6 @@
     void book(const Chain&, double tokens);
     void unbook(const Chain&, double tokens);
     void progressed(const Chain&, TimePoint now);
-    void observeSlowness(const Chain&, double ratio);
 
     /// Notes a failed attempt: the server is avoided for a time that doubles with each failure in a row.
     void failed(const BackendId&, TimePoint now);
--- a/src/relay/ServiceConfiguration.h
+++ b/src/relay/ServiceConfiguration.h
@@ -38,7 +38,6 @@
     CallKind kind = CallKind::NonIdempotent;
     Duration timeout = std::chrono::seconds(10); ///< longest time until the final answer
     Duration objective = std::chrono::milliseconds(500); ///< to the answer; of a stream, to its first event
-    Duration maxEventGap {}; ///< longest pause between two events that is still on time
     int rank = 5; ///< 0 is the most urgent
     std::uint32_t maxAttempts = 1; ///< servers that one call may be sent to
     bool anonymous = false; ///< needs no key
@@ -50,7 +49,6 @@
     std::string name;
     double memoryMb = 0;
     double stepFactor = 1; ///< its steps take this many times as long as the model's figures say
-    double readFactor = 1; ///< the same for reading prompts
 };
 
 /// Figures of a model whose layers are spread over engines.
@@ -60,14 +58,8 @@
     double layerMb = 0;
     double kvBytesPerToken = 0; ///< over all layers
     double stepMs = 1; ///< one token through all layers on the reference card
-    double stepMsPerStream = 0;
-    double contextMsPerK = 0; ///< for each thousand tokens of a stream's context
     std::uint32_t stride = 1; ///< steps of one pass
-    double readTokensPerMs = 1;
     double loadSeconds = 0; ///< of all layers
-    std::uint32_t loadsAtOnce = 1; ///< more loads than this slow each other down
-    double usualPromptTokens = 500;
-    double usualAnswerTokens = 200;
     std::vector<AcceleratorKind> kinds;
 
     /// @return the kind of that name, or null
@@ -78,8 +70,6 @@
 
 struct Service {
     ServiceId id;
-    std::string healthPath;
-    std::uint32_t maxConnections = 100; ///< of one server, from all instances together
     std::optional<EngineModel> engine; ///< absent for a plain service
 };
 
--- a/tests/PlacementTest.cpp
+++ b/tests/PlacementTest.cpp
@@ -18,7 +18,7 @@
     model.stepMs = 1.02;
     model.stride = 4;
     model.loadSeconds = 14;
-    model.kinds = { { "a100", 72000, 2.4, 3.2 }, { "v100", 14400, 5.3, 7.9 }, { "l4", 21600, 16, 8.2 } };
+    model.kinds = { { "a100", 72000, 2.4 }, { "v100", 14400, 5.3 }, { "l4", 21600, 16 } };
     return model;
 }
 
@@ -190,9 +190,9 @@
     const EngineModel model = usersModel();
     double before = 0;
     for (const double tokens : { 0.0, 20000.0, 60000.0, 100000.0 }) {
-        const EngineCost cost(model, model.kinds[0], 28, { tokens, 1 });
+        const EngineCost cost(model, model.kinds[0], 28, tokens);
         CHECK_TRUE(cost.marginalMsPerLayer() > before);
         before = cost.marginalMsPerLayer();
     }
-    CHECK_TRUE(EngineCost(model, model.kinds[0], 41, { 10000, 1 }).fill() > 1);
+    CHECK_TRUE(EngineCost(model, model.kinds[0], 41, 10000).fill() > 1);
 }
--- a/tests/RelayHarness.cpp
+++ b/tests/RelayHarness.cpp
@@ -31,9 +31,9 @@
     model.layers = 8;
     model.layerMb = 100;
     model.kvBytesPerToken = 8000;
-    model.kinds.push_back({ "card", 1000, 1, 1 });
-    Service engines { ServiceId("model"), "/health", 100, model };
-    Service plainService { ServiceId("plain"), "/health", 100, std::nullopt };
+    model.kinds.push_back({ "card", 1000, 1 });
+    Service engines { ServiceId("model"), model };
+    Service plainService { ServiceId("plain"), std::nullopt };
     made.services = { engines, plainService };
     made.workspaces.push_back({ WorkspaceId("w"), { "key" }, std::nullopt });
     return made;
