--- a/src/relay/Call.h
+++ b/src/relay/Call.h
@@ -4,6 +4,7 @@
 #include "relay/CallSpec.h"
 #include "relay/RouteTable.h"
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 
@@ -53,6 +54,12 @@
     bool answering = false; ///< the caller has a part of the answer
     std::uint64_t lastEvent = 0; ///< that the caller has
     std::vector<BackendId> avoid; ///< failed this call before
+
+    void addAvoided(const BackendId& id)
+    {
+        if (std::find(avoid.begin(), avoid.end(), id) == avoid.end())
+            avoid.push_back(id);
+    }
 };
 
 } // namespace crocusmount::relay
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -263,7 +263,7 @@
             call.main = *call.second;
         call.second.reset();
     } else {
-        call.avoid.push_back(attempt.server);
+        call.addAvoided(attempt.server);
         retryOrFinish(call, reasonOf(ended.result), context);
     }
     dispatchAll(context);
--- a/src/relay/RelayReducerTime.cpp
+++ b/src/relay/RelayReducerTime.cpp
@@ -79,7 +79,8 @@
     const Duration limit = call.answering ? m_options.minStall : m_options.firstEventLimit;
     if (culprits.empty() && context.now - call.lastProgress < limit * UnexplainedStallFactor)
         return;
-    call.avoid.insert(call.avoid.end(), culprits.begin(), culprits.end());
+    for (const BackendId& culprit : culprits)
+        call.addAvoided(culprit);
     startSecond(call, context);
 }
 
@@ -109,7 +110,7 @@
 {
     for (const BackendId& stage : stages) {
         m_fleet.suspect(stage, context.now + m_options.suspicion);
-        call.avoid.push_back(stage);
+        call.addAvoided(stage);
     }
     if (!call.second && !reroute(call, stages, context))
         startSecond(call, context);
