--- a/programs/crocusmount-entry.cpp
+++ b/programs/crocusmount-entry.cpp
@@ -3,6 +3,7 @@
 #include "edge/DecisionLog.h"
 #include "edge/FrontServer.h"
 #include "edge/InstanceRegistry.h"
+#include "edge/LoadLink.h"
 #include "edge/PlacementDriver.h"
 #include "edge/RelayMetrics.h"
 #include "edge/RelayNode.h"
@@ -66,7 +67,7 @@
         , m_control(context)
         , m_node(context, relayOptions(settings), platform::headerNames(), m_control)
         , m_store(context, settings.storeAddress)
-        , m_registry(context, m_store, m_store, { instanceId(settings), settings.callerAddress, settings.dataCentre })
+        , m_registry(context, m_store, m_store, { instanceId(settings), settings.callerAddress, settings.dataCentre, settings.peerAddress })
         , m_follower(m_node, m_registry)
         , m_mirror(context, m_store, [this](const StoreEvent& event) { m_follower.storeChanged(event); })
         , m_placement(context, m_node, m_registry, m_control)
@@ -89,6 +90,12 @@
                 return server.status();
             m_servers.push_back(*std::move(server));
         }
+        if (!m_settings.peerAddress.empty()) {
+            auto link = LoadLink::make(m_context, m_node, m_registry);
+            if (!link.ok())
+                return link.status();
+            m_loadLink = *std::move(link);
+        }
         m_mirror.start();
         m_registry.start();
         m_placement.start();
@@ -172,6 +179,7 @@
     platform::PlatformEndpoints m_endpoints;
     net::signal_set m_signals;
     std::unique_ptr<relay::FrontServer> m_front;
+    std::unique_ptr<LoadLink> m_loadLink;
     std::vector<std::unique_ptr<HttpServer>> m_servers;
 };
 
--- a/src/edge/InstanceRegistry.cpp
+++ b/src/edge/InstanceRegistry.cpp
@@ -69,7 +69,7 @@
         // A restarted instance takes the place of the one before, whose lease may have a while to run.
         std::erase_if(m_others, [&](const auto& other) { return other.second.address == textOf(value, "address"); });
         m_others[key] = { key.substr(std::string_view(InstancePrefix).size()), textOf(value, "address"),
-            textOf(value, "data_centre") };
+            textOf(value, "data_centre"), textOf(value, "peer_address") };
     }
     relay::DecisionLog::state(event.deleted ? "instance_gone" : "instance_seen",
         { { "other", key }, { "instances", count() }, { "revision", event.entry.modRevision } });
@@ -85,6 +85,15 @@
     return addresses;
 }
 
+std::vector<InstanceRegistry::Entry> InstanceRegistry::others() const
+{
+    std::vector<Entry> entries;
+    entries.reserve(m_others.size());
+    for (const auto& [key, entry] : m_others)
+        entries.push_back(entry);
+    return entries;
+}
+
 std::uint32_t InstanceRegistry::count() const { return static_cast<std::uint32_t>(m_others.size()) + 1; }
 
 bool InstanceRegistry::isPlanner() const
@@ -131,7 +140,8 @@
 
 Awaitable<bool> InstanceRegistry::registerSelf()
 {
-    const boost::json::object value { { "address", m_self.address }, { "data_centre", m_self.dataCentre } };
+    const boost::json::object value { { "address", m_self.address }, { "data_centre", m_self.dataCentre },
+        { "peer_address", m_self.peerAddress } };
     StoreWrite write;
     write.puts.emplace_back(m_key, boost::json::serialize(value));
     write.lease = m_lease.id;
--- a/src/edge/InstanceRegistry.h
+++ b/src/edge/InstanceRegistry.h
@@ -16,6 +16,7 @@
         std::string id; ///< new with each start
         std::string address; ///< for callers
         std::string dataCentre;
+        std::string peerAddress; ///< for datagrams of other instances; empty if it takes none
     };
 
     InstanceRegistry(net::io_context&, StoreClient&, LeaseClient&, Entry self);
@@ -32,6 +33,8 @@
     std::uint32_t count() const;
     /// @return whether this instance may give orders: it holds the lock, under a lease that cannot have ended
     bool isPlanner() const;
+    /// @return the entries of the other live instances
+    std::vector<Entry> others() const;
     const Entry& self() const { return m_self; }
 
 private:
--- a/src/idl/peer.thrift
+++ b/src/idl/peer.thrift
@@ -54,3 +54,15 @@
   2: i64 revision
   3: list<ConfigurationEntry> entries
 }
+
+enum LoadScope { INSTANCE = 0, DATA_CENTRE = 1, FLEET = 2 }
+
+// One datagram: KV cache in use on engines, in two lists of the same length.
+struct LoadReport {
+  1: string sender
+  2: string dataCentre
+  3: i64 sequence
+  4: LoadScope scope
+  5: list<i64> engines
+  6: list<i32> tokenLayers
+}
--- a/src/relay/CallPlacer.cpp
+++ b/src/relay/CallPlacer.cpp
@@ -22,6 +22,9 @@
     constexpr double KeptStageDiscount = 0.2;
     /// How much the cost of a plain service's server grows with its rate of failures.
     constexpr double FailurePenalty = 4;
+    /// The other instances choose alike between two reports: this part of them is taken to have placed what this one
+    /// has since the last.
+    constexpr double AlikeShare = 0.3;
     /// Own calls at which a plain service's server counts as full, over this instance's share of its slots.
     constexpr double SlotOvercommit = 2;
 
@@ -63,6 +66,16 @@
     return (now < server.avoidUntil ? AvoidedPenaltyMs : 0) + (failedBefore ? FailedBeforePenaltyMs : 0);
 }
 
+/// All instances' KV cache on an engine.
+double CallPlacer::tokenLayersOn(const FleetServer& server) const
+{
+    if (!m_fleet.knowsOthersLoad())
+        return server.ownTokenLayers * m_instances;
+    const double since = server.ownTokenLayers - server.reportedTokenLayers;
+    const double alike = AlikeShare * (m_instances - 1) * std::max(0.0, since);
+    return server.ownTokenLayers + server.othersTokenLayers + alike;
+}
+
 std::optional<Chain> CallPlacer::findChain(
     const Call& call, const EngineModel& model, const Attempt* running, TimePoint now, std::uint64_t entropy) const
 {
@@ -83,7 +96,7 @@
         const AcceleratorKind* card = model.kind(entry.accelerator);
         if (entry.service != call.service || entry.leaving || !entry.layers.size() || !card)
             continue;
-        const double contextTokens = server.ownTokenLayers / entry.layers.size() * m_instances + call.tokens;
+        const double contextTokens = tokenLayersOn(server) / entry.layers.size() + call.tokens;
         const EngineCost cost(model, *card, entry.layers.size(), contextTokens);
         if (cost.fill() > m_options.memoryOvercommit && server.ownTokenLayers > 0)
             continue;
--- /dev/null
+++ b/src/relay/LoadExchange.cpp
@@ -0,0 +1,163 @@
+#include "relay/LoadExchange.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace crocusmount::relay {
+
+namespace {
+
+    /// Collectors of each data centre: while one of them is gone and still listed, the other's sums are used.
+    constexpr std::size_t CollectorCount = 2;
+    /// A sender that was silent this long no longer counts; some rounds may be lost on the way.
+    constexpr Duration ReportLifetime = std::chrono::milliseconds(900);
+
+    using Sums = std::map<std::uint64_t, double>;
+
+    void add(Sums& sums, const std::vector<EngineLoad>& loads)
+    {
+        for (const EngineLoad& load : loads)
+            sums[load.engine] += load.tokenLayers;
+    }
+
+    std::vector<EngineLoad> listOf(const Sums& sums)
+    {
+        std::vector<EngineLoad> loads;
+        loads.reserve(sums.size());
+        for (const auto& [engine, tokenLayers] : sums)
+            loads.push_back({ engine, tokenLayers });
+        return loads;
+    }
+
+} // namespace
+
+std::uint64_t engineKey(const BackendId& id) { return XXH3_64bits(id.value().data(), id.value().size()); }
+
+LoadExchange::LoadExchange(LoadPeer self)
+    : m_self(std::move(self))
+{
+    m_peers[m_self.dataCentre].push_back(m_self);
+}
+
+void LoadExchange::setPeers(std::vector<LoadPeer> others)
+{
+    m_peers.clear();
+    m_peers[m_self.dataCentre].push_back(m_self);
+    for (LoadPeer& peer : others)
+        m_peers[peer.dataCentre].push_back(std::move(peer));
+    for (auto& [dataCentre, peers] : m_peers)
+        std::sort(peers.begin(), peers.end(), [](const LoadPeer& a, const LoadPeer& b) { return a.id < b.id; });
+}
+
+std::vector<const LoadPeer*> LoadExchange::collectorsOf(const DataCentreId& dataCentre) const
+{
+    std::vector<const LoadPeer*> collectors;
+    const auto peers = m_peers.find(dataCentre);
+    if (peers == m_peers.end())
+        return collectors;
+    for (const LoadPeer& peer : peers->second) {
+        if (collectors.size() < CollectorCount)
+            collectors.push_back(&peer);
+    }
+    return collectors;
+}
+
+bool LoadExchange::isCollector() const
+{
+    const auto collectors = collectorsOf(m_self.dataCentre);
+    return std::any_of(collectors.begin(), collectors.end(), [&](const LoadPeer* each) { return *each == m_self; });
+}
+
+LoadReport LoadExchange::report(LoadScope scope, std::vector<EngineLoad> engines) const
+{
+    return { m_self.id, m_self.dataCentre, m_sequence, scope, std::move(engines) };
+}
+
+std::vector<OutgoingLoadReport> LoadExchange::makeRound(std::vector<EngineLoad> own, TimePoint now)
+{
+    std::vector<OutgoingLoadReport> out;
+    ++m_sequence;
+    m_own = own;
+    const LoadReport ownReport = report(LoadScope::Instance, std::move(own));
+    for (const LoadPeer* collector : collectorsOf(m_self.dataCentre)) {
+        if (!(*collector == m_self))
+            out.push_back({ collector->address, ownReport });
+    }
+    if (!isCollector())
+        return out;
+    take(ownReport, now);
+    const auto fresh = [&](const Received& received) { return now - received.at <= ReportLifetime; };
+    Sums local;
+    for (const auto& [sender, received] : m_members) {
+        if (fresh(received))
+            add(local, received.engines);
+    }
+    const LoadReport localReport = report(LoadScope::DataCentre, listOf(local));
+    for (const auto& [dataCentre, peers] : m_peers) {
+        if (dataCentre == m_self.dataCentre)
+            continue;
+        for (const LoadPeer* collector : collectorsOf(dataCentre))
+            out.push_back({ collector->address, localReport });
+    }
+    for (const auto& [dataCentre, received] : m_dataCentres) {
+        if (fresh(received))
+            add(local, received.engines);
+    }
+    const LoadReport fleetReport = report(LoadScope::Fleet, listOf(local));
+    take(fleetReport, now);
+    for (const LoadPeer& peer : m_peers[m_self.dataCentre]) {
+        if (!(peer == m_self))
+            out.push_back({ peer.address, fleetReport });
+    }
+    return out;
+}
+
+void LoadExchange::note(Sources& sources, const std::string& source, const LoadReport& report, TimePoint now)
+{
+    Received& received = sources[source];
+    received.sequence = report.sequence;
+    received.at = now;
+    received.engines = report.engines;
+    std::erase_if(sources, [&](const auto& each) { return now - each.second.at > ReportLifetime; });
+}
+
+void LoadExchange::take(const LoadReport& report, TimePoint now)
+{
+    switch (report.scope) {
+    case LoadScope::Instance:
+    case LoadScope::Fleet: {
+        if (report.dataCentre != m_self.dataCentre)
+            return;
+        Sources& sources = report.scope == LoadScope::Instance ? m_members : m_fleet;
+        const auto known = sources.find(report.sender.value());
+        if (known == sources.end() || known->second.sequence < report.sequence)
+            note(sources, report.sender.value(), report, now);
+        return;
+    }
+    case LoadScope::DataCentre:
+        // Both collectors of a data centre send nearly the same sum: the last one counts.
+        if (report.dataCentre != m_self.dataCentre)
+            note(m_dataCentres, report.dataCentre.value(), report, now);
+        return;
+    }
+}
+
+std::optional<std::map<std::uint64_t, double>> LoadExchange::others(TimePoint now) const
+{
+    const Received* latest = nullptr;
+    for (const auto& [collector, received] : m_fleet) {
+        if (!latest || received.at > latest->at)
+            latest = &received;
+    }
+    if (!latest || now - latest->at > ReportLifetime)
+        return std::nullopt;
+    Sums sums;
+    add(sums, latest->engines);
+    for (const EngineLoad& own : m_own) {
+        if (const auto found = sums.find(own.engine); found != sums.end())
+            found->second = std::max(0.0, found->second - own.tokenLayers);
+    }
+    return sums;
+}
+
+} // namespace crocusmount::relay
--- /dev/null
+++ b/src/relay/LoadExchange.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "crocusmount/Ids.h"
+#include "crocusmount/Time.h"
+#include "relay/LoadReport.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace crocusmount::relay {
+
+/// An instance that takes part in the exchange.
+struct LoadPeer {
+    InstanceId id;
+    DataCentreId dataCentre;
+    std::string address; ///< for datagrams
+
+    bool operator==(const LoadPeer&) const = default;
+};
+
+/// A report on its way to another instance.
+struct OutgoingLoadReport {
+    std::string address;
+    LoadReport report;
+};
+
+/// How instances learn what the others have running on the engines they share. In each data centre the two instances
+/// of lowest id collect the reports of all, tell each other's data centres the sums, and tell their own what all of
+/// them together hold. Any instance can collect; nothing is kept, so that one that goes costs a round at most.
+///
+/// The load pattern that it answers: many instances with a few streams each. What one of them has running, times the
+/// number of instances, is no estimate of the whole: engines look full or empty by chance, and streams crowd on some.
+class LoadExchange {
+public:
+    explicit LoadExchange(LoadPeer self);
+
+    /// @param others  all other live instances
+    void setPeers(std::vector<LoadPeer> others);
+
+    /// Makes the reports of one round.
+    /// @param own  what this instance has running
+    /// @return the reports to send
+    std::vector<OutgoingLoadReport> makeRound(std::vector<EngineLoad> own, TimePoint now);
+
+    /// Takes in a report. Reports that are older than one taken before are passed over.
+    void take(const LoadReport&, TimePoint now);
+
+    /// @return what the other instances hold on each engine, by its key; nothing where no fresh sum is known
+    std::optional<std::map<std::uint64_t, double>> others(TimePoint now) const;
+
+    bool isCollector() const;
+
+private:
+    struct Received {
+        std::uint64_t sequence = 0;
+        TimePoint at;
+        std::vector<EngineLoad> engines;
+    };
+    using Sources = std::map<std::string, Received>; ///< by instance, or by data centre
+
+    void note(Sources&, const std::string& source, const LoadReport&, TimePoint now);
+    std::vector<const LoadPeer*> collectorsOf(const DataCentreId&) const;
+    LoadReport report(LoadScope, std::vector<EngineLoad>) const;
+
+    LoadPeer m_self;
+    std::map<DataCentreId, std::vector<LoadPeer>> m_peers; ///< this instance included; by id within a data centre
+    std::uint64_t m_sequence = 0;
+    std::vector<EngineLoad> m_own; ///< as last reported
+    Sources m_members; ///< of this data centre, where this instance collects
+    Sources m_dataCentres; ///< the other data centres' sums
+    Sources m_fleet; ///< sums over all, by collector
+};
+
+} // namespace crocusmount::relay
--- /dev/null
+++ b/src/relay/LoadReport.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "crocusmount/Ids.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace crocusmount::relay {
+
+/// KV cache that calls hold on one engine.
+struct EngineLoad {
+    std::uint64_t engine = 0; ///< key of its id, see engineKey
+    double tokenLayers = 0; ///< tokens times layers, estimated by the instances that sent the calls there
+
+    bool operator==(const EngineLoad&) const = default;
+};
+
+/// Whose calls a report counts.
+enum class LoadScope {
+    Instance, ///< the sender's
+    DataCentre, ///< those of all instances in the sender's data centre
+    Fleet, ///< those of all instances
+};
+
+/// What one instance tells another of the load on engines.
+struct LoadReport {
+    InstanceId sender; ///< new with each start
+    DataCentreId dataCentre; ///< of the sender
+    std::uint64_t sequence = 0; ///< grows with each report of one sender
+    LoadScope scope = LoadScope::Instance;
+    std::vector<EngineLoad> engines;
+};
+
+/// @return a short name for an engine in reports, the same in every process
+std::uint64_t engineKey(const BackendId&);
+
+} // namespace crocusmount::relay
--- a/src/relay/RelayEvent.h
+++ b/src/relay/RelayEvent.h
@@ -4,7 +4,9 @@
 #include "relay/CallSpec.h"
 #include "relay/RegisteredServer.h"
 
+#include <map>
 #include <memory>
+#include <optional>
 #include <variant>
 
 namespace crocusmount::relay {
@@ -43,6 +45,11 @@
         std::uint32_t instances = 1;
     };
 
+    /// What the other instances have running on the engines, by engineKey; nothing where that is not known.
+    struct LoadsReported {
+        std::optional<std::map<std::uint64_t, double>> tokenLayers;
+    };
+
     struct CallArrived {
         RequestId call;
         CallSpec spec;
@@ -90,7 +97,7 @@
 } // namespace event
 
 using RelayEventBody = std::variant<event::ConfigurationAccepted, event::ServerRegistered, event::ServerUnregistered,
-    event::InstancesCounted, event::CallArrived, event::CallerLeft, event::AttemptSent, event::EventDelivered,
+    event::InstancesCounted, event::LoadsReported, event::CallArrived, event::CallerLeft, event::AttemptSent, event::EventDelivered,
     event::AttemptEnded, event::RerouteAnswered, event::StalledStageNamed, event::DrainRequested, event::Tick>;
 
 /// Something that happened, with all the time and entropy that the relay may use for it.
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -118,6 +118,11 @@
     m_placer.setInstances(m_instances);
 }
 
+void RelayReducer::on(const event::LoadsReported& reported, Context&)
+{
+    m_fleet.setOthersLoad(reported.tokenLayers);
+}
+
 void RelayReducer::on(const event::DrainRequested&, Context& context)
 {
     if (!m_drainedAt)
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -49,6 +49,7 @@
     void on(const event::ServerRegistered&, Context&);
     void on(const event::ServerUnregistered&, Context&);
     void on(const event::InstancesCounted&, Context&);
+    void on(const event::LoadsReported&, Context&);
     void on(const event::CallArrived&, Context&);
     void on(const event::CallerLeft&, Context&);
     void on(const event::AttemptSent&, Context&);
--- a/src/relay/ServerFleet.cpp
+++ b/src/relay/ServerFleet.cpp
@@ -21,6 +21,7 @@
     if (!added && position->second.entry == entry)
         return false;
     position->second.entry = entry;
+    position->second.key = engineKey(entry.id);
     return true;
 }
 
@@ -60,6 +61,26 @@
         --first->ownCalls;
 }
 
+void ServerFleet::setOthersLoad(const std::optional<std::map<std::uint64_t, double>>& loads)
+{
+    m_knowsOthers = loads.has_value();
+    for (auto& [id, server] : m_servers) {
+        const auto found = loads ? loads->find(server.key) : std::map<std::uint64_t, double>::const_iterator();
+        server.othersTokenLayers = loads && found != loads->end() ? found->second : 0;
+        server.reportedTokenLayers = server.ownTokenLayers;
+    }
+}
+
+std::vector<EngineLoad> ServerFleet::ownLoads() const
+{
+    std::vector<EngineLoad> loads;
+    for (const auto& [id, server] : m_servers) {
+        if (server.ownTokenLayers > 0)
+            loads.push_back({ server.key, server.ownTokenLayers });
+    }
+    return loads;
+}
+
 void ServerFleet::progressed(const Chain& chain, TimePoint now)
 {
     for (const Hop& hop : chain.hops()) {
--- a/src/relay/ServerFleet.h
+++ b/src/relay/ServerFleet.h
@@ -2,9 +2,11 @@
 
 #include "crocusmount/Chain.h"
 #include "crocusmount/Time.h"
+#include "relay/LoadReport.h"
 #include "relay/RegisteredServer.h"
 
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace crocusmount::relay {
@@ -14,6 +16,9 @@
     RegisteredServer entry;
     std::uint32_t ownCalls = 0; ///< of this instance, running there as first stage or alone
     double ownTokenLayers = 0; ///< KV cache that this instance's calls hold there, estimated
+    double reportedTokenLayers = 0; ///< the same when it was last told to others
+    double othersTokenLayers = 0; ///< what the other instances' calls hold, as far as reported
+    std::uint64_t key = 0; ///< engineKey of its id
     double failureRate = 0; ///< moving average of failed over all attempts
     std::uint32_t failuresInRow = 0;
     TimePoint avoidUntil; ///< no new work before, where another server will do
@@ -34,6 +39,12 @@
     /// Books a call's KV cache on each stage. @param tokens  prompt and expected answer
     void book(const Chain&, double tokens);
     void unbook(const Chain&, double tokens);
+    /// Takes in what the other instances hold on each engine, by engineKey; nothing: that is not known.
+    void setOthersLoad(const std::optional<std::map<std::uint64_t, double>>&);
+    bool knowsOthersLoad() const { return m_knowsOthers; }
+    /// @return what this instance's calls hold on each engine that they use
+    std::vector<EngineLoad> ownLoads() const;
+
     void progressed(const Chain&, TimePoint now);
 
     /// Notes a failed attempt: the server is avoided for a time that doubles with each failure in a row.
@@ -44,6 +55,7 @@
 
 private:
     std::map<BackendId, FleetServer> m_servers;
+    bool m_knowsOthers = false;
 };
 
 } // namespace crocusmount::relay
--- a/src/shell/PeerCodec.cpp
+++ b/src/shell/PeerCodec.cpp
@@ -1,43 +1,13 @@
 #include "shell/PeerCodec.h"
 
 #include "generated/peer_types.h"
+#include "shell/ThriftBytes.h"
 
-#include <memory>
-#include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/transport/TBufferTransports.h>
 
 namespace crocusmount {
 
 namespace {
 
-    using apache::thrift::protocol::TCompactProtocolT;
-    using apache::thrift::transport::TMemoryBuffer;
-
-    template <typename Struct>
-    std::string write(const Struct& value)
-    {
-        auto buffer = std::make_shared<TMemoryBuffer>();
-        TCompactProtocolT<TMemoryBuffer> protocol(buffer);
-        value.write(&protocol);
-        return buffer->getBufferAsString();
-    }
-
-    template <typename Struct>
-    absl::StatusOr<Struct> read(const std::string& bytes)
-    {
-        try {
-            auto buffer = std::make_shared<TMemoryBuffer>();
-            buffer->write(
-                reinterpret_cast<const std::uint8_t*>(bytes.data()), static_cast<std::uint32_t>(bytes.size()));
-            TCompactProtocolT<TMemoryBuffer> protocol(buffer);
-            Struct value;
-            value.read(&protocol);
-            return value;
-        } catch (const apache::thrift::TException& error) {
-            return absl::InvalidArgumentError(error.what());
-        }
-    }
-
     wire::Member toWire(const MemberUpdate& update)
     {
         wire::Member member;
@@ -118,12 +88,12 @@
         out.updates.push_back(toWire(update));
     for (const BackendNews& news : message.backends)
         out.backends.push_back(toWire(news));
-    return write(out);
+    return toThriftBytes(out);
 }
 
 absl::StatusOr<PeerMessage> decodePeerMessage(const std::string& bytes)
 {
-    const auto in = read<wire::Message>(bytes);
+    const auto in = fromThriftBytes<wire::Message>(bytes);
     if (!in.ok())
         return in.status();
     if (in->kind < wire::MessageKind::PING || in->kind > wire::MessageKind::NEWS || !known(in->sender))
@@ -155,12 +125,12 @@
         out.modified = entry.modified.value();
         reply.entries.push_back(std::move(out));
     }
-    return write(reply);
+    return toThriftBytes(reply);
 }
 
 absl::StatusOr<ConfigurationChange> decodeConfigurationChange(const std::string& bytes)
 {
-    const auto in = read<wire::ConfigurationReply>(bytes);
+    const auto in = fromThriftBytes<wire::ConfigurationReply>(bytes);
     if (!in.ok())
         return in.status();
     ConfigurationChange change { Revision(in->base), Revision(in->revision), {} };
@@ -173,12 +143,12 @@
 {
     wire::ConfigurationRequest request;
     request.since = since.value();
-    return write(request);
+    return toThriftBytes(request);
 }
 
 absl::StatusOr<Revision> decodeConfigurationRequest(const std::string& bytes)
 {
-    const auto in = read<wire::ConfigurationRequest>(bytes);
+    const auto in = fromThriftBytes<wire::ConfigurationRequest>(bytes);
     if (!in.ok())
         return in.status();
     return Revision(in->since);
