Slots of first stages are told between instances and priced; the planner waits out the mirror's spacing

Cause: streams on the fastest chains had a first event after 440 ms and gaps of 44 ms: they waited for a slot of their first stage (192), and four or five engines held the first layer. Plans made while the mirror fetched every 0.7 s were made for half of the list, because the list looked still for 0.3 s. Change: reports carry calls beside KV cache; a chain's entry is priced by taken slots; the planner values holders of the first layer; a crossing counts 40 ms; the list must stand still for a second.

--- a/programs/crocusmount-entry.cpp
+++ b/programs/crocusmount-entry.cpp
@@ -67,7 +67,8 @@
         , m_control(context)
         , m_node(context, relayOptions(settings), platform::headerNames(), m_control)
         , m_store(context, settings.storeAddress)
-        , m_registry(context, m_store, m_store, { instanceId(settings), settings.callerAddress, settings.dataCentre, settings.peerAddress })
+        , m_registry(context, m_store, m_store,
+              { instanceId(settings), settings.callerAddress, settings.dataCentre, settings.peerAddress })
         , m_follower(m_node, m_registry)
         , m_mirror(context, m_store, [this](const StoreEvent& event) { m_follower.storeChanged(event); })
         , m_placement(context, m_node, m_registry, m_control)
--- a/src/edge/LoadLink.cpp
+++ b/src/edge/LoadLink.cpp
@@ -87,7 +87,8 @@
             others.push_back(peerOf(entry));
     }
     m_exchange.setPeers(std::move(others));
-    for (const relay::OutgoingLoadReport& each : m_exchange.makeRound(m_node.reducer().fleet().ownLoads(), m_node.now()))
+    for (const relay::OutgoingLoadReport& each :
+        m_exchange.makeRound(m_node.reducer().fleet().ownLoads(), m_node.now()))
         send(each);
     auto loads = m_exchange.others(m_node.now());
     if (loads.has_value() != std::exchange(m_knowsOthers, loads.has_value()))
--- a/src/edge/LoadLink.h
+++ b/src/edge/LoadLink.h
@@ -26,8 +26,7 @@
     };
 
     /// @return the link, bound to the peer address of the registry's own entry, or the reason it cannot be bound
-    static absl::StatusOr<std::unique_ptr<LoadLink>> make(
-        net::io_context&, relay::RelayNode&, const InstanceRegistry&);
+    static absl::StatusOr<std::unique_ptr<LoadLink>> make(net::io_context&, relay::RelayNode&, const InstanceRegistry&);
 
     const Traffic& traffic() const { return m_traffic; }
 
--- a/src/edge/PlacementDriver.cpp
+++ b/src/edge/PlacementDriver.cpp
@@ -10,7 +10,7 @@
 
     constexpr std::chrono::milliseconds PlanInterval { 200 };
     /// No plan is made while engines come and go faster than this: one made for a part of them fits badly.
-    constexpr std::chrono::milliseconds SettleTime { 300 };
+    constexpr std::chrono::milliseconds SettleTime { 1000 };
     /// An order that was refused, as by an engine still busy with another, is given again after this.
     constexpr std::chrono::milliseconds RefusedPause { 1000 };
     /// Time beyond the loading itself until the registry shows it, an engine's heartbeat included.
@@ -63,7 +63,7 @@
             continue;
         present.insert(id);
         LayerPlanner::Engine engine { id, entry.dataCentre, entry.accelerator, entry.layers, std::nullopt,
-            entry.leaving };
+            entry.leaving, entry.slots };
         const auto outstanding = m_outstanding.find(id);
         if (outstanding != m_outstanding.end()) {
             if (entry.layers == outstanding->second.layers || now > outstanding->second.until)
--- a/src/idl/peer.thrift
+++ b/src/idl/peer.thrift
@@ -57,7 +57,7 @@
 
 enum LoadScope { INSTANCE = 0, DATA_CENTRE = 1, FLEET = 2 }
 
-// One datagram: KV cache in use on engines, in two lists of the same length.
+// One datagram: what calls hold on engines, in three lists of the same length.
 struct LoadReport {
   1: string sender
   2: string dataCentre
@@ -65,4 +65,5 @@
   4: LoadScope scope
   5: list<i64> engines
   6: list<i32> tokenLayers
+  7: list<i32> calls
 }
--- a/src/planning/LayerPlanner.cpp
+++ b/src/planning/LayerPlanner.cpp
@@ -25,12 +25,20 @@
     /// Orders under way with which no engine is moved: the store of weights is shared, and each takes capacity out.
     constexpr std::size_t MostAtOnce = 2;
 
+    /// What each holder of the first layer is worth, in layers, while a data centre has too few of them. Calls enter
+    /// there, and each takes a slot for as long as it runs.
+    constexpr double EntryWorth = 2;
+    /// Part of the slots that are taken when the memory of a data centre is full.
+    constexpr double SlotUse = 0.6;
+
     /// Holders of each layer, by data centre and in all.
     class Coverage {
     public:
-        explicit Coverage(std::uint32_t layers)
+        /// @param entries  holders of the first layer that each data centre should have
+        Coverage(std::uint32_t layers, std::map<DataCentreId, double> entries)
             : m_layers(layers)
             , m_all(layers)
+            , m_entries(std::move(entries))
         {
         }
 
@@ -47,7 +55,7 @@
         double worth(const DataCentreId& dataCentre, const LayerRange& range)
         {
             const auto& local = m_local.try_emplace(dataCentre, m_layers).first->second;
-            double sum = 0;
+            double sum = range.begin == 0 && local[0] < m_entries[dataCentre] ? EntryWorth : 0;
             for (std::uint32_t layer = range.begin; layer < std::min(range.end, m_layers); ++layer)
                 sum += std::pow(LocalDecay, local[layer]) + GlobalWeight * std::pow(GlobalDecay, m_all[layer]);
             return sum;
@@ -72,8 +80,25 @@
         std::uint32_t m_layers;
         std::vector<int> m_all;
         std::map<DataCentreId, std::vector<int>> m_local;
+        std::map<DataCentreId, double> m_entries;
     };
 
+    /// @return holders of the first layer that each data centre needs, for the calls that fit into its engines' memory
+    std::map<DataCentreId, double> entriesNeeded(
+        const relay::EngineModel& model, const std::vector<LayerPlanner::Engine>& engines, double target)
+    {
+        std::map<DataCentreId, double> needed;
+        for (const auto& engine : engines) {
+            const auto* kind = model.kind(engine.accelerator);
+            if (!kind || engine.leaving)
+                continue;
+            const double calls = model.kvTokenLayers(*kind, LayerPlanner::layersFor(model, *kind, target))
+                / model.layers / model.usualTokens;
+            needed[engine.dataCentre] += calls / (SlotUse * std::max(1U, engine.slots));
+        }
+        return needed;
+    }
+
     double chooseKvTarget(const relay::EngineModel& model, const std::vector<LayerPlanner::Engine>& engines)
     {
         for (const double target : KvTargets) {
@@ -124,14 +149,14 @@
 
 std::vector<LayerPlanner::Order> LayerPlanner::plan(const relay::EngineModel& model, const std::vector<Engine>& engines)
 {
-    Coverage coverage(model.layers);
+    const double target = chooseKvTarget(model, engines);
+    Coverage coverage(model.layers, entriesNeeded(model, engines, target));
     struct Empty {
         std::uint32_t count = 0; ///< layers to hold
         double slowness = 1; ///< of its kind of card
         const Engine* engine = nullptr;
     };
     std::vector<Empty> empty;
-    const double target = chooseKvTarget(model, engines);
     std::size_t underWay = 0;
     for (const Engine& engine : engines) {
         if (engine.leaving)
--- a/src/planning/LayerPlanner.h
+++ b/src/planning/LayerPlanner.h
@@ -21,6 +21,7 @@
         LayerRange held; ///< as reported; empty if none
         std::optional<LayerRange> ordered; ///< an order under way
         bool leaving = false;
+        std::uint32_t slots = 1; ///< calls that may enter there at once
     };
 
     struct Order {
--- a/src/relay/CallPlacer.cpp
+++ b/src/relay/CallPlacer.cpp
@@ -5,6 +5,7 @@
 #include "relay/Spread.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace crocusmount::relay {
 
@@ -28,6 +29,16 @@
     /// Own calls at which a plain service's server counts as full, over this instance's share of its slots.
     constexpr double SlotOvercommit = 2;
 
+    /// Cost of entering at an engine whose slots are all taken: calls wait there for another to end.
+    constexpr double NoSlotPenaltyMs = 200;
+    /// The exponent keeps engines with half of their slots free alike.
+    constexpr double SlotExponent = 8;
+
+    double entryPenaltyMs(double calls, std::uint32_t slots)
+    {
+        return NoSlotPenaltyMs * std::pow(calls / std::max(1U, slots), SlotExponent);
+    }
+
 } // namespace
 
 CallPlacer::CallPlacer(const RelayOptions& options, const ServerFleet& fleet)
@@ -66,14 +77,17 @@
     return (now < server.avoidUntil ? AvoidedPenaltyMs : 0) + (failedBefore ? FailedBeforePenaltyMs : 0);
 }
 
-/// All instances' KV cache on an engine.
-double CallPlacer::tokenLayersOn(const FleetServer& server) const
+/// What all instances' calls hold on an engine.
+EngineLoad CallPlacer::loadOn(const FleetServer& server) const
 {
+    const EngineLoad own = server.ownLoad();
     if (!m_fleet.knowsOthersLoad())
-        return server.ownTokenLayers * m_instances;
-    const double since = server.ownTokenLayers - server.reportedTokenLayers;
-    const double alike = AlikeShare * (m_instances - 1) * std::max(0.0, since);
-    return server.ownTokenLayers + server.othersTokenLayers + alike;
+        return { own.engine, own.tokenLayers * m_instances, own.calls * m_instances };
+    const auto total = [&](double mine, double reported, double others) {
+        return mine + others + AlikeShare * (m_instances - 1) * std::max(0.0, mine - reported);
+    };
+    return { own.engine, total(own.tokenLayers, server.reported.tokenLayers, server.others.tokenLayers),
+        total(own.calls, server.reported.calls, server.others.calls) };
 }
 
 std::optional<Chain> CallPlacer::findChain(
@@ -96,7 +110,8 @@
         const AcceleratorKind* card = model.kind(entry.accelerator);
         if (entry.service != call.service || entry.leaving || !entry.layers.size() || !card)
             continue;
-        const double contextTokens = tokenLayersOn(server) / entry.layers.size() + call.tokens;
+        const EngineLoad load = loadOn(server);
+        const double contextTokens = load.tokenLayers / entry.layers.size() + call.tokens;
         const EngineCost cost(model, *card, entry.layers.size(), contextTokens);
         if (cost.fill() > m_options.memoryOvercommit && server.ownTokenLayers > 0)
             continue;
@@ -105,7 +120,7 @@
         // A stage takes an event up only after its pass under way, which runs all of its layers.
         const double entering = kept * PassWaitShare * cost.passMs() + penaltyMs(call, server, now);
         candidates.push_back({ id, entry.address, entry.layers, indexOf(entry.dataCentre),
-            kept * cost.marginalMsPerLayer() * jitter, entering });
+            kept * cost.marginalMsPerLayer() * jitter, entering, entryPenaltyMs(load.calls, entry.slots) });
     }
     return ChainFinder::find(model.layers, candidates, home, first);
 }
--- a/src/relay/ChainFinder.cpp
+++ b/src/relay/ChainFinder.cpp
@@ -69,8 +69,8 @@
             for (const ChainCandidate& next : m_candidates) {
                 if (next.layers.begin > boundary || next.layers.end <= boundary || next.layers.end > m_layerCount)
                     continue;
-                const double entered
-                    = cost + m_costs.hopMs + next.penaltyMs + (next.dataCentre == dataCentre ? 0 : crossing);
+                const double entered = cost + m_costs.hopMs + next.penaltyMs + (first ? next.entryPenaltyMs : 0)
+                    + (next.dataCentre == dataCentre ? 0 : crossing);
                 for (std::uint32_t end = m_partial ? boundary + 1 : next.layers.end; end <= next.layers.end; ++end) {
                     if (!m_isBoundary[end])
                         continue;
--- a/src/relay/ChainFinder.h
+++ b/src/relay/ChainFinder.h
@@ -15,12 +15,13 @@
     std::uint32_t dataCentre = 0; ///< a small index
     double msPerLayer = 0; ///< one event through one layer, load and slowness included
     double penaltyMs = 0; ///< once, if the chain uses it
+    double entryPenaltyMs = 0; ///< once, if the chain begins there
 };
 
 /// What crossing costs, as time of one event.
 struct ChainCosts {
     double hopMs = 2; ///< each further stage
-    double crossingMs = 15; ///< each crossing between data centres; prompts share one pipe there
+    double crossingMs = 40; ///< each crossing between data centres; prompts share one pipe there
     double entryCrossingMs = 3; ///< the first stage in another data centre than this instance
 };
 
--- a/src/relay/EngineCost.cpp
+++ b/src/relay/EngineCost.cpp
@@ -1,12 +1,16 @@
 #include "relay/EngineCost.h"
 
+#include <cmath>
+
 namespace crocusmount::relay {
 
 namespace {
 
-    /// How fast the cost of an engine grows with the fill of its memory: when full, it counts this many times more. It
-    /// stands for the larger batch, and for the streams that are thrown back when memory runs out.
-    constexpr double FillGrowth = 8;
+    /// What a further stream costs with its share of the steps of all others: at full memory about three times as much
+    /// as alone, from the model's figures of a step (a context of 110,000 tokens in some 110 streams).
+    constexpr double BatchGrowth = 2;
+    /// Cost of an engine whose memory is full, over an empty one: streams are thrown back there and read again.
+    constexpr double FullGrowth = 10;
 
 } // namespace
 
@@ -17,7 +21,7 @@
     m_passMs = eventMs * heldLayers / model.layers;
     const double capacity = model.kvTokenLayers(card, heldLayers);
     m_fill = capacity > 0 ? contextTokens * heldLayers / capacity : 1;
-    m_marginalMsPerLayer = eventMs / model.layers * (1 + FillGrowth * m_fill * m_fill);
+    m_marginalMsPerLayer = eventMs / model.layers * (1 + BatchGrowth * m_fill + FullGrowth * std::pow(m_fill, 6));
 }
 
 } // namespace crocusmount::relay
--- a/src/relay/LoadExchange.cpp
+++ b/src/relay/LoadExchange.cpp
@@ -12,20 +12,22 @@
     /// A sender that was silent this long no longer counts; some rounds may be lost on the way.
     constexpr Duration ReportLifetime = std::chrono::milliseconds(900);
 
-    using Sums = std::map<std::uint64_t, double>;
-
-    void add(Sums& sums, const std::vector<EngineLoad>& loads)
+    void add(EngineLoads& sums, const std::vector<EngineLoad>& loads)
     {
-        for (const EngineLoad& load : loads)
-            sums[load.engine] += load.tokenLayers;
+        for (const EngineLoad& load : loads) {
+            EngineLoad& sum = sums[load.engine];
+            sum.engine = load.engine;
+            sum.tokenLayers += load.tokenLayers;
+            sum.calls += load.calls;
+        }
     }
 
-    std::vector<EngineLoad> listOf(const Sums& sums)
+    std::vector<EngineLoad> listOf(const EngineLoads& sums)
     {
         std::vector<EngineLoad> loads;
         loads.reserve(sums.size());
-        for (const auto& [engine, tokenLayers] : sums)
-            loads.push_back({ engine, tokenLayers });
+        for (const auto& [engine, load] : sums)
+            loads.push_back(load);
         return loads;
     }
 
@@ -87,7 +89,7 @@
         return out;
     take(ownReport, now);
     const auto fresh = [&](const Received& received) { return now - received.at <= ReportLifetime; };
-    Sums local;
+    EngineLoads local;
     for (const auto& [sender, received] : m_members) {
         if (fresh(received))
             add(local, received.engines);
@@ -142,7 +144,7 @@
     }
 }
 
-std::optional<std::map<std::uint64_t, double>> LoadExchange::others(TimePoint now) const
+std::optional<EngineLoads> LoadExchange::others(TimePoint now) const
 {
     const Received* latest = nullptr;
     for (const auto& [collector, received] : m_fleet) {
@@ -151,11 +153,14 @@
     }
     if (!latest || now - latest->at > ReportLifetime)
         return std::nullopt;
-    Sums sums;
+    EngineLoads sums;
     add(sums, latest->engines);
     for (const EngineLoad& own : m_own) {
-        if (const auto found = sums.find(own.engine); found != sums.end())
-            found->second = std::max(0.0, found->second - own.tokenLayers);
+        const auto found = sums.find(own.engine);
+        if (found == sums.end())
+            continue;
+        found->second.tokenLayers = std::max(0.0, found->second.tokenLayers - own.tokenLayers);
+        found->second.calls = std::max(0.0, found->second.calls - own.calls);
     }
     return sums;
 }
--- a/src/relay/LoadExchange.h
+++ b/src/relay/LoadExchange.h
@@ -48,7 +48,7 @@
     void take(const LoadReport&, TimePoint now);
 
     /// @return what the other instances hold on each engine, by its key; nothing where no fresh sum is known
-    std::optional<std::map<std::uint64_t, double>> others(TimePoint now) const;
+    std::optional<EngineLoads> others(TimePoint now) const;
 
     bool isCollector() const;
 
--- a/src/relay/LoadReport.h
+++ b/src/relay/LoadReport.h
@@ -3,18 +3,22 @@
 #include "crocusmount/Ids.h"
 
 #include <cstdint>
+#include <map>
 #include <vector>
 
 namespace crocusmount::relay {
 
-/// KV cache that calls hold on one engine.
+/// What calls hold on one engine.
 struct EngineLoad {
     std::uint64_t engine = 0; ///< key of its id, see engineKey
     double tokenLayers = 0; ///< tokens times layers, estimated by the instances that sent the calls there
+    double calls = 0; ///< that entered there: each takes one of its slots
 
     bool operator==(const EngineLoad&) const = default;
 };
 
+using EngineLoads = std::map<std::uint64_t, EngineLoad>; ///< by engine
+
 /// Whose calls a report counts.
 enum class LoadScope {
     Instance, ///< the sender's
--- a/src/relay/RelayEvent.h
+++ b/src/relay/RelayEvent.h
@@ -2,9 +2,9 @@
 
 #include "crocusmount/Ids.h"
 #include "relay/CallSpec.h"
+#include "relay/LoadReport.h"
 #include "relay/RegisteredServer.h"
 
-#include <map>
 #include <memory>
 #include <optional>
 #include <variant>
@@ -47,7 +47,7 @@
 
     /// What the other instances have running on the engines, by engineKey; nothing where that is not known.
     struct LoadsReported {
-        std::optional<std::map<std::uint64_t, double>> tokenLayers;
+        std::optional<EngineLoads> loads;
     };
 
     struct CallArrived {
@@ -97,8 +97,9 @@
 } // namespace event
 
 using RelayEventBody = std::variant<event::ConfigurationAccepted, event::ServerRegistered, event::ServerUnregistered,
-    event::InstancesCounted, event::LoadsReported, event::CallArrived, event::CallerLeft, event::AttemptSent, event::EventDelivered,
-    event::AttemptEnded, event::RerouteAnswered, event::StalledStageNamed, event::DrainRequested, event::Tick>;
+    event::InstancesCounted, event::LoadsReported, event::CallArrived, event::CallerLeft, event::AttemptSent,
+    event::EventDelivered, event::AttemptEnded, event::RerouteAnswered, event::StalledStageNamed, event::DrainRequested,
+    event::Tick>;
 
 /// Something that happened, with all the time and entropy that the relay may use for it.
 struct RelayEvent {
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -118,10 +118,7 @@
     m_placer.setInstances(m_instances);
 }
 
-void RelayReducer::on(const event::LoadsReported& reported, Context&)
-{
-    m_fleet.setOthersLoad(reported.tokenLayers);
-}
+void RelayReducer::on(const event::LoadsReported& reported, Context&) { m_fleet.setOthersLoad(reported.loads); }
 
 void RelayReducer::on(const event::DrainRequested&, Context& context)
 {
--- a/src/relay/ServerFleet.cpp
+++ b/src/relay/ServerFleet.cpp
@@ -21,7 +21,7 @@
     if (!added && position->second.entry == entry)
         return false;
     position->second.entry = entry;
-    position->second.key = engineKey(entry.id);
+    position->second.others.engine = engineKey(entry.id);
     return true;
 }
 
@@ -61,13 +61,17 @@
         --first->ownCalls;
 }
 
-void ServerFleet::setOthersLoad(const std::optional<std::map<std::uint64_t, double>>& loads)
+void ServerFleet::setOthersLoad(const std::optional<EngineLoads>& loads)
 {
     m_knowsOthers = loads.has_value();
     for (auto& [id, server] : m_servers) {
-        const auto found = loads ? loads->find(server.key) : std::map<std::uint64_t, double>::const_iterator();
-        server.othersTokenLayers = loads && found != loads->end() ? found->second : 0;
-        server.reportedTokenLayers = server.ownTokenLayers;
+        EngineLoad heard { server.others.engine };
+        if (loads) {
+            if (const auto found = loads->find(heard.engine); found != loads->end())
+                heard = found->second;
+        }
+        server.others = heard;
+        server.reported = server.ownLoad();
     }
 }
 
@@ -76,7 +80,7 @@
     std::vector<EngineLoad> loads;
     for (const auto& [id, server] : m_servers) {
         if (server.ownTokenLayers > 0)
-            loads.push_back({ server.key, server.ownTokenLayers });
+            loads.push_back(server.ownLoad());
     }
     return loads;
 }
--- a/src/relay/ServerFleet.h
+++ b/src/relay/ServerFleet.h
@@ -16,13 +16,14 @@
     RegisteredServer entry;
     std::uint32_t ownCalls = 0; ///< of this instance, running there as first stage or alone
     double ownTokenLayers = 0; ///< KV cache that this instance's calls hold there, estimated
-    double reportedTokenLayers = 0; ///< the same when it was last told to others
-    double othersTokenLayers = 0; ///< what the other instances' calls hold, as far as reported
-    std::uint64_t key = 0; ///< engineKey of its id
+    EngineLoad reported; ///< what this instance's calls held when the other instances were last heard
+    EngineLoad others; ///< what the other instances' calls held then
     double failureRate = 0; ///< moving average of failed over all attempts
     std::uint32_t failuresInRow = 0;
     TimePoint avoidUntil; ///< no new work before, where another server will do
     TimePoint lastProgress; ///< last event of any call through it
+
+    EngineLoad ownLoad() const { return { others.engine, ownTokenLayers, static_cast<double>(ownCalls) }; }
 };
 
 /// All registered backend servers.
@@ -40,7 +41,7 @@
     void book(const Chain&, double tokens);
     void unbook(const Chain&, double tokens);
     /// Takes in what the other instances hold on each engine, by engineKey; nothing: that is not known.
-    void setOthersLoad(const std::optional<std::map<std::uint64_t, double>>&);
+    void setOthersLoad(const std::optional<EngineLoads>&);
     bool knowsOthersLoad() const { return m_knowsOthers; }
     /// @return what this instance's calls hold on each engine that they use
     std::vector<EngineLoad> ownLoads() const;
--- a/src/relay/ServiceConfiguration.h
+++ b/src/relay/ServiceConfiguration.h
@@ -60,6 +60,7 @@
     double stepMs = 1; ///< one token through all layers on the reference card
     std::uint32_t stride = 1; ///< steps of one pass
     double loadSeconds = 0; ///< of all layers
+    double usualTokens = 1000; ///< prompt and answer of a usual call
     std::vector<AcceleratorKind> kinds;
 
     /// @return the kind of that name, or null
--- a/src/shell/PeerCodec.cpp
+++ b/src/shell/PeerCodec.cpp
@@ -3,7 +3,6 @@
 #include "generated/peer_types.h"
 #include "shell/ThriftBytes.h"
 
-
 namespace crocusmount {
 
 namespace {
