--- a/src/planning/LayerPlanner.cpp
+++ b/src/planning/LayerPlanner.cpp
@@ -26,10 +26,8 @@
     constexpr std::size_t MostAtOnce = 2;
 
     /// What each holder of the first layer is worth, in layers, while a data centre has too few of them. Calls enter
-    /// there, and each takes a slot for as long as it runs. Engines with few layers give up less for it.
+    /// there, and each takes a slot for as long as it runs.
     constexpr double EntryWorth = 2;
-    constexpr double SmallEntryWorth = 6;
-    constexpr std::uint32_t SmallPart = 8; ///< of the model, at most one such part is held by a small engine
     /// Part of the slots that are taken when the memory of a data centre is full.
     constexpr double SlotUse = 0.6;
 
@@ -57,9 +55,7 @@
         double worth(const DataCentreId& dataCentre, const LayerRange& range)
         {
             const auto& local = m_local.try_emplace(dataCentre, m_layers).first->second;
-            double sum = 0;
-            if (range.begin == 0 && local[0] < m_entries[dataCentre])
-                sum = range.size() <= m_layers / SmallPart ? SmallEntryWorth : EntryWorth;
+            double sum = range.begin == 0 && local[0] < m_entries[dataCentre] ? EntryWorth : 0;
             for (std::uint32_t layer = range.begin; layer < std::min(range.end, m_layers); ++layer)
                 sum += std::pow(LocalDecay, local[layer]) + GlobalWeight * std::pow(GlobalDecay, m_all[layer]);
             return sum;
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-    /// How long a stage is left alone after it turned a call away: it is full, and some streams end within this time.
-    constexpr Duration FullPause = std::chrono::milliseconds(250);
     /// Status of a server that is not the one expected, or does not hold the layers that it was asked for.
     constexpr unsigned Misdirected = 421;
     /// A retry that waits for room gives up after this; by then the caller's own limit is near.
@@ -265,17 +263,23 @@
             call.main = *call.second;
         call.second.reset();
     } else {
-        call.addAvoided(attempt.server);
+        call.addAvoided(blamedFor(attempt, ended));
         retryOrFinish(call, reasonOf(ended.result), context);
     }
     dispatchAll(context);
 }
 
+/// @return the stage that the answer names, else the server that was asked
+BackendId RelayReducer::blamedFor(const Attempt& attempt, const event::AttemptEnded& ended)
+{
+    const FleetServer* named = ended.culprit.empty() ? nullptr : m_fleet.findByAddress(ended.culprit);
+    return named ? named->entry.id : attempt.server;
+}
+
 void RelayReducer::noteOutcome(
     const Attempt& attempt, const Call& call, const event::AttemptEnded& ended, Context& context)
 {
-    const FleetServer* named = ended.culprit.empty() ? nullptr : m_fleet.findByAddress(ended.culprit);
-    const BackendId blamed = named ? named->entry.id : attempt.server;
+    const BackendId blamed = blamedFor(attempt, ended);
     switch (ended.result) {
     case AttemptResult::NotRun:
         if (ended.status == Misdirected) {
@@ -284,7 +288,7 @@
             return;
         }
         queueOf(call).limit().rejected(queueOf(call).running(), context.now);
-        m_fleet.suspect(blamed, context.now + FullPause);
+        m_fleet.turnedAway(blamed, context.now);
         return;
     case AttemptResult::ConnectFailed:
     case AttemptResult::Broken:
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -74,6 +74,7 @@
     void cancel(Call&, const Attempt&, Context&);
     void release(Call&, const Attempt&, Context&);
     void keepOnly(Call&, AttemptId, Context&);
+    BackendId blamedFor(const Attempt&, const event::AttemptEnded&);
     void noteOutcome(const Attempt&, const Call&, const event::AttemptEnded&, Context&);
     void retryOrFinish(Call&, Reason, Context&);
     bool mayRetry(const Call&, const Context&) const;
--- a/src/relay/ServerFleet.cpp
+++ b/src/relay/ServerFleet.cpp
@@ -11,6 +11,8 @@
     /// A failure's weight: three in a row bring the rate above a half.
     constexpr double FailureWeight = 0.25;
     constexpr Duration FirstAvoidance = std::chrono::milliseconds(500);
+    /// How long a server is left alone after it turned a call away; some streams end within this time.
+    constexpr Duration FullPause = std::chrono::milliseconds(250);
     constexpr std::uint32_t MostDoublings = 3; ///< longest avoidance: 4 s, about the time a dead server stays listed
 
 } // namespace
@@ -88,8 +90,10 @@
 void ServerFleet::progressed(const Chain& chain, TimePoint now)
 {
     for (const Hop& hop : chain.hops()) {
-        if (FleetServer* server = find(hop.backend))
+        if (FleetServer* server = find(hop.backend)) {
             server->lastProgress = now;
+            server->rejectionsInRow = 0;
+        }
     }
 }
 
@@ -113,6 +117,15 @@
     server->failuresInRow = 0;
 }
 
+void ServerFleet::turnedAway(const BackendId& id, TimePoint now)
+{
+    FleetServer* server = find(id);
+    if (!server)
+        return;
+    suspect(id, now + FullPause * (1U << std::min(server->rejectionsInRow, MostDoublings)));
+    ++server->rejectionsInRow;
+}
+
 void ServerFleet::suspect(const BackendId& id, TimePoint until)
 {
     if (FleetServer* server = find(id))
--- a/src/relay/ServerFleet.h
+++ b/src/relay/ServerFleet.h
@@ -20,6 +20,7 @@
     EngineLoad others; ///< what the other instances' calls held then
     double failureRate = 0; ///< moving average of failed over all attempts
     std::uint32_t failuresInRow = 0;
+    std::uint32_t rejectionsInRow = 0; ///< calls turned away since the last event through it
     TimePoint avoidUntil; ///< no new work before, where another server will do
     TimePoint lastProgress; ///< last event of any call through it
 
@@ -51,6 +52,10 @@
     /// Notes a failed attempt: the server is avoided for a time that doubles with each failure in a row.
     void failed(const BackendId&, TimePoint now);
     void succeeded(const BackendId&);
+    /// Notes that a server turned a call away. A full one has room again as soon as some streams end; one that turns
+    /// call after call away while nothing comes from it, as in a drain that the list does not show yet, is avoided for
+    /// a time that doubles.
+    void turnedAway(const BackendId&, TimePoint now);
     /// Notes that a server stands still. @param until  it is avoided so long
     void suspect(const BackendId&, TimePoint until);
 
--- a/tests/RelayReducerTest.cpp
+++ b/tests/RelayReducerTest.cpp
@@ -71,6 +71,42 @@
     }
 }
 
+// skanas-profili-grown trouble-3: engines left while the store was away, and turned away a third of the calls for 8 s.
+TEST(RelayReducer, AStageThatKeepsTurningCallsAwayIsLeftAloneForLonger)
+{
+    RelayHarness harness;
+    int rejected = 0;
+    for (int i = 0; i < 200; ++i) {
+        for (auto start = std::optional(harness.running("/draft/1")); start;
+             start = harness.last<relay::effect::StartAttempt>()) {
+            const Hop last = start->chain.hops().back();
+            if (last.backend == BackendId("b")) {
+                ++rejected;
+                harness.send(relay::event::AttemptEnded { start->attempt, AttemptResult::NotRun, 503, last.address });
+                continue;
+            }
+            harness.events(start->attempt, 1, 1);
+            harness.send(relay::event::AttemptEnded { start->attempt, AttemptResult::Completed, 200, "" });
+        }
+        harness.tick(milliseconds(20));
+    }
+    // 8 s: pauses of 250 ms alone would let 16 and more calls run into it.
+    CHECK_TRUE(rejected >= 1);
+    CHECK_TRUE(rejected <= 7);
+}
+
+TEST(RelayReducer, TheStageThatAnAnswerNamesIsAvoidedNotTheFirst)
+{
+    RelayHarness harness;
+    const auto start = harness.running("/draft/1");
+    const Hop last = start.chain.hops().back();
+    harness.send(relay::event::AttemptEnded { start.attempt, AttemptResult::NotRun, 503, last.address });
+    const auto next = harness.last<relay::effect::StartAttempt>();
+    CHECK_TRUE(next.has_value());
+    CHECK_FALSE(next->chain.contains(last.backend));
+    CHECK_TRUE(harness.reducer().fleet().servers().at(start.server).rejectionsInRow == 0);
+}
+
 // What may follow the end of an attempt whose bytes were sent, by kind of call.
 TEST(RelayReducer, FailedAttemptsAreTriedAgainOnlyWhereThatIsSafe)
 {
