--- a/programs/crocusmount-entry.cpp
+++ b/programs/crocusmount-entry.cpp
@@ -127,6 +127,12 @@
         gauges.storeAgeMs = m_mirror.age().count();
         gauges.storeCalls = m_store.calls();
         gauges.logLinesDropped = relay::DecisionLog::dropped();
+        gauges.fedByPeer = m_mirror.isFed();
+        if (m_peerLink) {
+            gauges.peerBytesSent = m_peerLink->traffic().sentBytes;
+            gauges.peerDatagramsReceived = m_peerLink->traffic().received;
+            gauges.peerDatagramsMalformed = m_peerLink->traffic().malformed;
+        }
         return relay::renderMetrics(reducer.counters(), gauges, m_node.latencies());
     }
 
--- a/src/admission/RetryBudget.h
+++ b/src/admission/RetryBudget.h
@@ -16,6 +16,14 @@
     {
     }
 
+    /// Changes how many retries can be saved up, as instances that share the whole come and go. What is saved stays, up
+    /// to the new limit.
+    void setBurst(double burst)
+    {
+        m_burst = burst;
+        m_saved = std::min(m_saved, burst);
+    }
+
     void earn() { m_saved = std::min(m_burst, m_saved + m_ratio); }
 
     /// @return whether one more retry is allowed; it is then spent
--- a/src/edge/InstanceRegistry.cpp
+++ b/src/edge/InstanceRegistry.cpp
@@ -62,14 +62,15 @@
     }
     if (event.deleted) {
         m_others.erase(key);
-    } else if (textOf(parseObject(event.entry.value), "address") == m_self.address) {
-        return; // This instance's own, from before its restart.
     } else {
         const boost::json::object value = parseObject(event.entry.value);
-        // A restarted instance takes the place of the one before, whose lease may have a while to run.
-        std::erase_if(m_others, [&](const auto& other) { return other.second.address == textOf(value, "address"); });
-        m_others[key] = { key.substr(std::string_view(InstancePrefix).size()), textOf(value, "address"),
+        Entry entry { key.substr(std::string_view(InstancePrefix).size()), textOf(value, "address"),
             textOf(value, "data_centre"), textOf(value, "peer_address") };
+        if (entry.address == m_self.address)
+            return; // This instance's own, from before its restart.
+        // A restarted instance takes the place of the one before, whose lease may have a while to run.
+        std::erase_if(m_others, [&](const auto& other) { return other.second.address == entry.address; });
+        m_others[key] = std::move(entry);
     }
     relay::DecisionLog::state(event.deleted ? "instance_gone" : "instance_seen",
         { { "other", key }, { "instances", count() }, { "revision", event.entry.modRevision } });
--- a/src/edge/RelayMetrics.cpp
+++ b/src/edge/RelayMetrics.cpp
@@ -33,6 +33,13 @@
     families.addGauge("crocusmount_store_age_ms", "Since the store last answered", double(gauges.storeAgeMs));
     families.addCounter("crocusmount_store_calls_total", "Calls to the store", double(gauges.storeCalls));
     families.addCounter("crocusmount_log_lines_dropped_total", "Log lines left out", double(gauges.logLinesDropped));
+    families.addCounter(
+        "crocusmount_peer_bytes_sent_total", "Datagrams to other instances", double(gauges.peerBytesSent));
+    families.addCounter(
+        "crocusmount_peer_datagrams_total", "Datagrams of other instances", double(gauges.peerDatagramsReceived));
+    families.addCounter(
+        "crocusmount_peer_malformed_total", "Datagrams that were none", double(gauges.peerDatagramsMalformed));
+    families.addGauge("crocusmount_fed_by_peer", "Whether a peer passes the store's changes on", gauges.fedByPeer);
     families.addHistogram(
         "crocusmount_first_event_seconds", "Streams: from arrival to the first event", latencies.firstEvent);
     families.addHistogram("crocusmount_longest_gap_seconds", "Streams: longest pause", latencies.longestGap);
--- a/src/edge/RelayMetrics.h
+++ b/src/edge/RelayMetrics.h
@@ -21,6 +21,10 @@
     std::int64_t storeAgeMs = 0;
     std::uint64_t storeCalls = 0;
     std::uint64_t logLinesDropped = 0;
+    std::uint64_t peerBytesSent = 0; ///< in datagrams to other instances, without their headers
+    std::uint64_t peerDatagramsReceived = 0;
+    std::uint64_t peerDatagramsMalformed = 0;
+    bool fedByPeer = false; ///< another instance passes the store's changes on
 };
 
 /// Spans of time that callers saw on this instance.
--- a/src/relay/CallPlacer.h
+++ b/src/relay/CallPlacer.h
@@ -21,6 +21,8 @@
     CallPlacer(const RelayOptions&, const ServerFleet&);
 
     void setInstances(std::uint32_t instances) { m_instances = instances; }
+    /// @return instances that share the backend servers, this one included
+    std::uint32_t instances() const { return m_instances; }
 
     /// @param entropy  uniform; spreads choices of equal cost
     /// @return the cheapest server or chain with room, or nothing
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -112,8 +112,9 @@
 
 void RelayReducer::on(const event::InstancesCounted& counted, Context&)
 {
-    m_instances = std::max(1U, counted.instances);
-    m_placer.setInstances(m_instances);
+    m_placer.setInstances(std::max(1U, counted.instances));
+    for (auto& [service, budget] : m_budgets)
+        budget.setBurst(retryBurst());
 }
 
 void RelayReducer::on(const event::LoadsReported& reported, Context&) { m_fleet.setOthersLoad(reported.loads); }
@@ -479,10 +480,12 @@
     }
 }
 
+/// This instance's share of the retries that all may make beyond the ratio.
+double RelayReducer::retryBurst() const { return std::max(2.0, m_options.retrySlack / m_placer.instances()); }
+
 RetryBudget& RelayReducer::budgetOf(const ServiceId& service)
 {
-    const double burst = std::max(2.0, m_options.retrySlack / m_instances);
-    return m_budgets.try_emplace(service, m_options.retryRatio, burst).first->second;
+    return m_budgets.try_emplace(service, m_options.retryRatio, retryBurst()).first->second;
 }
 
 } // namespace crocusmount::relay
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -93,6 +93,7 @@
     void remove(RequestId);
     Call* findByAttempt(AttemptId);
     ServiceQueue& queueOf(const Call& call) { return m_services[call.service]; }
+    double retryBurst() const;
     RetryBudget& budgetOf(const ServiceId&);
 
     RelayOptions m_options;
@@ -106,7 +107,6 @@
     std::map<ServiceId, ServiceQueue> m_services;
     std::map<ServiceId, RetryBudget> m_budgets;
     std::map<BackendId, TimePoint> m_moveOffAt; ///< servers that leave, with the time at which streams are moved
-    std::uint32_t m_instances = 1;
     std::uint64_t m_nextAttempt = 1;
     std::optional<TimePoint> m_drainedAt;
 };
--- a/tests/RelayReducerTest.cpp
+++ b/tests/RelayReducerTest.cpp
@@ -107,6 +107,35 @@
     CHECK_TRUE(harness.reducer().fleet().servers().at(start.server).rejectionsInRow == 0);
 }
 
+// The burst was taken from the count of instances at the first call and kept for the life of the process.
+TEST(RelayReducer, TheShareOfRetriesFollowsTheCountOfInstances)
+{
+    const struct {
+        std::uint32_t first;
+        std::uint32_t then;
+        std::uint64_t retries;
+    } cases[] = { { 1, 20, 2 }, { 20, 20, 2 }, { 1, 1, 10 } };
+    for (const auto& each : cases) {
+        RelayOptions options;
+        options.retryRatio = 0;
+        options.retrySlack = 40;
+        RelayHarness harness(options);
+        harness.send(relay::event::InstancesCounted { each.first });
+        harness.running("/look/1");
+        harness.send(relay::event::InstancesCounted { each.then });
+        std::uint64_t retries = 0;
+        for (int i = 0; i < 10; ++i) {
+            const auto start = harness.running("/look/1");
+            harness.send(relay::event::AttemptEnded { start.attempt, AttemptResult::Broken, 0, "" });
+            const auto retry = harness.last<relay::effect::StartAttempt>();
+            retries += retry ? 1 : 0;
+            if (retry)
+                harness.send(relay::event::AttemptEnded { retry->attempt, AttemptResult::Completed, 200, "" });
+        }
+        CHECK_EQUAL(each.retries, retries);
+    }
+}
+
 // What may follow the end of an attempt whose bytes were sent, by kind of call.
 TEST(RelayReducer, FailedAttemptsAreTriedAgainOnlyWhereThatIsSafe)
 {
