Instances tell each other which servers they avoid; fewer calls to a store that is away

Change: reports carry which servers get no new work (failed, stalled, three calls in a row turned away without an event); two such words count. Renewals back off to 1.2 s; a mirror beside a peer that is heard asks every 1.5 s. Tests: AServerThatOthersAvoidIsAvoided, ServersInTroubleAreToldToOthers.

--- a/src/edge/InstanceRegistry.cpp
+++ b/src/edge/InstanceRegistry.cpp
@@ -14,7 +14,9 @@
     /// A dead instance stays listed this long; each third of it costs one renewal.
     constexpr std::chrono::milliseconds LeaseLifetime { 2000 };
     constexpr std::chrono::milliseconds KeepInterval { 650 };
-    constexpr std::chrono::milliseconds RetryPause { 300 };
+    constexpr std::chrono::milliseconds FirstRetryPause { 300 };
+    /// While the store is away each try costs a call; entries that lapse then are waited for by all mirrors.
+    constexpr std::chrono::milliseconds LongestRetryPause { 1200 };
     /// Clocks of the store and this instance may run apart, and a renewal takes time to arrive.
     constexpr std::chrono::milliseconds LeaseMargin { 300 };
     /// How often a free lock is looked for; instances differ by a random part so that one of them is first.
@@ -105,9 +107,11 @@
 Awaitable<void> InstanceRegistry::keepLoop()
 {
     Timer timer(m_context.get_executor());
+    std::chrono::milliseconds retryPause = FirstRetryPause;
     while (!m_withdrawn) {
         const bool kept = co_await keep();
-        timer.expires_after(kept ? KeepInterval : RetryPause);
+        timer.expires_after(kept ? KeepInterval : retryPause);
+        retryPause = kept ? FirstRetryPause : std::min(retryPause * 2, LongestRetryPause);
         co_await timer.async_wait(net::as_tuple(useAwaitable));
     }
 }
--- a/src/edge/PeerDatagramCodec.cpp
+++ b/src/edge/PeerDatagramCodec.cpp
@@ -15,6 +15,8 @@
         return static_cast<std::int32_t>(std::clamp(value, 0.0, Most));
     }
 
+    double fromCount(std::int32_t value) { return std::max(0.0, static_cast<double>(value)); }
+
     wire::LoadReport toWire(const relay::LoadReport& report)
     {
         wire::LoadReport out;
@@ -27,23 +29,24 @@
             out.engines.push_back(static_cast<std::int64_t>(load.engine));
             out.tokenLayers.push_back(toCount(load.tokenLayers));
             out.calls.push_back(toCount(load.calls));
+            out.avoiders.push_back(toCount(load.avoiders));
         }
         return out;
     }
 
     absl::StatusOr<relay::LoadReport> fromWire(const wire::LoadReport& in)
     {
-        if (in.engines.size() != in.tokenLayers.size() || in.engines.size() != in.calls.size())
+        const std::size_t count = in.engines.size();
+        if (count != in.tokenLayers.size() || count != in.calls.size() || count != in.avoiders.size())
             return absl::InvalidArgumentError("lists of different length");
         if (in.scope < wire::LoadScope::INSTANCE || in.scope > wire::LoadScope::FLEET)
             return absl::InvalidArgumentError("unknown scope");
         relay::LoadReport report { InstanceId(in.sender), DataCentreId(in.dataCentre),
             static_cast<std::uint64_t>(in.sequence), static_cast<relay::LoadScope>(in.scope),
             static_cast<std::uint32_t>(std::max(1, in.instances)), {} };
-        for (std::size_t i = 0; i < in.engines.size(); ++i) {
-            report.engines.push_back(
-                { static_cast<std::uint64_t>(in.engines[i]), std::max(0.0, static_cast<double>(in.tokenLayers[i])),
-                    std::max(0.0, static_cast<double>(in.calls[i])) });
+        for (std::size_t i = 0; i < count; ++i) {
+            report.engines.push_back({ static_cast<std::uint64_t>(in.engines[i]), fromCount(in.tokenLayers[i]),
+                fromCount(in.calls[i]), fromCount(in.avoiders[i]) });
         }
         return report;
     }
--- a/src/edge/PeerLink.cpp
+++ b/src/edge/PeerLink.cpp
@@ -123,7 +123,7 @@
             "store_follower", { { "watches", m_watchedStore }, { "instances", m_registry.count() } });
         m_onFollower(m_watchedStore);
     }
-    for (auto& each : m_exchange.makeRound(m_node.reducer().fleet().ownLoads(), m_node.now())) {
+    for (auto& each : m_exchange.makeRound(m_node.reducer().fleet().ownLoads(m_node.now()), m_node.now())) {
         PeerDatagram datagram { std::move(each.report), std::nullopt, std::nullopt };
         if (datagram.loads->scope == relay::LoadScope::Fleet && watchesStore() && m_mirror.isComplete())
             datagram.storeProgress = m_mirror.progress();
--- a/src/edge/StoreMirror.cpp
+++ b/src/edge/StoreMirror.cpp
@@ -11,6 +11,8 @@
     constexpr std::chrono::milliseconds FirstPause { 100 };
     /// Keeps the copy no later than this behind the store's return.
     constexpr std::chrono::milliseconds LongestPause { 400 };
+    /// The same where a peer that asks the store more often is heard: its word comes at once when the store is back.
+    constexpr std::chrono::milliseconds LongestPauseBesidePeer { 1500 };
     /// A silence that may have made other clients' leases lapse: shorter ones are retried calls.
     constexpr std::chrono::milliseconds Outage { 1000 };
     /// After this, a call to a store that has fallen silent fails.
@@ -71,7 +73,8 @@
         lostContact(status);
         timer.expires_after(pause);
         co_await timer.async_wait(net::as_tuple(useAwaitable));
-        pause = m_inContact ? FirstPause : std::min(pause * 2, LongestPause);
+        const bool peerAsks = std::chrono::steady_clock::now() < m_peerHeardUntil;
+        pause = m_inContact ? FirstPause : std::min(pause * 2, peerAsks ? LongestPauseBesidePeer : LongestPause);
     }
 }
 
@@ -129,6 +132,7 @@
 void StoreMirror::peerIsAt(const Progress& peer)
 {
     const auto now = std::chrono::steady_clock::now();
+    m_peerHeardUntil = now + PeerWordLifetime;
     if (!m_complete || peer.age > OldestPeerAnswer)
         return;
     m_fedUntil = now + std::min(PeerWordLifetime, OldestPeerAnswer - peer.age);
--- a/src/edge/StoreMirror.h
+++ b/src/edge/StoreMirror.h
@@ -73,6 +73,7 @@
     std::chrono::steady_clock::time_point m_lostSince;
     std::chrono::steady_clock::time_point m_trustDeletionsFrom;
     std::chrono::steady_clock::time_point m_fedUntil;
+    std::chrono::steady_clock::time_point m_peerHeardUntil;
     std::chrono::steady_clock::time_point m_behindSince; ///< of the peer's revision, where it is higher
     std::int64_t m_peerRevision = 0;
     std::int64_t m_revision = 0;
--- a/src/idl/peer.thrift
+++ b/src/idl/peer.thrift
@@ -57,7 +57,7 @@
 
 enum LoadScope { INSTANCE = 0, DATA_CENTRE = 1, FLEET = 2 }
 
-// What calls hold on engines, in three lists of the same length.
+// What calls hold on engines, in four lists of the same length.
 struct LoadReport {
   1: string sender
   2: string dataCentre
@@ -67,6 +67,7 @@
   6: list<i32> tokenLayers
   7: list<i32> calls
   8: i32 instances
+  9: list<i32> avoiders
 }
 
 // How far the sender's copy of the platform's store is.
--- a/src/relay/CallPlacer.cpp
+++ b/src/relay/CallPlacer.cpp
@@ -13,6 +13,8 @@
 
     /// A server avoided after a failure is still better than none.
     constexpr double AvoidedPenaltyMs = 1000;
+    /// Other instances that avoid a server after which this one does too. One alone may have a fault of its own.
+    constexpr double AvoidersBelieved = 2;
     /// A server on which this very call failed before.
     constexpr double FailedBeforePenaltyMs = 5000;
     /// Part of a stage's pass that an event waits for it.
@@ -74,13 +76,14 @@
 double CallPlacer::penaltyMs(const Call& call, const FleetServer& server, TimePoint now) const
 {
     const bool failedBefore = std::find(call.avoid.begin(), call.avoid.end(), server.entry.id) != call.avoid.end();
-    return (now < server.avoidUntil ? AvoidedPenaltyMs : 0) + (failedBefore ? FailedBeforePenaltyMs : 0);
+    const bool avoided = now < server.avoidUntil || server.others.avoiders >= AvoidersBelieved;
+    return (avoided ? AvoidedPenaltyMs : 0) + (failedBefore ? FailedBeforePenaltyMs : 0);
 }
 
 /// What all instances' calls hold on an engine.
-EngineLoad CallPlacer::loadOn(const FleetServer& server) const
+EngineLoad CallPlacer::loadOn(const FleetServer& server, TimePoint now) const
 {
-    const EngineLoad own = server.ownLoad();
+    const EngineLoad own = server.ownLoad(now);
     if (!m_fleet.knowsOthersLoad())
         return { own.engine, own.tokenLayers * m_instances, own.calls * m_instances };
     const auto total = [&](double mine, double reported, double others) {
@@ -110,7 +113,7 @@
         const AcceleratorKind* card = model.kind(entry.accelerator);
         if (entry.service != call.service || entry.leaving || !entry.layers.size() || !card)
             continue;
-        const EngineLoad load = loadOn(server);
+        const EngineLoad load = loadOn(server, now);
         const double contextTokens = load.tokenLayers / entry.layers.size() + call.tokens;
         const EngineCost cost(model, *card, entry.layers.size(), contextTokens);
         if (cost.fill() > m_options.memoryOvercommit && server.ownTokenLayers > 0)
--- a/src/relay/CallPlacer.h
+++ b/src/relay/CallPlacer.h
@@ -35,7 +35,7 @@
     std::optional<Chain> findChain(
         const Call&, const EngineModel&, const Attempt* running, TimePoint now, std::uint64_t entropy) const;
     std::optional<Placement> findServer(const Call&, TimePoint now, std::uint64_t entropy) const;
-    EngineLoad loadOn(const FleetServer&) const;
+    EngineLoad loadOn(const FleetServer&, TimePoint now) const;
     double penaltyMs(const Call&, const FleetServer&, TimePoint now) const;
 
     const RelayOptions& m_options;
--- a/src/relay/LoadExchange.cpp
+++ b/src/relay/LoadExchange.cpp
@@ -19,6 +19,7 @@
             sum.engine = load.engine;
             sum.tokenLayers += load.tokenLayers;
             sum.calls += load.calls;
+            sum.avoiders += load.avoiders;
         }
     }
 
@@ -175,6 +176,7 @@
             continue;
         found->second.tokenLayers = std::max(0.0, found->second.tokenLayers - own.tokenLayers);
         found->second.calls = std::max(0.0, found->second.calls - own.calls);
+        found->second.avoiders = std::max(0.0, found->second.avoiders - own.avoiders);
     }
     if (listed <= best->instances)
         return sums;
--- a/src/relay/LoadReport.h
+++ b/src/relay/LoadReport.h
@@ -13,6 +13,7 @@
     std::uint64_t engine = 0; ///< key of its id, see engineKey
     double tokenLayers = 0; ///< tokens times layers, estimated by the instances that sent the calls there
     double calls = 0; ///< that entered there: each takes one of its slots
+    double avoiders = 0; ///< instances that send it no new work, because it failed, stalled or turned all away
 
     bool operator==(const EngineLoad&) const = default;
 };
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -117,7 +117,10 @@
         budget.setBurst(retryBurst());
 }
 
-void RelayReducer::on(const event::LoadsReported& reported, Context&) { m_fleet.setOthersLoad(reported.loads); }
+void RelayReducer::on(const event::LoadsReported& reported, Context& context)
+{
+    m_fleet.setOthersLoad(reported.loads, context.now);
+}
 
 void RelayReducer::on(const event::DrainRequested&, Context& context)
 {
--- a/src/relay/ServerFleet.cpp
+++ b/src/relay/ServerFleet.cpp
@@ -13,10 +13,17 @@
     constexpr Duration FirstAvoidance = std::chrono::milliseconds(500);
     /// How long a server is left alone after it turned a call away; some streams end within this time.
     constexpr Duration FullPause = std::chrono::milliseconds(250);
+    /// Calls turned away in a row, without an event through the server, that are more than a full memory.
+    constexpr std::uint32_t TroubleRejections = 3;
     constexpr std::uint32_t MostDoublings = 3; ///< longest avoidance: 4 s, about the time a dead server stays listed
 
 } // namespace
 
+EngineLoad FleetServer::ownLoad(TimePoint now) const
+{
+    return { others.engine, ownTokenLayers, static_cast<double>(ownCalls), now < troubleUntil ? 1.0 : 0.0 };
+}
+
 bool ServerFleet::upsert(const RegisteredServer& entry)
 {
     const auto [position, added] = m_servers.try_emplace(entry.id);
@@ -63,7 +70,7 @@
         --first->ownCalls;
 }
 
-void ServerFleet::setOthersLoad(const std::optional<EngineLoads>& loads)
+void ServerFleet::setOthersLoad(const std::optional<EngineLoads>& loads, TimePoint now)
 {
     m_knowsOthers = loads.has_value();
     for (auto& [id, server] : m_servers) {
@@ -73,16 +80,17 @@
                 heard = found->second;
         }
         server.others = heard;
-        server.reported = server.ownLoad();
+        server.reported = server.ownLoad(now);
     }
 }
 
-std::vector<EngineLoad> ServerFleet::ownLoads() const
+std::vector<EngineLoad> ServerFleet::ownLoads(TimePoint now) const
 {
     std::vector<EngineLoad> loads;
     for (const auto& [id, server] : m_servers) {
-        if (server.ownTokenLayers > 0)
-            loads.push_back(server.ownLoad());
+        const EngineLoad load = server.ownLoad(now);
+        if (load.tokenLayers > 0 || load.avoiders > 0)
+            loads.push_back(load);
     }
     return loads;
 }
@@ -93,6 +101,7 @@
         if (FleetServer* server = find(hop.backend)) {
             server->lastProgress = now;
             server->rejectionsInRow = 0;
+            server->troubleUntil = {};
         }
     }
 }
@@ -105,6 +114,7 @@
     server->failureRate += FailureWeight * (1 - server->failureRate);
     const Duration avoidance = FirstAvoidance * (1U << std::min(server->failuresInRow, MostDoublings));
     server->avoidUntil = std::max(server->avoidUntil, now + avoidance);
+    server->troubleUntil = server->avoidUntil;
     ++server->failuresInRow;
 }
 
@@ -122,14 +132,19 @@
     FleetServer* server = find(id);
     if (!server)
         return;
-    suspect(id, now + FullPause * (1U << std::min(server->rejectionsInRow, MostDoublings)));
-    ++server->rejectionsInRow;
+    const TimePoint until = now + FullPause * (1U << std::min(server->rejectionsInRow, MostDoublings));
+    server->avoidUntil = std::max(server->avoidUntil, until);
+    if (++server->rejectionsInRow >= TroubleRejections)
+        server->troubleUntil = server->avoidUntil;
 }
 
 void ServerFleet::suspect(const BackendId& id, TimePoint until)
 {
-    if (FleetServer* server = find(id))
-        server->avoidUntil = std::max(server->avoidUntil, until);
+    FleetServer* server = find(id);
+    if (!server)
+        return;
+    server->avoidUntil = std::max(server->avoidUntil, until);
+    server->troubleUntil = server->avoidUntil;
 }
 
 } // namespace crocusmount::relay
--- a/src/relay/ServerFleet.h
+++ b/src/relay/ServerFleet.h
@@ -22,9 +22,11 @@
     std::uint32_t failuresInRow = 0;
     std::uint32_t rejectionsInRow = 0; ///< calls turned away since the last event through it
     TimePoint avoidUntil; ///< no new work before, where another server will do
+    TimePoint troubleUntil; ///< the same, but only after signs that no call at all gets through
     TimePoint lastProgress; ///< last event of any call through it
 
-    EngineLoad ownLoad() const { return { others.engine, ownTokenLayers, static_cast<double>(ownCalls) }; }
+    /// @return what this instance tells others of it
+    EngineLoad ownLoad(TimePoint now) const;
 };
 
 /// All registered backend servers.
@@ -42,10 +44,10 @@
     void book(const Chain&, double tokens);
     void unbook(const Chain&, double tokens);
     /// Takes in what the other instances hold on each engine, by engineKey; nothing: that is not known.
-    void setOthersLoad(const std::optional<EngineLoads>&);
+    void setOthersLoad(const std::optional<EngineLoads>&, TimePoint now);
     bool knowsOthersLoad() const { return m_knowsOthers; }
     /// @return what this instance's calls hold on each engine that they use
-    std::vector<EngineLoad> ownLoads() const;
+    std::vector<EngineLoad> ownLoads(TimePoint now) const;
 
     void progressed(const Chain&, TimePoint now);
 
--- a/tests/LoadExchangeTest.cpp
+++ b/tests/LoadExchangeTest.cpp
@@ -262,3 +262,42 @@
             CHECK_FALSE(harness.running("/draft/1").server == BackendId(busy));
     }
 }
+
+// skanas-profili-grown trouble-3: each of 59 instances found out by itself which engines had left.
+TEST(LoadExchange, AServerThatOthersAvoidIsAvoided)
+{
+    const struct {
+        double avoiders;
+        bool avoided;
+    } cases[] = { { 1, false }, { 2, true }, { 20, true } };
+    for (const auto& each : cases) {
+        RelayHarness harness;
+        EngineLoads loads;
+        const std::uint64_t key = engineKey(BackendId("b"));
+        loads[key] = { key, 0, 0, each.avoiders };
+        harness.send(relay::event::LoadsReported { loads });
+        bool used = false;
+        for (int i = 0; i < 12; ++i)
+            used = used || harness.running("/draft/1").chain.contains(BackendId("b"));
+        CHECK_EQUAL(each.avoided, !used);
+    }
+}
+
+TEST(LoadExchange, ServersInTroubleAreToldToOthers)
+{
+    RelayHarness harness;
+    const auto avoids = [&](const BackendId& id) {
+        for (const EngineLoad& load : harness.reducer().fleet().ownLoads(harness.now())) {
+            if (load.engine == engineKey(id) && load.avoiders > 0)
+                return true;
+        }
+        return false;
+    };
+    const auto start = harness.running("/draft/1");
+    const Hop last = start.chain.hops().back();
+    CHECK_FALSE(avoids(last.backend));
+    harness.send(relay::event::AttemptEnded { start.attempt, AttemptResult::Broken, 200, last.address });
+    CHECK_TRUE(avoids(last.backend));
+    harness.tick(std::chrono::seconds(5));
+    CHECK_FALSE(avoids(last.backend));
+}
