--- a/src/planning/LayerPlanner.cpp
+++ b/src/planning/LayerPlanner.cpp
@@ -24,12 +24,28 @@
     /// The same after each holder anywhere.
     constexpr double GlobalDecay = 0.5;
     constexpr double GlobalWeight = 0.5;
-    /// Least gain of a move, for each layer moved: about what the first holder in a data centre is worth beside a
-    /// second. A move costs its load, and the engine serves nothing meanwhile.
-    constexpr double MoveThreshold = 0.4;
+    /// Least gain of a move, for each layer moved: less than what a first holder in a data centre is worth beside one
+    /// more where a fast and a slow one are (0.9 against 0.5). A move costs its load, and the engine serves nothing
+    /// meanwhile.
+    constexpr double MoveThreshold = 0.3;
     /// Orders under way with which no engine is moved: the store of weights is shared, and each takes capacity out.
     constexpr std::size_t MostAtOnce = 2;
 
+    /// Kinds of card up to this many times slower than the fastest count in full as holders.
+    constexpr double FullWeightFactor = 4;
+    /// What slower ones count: they stand by, and carry a part of the streams.
+    constexpr double SlowWeight = 0.4;
+
+    /// @return what an engine counts as a holder of its layers
+    double holderWeight(const relay::EngineModel& model, const std::string& accelerator)
+    {
+        const auto* kind = model.kind(accelerator);
+        double fastest = kind ? kind->stepFactor : 1;
+        for (const auto& each : model.kinds)
+            fastest = std::min(fastest, each.stepFactor);
+        return !kind || kind->stepFactor <= FullWeightFactor * fastest ? 1 : SlowWeight;
+    }
+
     /// What each holder of the first layer is worth, in layers, while a data centre has too few of them. Calls enter
     /// there, and each takes a slot for as long as it runs.
     constexpr double EntryWorth = 2;
@@ -47,7 +63,8 @@
         {
         }
 
-        void add(const DataCentreId& dataCentre, const LayerRange& range, int holders)
+        /// @param holders  by how many holders the range's layers gain; slow ones count in part
+        void add(const DataCentreId& dataCentre, const LayerRange& range, double holders)
         {
             auto& local = m_local.try_emplace(dataCentre, m_layers).first->second;
             for (std::uint32_t layer = range.begin; layer < std::min(range.end, m_layers); ++layer) {
@@ -83,8 +100,8 @@
 
     private:
         std::uint32_t m_layers;
-        std::vector<int> m_all;
-        std::map<DataCentreId, std::vector<int>> m_local;
+        std::vector<double> m_all;
+        std::map<DataCentreId, std::vector<double>> m_local;
         std::map<DataCentreId, double> m_entries;
     };
 
@@ -120,7 +137,7 @@
     }
 
     /// Finds the engine whose range is worth more elsewhere.
-    std::optional<LayerPlanner::Order> bestMove(
+    std::optional<LayerPlanner::Order> bestMove(const relay::EngineModel& model,
         const std::vector<LayerPlanner::Engine>& engines, const std::set<BackendId>& moving, Coverage& coverage)
     {
         std::optional<LayerPlanner::Order> best;
@@ -128,11 +145,12 @@
         for (const auto& engine : engines) {
             if (engine.leaving || engine.ordered || !engine.held.size() || moving.count(engine.id))
                 continue;
-            coverage.add(engine.dataCentre, engine.held, -1);
+            const double weight = holderWeight(model, engine.accelerator);
+            coverage.add(engine.dataCentre, engine.held, -weight);
             const LayerRange range = coverage.best(engine.dataCentre, engine.held.size());
             const double gain
                 = coverage.worth(engine.dataCentre, range) - coverage.worth(engine.dataCentre, engine.held);
-            coverage.add(engine.dataCentre, engine.held, 1);
+            coverage.add(engine.dataCentre, engine.held, weight);
             if (gain > MoveThreshold * engine.held.size() && gain > most) {
                 most = gain;
                 best = LayerPlanner::Order { engine.id, range };
@@ -169,7 +187,7 @@
         underWay += engine.ordered ? 1 : 0;
         const LayerRange range = engine.ordered.value_or(engine.held);
         if (range.size()) {
-            coverage.add(engine.dataCentre, range, 1);
+            coverage.add(engine.dataCentre, range, holderWeight(model, engine.accelerator));
             continue;
         }
         const auto* kind = model.kind(engine.accelerator);
@@ -183,18 +201,19 @@
     std::vector<Order> orders;
     for (const Empty& each : empty) {
         const LayerRange range = coverage.best(each.engine->dataCentre, each.count);
-        coverage.add(each.engine->dataCentre, range, 1);
+        coverage.add(each.engine->dataCentre, range, holderWeight(model, each.engine->accelerator));
         orders.push_back({ each.engine->id, range });
     }
     std::set<BackendId> moving;
     while (orders.size() + underWay < MostAtOnce) {
-        const auto move = bestMove(engines, moving, coverage);
+        const auto move = bestMove(model, engines, moving, coverage);
         if (!move)
             break;
         const auto engine
             = std::find_if(engines.begin(), engines.end(), [&](const Engine& each) { return each.id == move->engine; });
-        coverage.add(engine->dataCentre, engine->held, -1);
-        coverage.add(engine->dataCentre, move->layers, 1);
+        const double weight = holderWeight(model, engine->accelerator);
+        coverage.add(engine->dataCentre, engine->held, -weight);
+        coverage.add(engine->dataCentre, move->layers, weight);
         moving.insert(move->engine);
         orders.push_back(*move);
     }
--- a/tests/PlacementTest.cpp
+++ b/tests/PlacementTest.cpp
@@ -119,6 +119,34 @@
     }
 }
 
+// skanas-profili-grown trouble-1: an a100 that came back was sent where slow cards held nothing, not to the layers that
+// only slow cards held.
+TEST(Placement, AFastEngineGoesWhereOnlySlowOnesHoldLayers)
+{
+    const EngineModel model = usersModel();
+    std::vector<LayerPlanner::Engine> engines;
+    const auto add = [&](const std::string& id, const char* kind, LayerRange held) {
+        LayerPlanner::Engine engine;
+        engine.id = BackendId(id);
+        engine.dataCentre = DataCentreId("a");
+        engine.accelerator = kind;
+        engine.slots = 100000;
+        engine.held = held;
+        engines.push_back(engine);
+    };
+    for (std::uint32_t begin = 0; begin < 80; begin += 8)
+        add("l4-" + std::to_string(begin), "l4", { begin, begin + 8 });
+    // As many slow holders of the first 28 layers as the others have in all, and more.
+    for (std::uint32_t begin = 0; begin < 56; begin += 8)
+        add("extra-" + std::to_string(begin), "l4", { begin % 28, begin % 28 + 8 });
+    for (std::uint32_t begin = 28; begin < 80; begin += 5)
+        add("v100-" + std::to_string(begin), "v100", { begin, std::min(80U, begin + 5) });
+    add("back", "a100", {});
+    const auto orders = LayerPlanner::plan(model, engines);
+    CHECK_EQUAL(1U, orders.size());
+    CHECK_TRUE(orders.front().layers.begin <= 1);
+}
+
 // odpoklic-lj-grown scale-1: each call takes a slot of its first stage, and too few engines held the first layer.
 TEST(Placement, MoreEnginesHoldTheFirstLayerWhereSlotsAreFew)
 {
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -240,10 +240,10 @@
         if message.headers.get("x-expect-instance", self.id) != self.id:
             writer.write(response(421, headers={"X-Not-Executed": "1", "X-Attempt-Id": attempt}))
             return True
+        self._check_leaving(attempt)
         if self.kind:
             return await self._stream(message, writer, attempt)
         self.fleet.ran(attempt)
-        self._check_leaving(attempt)
         await asyncio.sleep(0.01)
         body = f"plain {message.headers['x-key']}".encode()
         writer.write(response(200, body, {"X-Attempt-Id": attempt, "X-Server-Seal": self.id}))
@@ -275,7 +275,6 @@
             writer.write(response(status, headers={"X-Not-Executed": "1", "X-Attempt-Id": attempt, "At-Server": culprit}))
             return True
         self.fleet.ran(attempt)
-        self._check_leaving(attempt)
         first = int(message.headers.get("last-event-id", "0")) + 1
         writer.write((f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
                       f"X-Attempt-Id: {attempt}\r\nX-Server-Seal: {self.id}\r\n\r\n").encode())
