--- a/tests/LoadExchangeTest.cpp
+++ b/tests/LoadExchangeTest.cpp
@@ -182,6 +182,7 @@
 {
     for (const int size : { 9, 60, 330 }) {
         std::vector<LoadPeer> peers;
+        peers.reserve(static_cast<std::size_t>(size));
         for (int i = 0; i < size; ++i)
             peers.push_back(peer("i" + std::to_string(i), std::string(1, static_cast<char>('a' + i % 4))));
         Exchange exchange(std::move(peers));
