Soak: a seed fixes the schedule of faults

Cause: callers and faults drew from one generator, so that the callers' timing decided the next fault; found on reading.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -79,7 +79,8 @@
 class Soak:
     def __init__(self, seed, seconds, program, folder, mutate, net, untimed):
         self.untimed = untimed
-        self.random, self.seconds, self.folder, self.mutate = random.Random(seed), seconds, folder, mutate
+        self.seed, self.seconds, self.folder, self.mutate = seed, seconds, folder, mutate
+        self.random = random.Random(f"callers {seed}")
         self.store, self.broken, self.answers = Store(), [], {}
         self.net, self.fleet = net, Fleet(self.store)
         self.store_link = Link(store_link(net), f"{net}.90.1:7000")
@@ -226,13 +227,15 @@
 
     async def faults(self):
         """Series of faults that overlap."""
+        # Callers draw from another generator, and each fault from one of its own: neither can shift what comes next.
+        draws = random.Random(self.seed)
         end = time.monotonic() + self.seconds
         running = []
         kinds = [self.kill, self.term, self.term, self.pause, self.crash, self.drain, self.drain, self.drain,
                  self.drain, self.store_fault, self.link_fault, self.change]
         while time.monotonic() < end:
-            running.append(asyncio.create_task(self.random.choice(kinds)()))
-            await asyncio.sleep(self.random.random() * 1.5)
+            running.append(asyncio.create_task(draws.choice(kinds)(random.Random(draws.random()))))
+            await asyncio.sleep(draws.random() * 1.5)
         await asyncio.gather(*running)
 
     async def restart(self, instance):
@@ -241,15 +244,15 @@
         await instance.start()
         instance.started_calm = time.monotonic()
 
-    async def kill(self):
-        instance = self.random.choice(self.instances)
+    async def kill(self, draws):
+        instance = draws.choice(self.instances)
         if instance.process.returncode is None and instance.term_at is None:
             instance.term_at = 0  # a plain end: not planned
             instance.send(signal.SIGKILL)
             await self.restart(instance)
 
-    async def term(self):
-        instance = self.random.choice(self.instances)
+    async def term(self, draws):
+        instance = draws.choice(self.instances)
         if instance.process.returncode is None and instance.term_at is None:
             instance.term_at = time.monotonic()
             instance.send(signal.SIGTERM)
@@ -260,25 +263,25 @@
                 instance.send(signal.SIGKILL)
             await self.restart(instance)
 
-    async def pause(self):
-        instance = self.random.choice(self.instances)
+    async def pause(self, draws):
+        instance = draws.choice(self.instances)
         if instance.process.returncode is None and instance.term_at is None:
             instance.send(signal.SIGSTOP)
-            await asyncio.sleep(self.random.random() * 3)
+            await asyncio.sleep(draws.random() * 3)
             instance.send(signal.SIGCONT)
             instance.started_calm = time.monotonic()
 
-    async def crash(self):
-        server = self.random.choice(list(self.fleet.servers.values()))
+    async def crash(self, draws):
+        server = draws.choice(list(self.fleet.servers.values()))
         if server.alive and server.state == "ready":
             self.backend_calm = time.monotonic()
-            await server.crash(self.random.choice([0.5, 3.6]))
-            await asyncio.sleep(self.random.random() * 3)
+            await server.crash(draws.choice([0.5, 3.6]))
+            await asyncio.sleep(draws.random() * 3)
             await server.start()
             self.backend_calm = time.monotonic()
 
-    async def drain(self):
-        server = self.random.choice(list(self.fleet.servers.values()))
+    async def drain(self, draws):
+        server = draws.choice(list(self.fleet.servers.values()))
         if server.alive and server.state == "ready" and time.monotonic() - self.store_calm > 3:
             self.backend_calm = time.monotonic()
             server.drain()
@@ -287,26 +290,26 @@
             await server.start()
             self.backend_calm = time.monotonic()
 
-    async def store_fault(self):
+    async def store_fault(self, draws):
         self.store_calm = time.monotonic() + 60
         started = time.monotonic()
-        self.store.mode = self.random.choice(["busy", "silent", "lossy", "ok"])
-        self.store_link.set_mode(self.random.choice(["ok", "ok", "delay", "reset", "mute"]))
-        await asyncio.sleep(self.random.random() * 3)
+        self.store.mode = draws.choice(["busy", "silent", "lossy", "ok"])
+        self.store_link.set_mode(draws.choice(["ok", "ok", "delay", "reset", "mute"]))
+        await asyncio.sleep(draws.random() * 3)
         self.store.mode = "ok"
         self.store_link.set_mode("ok")
         self.store_calm = time.monotonic()
         self.store_faults.append((started, self.store_calm))
 
-    async def link_fault(self):
-        server = self.random.choice(list(self.fleet.servers.values()))
+    async def link_fault(self, draws):
+        server = draws.choice(list(self.fleet.servers.values()))
         self.backend_calm = time.monotonic() + 60
-        server.link.set_mode(self.random.choice(["delay", "reset", "silent", "mute"]))
-        await asyncio.sleep(self.random.random() * 3)
+        server.link.set_mode(draws.choice(["delay", "reset", "silent", "mute"]))
+        await asyncio.sleep(draws.random() * 3)
         server.link.set_mode("ok")
         self.backend_calm = time.monotonic()
 
-    async def change(self):
+    async def change(self, _draws):
         self.routes ^= {"extra"}
         self.changed_at["extra"] = time.monotonic()
         self.configure()
