Fewer checks of engines; the bound on streams keeps headroom by chance

The bound fell to 1.2 times the streams in flight after one late answer, which for a few streams is chance. Change: one check of an engine in two seconds over all instances, not within a second of its answer; headroom of two deviations of the count.

--- a/src/admission/ConcurrencyLimit.cpp
+++ b/src/admission/ConcurrencyLimit.cpp
@@ -1,6 +1,7 @@
 #include "admission/ConcurrencyLimit.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace crocusmount {
 
@@ -16,9 +17,9 @@
     /// The bound grows only while it binds: in flight at least this part of it.
     constexpr double BindingShare = 0.8;
     constexpr double Increase = 1;
-    /// A bound far above what is in flight would take many steps to bind. An instance with few calls sees their number
-    /// vary by chance, so it keeps this multiple of it.
-    constexpr double Headroom = 1.2;
+    /// A bound far above what is in flight would take many steps to bind. The number of calls varies by chance, by the
+    /// square root of their mean, so the bound keeps this many such deviations above it.
+    constexpr double Headroom = 2;
     constexpr double DecreaseFactor = 0.95;
     /// Calls in flight answer to a smaller bound only after some of them ended; until then further decreases overshoot.
     constexpr Duration DecreaseInterval = std::chrono::milliseconds(150);
@@ -40,7 +41,7 @@
     if (now < m_lastDecrease + DecreaseInterval)
         return;
     m_lastDecrease = now;
-    m_limit = std::max(Least, std::min(m_limit, Headroom * inFlight) * DecreaseFactor);
+    m_limit = std::max(Least, std::min(m_limit, inFlight + Headroom * std::sqrt(inFlight + 1)) * DecreaseFactor);
 }
 
 } // namespace crocusmount
--- a/src/relay/EngineCheckBudget.cpp
+++ b/src/relay/EngineCheckBudget.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-    /// Checks of one engine by all instances together, a second. Between two of them a sick engine harms what half a
-    /// second brings; more would show no more, as engines report with a lag of some hundred milliseconds.
-    constexpr double ChecksPerSecond = 2;
+    /// Checks of one engine by all instances together, a second, beside the burst. The users' platforms price a probe
+    /// like a hundredth to a fiftieth of a call: four times as many cost 0.02 of a day's worth on the dearest.
+    constexpr double ChecksPerSecond = 0.5;
 
 } // namespace
 
--- a/src/relay/EngineCheckBudget.h
+++ b/src/relay/EngineCheckBudget.h
@@ -8,7 +8,7 @@
 namespace crocusmount::relay {
 
 /// Bounds the checks that this instance makes of engines, since the platform charges each as a probe. All instances
-/// together may check each engine about twice a second; one chain's stages may be checked at once.
+/// together may check each engine once in two seconds; one chain's stages may be checked at once.
 class EngineCheckBudget {
 public:
     /// Earns checks for the time since the last call.
--- a/src/relay/RelayReducerChecks.cpp
+++ b/src/relay/RelayReducerChecks.cpp
@@ -20,8 +20,9 @@
     constexpr Duration LeastSilence = std::chrono::milliseconds(60);
     /// Part of the objective for which a first event is waited without a question; prompts are read in some 60 ms.
     constexpr double FirstEventShare = 0.3;
-    /// Between two checks of one engine by this instance: its report is some hundred milliseconds old.
+    /// Between two checks of one engine by this instance. One that has just answered is hardly dead.
     constexpr Duration CheckInterval = std::chrono::milliseconds(400);
+    constexpr Duration AnsweredInterval = std::chrono::milliseconds(1000);
     /// Engines that report more than this are checked again, each so often, until they are well.
     constexpr double SlowFactor = 1.5;
     constexpr Duration SlowCheckInterval = std::chrono::milliseconds(1000);
@@ -61,7 +62,8 @@
 void RelayReducer::checkEngine(FleetServer& server, Context& context)
 {
     const bool isEngine = !server.entry.accelerator.empty(); // Servers of plain services give no report.
-    if (!isEngine || server.beingChecked || context.now < server.lastCheck + CheckInterval || !m_checkBudget.spend())
+    const Duration interval = server.unansweredChecks ? CheckInterval : AnsweredInterval;
+    if (!isEngine || server.beingChecked || context.now < server.lastCheck + interval || !m_checkBudget.spend())
         return;
     server.beingChecked = true;
     server.lastCheck = context.now;
