Callers come back after as long again as a shortage has lasted

Cause: refused callers were told to come back within 2 s; a shortage after the loss of an engine lasts five to ten, and most callers come back once: they were refused for good. Change: the time to come back follows how long refusals have lasted, between 1.3 and 4 s, spread by half.

--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -15,6 +15,13 @@
     constexpr Duration RetryWait = std::chrono::milliseconds(800);
     /// Calls that wait for the first configuration; an instance that starts late takes no more.
     constexpr std::size_t MostUnrouted = 256;
+    /// Half of the streams in flight end within about so long.
+    constexpr Duration LeastShortage = std::chrono::milliseconds(1300);
+    /// Callers heed a time to come back up to a third of what they have left, of 20 s on the users' platforms.
+    constexpr Duration LongestShortage = std::chrono::milliseconds(4000);
+    /// Parts of the expected rest of a shortage between which callers come back.
+    constexpr double LeastComeBack = 0.5;
+    constexpr double MostComeBack = 1.5;
     /// Weight of one gap in a stream's usual one.
     constexpr double GapWeight = 0.2;
 
@@ -346,7 +353,9 @@
         context.effects.emplace_back(effect::BreakAnswer { call.id, reason });
     } else {
         const RunState run = call.mayHaveRun ? RunState::MayHaveRun : RunState::NotRun;
-        context.effects.emplace_back(effect::Refuse { call.id, reason, run, comeBackAfter(reason, context) });
+        const Duration comeBack = reason == Reason::NoCapacity ? comeBackAfterShortage(queueOf(call), context)
+                                                               : comeBackAfter(reason, context);
+        context.effects.emplace_back(effect::Refuse { call.id, reason, run, comeBack });
     }
     remove(call.id);
 }
@@ -485,14 +494,22 @@
     case Reason::UnknownRoute:
     case Reason::UnknownKey:
         return Duration(0);
-    case Reason::NoCapacity:
-        // Half of the calls in flight end within about a second; the spread keeps the return from being a wave.
-        return between(600, 2000);
     default:
         return between(200, 600);
     }
 }
 
+/// A shortage that has lasted for some time is expected to last as long again: its causes range from a burst of half a
+/// second to an engine whose layers are loaded elsewhere in five. A caller comes back once or twice only, so one that
+/// comes back too early is not served at all. The spread keeps the return from being a wave.
+Duration RelayReducer::comeBackAfterShortage(ServiceQueue& queue, const Context& context) const
+{
+    const Duration lasted = queue.refused(context.now);
+    const Duration expected = std::clamp(lasted, LeastShortage, LongestShortage);
+    const double part = spread(context.entropy, static_cast<std::uint64_t>(Reason::NoCapacity));
+    return scaled(expected, LeastComeBack + part * (MostComeBack - LeastComeBack));
+}
+
 /// This instance's share of the retries that all may make beyond the ratio.
 double RelayReducer::retryBurst() const { return std::max(2.0, m_options.retrySlack / m_placer.instances()); }
 
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -98,6 +98,7 @@
     bool isStalled(const Call&, TimePoint now) const;
     std::vector<BackendId> stalledStages(const Call&) const;
     Duration comeBackAfter(Reason, const Context&) const;
+    Duration comeBackAfterShortage(ServiceQueue&, const Context&) const;
     void remove(RequestId);
     Call* findByAttempt(AttemptId);
     ServiceQueue& queueOf(const Call& call) { return m_services[call.service]; }
--- a/src/relay/ServiceQueue.cpp
+++ b/src/relay/ServiceQueue.cpp
@@ -11,6 +11,8 @@
     /// Bounds what two ends at the same moment count.
     constexpr double MostEndsPerSecond = 200;
     constexpr double LeastSeconds = 1e-3;
+    /// Without a refusal for this long a shortage is over; streams last some three seconds.
+    constexpr Duration ShortagePause = std::chrono::seconds(2);
 
 } // namespace
 
@@ -22,6 +24,14 @@
     m_endsPerSecond += EndWeight * (std::min(1 / seconds, MostEndsPerSecond) - m_endsPerSecond);
 }
 
+Duration ServiceQueue::refused(TimePoint now)
+{
+    if (now > m_lastRefusal + ShortagePause)
+        m_shortSince = now;
+    m_lastRefusal = now;
+    return now - m_shortSince;
+}
+
 Duration ServiceQueue::expectedWait() const
 {
     if (m_endsPerSecond <= 0)
--- a/src/relay/ServiceQueue.h
+++ b/src/relay/ServiceQueue.h
@@ -21,12 +21,18 @@
     /// @return the expected wait of a call that comes now
     Duration expectedWait() const;
 
+    /// Notes that a call was refused for want of room.
+    /// @return how long the shortage has lasted: refusals without a longer pause between them
+    Duration refused(TimePoint now);
+
 private:
     FairQueue m_waiting;
     ConcurrencyLimit m_limit;
     double m_running = 0;
     double m_endsPerSecond = 0; ///< moving average; zero before the first end
     TimePoint m_lastEnd;
+    TimePoint m_shortSince; ///< first refusal of the present or last shortage
+    TimePoint m_lastRefusal;
 };
 
 } // namespace crocusmount::relay
