An engine that a check finds dead is told to all instances at once

Change: ReportDeadEngine; the others believe it where an own stream is silent there, else they check.

--- a/src/edge/PeerDatagram.h
+++ b/src/edge/PeerDatagram.h
@@ -6,6 +6,7 @@
 #include <absl/status/statusor.h>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace crocusmount {
 
@@ -14,6 +15,7 @@
     std::optional<relay::LoadReport> loads;
     std::optional<StoreMirror::Progress> storeProgress; ///< of the sender's mirror
     std::optional<StoreMirror::Changes> storeChanges;
+    std::vector<std::uint64_t> deadEngines {}; ///< keys of engines that the sender's checks have just found dead
 };
 
 /// @return the Thrift compact form (src/idl/peer.thrift)
--- a/src/edge/PeerDatagramCodec.cpp
+++ b/src/edge/PeerDatagramCodec.cpp
@@ -91,6 +91,8 @@
     }
     if (datagram.storeChanges)
         out.__set_storeChanges(toWire(*datagram.storeChanges));
+    if (!datagram.deadEngines.empty())
+        out.__set_deadEngines({ datagram.deadEngines.begin(), datagram.deadEngines.end() });
     return toThriftBytes(out);
 }
 
@@ -115,6 +117,8 @@
     }
     if (in->__isset.storeChanges)
         datagram.storeChanges = fromWire(in->storeChanges);
+    if (in->__isset.deadEngines)
+        datagram.deadEngines.assign(in->deadEngines.begin(), in->deadEngines.end());
     return datagram;
 }
 
--- a/src/edge/PeerLink.cpp
+++ b/src/edge/PeerLink.cpp
@@ -46,6 +46,7 @@
     if (error)
         return absl::UnavailableError("cannot bind " + registry.self().peerAddress + ": " + error.message());
     link->m_socket.non_blocking(true);
+    node.setOnDeadEngine([raw = link.get()](const BackendId& engine) { raw->reportDead(engine); });
     mirror.setOnBatch([raw = link.get()](const StoreMirror::Changes& changes) { raw->passOn(changes); });
     net::co_spawn(context.get_executor(), link->receiveLoop(), net::detached);
     net::co_spawn(context.get_executor(), link->roundLoop(), net::detached);
@@ -77,6 +78,8 @@
     }
     if (datagram->loads)
         m_exchange.take(*datagram->loads, m_node.now());
+    if (!datagram->deadEngines.empty())
+        m_node.post(relay::event::EnginesReportedDead { datagram->deadEngines });
     if (watchesStore())
         return;
     if (datagram->storeChanges)
@@ -90,7 +93,7 @@
 {
     if (!watchesStore())
         return;
-    const std::string bytes = encode(PeerDatagram { std::nullopt, std::nullopt, changes });
+    const std::string bytes = encode(PeerDatagram { std::nullopt, std::nullopt, changes, {} });
     if (bytes.size() > LargestDatagram)
         return;
     for (const InstanceRegistry::Entry& entry : m_registry.others()) {
@@ -99,6 +102,18 @@
     }
 }
 
+/// Tells all other instances at once: a round of the exchange takes as long as the pause that callers accept.
+void PeerLink::reportDead(const BackendId& engine)
+{
+    PeerDatagram datagram;
+    datagram.deadEngines.push_back(relay::engineKey(engine));
+    const std::string bytes = encode(datagram);
+    for (const InstanceRegistry::Entry& entry : m_registry.others()) {
+        if (!entry.peerAddress.empty())
+            send(entry.peerAddress, bytes);
+    }
+}
+
 Awaitable<void> PeerLink::roundLoop()
 {
     Timer timer(m_context.get_executor());
@@ -121,7 +136,7 @@
         relay::DecisionLog::state(
             "store_follower", { { "watches", m_watchedStore }, { "instances", m_registry.count() } });
     for (auto& each : m_exchange.makeRound(m_node.reducer().fleet().ownLoads(m_node.now()), m_node.now())) {
-        PeerDatagram datagram { std::move(each.report), std::nullopt, std::nullopt };
+        PeerDatagram datagram { std::move(each.report), std::nullopt, std::nullopt, {} };
         if (datagram.loads->scope == relay::LoadScope::Fleet && watchesStore() && m_mirror.isComplete())
             datagram.storeProgress = m_mirror.progress();
         send(each.address, encode(datagram));
--- a/src/edge/PeerLink.h
+++ b/src/edge/PeerLink.h
@@ -44,6 +44,7 @@
     void makeRound();
     void receive(const std::string& bytes);
     void passOn(const StoreMirror::Changes&);
+    void reportDead(const BackendId&);
     void send(const std::string& address, const std::string& bytes);
 
     net::io_context& m_context;
--- a/src/edge/RelayNode.cpp
+++ b/src/edge/RelayNode.cpp
@@ -194,6 +194,12 @@
     net::co_spawn(m_context.get_executor(), checkEngine(check), net::detached);
 }
 
+void RelayNode::on(const effect::ReportDeadEngine& report)
+{
+    if (m_onDeadEngine)
+        m_onDeadEngine(report.engine);
+}
+
 Awaitable<void> RelayNode::checkEngine(effect::CheckEngine check)
 {
     std::string address = check.address;
--- a/src/edge/RelayNode.h
+++ b/src/edge/RelayNode.h
@@ -11,6 +11,7 @@
 #include <absl/container/flat_hash_map.h>
 #include <boost/json.hpp>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <pcg_random.hpp>
 
@@ -35,6 +36,12 @@
     void callerLeft(RequestId);
     void post(RelayEventBody);
 
+    /// Has each engine that a check finds dead told to the other instances.
+    void setOnDeadEngine(std::function<void(const BackendId&)> onDeadEngine)
+    {
+        m_onDeadEngine = std::move(onDeadEngine);
+    }
+
     const RelayReducer& reducer() const { return m_reducer; }
     const RelayLatencies& latencies() const { return m_latencies; }
     const HeaderNames& names() const { return m_names; }
@@ -70,6 +77,7 @@
     void on(const effect::CancelAttempt&);
     void on(const effect::AskStalledStage&);
     void on(const effect::CheckEngine&);
+    void on(const effect::ReportDeadEngine&);
     void on(const effect::RerouteAttempt&);
     void on(const effect::Refuse&);
     void on(const effect::DeliverServerFailure&);
@@ -79,6 +87,7 @@
     net::io_context& m_context;
     HeaderNames m_names;
     EngineControl& m_control;
+    std::function<void(const BackendId&)> m_onDeadEngine;
     RelayReducer m_reducer;
     RelayLatencies m_latencies;
     pcg64 m_random;
--- a/src/idl/peer.thrift
+++ b/src/idl/peer.thrift
@@ -96,4 +96,6 @@
   1: optional LoadReport loads
   2: optional StoreBeat storeBeat
   3: optional StoreChanges storeChanges
+  // Keys of engines that the sender's checks have just found dead.
+  4: optional list<i64> deadEngines
 }
--- a/src/relay/RelayEffect.h
+++ b/src/relay/RelayEffect.h
@@ -49,6 +49,11 @@
         std::string address;
     };
 
+    /// Tell the other instances that a check found an engine dead.
+    struct ReportDeadEngine {
+        BackendId engine;
+    };
+
     /// Order the first stage to go on with a running stream over another chain, which begins with the same stage. The
     /// stages that stay keep their KV cache.
     struct RerouteAttempt {
@@ -80,7 +85,8 @@
 } // namespace effect
 
 using RelayEffect = std::variant<effect::StartAttempt, effect::CancelAttempt, effect::AskStalledStage,
-    effect::CheckEngine, effect::RerouteAttempt, effect::Refuse, effect::DeliverServerFailure, effect::BreakAnswer>;
+    effect::CheckEngine, effect::ReportDeadEngine, effect::RerouteAttempt, effect::Refuse, effect::DeliverServerFailure,
+    effect::BreakAnswer>;
 using RelayEffects = std::vector<RelayEffect>;
 
 } // namespace crocusmount::relay
--- a/src/relay/RelayEvent.h
+++ b/src/relay/RelayEvent.h
@@ -97,6 +97,11 @@
         double slowness = 1; ///< its work takes this many times as long as its card's figures say
     };
 
+    /// Another instance's checks found engines dead.
+    struct EnginesReportedDead {
+        std::vector<std::uint64_t> engines; ///< their keys, see engineKey
+    };
+
     struct DrainRequested { };
 
     struct Tick { };
@@ -106,7 +111,7 @@
 using RelayEventBody = std::variant<event::ConfigurationAccepted, event::ServerRegistered, event::ServerUnregistered,
     event::InstancesCounted, event::LoadsReported, event::CallArrived, event::CallerLeft, event::AttemptSent,
     event::EventDelivered, event::AttemptEnded, event::RerouteAnswered, event::StalledStageNamed, event::EngineChecked,
-    event::DrainRequested, event::Tick>;
+    event::EnginesReportedDead, event::DrainRequested, event::Tick>;
 
 /// Something that happened, with all the time and entropy that the relay may use for it.
 struct RelayEvent {
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -59,6 +59,7 @@
     void on(const event::RerouteAnswered&, Context&);
     void on(const event::StalledStageNamed&, Context&);
     void on(const event::EngineChecked&, Context&);
+    void on(const event::EnginesReportedDead&, Context&);
     void on(const event::DrainRequested&, Context&);
     void on(const event::Tick&, Context&);
 
@@ -91,6 +92,8 @@
     void checkEngine(FleetServer&, Context&);
     void recheckSickEngines(Context&);
     void checkAvoidedEngines(Context&);
+    void leaveDeadEngine(const BackendId&, Context&);
+    bool hasSilentStreamThrough(const BackendId&, TimePoint now) const;
     void checkNamedEngine(const Attempt&, const event::AttemptEnded&, Context&);
     void startSecond(Call&, Context&);
     bool reroute(Call&, const std::vector<BackendId>& away, Context&);
--- a/src/relay/RelayReducerChecks.cpp
+++ b/src/relay/RelayReducerChecks.cpp
@@ -100,16 +100,48 @@
 
 void RelayReducer::on(const event::EngineChecked& checked, Context& context)
 {
-    if (!checked.answered)
-        ++m_counters.deadEngines;
     m_fleet.checked(checked.engine, checked.answered ? std::optional(checked.slowness) : std::nullopt, context.now);
     if (checked.answered)
         return;
+    ++m_counters.deadEngines;
+    const FleetServer* server = m_fleet.find(checked.engine);
+    if (server && server->unansweredChecks == 1)
+        context.effects.emplace_back(effect::ReportDeadEngine { checked.engine });
+    leaveDeadEngine(checked.engine, context);
+}
+
+/// Another instance's check and an own stream that is silent there are proof enough; without such a stream it is
+/// checked.
+void RelayReducer::on(const event::EnginesReportedDead& reported, Context& context)
+{
+    for (const auto& [id, server] : m_fleet.servers()) {
+        const auto& keys = reported.engines;
+        if (server.isDead(context.now) || std::find(keys.begin(), keys.end(), server.others.engine) == keys.end())
+            continue;
+        if (!hasSilentStreamThrough(id, context.now)) {
+            checkEngine(*m_fleet.find(id), context);
+            continue;
+        }
+        m_fleet.reportedDead(id, context.now);
+        leaveDeadEngine(id, context);
+    }
+}
+
+bool RelayReducer::hasSilentStreamThrough(const BackendId& engine, TimePoint now) const
+{
+    return std::any_of(m_calls.begin(), m_calls.end(), [&](const auto& each) {
+        const Call& call = each.second;
+        return call.state == CallState::Running && isStream(call.route->kind) && call.main.chain.contains(engine)
+            && isSilent(call, now);
+    });
+}
+
+void RelayReducer::leaveDeadEngine(const BackendId& engine, Context& context)
+{
     for (auto& [id, call] : m_calls) {
         const bool runs = call.state == CallState::Running && !call.second && call.main.reroute.hops().empty();
-        if (runs && isRepeatable(call.route->kind) && call.main.chain.contains(checked.engine)
-            && isSilent(call, context.now))
-            leaveStages(call, { checked.engine }, context);
+        if (runs && isRepeatable(call.route->kind) && call.main.chain.contains(engine) && isSilent(call, context.now))
+            leaveStages(call, { engine }, context);
     }
 }
 
--- a/src/relay/ServerFleet.cpp
+++ b/src/relay/ServerFleet.cpp
@@ -153,6 +153,14 @@
         return;
     }
     ++server->unansweredChecks;
+    reportedDead(id, now);
+}
+
+void ServerFleet::reportedDead(const BackendId& id, TimePoint now)
+{
+    FleetServer* server = find(id);
+    if (!server)
+        return;
     server->deadUntil = now + DeadPause;
     suspect(id, server->deadUntil);
 }
--- a/src/relay/ServerFleet.h
+++ b/src/relay/ServerFleet.h
@@ -70,6 +70,8 @@
     /// Notes an engine's answer to a check.
     /// @param slowness  as it reports; nothing where it did not answer
     void checked(const BackendId&, std::optional<double> slowness, TimePoint now);
+    /// Notes that another instance found it dead, which what this one sees confirms.
+    void reportedDead(const BackendId&, TimePoint now);
 
 private:
     std::map<BackendId, FleetServer> m_servers;
--- a/tests/EngineCheckTest.cpp
+++ b/tests/EngineCheckTest.cpp
@@ -84,6 +84,36 @@
     CHECK_FALSE(harness.last<relay::effect::CheckEngine>().has_value());
 }
 
+// scc-faq-grown trouble-1: of 80 instances 16 found a dead engine within 0.1 s, the others after two rounds of the
+// exchange.
+TEST(EngineCheck, AnInstanceTellsTheOthersOfADeadEngineAtOnceAndOnce)
+{
+    RelayHarness harness;
+    harness.send(relay::event::EngineChecked { BackendId("a"), false, 1 });
+    CHECK_TRUE(harness.last<relay::effect::ReportDeadEngine>()->engine == BackendId("a"));
+    harness.send(relay::event::EngineChecked { BackendId("a"), false, 1 });
+    CHECK_FALSE(harness.last<relay::effect::ReportDeadEngine>().has_value());
+}
+
+TEST(EngineCheck, AReportOfADeadEngineIsBelievedWhereAnOwnStreamIsSilentThere)
+{
+    const struct {
+        const char* name;
+        int silentMs;
+        bool believed;
+    } cases[] = { { "the stream runs", 20, false }, { "the stream is silent", 100, true } };
+    for (const auto& each : cases) {
+        RelayHarness harness;
+        const auto start = harness.running("/draft/1", 10);
+        const Hop dead = start.chain.hops().back();
+        harness.tick(milliseconds(each.silentMs));
+        harness.send(relay::event::EnginesReportedDead { { engineKey(dead.backend) } });
+        const auto order = harness.last<relay::effect::RerouteAttempt>();
+        CHECK_EQUAL_TEXT(each.believed, order.has_value(), each.name);
+        CHECK_EQUAL_TEXT(!each.believed, harness.last<relay::effect::CheckEngine>().has_value(), each.name);
+    }
+}
+
 TEST(EngineCheck, ADeadEngineIsCheckedAgainBeforeItIsUsedAgain)
 {
     RelayHarness harness;
--- a/tests/LoadExchangeTest.cpp
+++ b/tests/LoadExchangeTest.cpp
@@ -212,8 +212,10 @@
     datagram.storeProgress = StoreMirror::Progress { 44, milliseconds(120), milliseconds(7) };
     datagram.storeChanges
         = StoreMirror::Changes { 40, { 44, { { { "k", "v", 43 }, false }, { { "l", "", 44 }, true } } } };
+    datagram.deadEngines = { 1, ~0ULL };
     const auto decoded = decodePeerDatagram(encode(datagram));
     CHECK_TRUE(decoded.ok());
+    CHECK_TRUE(decoded->deadEngines == datagram.deadEngines);
     CHECK_TEXT("i", decoded->loads->sender.value());
     CHECK_TRUE(decoded->loads->scope == LoadScope::Fleet);
     CHECK_TRUE(decoded->loads->engines == datagram.loads->engines);
