--- a/programs/crocusmount-entry.cpp
+++ b/programs/crocusmount-entry.cpp
@@ -49,9 +49,10 @@
     return settings.instanceName + "-" + std::to_string(random()) + std::to_string(random());
 }
 
-relay::RelayOptions relayOptions(const PlatformSettings& settings)
+relay::RelayOptions relayOptions(const PlatformSettings& settings, const relay::DisabledMechanisms& without)
 {
     relay::RelayOptions options;
+    options.without = without;
     options.dataCentre = DataCentreId(settings.dataCentre);
     options.retryRatio = settings.retryRatio * RetryShare;
     options.retrySlack = settings.retrySlack * RetryShare;
@@ -61,11 +62,11 @@
 /// All parts of one instance, put together.
 class EntryInstance {
 public:
-    EntryInstance(net::io_context& context, const PlatformSettings& settings)
+    EntryInstance(net::io_context& context, const PlatformSettings& settings, const relay::DisabledMechanisms& without)
         : m_context(context)
         , m_settings(settings)
         , m_control(context)
-        , m_node(context, relayOptions(settings), platform::headerNames(), m_control)
+        , m_node(context, relayOptions(settings, without), platform::headerNames(), m_control)
         , m_store(context, settings.storeAddress)
         , m_registry(context, m_store, m_store,
               { instanceId(settings), settings.callerAddress, settings.dataCentre, settings.peerAddress })
@@ -97,6 +98,8 @@
                 return link.status();
             m_peerLink = *std::move(link);
         }
+        if (m_node.reducer().options().without.has(relay::Mechanism::StoreFeed))
+            m_mirror.refuseFeed();
         m_mirror.start();
         m_registry.start();
         m_placement.start();
@@ -196,6 +199,7 @@
 {
     const Arguments arguments = readArguments(argc, argv, "Usage: crocusmount-entry [options]\n",
         { { "settings", "FILE", "the platform's settings (default: the file that CROCUSMOUNT_NODE_FILE names)" },
+            { "without", "NAMES", "mechanisms to switch off for a measurement, comma-separated" },
             { "check-config", "", "check the settings and end" } });
     const char* variable = std::getenv(SettingsVariable);
     const std::string file = arguments.get("settings", variable ? variable : DefaultSettingsFile);
@@ -208,6 +212,11 @@
         std::cerr << "crocusmount-entry: " << settings.status().message() << "\n";
         return ExitUsage;
     }
+    const auto without = relay::DisabledMechanisms::make(arguments.get("without", ""));
+    if (!without.ok()) {
+        std::cerr << "crocusmount-entry: --without: " << without.status().message() << "\n";
+        return ExitUsage;
+    }
     if (arguments.has("check-config")) {
         std::cout << file << ": ok\n";
         return ExitOk;
@@ -216,7 +225,7 @@
     relay::DecisionLog::setUp(settings->instanceName, LogLinesPerSecond);
     // All of the process but its log runs on this thread, so Asio need not lock.
     net::io_context context(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE);
-    EntryInstance instance(context, *settings);
+    EntryInstance instance(context, *settings, *without);
     if (const absl::Status status = instance.start(); !status.ok()) {
         std::cerr << "crocusmount-entry: " << status.message() << "\n";
         return ExitFailed;
--- a/src/edge/PlacementDriver.cpp
+++ b/src/edge/PlacementDriver.cpp
@@ -59,6 +59,7 @@
 void PlacementDriver::planService(const relay::Service& service)
 {
     const auto now = std::chrono::steady_clock::now();
+    const relay::DisabledMechanisms& without = m_node.reducer().options().without;
     const auto& servers = m_node.reducer().fleet().servers();
     std::vector<LayerPlanner::Engine> engines;
     std::set<BackendId> present;
@@ -67,7 +68,8 @@
         if (entry.service != service.id)
             continue;
         present.insert(id);
-        const bool dead = server.unansweredChecks >= ChecksOfADeadEngine;
+        const bool dead
+            = !without.has(relay::Mechanism::EarlyReplacement) && server.unansweredChecks >= ChecksOfADeadEngine;
         LayerPlanner::Engine engine { id, entry.dataCentre, entry.accelerator, entry.layers, std::nullopt,
             entry.leaving || dead, entry.slots };
         const auto outstanding = m_outstanding.find(id);
@@ -84,8 +86,8 @@
         seen = { std::move(present), now };
     if (now - seen.since < SettleTime)
         return;
-    const Handover handover = handoverFor(service.id);
-    for (const LayerPlanner::Order& order : LayerPlanner::plan(*service.engine, engines)) {
+    const Handover handover = without.has(relay::Mechanism::Preempt) ? Handover::Drain : handoverFor(service.id);
+    for (const LayerPlanner::Order& order : LayerPlanner::plan(*service.engine, engines, without)) {
         const double loadMs = 1000.0 * service.engine->loadSeconds * order.layers.size() / service.engine->layers;
         const auto expected = std::chrono::milliseconds(static_cast<std::int64_t>(loadMs * LoadSlack)) + ReportSlack;
         m_outstanding[order.engine] = { order.layers, now + expected };
--- a/src/edge/StoreMirror.cpp
+++ b/src/edge/StoreMirror.cpp
@@ -163,7 +163,7 @@
 {
     const auto now = std::chrono::steady_clock::now();
     m_peerHeardUntil = now + PeerWordLifetime;
-    if (!m_complete || peer.age > OldestPeerAnswer)
+    if (!m_mayBeFed || !m_complete || peer.age > OldestPeerAnswer)
         return;
     m_fedUntil = now + std::min(PeerWordLifetime, OldestPeerAnswer - peer.age);
     m_trustDeletionsFrom = std::max(m_trustDeletionsFrom, now + peer.lapseGrace);
@@ -176,7 +176,7 @@
 
 void StoreMirror::takeFromPeer(const Changes& changes)
 {
-    if (!m_complete || m_stale || changes.after > m_revision || changes.batch.revision <= m_revision)
+    if (!m_mayBeFed || !m_complete || m_stale || changes.after > m_revision || changes.batch.revision <= m_revision)
         return;
     for (const StoreEvent& event : changes.batch.events)
         take(event);
--- a/src/edge/StoreMirror.h
+++ b/src/edge/StoreMirror.h
@@ -43,7 +43,9 @@
     /// Takes in changes that another instance passes on; those that do not join on are left to a watch.
     void takeFromPeer(const Changes&);
     /// @return whether another instance keeps this copy up to date
-    bool isFed() const { return std::chrono::steady_clock::now() < m_fedUntil; }
+    bool isFed() const { return m_mayBeFed && std::chrono::steady_clock::now() < m_fedUntil; }
+    /// Has the copy always follow the store itself.
+    void refuseFeed() { m_mayBeFed = false; }
     Progress progress() const;
 
     /// @return whether the copy has ever been complete
@@ -80,6 +82,7 @@
     std::optional<std::chrono::steady_clock::time_point> m_watchSince; ///< of the watch in flight
     std::int64_t m_peerRevision = 0;
     std::int64_t m_revision = 0;
+    bool m_mayBeFed = true;
     bool m_complete = false;
     bool m_inContact = false;
     bool m_stale = true; ///< the history after m_revision is lost: all must be read
--- a/src/planning/LayerPlanner.cpp
+++ b/src/planning/LayerPlanner.cpp
@@ -59,16 +59,18 @@
         int fast = 0;
         int slow = 0;
 
-        /// @return how many there are for an engine that is placed
-        double countFor(bool fastEngine) const { return fast + (fastEngine ? SlowShare : 1) * slow; }
+        /// @return how many there are where each slow one counts so much
+        double count(double slowWeight) const { return fast + slowWeight * slow; }
     };
 
     /// Holders of each layer, by data centre and in all.
     class Coverage {
     public:
         /// @param entries  holders of the first layer that each data centre should have
-        Coverage(std::uint32_t layers, std::map<DataCentreId, double> entries)
+        /// @param slowShare  what a slow holder counts where a slow engine is placed
+        Coverage(std::uint32_t layers, std::map<DataCentreId, double> entries, double slowShare)
             : m_layers(layers)
+            , m_slowShare(slowShare)
             , m_all(layers)
             , m_entries(std::move(entries))
         {
@@ -88,10 +90,11 @@
         double worth(const DataCentreId& dataCentre, const LayerRange& range, bool fast)
         {
             const auto& local = m_local.try_emplace(dataCentre, m_layers).first->second;
-            double sum = range.begin == 0 && local[0].countFor(fast) < m_entries[dataCentre] ? EntryWorth : 0;
+            const double weight = fast ? SlowShare : m_slowShare;
+            double sum = range.begin == 0 && local[0].count(weight) < m_entries[dataCentre] ? EntryWorth : 0;
             for (std::uint32_t layer = range.begin; layer < std::min(range.end, m_layers); ++layer) {
-                sum += std::pow(LocalDecay, local[layer].countFor(fast))
-                    + GlobalWeight * std::pow(GlobalDecay, m_all[layer].countFor(fast));
+                sum += std::pow(LocalDecay, local[layer].count(weight))
+                    + GlobalWeight * std::pow(GlobalDecay, m_all[layer].count(weight));
             }
             return sum;
         }
@@ -114,6 +117,7 @@
 
     private:
         std::uint32_t m_layers;
+        double m_slowShare;
         std::vector<Holders> m_all;
         std::map<DataCentreId, std::vector<Holders>> m_local;
         std::map<DataCentreId, double> m_entries;
@@ -184,10 +188,12 @@
     return count;
 }
 
-std::vector<LayerPlanner::Order> LayerPlanner::plan(const relay::EngineModel& model, const std::vector<Engine>& engines)
+std::vector<LayerPlanner::Order> LayerPlanner::plan(
+    const relay::EngineModel& model, const std::vector<Engine>& engines, const relay::DisabledMechanisms& without)
 {
     const double target = chooseKvTarget(model, engines);
-    Coverage coverage(model.layers, entriesNeeded(model, engines, target));
+    const double slowShare = without.has(relay::Mechanism::SpareHolders) ? SlowShare : 1;
+    Coverage coverage(model.layers, entriesNeeded(model, engines, target), slowShare);
     struct Empty {
         std::uint32_t count = 0; ///< layers to hold
         double slowness = 1; ///< of its kind of card
@@ -220,7 +226,8 @@
         orders.push_back({ each.engine->id, range });
     }
     std::set<BackendId> moving;
-    while (orders.size() + underWay < MostAtOnce) {
+    const std::size_t most = without.has(relay::Mechanism::Moves) ? 0 : MostAtOnce;
+    while (orders.size() + underWay < most) {
         const auto move = bestMove(model, engines, moving, coverage);
         if (!move)
             break;
--- a/src/planning/LayerPlanner.h
+++ b/src/planning/LayerPlanner.h
@@ -2,6 +2,7 @@
 
 #include "crocusmount/Ids.h"
 #include "crocusmount/LayerRange.h"
+#include "relay/Mechanism.h"
 #include "relay/ServiceConfiguration.h"
 
 #include <optional>
@@ -35,7 +36,8 @@
     /// @param engines  all that are registered
     /// @return a range for each engine that holds nothing, and moves of engines whose range others hold too, to where
     ///         holders are missing; never more layers than fit
-    static std::vector<Order> plan(const relay::EngineModel& model, const std::vector<Engine>& engines);
+    static std::vector<Order> plan(const relay::EngineModel& model, const std::vector<Engine>& engines,
+        const relay::DisabledMechanisms& without = {});
 
     /// @return how many layers an engine of that kind is to hold beside a KV cache for so many tokens
     static std::uint32_t layersFor(const relay::EngineModel&, const relay::AcceleratorKind&, double kvTokens);
--- a/src/relay/CallPlacer.cpp
+++ b/src/relay/CallPlacer.cpp
@@ -78,8 +78,9 @@
 double CallPlacer::penaltyMs(const Call& call, const FleetServer& server, TimePoint now) const
 {
     const bool failedBefore = std::find(call.avoid.begin(), call.avoid.end(), server.entry.id) != call.avoid.end();
-    const bool avoided
-        = now < server.avoidUntil || server.others.avoiders >= std::max(LeastAvoiders, AvoiderShare * m_instances);
+    const bool believed = !m_options.without.has(Mechanism::OthersAvoidance);
+    const bool avoided = now < server.avoidUntil
+        || (believed && server.others.avoiders >= std::max(LeastAvoiders, AvoiderShare * m_instances));
     return (avoided ? AvoidedPenaltyMs : 0) + (failedBefore ? FailedBeforePenaltyMs : 0);
 }
 
@@ -118,15 +119,18 @@
             continue;
         const EngineLoad load = loadOn(server, now);
         const double contextTokens = load.tokenLayers / entry.layers.size() + call.tokens;
-        const EngineCost cost(model, *card, entry.layers.size(), contextTokens, server.slowness);
+        const double slowness = m_options.without.has(Mechanism::SlownessPrice) ? 1 : server.slowness;
+        const EngineCost cost(model, *card, entry.layers.size(), contextTokens, slowness);
         if (cost.fill() > m_options.memoryOvercommit && server.ownTokenLayers > 0)
             continue;
         const double kept = running && running->chain.contains(id) ? KeptStageDiscount : 1;
+        const double entryMs
+            = m_options.without.has(Mechanism::EntryPrice) ? 0 : entryPenaltyMs(load.calls, entry.slots);
         const double jitter = 1 + CostJitter * spread(entropy, ++use);
         // A stage takes an event up only after its pass under way, which runs all of its layers.
         const double entering = kept * PassWaitShare * cost.passMs() + penaltyMs(call, server, now);
         candidates.push_back({ id, entry.address, entry.layers, indexOf(entry.dataCentre),
-            kept * cost.marginalMsPerLayer() * jitter, entering, entryPenaltyMs(load.calls, entry.slots) });
+            kept * cost.marginalMsPerLayer() * jitter, entering, entryMs });
     }
     return ChainFinder::find(model.layers, candidates, home, first);
 }
--- /dev/null
+++ b/src/relay/Mechanism.cpp
@@ -0,0 +1,62 @@
+#include "relay/Mechanism.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+#include <absl/strings/str_split.h>
+
+namespace crocusmount::relay {
+
+namespace {
+
+    constexpr struct {
+        const char* name;
+        Mechanism mechanism;
+    } Names[] = {
+        { "engine-checks", Mechanism::EngineChecks },
+        { "dead-reports", Mechanism::DeadReports },
+        { "slowness-price", Mechanism::SlownessPrice },
+        { "early-replacement", Mechanism::EarlyReplacement },
+        { "preempt", Mechanism::Preempt },
+        { "spare-holders", Mechanism::SpareHolders },
+        { "moves", Mechanism::Moves },
+        { "entry-price", Mechanism::EntryPrice },
+        { "load-exchange", Mechanism::LoadExchange },
+        { "others-avoidance", Mechanism::OthersAvoidance },
+        { "stream-limit", Mechanism::StreamLimit },
+        { "come-back-time", Mechanism::ComeBackTime },
+        { "second-attempts", Mechanism::SecondAttempts },
+        { "reroutes", Mechanism::Reroutes },
+        { "stall-questions", Mechanism::StallQuestions },
+        { "store-feed", Mechanism::StoreFeed },
+    };
+
+} // namespace
+
+absl::StatusOr<DisabledMechanisms> DisabledMechanisms::make(std::string_view names)
+{
+    DisabledMechanisms made;
+    const absl::string_view text(names.data(), names.size());
+    for (const absl::string_view name : absl::StrSplit(text, ',', absl::SkipEmpty())) {
+        bool known = false;
+        for (const auto& each : Names) {
+            if (name != each.name)
+                continue;
+            made.m_disabled.insert(each.mechanism);
+            known = true;
+        }
+        if (!known)
+            return absl::InvalidArgumentError(
+                absl::StrCat("no mechanism \"", name, "\"; there are ", absl::StrJoin(mechanismNames(), ", ")));
+    }
+    return made;
+}
+
+std::vector<std::string> mechanismNames()
+{
+    std::vector<std::string> names;
+    for (const auto& each : Names)
+        names.emplace_back(each.name);
+    return names;
+}
+
+} // namespace crocusmount::relay
--- a/src/relay/RelayOptions.h
+++ b/src/relay/RelayOptions.h
@@ -2,6 +2,7 @@
 
 #include "crocusmount/Ids.h"
 #include "crocusmount/Time.h"
+#include "relay/Mechanism.h"
 
 namespace crocusmount::relay {
 
@@ -9,6 +10,7 @@
 /// how it was chosen.
 struct RelayOptions {
     DataCentreId dataCentre; ///< of this instance
+    DisabledMechanisms without; ///< none in production
     double retryRatio = 0.15; ///< retries that each call earns; the platform allows 0.2 over all instances
     double retrySlack = 100; ///< retries over all instances beyond that, within the platform's window
     /// How long a call waits for the first configuration of an instance that has just started; reading it takes some
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -126,7 +126,8 @@
 
 void RelayReducer::on(const event::LoadsReported& reported, Context& context)
 {
-    m_fleet.setOthersLoad(reported.loads, context.now);
+    const bool used = !m_options.without.has(Mechanism::LoadExchange);
+    m_fleet.setOthersLoad(used ? reported.loads : std::nullopt, context.now);
     checkAvoidedEngines(context);
 }
 
@@ -436,7 +437,8 @@
 bool RelayReducer::place(Call& call, Context& context)
 {
     // A stream that the caller has a part of goes on in any case.
-    if (isStream(call.route->kind) && !call.answering && !queueOf(call).hasRoom())
+    const bool limited = !m_options.without.has(Mechanism::StreamLimit);
+    if (limited && isStream(call.route->kind) && !call.answering && !queueOf(call).hasRoom())
         return false;
     auto attempt = startAttempt(call, context);
     if (!attempt)
@@ -504,7 +506,8 @@
 /// comes back too early is not served at all. The spread keeps the return from being a wave.
 Duration RelayReducer::comeBackAfterShortage(ServiceQueue& queue, const Context& context) const
 {
-    const Duration lasted = queue.refused(context.now);
+    const Duration shortage = queue.refused(context.now);
+    const Duration lasted = m_options.without.has(Mechanism::ComeBackTime) ? Duration(0) : shortage;
     const Duration expected = std::clamp(lasted, LeastShortage, LongestShortage);
     const double part = spread(context.entropy, static_cast<std::uint64_t>(Reason::NoCapacity));
     return scaled(expected, LeastComeBack + part * (MostComeBack - LeastComeBack));
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -35,6 +35,7 @@
     const ServerFleet& fleet() const { return m_fleet; }
     /// @return the configuration in force, or null before the first
     const std::shared_ptr<const RouteTable>& routes() const { return m_routes; }
+    const RelayOptions& options() const { return m_options; }
     std::size_t openCalls() const { return m_calls.size() + m_unrouted.size(); }
     std::size_t waitingCalls() const;
     bool isDraining() const { return m_drainedAt.has_value(); }
--- a/src/relay/RelayReducerChecks.cpp
+++ b/src/relay/RelayReducerChecks.cpp
@@ -61,6 +61,8 @@
 
 void RelayReducer::checkEngine(FleetServer& server, Context& context)
 {
+    if (m_options.without.has(Mechanism::EngineChecks))
+        return;
     const bool isEngine = !server.entry.accelerator.empty(); // Servers of plain services give no report.
     const Duration interval = server.unansweredChecks ? CheckInterval : AnsweredInterval;
     if (!isEngine || server.beingChecked || context.now < server.lastCheck + interval || !m_checkBudget.spend())
@@ -105,7 +107,8 @@
         return;
     ++m_counters.deadEngines;
     const FleetServer* server = m_fleet.find(checked.engine);
-    if (server && server->unansweredChecks == 1)
+    const bool tells = !m_options.without.has(Mechanism::DeadReports);
+    if (tells && server && server->unansweredChecks == 1)
         context.effects.emplace_back(effect::ReportDeadEngine { checked.engine });
     leaveDeadEngine(checked.engine, context);
 }
--- a/src/relay/RelayReducerTime.cpp
+++ b/src/relay/RelayReducerTime.cpp
@@ -91,7 +91,8 @@
 void RelayReducer::askStalledStage(Call& call, Context& context)
 {
     Attempt& attempt = call.main;
-    if (attempt.chain.hops().empty() || attempt.questions >= m_options.mostQuestions
+    if (m_options.without.has(Mechanism::StallQuestions) || attempt.chain.hops().empty()
+        || attempt.questions >= m_options.mostQuestions
         || context.now < attempt.lastQuestion + m_options.questionInterval)
         return;
     ++attempt.questions;
@@ -123,6 +124,8 @@
 /// Tries the call elsewhere while the main attempt goes on: a server's silence is no reason to end an answer.
 void RelayReducer::startSecond(Call& call, Context& context)
 {
+    if (m_options.without.has(Mechanism::SecondAttempts))
+        return;
     if (call.attempts + 1 >= call.route->maxAttempts || !mayRetry(call, context) || !budgetOf(call.service).spend())
         return;
     ++m_counters.retried.at(static_cast<std::size_t>(Reason::Stalled));
@@ -133,7 +136,8 @@
 {
     Attempt& attempt = call.main;
     const bool firstGoes = std::find(away.begin(), away.end(), attempt.server) != away.end();
-    if (firstGoes || !attempt.reroute.hops().empty() || attempt.reroutes >= m_options.mostReroutes)
+    if (m_options.without.has(Mechanism::Reroutes) || firstGoes || !attempt.reroute.hops().empty()
+        || attempt.reroutes >= m_options.mostReroutes)
         return false;
     auto chain = m_placer.reroute(call, attempt, away, context.now, context.entropy);
     if (!chain)
