--- a/programs/crocusmount.cpp
+++ b/programs/crocusmount.cpp
@@ -1,6 +1,7 @@
 // The operators' and callers' command line.
 
 #include "programs/CommandLine.h"
+#include "shell/CallStory.h"
 #include "shell/HttpClient.h"
 #include "shell/SseParser.h"
 
@@ -32,6 +33,7 @@
   explain pipelines/ID       say which backend servers may serve a pipeline, and why the others may not
   drain                      let the instance finish its streams and leave
   settle                     find out how a write in doubt ended (--nonce, --base)
+  why CALL [FILE...]         print one call's life from the instances' log lines, in FILEs or on standard input
 Commands for callers:
   entries                    print the instances to use
   send PIPELINE PROMPT       send a completion and print the answer
@@ -395,6 +397,40 @@
     return reportApply(client, answer);
 }
 
+void takeLines(std::istream& input, CallStory& story)
+{
+    for (std::string line; std::getline(input, line);)
+        story.take(line);
+}
+
+int why(const Arguments& arguments, bool asJson)
+{
+    CallStory story(arguments.words.at(1));
+    for (std::size_t i = 2; i < arguments.words.size(); ++i) {
+        std::ifstream file(arguments.words[i]);
+        if (!file) {
+            std::cerr << "crocusmount: " << arguments.words[i] << ": cannot be read\n";
+            return ExitFailed;
+        }
+        takeLines(file, story);
+    }
+    if (arguments.words.size() == 2)
+        takeLines(std::cin, story);
+    if (story.unreadable())
+        std::cerr << "crocusmount: " << story.unreadable() << " lines are no log lines\n";
+    if (!story.isKnown()) {
+        std::cerr << "crocusmount: no line names call " << arguments.words.at(1) << "\n";
+        return ExitFailed;
+    }
+    if (!asJson) {
+        std::cout << story.text();
+        return ExitOk;
+    }
+    for (const json::object& line : story.lines())
+        std::cout << json::serialize(line) << "\n";
+    return ExitOk;
+}
+
 int run(const Client& client, const Arguments& arguments)
 {
     const std::string command = arguments.words.empty() ? "" : arguments.words.front();
@@ -446,6 +482,9 @@
     client.token = arguments.get("token", environment("CROCUSMOUNT_TOKEN"));
     const std::string output = arguments.get("output", "table");
     client.json = output == "json";
+    const bool isWhy = arguments.words.size() >= 2 && arguments.words.front() == "why";
+    if (isWhy && (output == "json" || output == "table"))
+        return why(arguments, client.json);
     if (client.entry.empty() || (output != "json" && output != "table")) {
         std::cerr << "crocusmount: expected --entry IP:PORT and --output json or table; see --help\n";
         return ExitUsage;
--- /dev/null
+++ b/tests/CallStoryTest.cpp
@@ -0,0 +1,60 @@
+#include "shell/CallStory.h"
+#include "tests/Tests.h"
+
+using namespace crocusmount;
+
+TEST_GROUP(CallStory) {};
+
+namespace {
+
+constexpr const char* Lines[] = {
+    R"(  16.40 front-b {"time_ms":2400,"instance":"b","what":"answer","call":"c1","outcome":"completed","total_ms":400})",
+    R"({"time_ms":2000,"instance":"a","what":"attempt","call":"c1","server":"i-1","chain":"i-1=0-4,i-2=4-8"})",
+    R"({"time_ms":2100,"instance":"a","what":"engine_checked","engine":"i-2","answered":false,"slowness":0})",
+    R"({"time_ms":2100,"instance":"a","what":"engine_checked","engine":"i-9","answered":false,"slowness":0})",
+    R"({"time_ms":2050,"instance":"a","what":"attempt","call":"c2","server":"i-1","chain":"i-1=0-4,i-2=4-8"})",
+    R"({"time_ms":9000,"instance":"a","what":"server_gone","server":"i-2"})",
+    "no log line",
+};
+
+CallStory storyOf(const char* call)
+{
+    CallStory story(call);
+    for (const char* line : Lines)
+        story.take(line);
+    return story;
+}
+
+} // namespace
+
+TEST(CallStory, ACallsLinesAndWhatWasBelievedOfItsEnginesComeInOrderOfTime)
+{
+    const CallStory story = storyOf("c1");
+    CHECK_TRUE(story.isKnown());
+    CHECK_EQUAL(1U, story.unreadable());
+    const struct {
+        const char* what;
+        std::int64_t sinceMs;
+    } expected[] = { { "attempt", 0 }, { "engine_checked", 100 }, { "answer", 400 } };
+    const auto lines = story.lines();
+    CHECK_EQUAL(std::size(expected), lines.size());
+    for (std::size_t i = 0; i < lines.size(); ++i) {
+        CHECK_TEXT(expected[i].what, std::string(lines[i].at("what").as_string()));
+        CHECK_EQUAL(expected[i].sinceMs, lines[i].at("since_ms").as_int64());
+    }
+}
+
+TEST(CallStory, TheTextHoldsALineEach)
+{
+    const std::string text = storyOf("c2").text();
+    CHECK_TRUE(text.find("0 ms  a  attempt") == 0);
+    CHECK_EQUAL(1, std::count(text.begin(), text.end(), '\n'));
+}
+
+TEST(CallStory, AnUnknownCallHasNoStory)
+{
+    const CallStory story = storyOf("c3");
+    CHECK_FALSE(story.isKnown());
+    CHECK_TRUE(story.lines().empty());
+    CHECK_TEXT("", story.text());
+}
