--- a/src/shell/CallStory.h
+++ b/src/shell/CallStory.h
@@ -8,8 +8,8 @@
 
 namespace crocusmount {
 
-/// One call's life, put together from the log lines of all instances: its own lines, and what was believed meanwhile of
-/// the engines that it was sent to.
+/// One call's life, put together from the log lines of all instances: its own lines, what the instances that carried it
+/// believed meanwhile of its engines, and the orders to these.
 class CallStory {
 public:
     /// @param call  the caller's id of the call
--- a/tests/CallStoryTest.cpp
+++ b/tests/CallStoryTest.cpp
@@ -12,6 +12,8 @@
     R"({"time_ms":2000,"instance":"a","what":"attempt","call":"c1","server":"i-1","chain":"i-1=0-4,i-2=4-8"})",
     R"({"time_ms":2100,"instance":"a","what":"engine_checked","engine":"i-2","answered":false,"slowness":0})",
     R"({"time_ms":2100,"instance":"a","what":"engine_checked","engine":"i-9","answered":false,"slowness":0})",
+    R"({"time_ms":2150,"instance":"z","what":"engine_checked","engine":"i-2","answered":true,"slowness":1})",
+    R"({"time_ms":2200,"instance":"z","what":"order","engine":"i-2","from":4,"to":8,"answer":0})",
     R"({"time_ms":2050,"instance":"a","what":"attempt","call":"c2","server":"i-1","chain":"i-1=0-4,i-2=4-8"})",
     R"({"time_ms":9000,"instance":"a","what":"server_gone","server":"i-2"})",
     "no log line",
@@ -35,7 +37,7 @@
     const struct {
         const char* what;
         std::int64_t sinceMs;
-    } expected[] = { { "attempt", 0 }, { "engine_checked", 100 }, { "answer", 400 } };
+    } expected[] = { { "attempt", 0 }, { "engine_checked", 100 }, { "order", 200 }, { "answer", 400 } };
     const auto lines = story.lines();
     CHECK_EQUAL(std::size(expected), lines.size());
     for (std::size_t i = 0; i < lines.size(); ++i) {
