Holders of layers count by their speed, against the placed engine's or the fleet's mean

Change: a holder's weight follows from the speeds of the fleet; the class of slow cards and its weight are gone. A range's worth is summed once for all of its starts.

--- a/src/planning/LayerPlanner.cpp
+++ b/src/planning/LayerPlanner.cpp
@@ -31,22 +31,59 @@
     /// Orders under way with which no engine is moved: the store of weights is shared, and each takes capacity out.
     constexpr std::size_t MostAtOnce = 2;
 
-    /// Kinds of card up to this many times slower than the fastest count as fast.
-    constexpr double FastFactor = 4;
-    /// What a slow holder counts where a fast engine is placed: the streams there still wait for one. Where a slow one
-    /// is placed, all holders count in full, so that the layers of a fast engine get a second holder too: its loss is
-    /// the widest gap. (scc-faq, 15 days with trouble: mean worth 0.715 where slow holders always counted in part,
-    /// 0.729.)
-    constexpr double SlowShare = 0.4;
-
-    bool isFast(const relay::EngineModel& model, const std::string& accelerator)
-    {
-        const auto* kind = model.kind(accelerator);
-        double fastest = kind ? kind->stepFactor : 1;
-        for (const auto& each : model.kinds)
-            fastest = std::min(fastest, each.stepFactor);
-        return !kind || kind->stepFactor <= FastFactor * fastest;
-    }
+    /// Kinds of card, and what a holder of one kind counts where an engine of another is placed.
+    ///
+    /// A holder counts by its speed against the placed engine's or the fleet's mean, whichever is faster, and one at
+    /// most: streams at a layer that only slow cards hold still wait for a faster one, while a fleet of slow cards is
+    /// served by them. Where all holders counted one, a fleet whose slow cards stand by lost most (odpoklic-lj, five
+    /// days with trouble: mean worth 0.470 against 0.509 with slow ones counting in part); where slow ones always
+    /// counted in part, a fleet that lives by them did (scc-faq: 0.690 against 0.727).
+    class HolderWeights {
+    public:
+        /// @param target  KV cache beside the layers, in tokens
+        HolderWeights(const relay::EngineModel& model, const std::vector<LayerPlanner::Engine>& engines, double target)
+            : m_model(model)
+        {
+            double layers = 0;
+            double slowness = 0;
+            for (const auto& engine : engines) {
+                const auto* kind = model.kind(engine.accelerator);
+                if (!kind || engine.leaving)
+                    continue;
+                const double held = LayerPlanner::layersFor(model, *kind, target);
+                layers += held;
+                slowness += held * kind->stepFactor;
+            }
+            m_meanSlowness = layers > 0 ? slowness / layers : 1;
+        }
+
+        /// Has each holder count one.
+        void countAllAlike() { m_alike = true; }
+
+        std::size_t kinds() const { return m_model.kinds.size() + 1; }
+        /// @return index of a kind of card; the last for those that the model does not name
+        std::size_t indexOf(const std::string& accelerator) const
+        {
+            const auto* kind = m_model.kind(accelerator);
+            return kind ? static_cast<std::size_t>(kind - m_model.kinds.data()) : m_model.kinds.size();
+        }
+
+        double weight(std::size_t holder, std::size_t placed) const
+        {
+            const double reference = std::min(m_meanSlowness, slownessOf(placed));
+            return m_alike ? 1 : std::min(1.0, reference / slownessOf(holder));
+        }
+
+    private:
+        double slownessOf(std::size_t kind) const
+        {
+            return kind < m_model.kinds.size() ? m_model.kinds[kind].stepFactor : m_meanSlowness;
+        }
+
+        const relay::EngineModel& m_model;
+        double m_meanSlowness = 1;
+        bool m_alike = false;
+    };
 
     /// What each holder of the first layer is worth, in layers, while a data centre has too few of them. Calls enter
     /// there, and each takes a slot for as long as it runs.
@@ -54,70 +91,93 @@
     /// Part of the slots that are taken when the memory of a data centre is full.
     constexpr double SlotUse = 0.6;
 
-    /// Holders of one layer.
-    struct Holders {
-        int fast = 0;
-        int slow = 0;
-
-        /// @return how many there are where each slow one counts so much
-        double count(double slowWeight) const { return fast + slowWeight * slow; }
-    };
-
     /// Holders of each layer, by data centre and in all.
     class Coverage {
     public:
         /// @param entries  holders of the first layer that each data centre should have
-        /// @param slowShare  what a slow holder counts where a slow engine is placed
-        Coverage(std::uint32_t layers, std::map<DataCentreId, double> entries, double slowShare)
+        Coverage(std::uint32_t layers, std::map<DataCentreId, double> entries, const HolderWeights& weights)
             : m_layers(layers)
-            , m_slowShare(slowShare)
-            , m_all(layers)
+            , m_weights(weights)
+            , m_all(emptyLayers())
             , m_entries(std::move(entries))
         {
         }
 
+        /// @param kind    of the holder's card
         /// @param change  1 for one more holder of those layers, -1 for one less
-        void add(const DataCentreId& dataCentre, const LayerRange& range, bool fast, int change = 1)
+        void add(const DataCentreId& dataCentre, const LayerRange& range, std::size_t kind, int change = 1)
         {
-            auto& local = m_local.try_emplace(dataCentre, m_layers).first->second;
+            auto& local = m_local.try_emplace(dataCentre, emptyLayers()).first->second;
             for (std::uint32_t layer = range.begin; layer < std::min(range.end, m_layers); ++layer) {
-                (fast ? local[layer].fast : local[layer].slow) += change;
-                (fast ? m_all[layer].fast : m_all[layer].slow) += change;
+                local[layer][kind] += change;
+                m_all[layer][kind] += change;
             }
         }
 
         /// @return what one more holder of that range is worth
-        double worth(const DataCentreId& dataCentre, const LayerRange& range, bool fast)
+        double worth(const DataCentreId& dataCentre, const LayerRange& range, std::size_t kind)
         {
-            const auto& local = m_local.try_emplace(dataCentre, m_layers).first->second;
-            const double weight = fast ? SlowShare : m_slowShare;
-            double sum = range.begin == 0 && local[0].count(weight) < m_entries[dataCentre] ? EntryWorth : 0;
-            for (std::uint32_t layer = range.begin; layer < std::min(range.end, m_layers); ++layer) {
-                sum += std::pow(LocalDecay, local[layer].count(weight))
-                    + GlobalWeight * std::pow(GlobalDecay, m_all[layer].count(weight));
-            }
+            const std::vector<double> layers = layerWorths(dataCentre, kind);
+            double sum = range.begin == 0 ? entryWorth(dataCentre, kind) : 0;
+            for (std::uint32_t layer = range.begin; layer < std::min(range.end, m_layers); ++layer)
+                sum += layers[layer];
             return sum;
         }
 
         /// @return the range of so many layers with which one more engine is worth most
-        LayerRange best(const DataCentreId& dataCentre, std::uint32_t count, bool fast)
+        LayerRange best(const DataCentreId& dataCentre, std::uint32_t count, std::size_t kind)
         {
-            LayerRange chosen { 0, std::min(count, m_layers) };
-            double most = worth(dataCentre, chosen, fast);
-            for (std::uint32_t begin = 1; begin + count <= m_layers; ++begin) {
-                const LayerRange range { begin, begin + count };
-                const double value = worth(dataCentre, range, fast);
-                if (value > most * (1 + 1e-9)) {
-                    most = value;
-                    chosen = range;
+            const std::vector<double> layers = layerWorths(dataCentre, kind);
+            const std::uint32_t length = std::min(count, m_layers);
+            double sum = 0;
+            for (std::uint32_t layer = 0; layer < length; ++layer)
+                sum += layers[layer];
+            LayerRange chosen { 0, length };
+            double most = sum + entryWorth(dataCentre, kind);
+            for (std::uint32_t begin = 1; begin + length <= m_layers; ++begin) {
+                sum += layers[begin + length - 1] - layers[begin - 1];
+                if (sum > most * (1 + 1e-9)) {
+                    most = sum;
+                    chosen = { begin, begin + length };
                 }
             }
             return chosen;
         }
 
     private:
+        using Holders = std::vector<int>; ///< of one layer, by kind of card
+
+        /// @return what one more holder of each layer is worth
+        std::vector<double> layerWorths(const DataCentreId& dataCentre, std::size_t kind)
+        {
+            const auto& local = m_local.try_emplace(dataCentre, emptyLayers()).first->second;
+            std::vector<double> worths(m_layers);
+            for (std::uint32_t layer = 0; layer < m_layers; ++layer) {
+                worths[layer] = std::pow(LocalDecay, count(local[layer], kind))
+                    + GlobalWeight * std::pow(GlobalDecay, count(m_all[layer], kind));
+            }
+            return worths;
+        }
+
+        /// @return what the first layer is worth besides, while a data centre has too few holders of it
+        double entryWorth(const DataCentreId& dataCentre, std::size_t kind)
+        {
+            const auto& local = m_local.try_emplace(dataCentre, emptyLayers()).first->second;
+            return count(local[0], kind) < m_entries[dataCentre] ? EntryWorth : 0;
+        }
+
+        std::vector<Holders> emptyLayers() const { return std::vector<Holders>(m_layers, Holders(m_weights.kinds())); }
+
+        double count(const Holders& holders, std::size_t placed) const
+        {
+            double sum = 0;
+            for (std::size_t kind = 0; kind < holders.size(); ++kind)
+                sum += holders[kind] ? holders[kind] * m_weights.weight(kind, placed) : 0;
+            return sum;
+        }
+
         std::uint32_t m_layers;
-        double m_slowShare;
+        const HolderWeights& m_weights;
         std::vector<Holders> m_all;
         std::map<DataCentreId, std::vector<Holders>> m_local;
         std::map<DataCentreId, double> m_entries;
@@ -155,7 +215,7 @@
     }
 
     /// Finds the engine whose range is worth more elsewhere.
-    std::optional<LayerPlanner::Order> bestMove(const relay::EngineModel& model,
+    std::optional<LayerPlanner::Order> bestMove(const HolderWeights& weights,
         const std::vector<LayerPlanner::Engine>& engines, const std::set<BackendId>& moving, Coverage& coverage)
     {
         std::optional<LayerPlanner::Order> best;
@@ -163,12 +223,12 @@
         for (const auto& engine : engines) {
             if (engine.leaving || engine.ordered || !engine.held.size() || moving.count(engine.id))
                 continue;
-            const bool fast = isFast(model, engine.accelerator);
-            coverage.add(engine.dataCentre, engine.held, fast, -1);
-            const LayerRange range = coverage.best(engine.dataCentre, engine.held.size(), fast);
+            const std::size_t kind = weights.indexOf(engine.accelerator);
+            coverage.add(engine.dataCentre, engine.held, kind, -1);
+            const LayerRange range = coverage.best(engine.dataCentre, engine.held.size(), kind);
             const double gain
-                = coverage.worth(engine.dataCentre, range, fast) - coverage.worth(engine.dataCentre, engine.held, fast);
-            coverage.add(engine.dataCentre, engine.held, fast);
+                = coverage.worth(engine.dataCentre, range, kind) - coverage.worth(engine.dataCentre, engine.held, kind);
+            coverage.add(engine.dataCentre, engine.held, kind);
             if (gain > MoveThreshold * engine.held.size() && gain > most) {
                 most = gain;
                 best = LayerPlanner::Order { engine.id, range };
@@ -192,8 +252,10 @@
     const relay::EngineModel& model, const std::vector<Engine>& engines, const relay::DisabledMechanisms& without)
 {
     const double target = chooseKvTarget(model, engines);
-    const double slowShare = without.has(relay::Mechanism::SpareHolders) ? SlowShare : 1;
-    Coverage coverage(model.layers, entriesNeeded(model, engines, target), slowShare);
+    HolderWeights weights(model, engines, target);
+    if (without.has(relay::Mechanism::HolderWeights))
+        weights.countAllAlike();
+    Coverage coverage(model.layers, entriesNeeded(model, engines, target), weights);
     struct Empty {
         std::uint32_t count = 0; ///< layers to hold
         double slowness = 1; ///< of its kind of card
@@ -207,7 +269,7 @@
         underWay += engine.ordered ? 1 : 0;
         const LayerRange range = engine.ordered.value_or(engine.held);
         if (range.size()) {
-            coverage.add(engine.dataCentre, range, isFast(model, engine.accelerator));
+            coverage.add(engine.dataCentre, range, weights.indexOf(engine.accelerator));
             continue;
         }
         const auto* kind = model.kind(engine.accelerator);
@@ -220,22 +282,22 @@
         empty.begin(), empty.end(), [](const Empty& a, const Empty& b) { return a.slowness < b.slowness; });
     std::vector<Order> orders;
     for (const Empty& each : empty) {
-        const bool fast = isFast(model, each.engine->accelerator);
-        const LayerRange range = coverage.best(each.engine->dataCentre, each.count, fast);
-        coverage.add(each.engine->dataCentre, range, fast);
+        const std::size_t index = weights.indexOf(each.engine->accelerator);
+        const LayerRange range = coverage.best(each.engine->dataCentre, each.count, index);
+        coverage.add(each.engine->dataCentre, range, index);
         orders.push_back({ each.engine->id, range });
     }
     std::set<BackendId> moving;
     const std::size_t most = without.has(relay::Mechanism::Moves) ? 0 : MostAtOnce;
     while (orders.size() + underWay < most) {
-        const auto move = bestMove(model, engines, moving, coverage);
+        const auto move = bestMove(weights, engines, moving, coverage);
         if (!move)
             break;
         const auto engine
             = std::find_if(engines.begin(), engines.end(), [&](const Engine& each) { return each.id == move->engine; });
-        const bool fast = isFast(model, engine->accelerator);
-        coverage.add(engine->dataCentre, engine->held, fast, -1);
-        coverage.add(engine->dataCentre, move->layers, fast);
+        const std::size_t kind = weights.indexOf(engine->accelerator);
+        coverage.add(engine->dataCentre, engine->held, kind, -1);
+        coverage.add(engine->dataCentre, move->layers, kind);
         moving.insert(move->engine);
         orders.push_back(*move);
     }
--- a/src/relay/Mechanism.cpp
+++ b/src/relay/Mechanism.cpp
@@ -17,7 +17,7 @@
         { "slowness-price", Mechanism::SlownessPrice },
         { "early-replacement", Mechanism::EarlyReplacement },
         { "preempt", Mechanism::Preempt },
-        { "spare-holders", Mechanism::SpareHolders },
+        { "holder-weights", Mechanism::HolderWeights },
         { "moves", Mechanism::Moves },
         { "entry-price", Mechanism::EntryPrice },
         { "load-exchange", Mechanism::LoadExchange },
--- a/src/relay/Mechanism.h
+++ b/src/relay/Mechanism.h
@@ -15,7 +15,7 @@
     SlownessPrice, ///< dearer engines where they report that they are slow
     EarlyReplacement, ///< placing the layers of a dead engine elsewhere before the list shows its end
     Preempt, ///< moved engines cut the calls through their old layers
-    SpareHolders, ///< slow holders count in full where a slow engine is placed
+    HolderWeights, ///< holders of layers count by their speed where engines are placed
     Moves, ///< moving engines to where holders are missing
     EntryPrice, ///< dearer first stages where their slots are taken
     LoadExchange, ///< prices by what all instances hold
