--- a/src/relay/RelayOptions.h
+++ b/src/relay/RelayOptions.h
@@ -21,7 +21,7 @@
     std::uint32_t mostRejections = 3;
     /// Part of the objective for which a call waits for room. Longer waits turn late what then runs.
     double queueWaitShare = 0.5;
-    /// Multiple of this instance's equal share of an engine's memory that it may book; others may use less.
+    /// Multiple of an engine's memory that all calls through it may need by the estimates: answers are often shorter.
     double memoryOvercommit = 2;
     Duration firstEventLimit = std::chrono::milliseconds(900); ///< without an event, before a chain counts as stalled
     Duration minStall = std::chrono::milliseconds(450); ///< shortest gap in a stream that counts as a stall
--- a/tests/PlacementTest.cpp
+++ b/tests/PlacementTest.cpp
@@ -1,3 +1,4 @@
+#include "planning/HolderWeights.h"
 #include "planning/LayerPlanner.h"
 #include "relay/ChainFinder.h"
 #include "relay/EngineCost.h"
@@ -240,3 +241,27 @@
     }
     CHECK_TRUE(EngineCost(model, model.kinds[0], 41, 10000).fill() > 1);
 }
+
+TEST(Placement, AHolderCountsByItsSpeedAgainstThePlacedEngineOrTheFleet)
+{
+    const EngineModel model = usersModel(); // Kinds 0 to 2: slowness 2.4, 5.3 and 16.
+    const struct {
+        const char* name;
+        double meanSlowness;
+        std::size_t holder;
+        std::size_t placed;
+        double weight;
+    } cases[] = {
+        { "a fast one counts in full", 8, 0, 2, 1 },
+        { "a slow one counts by the fleet's mean", 8, 2, 2, 0.5 },
+        { "in a fleet of slow cards it counts in full", 16, 2, 2, 1 },
+        { "beside a fast engine it counts by that one", 16, 2, 0, 0.15 },
+        { "its own kind counts in full for a fast engine", 8, 0, 0, 1 },
+    };
+    for (const auto& each : cases) {
+        HolderWeights weights(model, each.meanSlowness);
+        DOUBLES_EQUAL_TEXT(each.weight, weights.weight(each.holder, each.placed), 1e-9, each.name);
+        weights.countAllAlike();
+        DOUBLES_EQUAL_TEXT(1, weights.weight(each.holder, each.placed), 1e-9, each.name);
+    }
+}
