--- a/tests/AdmissionTest.cpp
+++ b/tests/AdmissionTest.cpp
@@ -13,8 +13,8 @@
 TEST(Admission, AShortageLastsFromItsFirstRefusalUntilAPauseWithoutOne)
 {
     const struct {
-        int atMs;
-        int lastedMs;
+        std::int64_t atMs;
+        std::int64_t lastedMs;
     } refusals[] = { { 10000, 0 }, { 10500, 500 }, { 12000, 2000 }, { 13900, 3900 }, { 16000, 0 }, { 16100, 100 } };
     ServiceQueue queue;
     for (const auto& each : refusals)
@@ -50,12 +50,12 @@
 TEST(Admission, TheBoundReturnsAsFastAsStreamsBegin)
 {
     ConcurrencyLimit limit;
-    for (int i = 0; i < 200; ++i)
+    for (std::int64_t i = 0; i < 200; ++i)
         limit.rejected(0, timePoint(i * 200000));
     const double low = limit.value();
     CHECK_TRUE(low <= 4);
     double inFlight = low;
-    for (int i = 0; i < 50; ++i) { // None of them ends meanwhile.
+    for (std::int64_t i = 0; i < 50; ++i) { // None of them ends meanwhile.
         limit.answered(0.1, inFlight, timePoint(60000000 + i * 60000));
         inFlight = limit.value();
     }
--- a/tests/EngineCheckTest.cpp
+++ b/tests/EngineCheckTest.cpp
@@ -156,7 +156,7 @@
     for (const auto& each : cases) {
         EngineCheckBudget budget;
         int spent = 0;
-        for (int ms = 0; ms <= 10000; ms += 20) {
+        for (std::int64_t ms = 0; ms <= 10000; ms += 20) {
             budget.earn(each.engines, each.instances, timePoint(ms * 1000));
             while (budget.spend())
                 ++spent;
