--- a/src/relay/Call.h
+++ b/src/relay/Call.h
@@ -55,7 +55,7 @@
     std::uint64_t lastEvent = 0; ///< that the caller has
     std::vector<BackendId> avoid; ///< failed this call before
 
-    /// @return whether a server failed it: how late it is tells nothing of the load
+    /// @return whether a server failed it; how late such a call is tells nothing of the load
     bool hasMetTrouble() const { return !avoid.empty(); }
 
     void addAvoided(const BackendId& id)
--- a/src/relay/EngineCost.h
+++ b/src/relay/EngineCost.h
@@ -11,6 +11,7 @@
 public:
     /// @param heldLayers     layers that the engine holds
     /// @param contextTokens  of all streams through it, of all instances together, as far as one of them can tell
+    /// @param slowness       its work takes this many times as long as its card's figures say
     EngineCost(const EngineModel&, const AcceleratorKind&, std::uint32_t heldLayers, double contextTokens,
         double slowness = 1);
 
--- a/src/relay/RelayReducerPlacing.cpp
+++ b/src/relay/RelayReducerPlacing.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-    /// Half of the streams in flight end within about so long.
+    /// Half of the streams in flight end within about so long. Times to come back that follow a shortage: 5.4% of the
+    /// calls refused on two hard days of 38 engines, against 6.9% with times of 0.6 to 2 s.
     constexpr Duration LeastShortage = std::chrono::milliseconds(1300);
     /// Callers heed a time to come back up to a third of what they have left, of 20 s on the users' platforms.
     constexpr Duration LongestShortage = std::chrono::milliseconds(4000);
