What is believed of a backend server is believed of one start of it

Cause: an engine that starts again was known by its id alone. Change: StartTime, StartLedger; entries, reports, answers to checks and orders carry it; loads and dead reports between instances are of one start; orders of the planner too. What runs through a start that ended is rerouted, resumed or ended with a true word at the first sign. Beliefs taken over from others are logged. Tests: ServerStart. The loopback test's two servers stood at one address, which no two servers share: they have two now.

--- a/include/crocusmount/Ids.h
+++ b/include/crocusmount/Ids.h
@@ -14,6 +14,9 @@
 using InstanceId = StrongId<struct InstanceTag, std::string>;
 /// One backend server: a model engine or a plain service.
 using BackendId = StrongId<struct BackendTag, std::string>;
+/// The time at which one start of a backend server began, in Unix milliseconds by its own clock; zero where it does not
+/// say. Its id and this name one start.
+using StartTime = StrongId<struct StartTimeTag, std::int64_t>;
 using WorkspaceId = StrongId<struct WorkspaceTag, std::string>;
 using PipelineId = StrongId<struct PipelineTag, std::string>;
 using DataCentreId = StrongId<struct DataCentreTag, std::string>;
--- a/src/edge/EngineControl.h
+++ b/src/edge/EngineControl.h
@@ -2,20 +2,14 @@
 
 #include "crocusmount/Chain.h"
 #include "crocusmount/LayerRange.h"
+#include "edge/EngineReport.h"
+#include "edge/OrderReply.h"
 #include "shell/Net.h"
 
 #include <string>
 
 namespace crocusmount {
 
-/// How an engine answered an order.
-enum class OrderAnswer {
-    Begun,
-    Holds, ///< the state is already as ordered
-    Refused, ///< it does not fit the engine's state
-    Unknown, ///< no answer: it may still be carried out, also later
-};
-
 /// What becomes of the calls that pass through layers that an engine is to give up.
 enum class Handover {
     Drain, ///< they end first, and the new layers are loaded after that
@@ -28,21 +22,20 @@
     virtual ~EngineControl() = default;
 
     /// Orders an engine to hold a range of layers, and no others.
-    Awaitable<OrderAnswer> placeLayers(std::string address, LayerRange layers, Handover handover)
+    Awaitable<OrderReply> placeLayers(std::string address, LayerRange layers, Handover handover)
     {
         return onPlaceLayers(std::move(address), layers, handover);
     }
 
     /// Orders the first stage of a running stream to go on over another chain.
     /// @param call  the caller's id of the call, under which the engine knows it
-    Awaitable<OrderAnswer> reroute(std::string address, std::string call, Chain chain)
+    Awaitable<OrderReply> reroute(std::string address, std::string call, Chain chain)
     {
         return onReroute(std::move(address), std::move(call), std::move(chain));
     }
 
     /// Asks an engine how it is.
-    /// @return how many times as long its work takes as its card's figures say; nothing where it does not answer
-    Awaitable<std::optional<double>> slowness(std::string address) { return onSlowness(std::move(address)); }
+    Awaitable<EngineReport> check(std::string address) { return onCheck(std::move(address)); }
 
     /// Asks the first stage of a running stream at which stage it stands still.
     /// @return that stage's address, the asked engine's own where it does not answer, or nothing where it knows of none
@@ -52,10 +45,10 @@
     }
 
 private:
-    virtual Awaitable<std::optional<double>> onSlowness(std::string address) = 0;
+    virtual Awaitable<EngineReport> onCheck(std::string address) = 0;
     virtual Awaitable<std::string> onStalledStage(std::string address, std::string call) = 0;
-    virtual Awaitable<OrderAnswer> onReroute(std::string address, std::string call, Chain) = 0;
-    virtual Awaitable<OrderAnswer> onPlaceLayers(std::string address, LayerRange, Handover) = 0;
+    virtual Awaitable<OrderReply> onReroute(std::string address, std::string call, Chain) = 0;
+    virtual Awaitable<OrderReply> onPlaceLayers(std::string address, LayerRange, Handover) = 0;
 };
 
 } // namespace crocusmount
--- a/src/edge/PeerLink.cpp
+++ b/src/edge/PeerLink.cpp
@@ -52,7 +52,8 @@
         return server.status();
     link->m_copyServer = *std::move(server);
     mirror.setCopySource(link->m_copies);
-    node.setOnDeadEngine([raw = link.get()](const BackendId& engine) { raw->reportDead(engine); });
+    node.setOnDeadEngine(
+        [raw = link.get()](const relay::effect::ReportDeadEngine& report) { raw->reportDead(report); });
     mirror.setOnBatch([raw = link.get()](const StoreMirror::Changes& changes) { raw->passOn(changes); });
     net::co_spawn(context.get_executor(), link->receiveLoop(), net::detached);
     net::co_spawn(context.get_executor(), link->roundLoop(), net::detached);
@@ -109,10 +110,10 @@
 }
 
 /// Tells all other instances at once: a round of the exchange takes as long as the pause that callers accept.
-void PeerLink::reportDead(const BackendId& engine)
+void PeerLink::reportDead(const relay::effect::ReportDeadEngine& report)
 {
     PeerDatagram datagram;
-    datagram.deadEngines.push_back(relay::engineKey(engine));
+    datagram.deadEngines.push_back(relay::engineKey(report.engine, report.startedAt));
     const std::string bytes = encode(datagram);
     for (const InstanceRegistry::Entry& entry : m_registry.others()) {
         if (!entry.peerAddress.empty())
--- a/src/edge/PeerLink.h
+++ b/src/edge/PeerLink.h
@@ -16,6 +16,9 @@
 
 namespace relay {
     class RelayNode;
+    namespace effect {
+        struct ReportDeadEngine;
+    }
 }
 
 /// What instances tell each other, as datagrams: LoadExchange's reports, whose sums go to the relay; and, from the
@@ -46,7 +49,7 @@
     void makeRound();
     void receive(const std::string& bytes);
     void passOn(const StoreMirror::Changes&);
-    void reportDead(const BackendId&);
+    void reportDead(const relay::effect::ReportDeadEngine&);
     void send(const std::string& address, const std::string& bytes);
 
     net::io_context& m_context;
--- a/src/edge/PlacementDriver.cpp
+++ b/src/edge/PlacementDriver.cpp
@@ -26,7 +26,7 @@
 } // namespace
 
 PlacementDriver::PlacementDriver(
-    net::io_context& context, const relay::RelayNode& node, const InstanceRegistry& registry, EngineControl& control)
+    net::io_context& context, relay::RelayNode& node, const InstanceRegistry& registry, EngineControl& control)
     : m_context(context)
     , m_node(node)
     , m_registry(registry)
@@ -74,10 +74,11 @@
             entry.leaving || dead, entry.slots };
         const auto outstanding = m_outstanding.find(id);
         if (outstanding != m_outstanding.end()) {
-            if (entry.layers == outstanding->second.layers || now > outstanding->second.until)
+            const Outstanding& order = outstanding->second;
+            if (entry.startedAt != order.engineStart || entry.layers == order.layers || now > order.until)
                 m_outstanding.erase(outstanding);
             else
-                engine.ordered = outstanding->second.layers;
+                engine.ordered = order.layers;
         }
         engines.push_back(std::move(engine));
     }
@@ -90,7 +91,7 @@
     for (const LayerPlanner::Order& order : LayerPlanner::plan(*service.engine, engines, without)) {
         const double loadMs = 1000.0 * service.engine->loadSeconds * order.layers.size() / service.engine->layers;
         const auto expected = std::chrono::milliseconds(static_cast<std::int64_t>(loadMs * LoadSlack)) + ReportSlack;
-        m_outstanding[order.engine] = { order.layers, now + expected };
+        m_outstanding[order.engine] = { servers.at(order.engine).entry.startedAt, order.layers, now + expected };
         net::co_spawn(m_context.get_executor(), give(order, servers.at(order.engine).entry.address, expected, handover),
             net::detached);
     }
@@ -113,12 +114,13 @@
 Awaitable<void> PlacementDriver::give(
     LayerPlanner::Order order, std::string address, std::chrono::milliseconds expected, Handover handover)
 {
-    const OrderAnswer answer = co_await m_control.placeLayers(std::move(address), order.layers, handover);
+    const OrderReply reply = co_await m_control.placeLayers(std::move(address), order.layers, handover);
     relay::DecisionLog::state("order",
         { { "engine", order.engine.value() }, { "from", order.layers.begin }, { "to", order.layers.end },
-            { "preempt", handover == Handover::Preempt }, { "answer", static_cast<int>(answer) },
-            { "expected_ms", expected.count() } });
-    if (answer == OrderAnswer::Refused) {
+            { "preempt", handover == Handover::Preempt }, { "answer", static_cast<int>(reply.answer) },
+            { "status", reply.status }, { "expected_ms", expected.count() } });
+    m_node.post(relay::event::EngineStartSeen { order.engine, reply.startedAt });
+    if (reply.answer == OrderAnswer::Refused) {
         if (const auto outstanding = m_outstanding.find(order.engine); outstanding != m_outstanding.end())
             outstanding->second.until = std::chrono::steady_clock::now() + RefusedPause;
     }
--- a/src/edge/PlacementDriver.h
+++ b/src/edge/PlacementDriver.h
@@ -17,12 +17,13 @@
 /// While this instance is the planner, orders engines to hold what LayerPlanner says.
 class PlacementDriver {
 public:
-    PlacementDriver(net::io_context&, const relay::RelayNode&, const InstanceRegistry&, EngineControl&);
+    PlacementDriver(net::io_context&, relay::RelayNode&, const InstanceRegistry&, EngineControl&);
 
     void start();
 
 private:
     struct Outstanding {
+        StartTime engineStart; ///< of the engine that took the order; a later start knows nothing of it
         LayerRange layers;
         std::chrono::steady_clock::time_point until; ///< by then it should be reported
     };
@@ -38,7 +39,7 @@
     Handover handoverFor(const relay::ServiceId&) const;
 
     net::io_context& m_context;
-    const relay::RelayNode& m_node;
+    relay::RelayNode& m_node;
     const InstanceRegistry& m_registry;
     EngineControl& m_control;
     std::map<BackendId, Outstanding> m_outstanding;
--- a/src/edge/RelayMetrics.cpp
+++ b/src/edge/RelayMetrics.cpp
@@ -22,6 +22,10 @@
     families.addCounter("crocusmount_engine_checks_total", "Engines asked how they are", double(counters.engineChecks));
     families.addCounter("crocusmount_engine_checks_unanswered_total", "Such checks that no engine answered",
         double(counters.deadEngines));
+    families.addCounter("crocusmount_server_starts_ended_total", "Backend servers replaced by a later start",
+        double(counters.startsEnded));
+    families.addCounter("crocusmount_server_entries_outdated_total", "Entries of starts that had ended",
+        double(counters.entriesOutdated));
     families.addCounter(
         "crocusmount_callers_left_total", "Callers gone before the answer", double(counters.callersLeft));
     families.addByReason("crocusmount_refused_total", "Final answers of this instance's own", counters.refused);
--- a/src/edge/RelayNode.cpp
+++ b/src/edge/RelayNode.cpp
@@ -23,6 +23,24 @@
         return text;
     }
 
+    bool isRefused(const EngineReport& report) { return report.answer == CheckAnswer::Refused; }
+
+    const char* toString(effect::NoteBelief::Belief belief)
+    {
+        using Belief = effect::NoteBelief::Belief;
+        switch (belief) {
+        case Belief::StartEnded:
+            return "server_start_ended";
+        case Belief::EntryOutdated:
+            return "server_entry_outdated";
+        case Belief::Reinstated:
+            return "server_reinstated";
+        case Belief::ReportedDead:
+            return "engine_reported_dead";
+        }
+        return "belief";
+    }
+
     std::int64_t toMs(Duration duration)
     {
         return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
@@ -197,17 +215,25 @@
 void RelayNode::on(const effect::ReportDeadEngine& report)
 {
     if (m_onDeadEngine)
-        m_onDeadEngine(report.engine);
+        m_onDeadEngine(report);
 }
 
 Awaitable<void> RelayNode::checkEngine(effect::CheckEngine check)
 {
     std::string address = check.address;
-    const std::optional<double> slowness = co_await m_control.slowness(std::move(address));
+    const EngineReport report = co_await m_control.check(std::move(address));
+    const bool answered = report.answer == CheckAnswer::Alive;
     DecisionLog::state("engine_checked",
-        { { "engine", check.engine.value() }, { "answered", slowness.has_value() },
-            { "slowness", slowness.value_or(0) } });
-    post(event::EngineChecked { check.engine, slowness.has_value(), slowness.value_or(1) });
+        { { "engine", check.engine.value() }, { "answered", answered }, { "refused", isRefused(report) },
+            { "slowness", answered ? report.slowness : 0 }, { "started_ms", report.startedAt.value() } });
+    post(event::EngineChecked {
+        check.engine, answered, report.slowness, isRefused(report), check.startedAt, report.startedAt, report.layers });
+}
+
+void RelayNode::on(const effect::NoteBelief& note)
+{
+    DecisionLog::state(
+        toString(note.belief), { { "server", note.server.value() }, { "started_ms", note.startedAt.value() } });
 }
 
 void RelayNode::on(const effect::RerouteAttempt& order)
@@ -222,10 +248,12 @@
 {
     std::string address = order.address;
     std::string call = name;
-    const OrderAnswer answer = co_await m_control.reroute(std::move(address), std::move(call), order.chain);
-    const bool accepted = answer == OrderAnswer::Begun || answer == OrderAnswer::Holds;
-    DecisionLog::call("reroute", name, { { "chain", chainText(order.chain) }, { "accepted", accepted } });
-    post(event::RerouteAnswered { order.attempt, accepted });
+    const OrderReply reply = co_await m_control.reroute(std::move(address), std::move(call), order.chain);
+    DecisionLog::call("reroute", name,
+        { { "chain", chainText(order.chain) }, { "accepted", reply.isAccepted() }, { "status", reply.status },
+            { "culprit", reply.culprit } });
+    post(event::RerouteAnswered { order.attempt, reply.isAccepted(), reply.culprit });
+    post(event::EngineStartSeen { order.chain.hops().front().backend, reply.startedAt });
 }
 
 void RelayNode::on(const effect::Refuse& refusal)
--- a/src/edge/RelayNode.h
+++ b/src/edge/RelayNode.h
@@ -37,7 +37,7 @@
     void post(RelayEventBody);
 
     /// Has each engine that a check finds dead told to the other instances.
-    void setOnDeadEngine(std::function<void(const BackendId&)> onDeadEngine)
+    void setOnDeadEngine(std::function<void(const effect::ReportDeadEngine&)> onDeadEngine)
     {
         m_onDeadEngine = std::move(onDeadEngine);
     }
@@ -78,6 +78,7 @@
     void on(const effect::AskStalledStage&);
     void on(const effect::CheckEngine&);
     void on(const effect::ReportDeadEngine&);
+    void on(const effect::NoteBelief&);
     void on(const effect::RerouteAttempt&);
     void on(const effect::Refuse&);
     void on(const effect::DeliverServerFailure&);
@@ -87,7 +88,7 @@
     net::io_context& m_context;
     HeaderNames m_names;
     EngineControl& m_control;
-    std::function<void(const BackendId&)> m_onDeadEngine;
+    std::function<void(const effect::ReportDeadEngine&)> m_onDeadEngine;
     RelayReducer m_reducer;
     RelayLatencies m_latencies;
     pcg64 m_random;
--- a/src/relay/Call.h
+++ b/src/relay/Call.h
@@ -27,6 +27,7 @@
     std::uint32_t events = 0; ///< delivered to the caller
     bool sent = false; ///< its bytes went out
     bool late = false; ///< no event came within the objective
+    bool lostStage = false; ///< one of its stages has ended: without a reroute it cannot go on
     TimePoint started;
 };
 
--- a/src/relay/LoadExchange.cpp
+++ b/src/relay/LoadExchange.cpp
@@ -34,7 +34,10 @@
 
 } // namespace
 
-std::uint64_t engineKey(const BackendId& id) { return XXH3_64bits(id.value().data(), id.value().size()); }
+std::uint64_t engineKey(const BackendId& id, StartTime startedAt)
+{
+    return XXH3_64bits_withSeed(id.value().data(), id.value().size(), static_cast<XXH64_hash_t>(startedAt.value()));
+}
 
 LoadExchange::LoadExchange(LoadPeer self)
     : m_self(std::move(self))
--- a/src/relay/LoadReport.h
+++ b/src/relay/LoadReport.h
@@ -10,7 +10,7 @@
 
 /// What calls hold on one engine.
 struct EngineLoad {
-    std::uint64_t engine = 0; ///< key of its id, see engineKey
+    std::uint64_t engine = 0; ///< key of one start of it, see engineKey
     double tokenLayers = 0; ///< tokens times layers, estimated by the instances that sent the calls there
     double calls = 0; ///< that entered there: each takes one of its slots
     double avoiders = 0; ///< instances that send it no new work, because it failed, stalled or turned all away
@@ -37,7 +37,7 @@
     std::vector<EngineLoad> engines;
 };
 
-/// @return a short name for an engine in reports, the same in every process
-std::uint64_t engineKey(const BackendId&);
+/// @return a short name for one start of an engine in reports, the same in every process
+std::uint64_t engineKey(const BackendId&, StartTime = {});
 
 } // namespace crocusmount::relay
--- a/src/relay/RegisteredServer.h
+++ b/src/relay/RegisteredServer.h
@@ -8,9 +8,11 @@
 
 namespace crocusmount::relay {
 
-/// What the platform's registry says of one backend server. Each start of a server is a new id.
+/// What the platform's registry says of one backend server. A server that starts again takes a new id, or keeps its id
+/// with a later start time; in both cases it holds nothing of before.
 struct RegisteredServer {
     BackendId id;
+    StartTime startedAt;
     ServiceId service;
     std::string address; ///< "ip:port"
     DataCentreId dataCentre;
--- a/src/relay/RelayCounters.h
+++ b/src/relay/RelayCounters.h
@@ -18,6 +18,8 @@
     std::uint64_t stallQuestions = 0; ///< to first stages; the platform counts each as a probe
     std::uint64_t engineChecks = 0; ///< likewise counted as probes
     std::uint64_t deadEngines = 0; ///< checks that were not answered
+    std::uint64_t startsEnded = 0; ///< backend servers in whose place a later start was seen
+    std::uint64_t entriesOutdated = 0; ///< entries of starts that had ended
     std::uint64_t callersLeft = 0;
     std::uint64_t configurationsAccepted = 0;
     std::array<std::uint64_t, ReasonCount> refused {}; ///< final answers other than a server's, by reason
--- a/src/relay/RelayEffect.h
+++ b/src/relay/RelayEffect.h
@@ -47,11 +47,26 @@
     struct CheckEngine {
         BackendId engine;
         std::string address;
+        StartTime startedAt {}; ///< the start that is known
     };
 
     /// Tell the other instances that a check found an engine dead.
     struct ReportDeadEngine {
         BackendId engine;
+        StartTime startedAt {};
+    };
+
+    /// A belief about a backend server changed on another's word; for the log.
+    struct NoteBelief {
+        enum class Belief {
+            StartEnded, ///< a later start took its place: what ran there is lost
+            EntryOutdated, ///< it is listed, by an entry of a start that has ended
+            Reinstated, ///< what was held to have followed it is gone
+            ReportedDead, ///< another instance found it dead, and an own stream is silent there
+        };
+        Belief belief;
+        BackendId server;
+        StartTime startedAt {};
     };
 
     /// Order the first stage to go on with a running stream over another chain, which begins with the same stage. The
@@ -85,8 +100,8 @@
 } // namespace effect
 
 using RelayEffect = std::variant<effect::StartAttempt, effect::CancelAttempt, effect::AskStalledStage,
-    effect::CheckEngine, effect::ReportDeadEngine, effect::RerouteAttempt, effect::Refuse, effect::DeliverServerFailure,
-    effect::BreakAnswer>;
+    effect::CheckEngine, effect::ReportDeadEngine, effect::NoteBelief, effect::RerouteAttempt, effect::Refuse,
+    effect::DeliverServerFailure, effect::BreakAnswer>;
 using RelayEffects = std::vector<RelayEffect>;
 
 } // namespace crocusmount::relay
--- a/src/relay/RelayEvent.h
+++ b/src/relay/RelayEvent.h
@@ -82,6 +82,7 @@
     struct RerouteAnswered {
         AttemptId attempt;
         bool accepted = false;
+        std::string culprit {}; ///< address of the stage that it failed at; empty if none is named
     };
 
     /// The first stage's answer to the question at which stage a stream stands still.
@@ -95,6 +96,16 @@
         BackendId engine;
         bool answered = false;
         double slowness = 1; ///< its work takes this many times as long as its card's figures say
+        bool refused = false; ///< not answered, and its machine says that no process listens there
+        StartTime asked {}; ///< the start that was believed when it was asked
+        StartTime answering {}; ///< the start that answered, as far as it says so
+        LayerRange layers {}; ///< that it holds, as it answers
+    };
+
+    /// An engine said when it started, in its answer to an order.
+    struct EngineStartSeen {
+        BackendId engine;
+        StartTime startedAt;
     };
 
     /// Another instance's checks found engines dead.
@@ -111,7 +122,7 @@
 using RelayEventBody = std::variant<event::ConfigurationAccepted, event::ServerRegistered, event::ServerUnregistered,
     event::InstancesCounted, event::LoadsReported, event::CallArrived, event::CallerLeft, event::AttemptSent,
     event::EventDelivered, event::AttemptEnded, event::RerouteAnswered, event::StalledStageNamed, event::EngineChecked,
-    event::EnginesReportedDead, event::DrainRequested, event::Tick>;
+    event::EngineStartSeen, event::EnginesReportedDead, event::DrainRequested, event::Tick>;
 
 /// Something that happened, with all the time and entropy that the relay may use for it.
 struct RelayEvent {
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -89,26 +89,6 @@
     dispatchAll(context);
 }
 
-void RelayReducer::on(const event::ServerRegistered& registered, Context& context)
-{
-    const RegisteredServer& server = registered.server;
-    const FleetServer* known = m_fleet.find(server.id);
-    // An engine that gives up layers waits for the streams through them before it takes others.
-    if (known && known->entry.layers.size() && known->entry.layers != server.layers)
-        m_moveOffAt[server.id] = context.now;
-    if (server.leaving)
-        m_moveOffAt.try_emplace(server.id, context.now + m_options.rerouteDelay);
-    if (m_fleet.upsert(registered.server))
-        dispatchAll(context);
-}
-
-void RelayReducer::on(const event::ServerUnregistered& gone, Context& context)
-{
-    m_fleet.remove(gone.server);
-    // Some servers leave without a word; they too go on serving for a while.
-    m_moveOffAt.try_emplace(gone.server, context.now + m_options.rerouteDelay);
-}
-
 void RelayReducer::on(const event::InstancesCounted& counted, Context&)
 {
     m_placer.setInstances(std::max(1U, counted.instances));
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -60,6 +60,7 @@
     void on(const event::RerouteAnswered&, Context&);
     void on(const event::StalledStageNamed&, Context&);
     void on(const event::EngineChecked&, Context&);
+    void on(const event::EngineStartSeen&, Context&);
     void on(const event::EnginesReportedDead&, Context&);
     void on(const event::DrainRequested&, Context&);
     void on(const event::Tick&, Context&);
@@ -94,6 +95,11 @@
     void recheckSickEngines(Context&);
     void checkAvoidedEngines(Context&);
     void leaveDeadEngine(const BackendId&, Context&);
+    void takeEntry(const RegisteredServer&, Context&);
+    bool takeStart(const BackendId&, StartTime, const LayerRange&, Context&);
+    void leaveEndedStart(const BackendId&, Context&);
+    void loseAttempt(Call&, const BackendId& lost, Context&);
+    void drop(Call&, const Attempt&, Context&);
     bool hasSilentStreamThrough(const BackendId&, TimePoint now) const;
     void checkNamedEngine(const Attempt&, const event::AttemptEnded&, Context&);
     void startSecond(Call&, Context&);
--- a/src/relay/RelayReducerChecks.cpp
+++ b/src/relay/RelayReducerChecks.cpp
@@ -70,7 +70,7 @@
     server.beingChecked = true;
     server.lastCheck = context.now;
     ++m_counters.engineChecks;
-    context.effects.emplace_back(effect::CheckEngine { server.entry.id, server.entry.address });
+    context.effects.emplace_back(effect::CheckEngine { server.entry.id, server.entry.address, server.entry.startedAt });
 }
 
 void RelayReducer::recheckSickEngines(Context& context)
@@ -102,14 +102,19 @@
 
 void RelayReducer::on(const event::EngineChecked& checked, Context& context)
 {
+    const FleetServer* server = m_fleet.find(checked.engine);
+    if (!server || checked.asked != server->entry.startedAt)
+        return; // It started again meanwhile, or is gone.
+    if (!takeStart(checked.engine, checked.answering, checked.layers, context))
+        return;
     m_fleet.checked(checked.engine, checked.answered ? std::optional(checked.slowness) : std::nullopt, context.now);
     if (checked.answered)
         return;
     ++m_counters.deadEngines;
-    const FleetServer* server = m_fleet.find(checked.engine);
+    server = m_fleet.find(checked.engine);
     const bool tells = !m_options.without.has(Mechanism::DeadReports);
     if (tells && server && server->unansweredChecks == 1)
-        context.effects.emplace_back(effect::ReportDeadEngine { checked.engine });
+        context.effects.emplace_back(effect::ReportDeadEngine { checked.engine, server->entry.startedAt });
     leaveDeadEngine(checked.engine, context);
 }
 
@@ -126,6 +131,8 @@
             continue;
         }
         m_fleet.reportedDead(id, context.now);
+        context.effects.emplace_back(
+            effect::NoteBelief { effect::NoteBelief::Belief::ReportedDead, id, server.entry.startedAt });
         leaveDeadEngine(id, context);
     }
 }
--- /dev/null
+++ b/src/relay/RelayReducerServers.cpp
@@ -0,0 +1,131 @@
+// What RelayReducer does as backend servers come, start again and go.
+//
+// The load pattern that this answers: engines start again while dozens of streams pass through each of them. Whatever
+// ran there is lost at that moment, though the first stages still wait for it and say so only seconds later.
+
+#include "relay/RelayReducer.h"
+
+#include <algorithm>
+
+namespace crocusmount::relay {
+
+namespace {
+
+    bool passes(const Attempt& attempt, const BackendId& server)
+    {
+        return attempt.server == server || attempt.chain.contains(server);
+    }
+
+} // namespace
+
+void RelayReducer::on(const event::ServerRegistered& registered, Context& context)
+{
+    takeEntry(registered.server, context);
+}
+
+void RelayReducer::takeEntry(const RegisteredServer& server, Context& context)
+{
+    using Belief = effect::NoteBelief::Belief;
+    const FleetServer* known = m_fleet.find(server.id);
+    const bool movesLayers = known && known->entry.layers.size() && known->entry.layers != server.layers;
+    const Registration registration = m_fleet.upsert(server, context.now);
+    if (registration.outdated) {
+        ++m_counters.entriesOutdated;
+        context.effects.emplace_back(effect::NoteBelief { Belief::EntryOutdated, server.id, server.startedAt });
+        return;
+    }
+    for (const BackendId& ended : registration.ended) {
+        ++m_counters.startsEnded;
+        context.effects.emplace_back(effect::NoteBelief { Belief::StartEnded, ended, server.startedAt });
+        m_moveOffAt.erase(ended);
+        leaveEndedStart(ended, context);
+    }
+    // An engine that gives up layers waits for the streams through them before it takes others.
+    if (movesLayers && registration.ended.empty())
+        m_moveOffAt[server.id] = context.now;
+    if (server.leaving)
+        m_moveOffAt.try_emplace(server.id, context.now + m_options.rerouteDelay);
+    if (registration.changed)
+        dispatchAll(context);
+}
+
+void RelayReducer::on(const event::ServerUnregistered& gone, Context& context)
+{
+    if (m_fleet.remove(gone.server, context.now))
+        context.effects.emplace_back(effect::NoteBelief { effect::NoteBelief::Belief::Reinstated, gone.server, {} });
+    // Some servers leave without a word; they too go on serving for a while.
+    m_moveOffAt.try_emplace(gone.server, context.now + m_options.rerouteDelay);
+}
+
+void RelayReducer::on(const event::EngineStartSeen& seen, Context& context)
+{
+    takeStart(seen.engine, seen.startedAt, {}, context);
+}
+
+/// Takes in that an engine named its start. One that is later than its entry's holds what it says now, not what the
+/// entry says, and the entry follows.
+/// @return whether that start is the one that is known from now on
+bool RelayReducer::takeStart(const BackendId& id, StartTime startedAt, const LayerRange& layers, Context& context)
+{
+    const FleetServer* server = m_fleet.find(id);
+    if (!server)
+        return false;
+    if (!startedAt.value() || startedAt == server->entry.startedAt)
+        return true;
+    if (startedAt < server->entry.startedAt)
+        return false;
+    RegisteredServer entry = server->entry;
+    entry.startedAt = startedAt;
+    entry.layers = layers;
+    takeEntry(entry, context);
+    return true;
+}
+
+void RelayReducer::leaveEndedStart(const BackendId& ended, Context& context)
+{
+    std::vector<RequestId> lost;
+    for (const auto& [id, call] : m_calls) {
+        if (call.state != CallState::Running)
+            continue;
+        if (passes(call.main, ended) || (call.second && passes(*call.second, ended)))
+            lost.push_back(id);
+    }
+    for (const RequestId& id : lost) {
+        if (const auto call = m_calls.find(id); call != m_calls.end())
+            loseAttempt(call->second, ended, context);
+    }
+}
+
+/// The attempt cannot go on as it is: a later stage is replaced, or the call goes on elsewhere, or it ends with a true
+/// word. An end of the server is no attempt that the route's limit counts.
+void RelayReducer::loseAttempt(Call& call, const BackendId& lost, Context& context)
+{
+    if (call.second && passes(*call.second, lost)) {
+        drop(call, *call.second, context);
+        call.second.reset();
+    }
+    if (!passes(call.main, lost))
+        return;
+    if (call.second) {
+        drop(call, call.main, context);
+        call.main = *call.second;
+        call.second.reset();
+        return;
+    }
+    const bool isLeaving = !call.main.reroute.hops().empty() && !call.main.reroute.contains(lost);
+    call.main.lostStage = true;
+    if (isLeaving || reroute(call, { lost }, context))
+        return;
+    drop(call, call.main, context);
+    retryOrFinish(call, Reason::ConnectionLost, context);
+}
+
+/// Cancels an attempt whose server has ended.
+void RelayReducer::drop(Call& call, const Attempt& attempt, Context& context)
+{
+    context.effects.emplace_back(effect::CancelAttempt { attempt.id });
+    call.mayHaveRun = call.mayHaveRun || attempt.sent;
+    release(call, attempt, context);
+}
+
+} // namespace crocusmount::relay
--- a/src/relay/RelayReducerTime.cpp
+++ b/src/relay/RelayReducerTime.cpp
@@ -153,7 +153,7 @@
     return true;
 }
 
-void RelayReducer::on(const event::RerouteAnswered& answered, Context&)
+void RelayReducer::on(const event::RerouteAnswered& answered, Context& context)
 {
     Call* call = findByAttempt(answered.attempt);
     if (!call)
@@ -164,9 +164,15 @@
     if (!answered.accepted)
         ++m_counters.reroutesRefused;
     m_fleet.unbook(answered.accepted ? attempt.chain : attempt.reroute, call->tokens);
-    if (answered.accepted)
+    if (answered.accepted) {
         attempt.chain = attempt.reroute;
+        attempt.lostStage = false;
+    }
     attempt.reroute = Chain();
+    if (!attempt.lostStage || call->second)
+        return;
+    drop(*call, call->main, context);
+    retryOrFinish(*call, Reason::ConnectionLost, context);
 }
 
 void RelayReducer::moveOffLeaving(Context& context)
--- a/src/relay/ServerFleet.cpp
+++ b/src/relay/ServerFleet.cpp
@@ -26,17 +26,54 @@
     return { others.engine, ownTokenLayers, static_cast<double>(ownCalls), now < troubleUntil ? 1.0 : 0.0 };
 }
 
-bool ServerFleet::upsert(const RegisteredServer& entry)
+Registration ServerFleet::upsert(const RegisteredServer& entry, TimePoint now)
 {
+    Registration result;
+    const BackendId before = m_starts.occupantOf(entry.address);
+    const StartStanding standing = m_starts.note(entry, now);
+    if (standing == StartStanding::Ended) {
+        m_outdated[entry.id] = entry;
+        result.outdated = true;
+        return result;
+    }
+    m_outdated.erase(entry.id);
+    if (before != entry.id) {
+        const auto other = m_servers.find(before);
+        if (other != m_servers.end() && other->second.entry.address == entry.address) {
+            m_outdated[before] = other->second.entry;
+            m_servers.erase(other);
+            result.ended.push_back(before);
+        }
+    }
+    if (standing == StartStanding::New && m_servers.erase(entry.id))
+        result.ended.push_back(entry.id);
     const auto [position, added] = m_servers.try_emplace(entry.id);
-    if (!added && position->second.entry == entry)
-        return false;
+    result.changed = added || !(position->second.entry == entry);
     position->second.entry = entry;
-    position->second.others.engine = engineKey(entry.id);
-    return true;
+    position->second.others.engine = engineKey(entry.id, entry.startedAt);
+    return result;
 }
 
-void ServerFleet::remove(const BackendId& id) { m_servers.erase(id); }
+bool ServerFleet::remove(const BackendId& id, TimePoint now)
+{
+    m_outdated.erase(id);
+    const auto gone = m_servers.find(id);
+    if (gone == m_servers.end())
+        return false;
+    const RegisteredServer last = gone->second.entry;
+    m_servers.erase(gone);
+    // Where both say when they started, the outdated one has ended for certain.
+    const auto next = std::find_if(m_outdated.begin(), m_outdated.end(), [&](const auto& each) {
+        const bool certain = each.second.startedAt.value() && last.startedAt.value();
+        return each.second.address == last.address && !certain;
+    });
+    if (next == m_outdated.end())
+        return false;
+    const RegisteredServer entry = next->second;
+    m_starts.reinstate(entry, now);
+    upsert(entry, now);
+    return true;
+}
 
 FleetServer* ServerFleet::find(const BackendId& id)
 {
--- a/src/relay/ServerFleet.h
+++ b/src/relay/ServerFleet.h
@@ -4,6 +4,7 @@
 #include "crocusmount/Time.h"
 #include "relay/LoadReport.h"
 #include "relay/RegisteredServer.h"
+#include "relay/StartLedger.h"
 
 #include <map>
 #include <optional>
@@ -36,12 +37,20 @@
     EngineLoad ownLoad(TimePoint now) const;
 };
 
+/// What an entry of the registry changed.
+struct Registration {
+    bool changed = false; ///< anything that placement or routing depends on
+    bool outdated = false; ///< it is of a start that has ended; it changed nothing
+    std::vector<BackendId> ended {}; ///< servers whose known start has ended: all that ran there is lost
+};
+
 /// All registered backend servers.
 class ServerFleet {
 public:
-    /// @return whether anything changed that placement or routing depends on
-    bool upsert(const RegisteredServer&);
-    void remove(const BackendId&);
+    /// Takes in an entry. What is known of a server is known of one start of it: a new start begins at nothing.
+    Registration upsert(const RegisteredServer&, TimePoint now);
+    /// @return whether another server takes its place, one whose entry was held to be outdated
+    bool remove(const BackendId&, TimePoint now);
 
     const std::map<BackendId, FleetServer>& servers() const { return m_servers; }
     FleetServer* find(const BackendId&);
@@ -75,6 +84,8 @@
 
 private:
     std::map<BackendId, FleetServer> m_servers;
+    std::map<BackendId, RegisteredServer> m_outdated; ///< entries that are listed, of starts that have ended
+    StartLedger m_starts;
     bool m_knowsOthers = false;
 };
 
--- a/src/shell/HttpClient.cpp
+++ b/src/shell/HttpClient.cpp
@@ -90,7 +90,7 @@
     stream->expires_after(std::min(call.timeout, ConnectTimeout));
     const auto [error] = co_await stream->async_connect(*endpoint, asTuple);
     if (error)
-        co_return Connected { nullptr, false, error.message() };
+        co_return Connected { nullptr, false, error.message(), error == net::error::connection_refused };
     boost::system::error_code ignored;
     stream->socket().set_option(Tcp::no_delay(true), ignored);
     if (call.probed)
@@ -112,6 +112,7 @@
     Connected connected = co_await connect(call);
     if (!connected.stream) {
         answer.error = connected.error;
+        answer.refused = connected.refused;
         co_return answer;
     }
     TcpStream& stream = *connected.stream;
--- a/src/shell/HttpClient.h
+++ b/src/shell/HttpClient.h
@@ -36,6 +36,7 @@
     std::string body;
     std::string contentType;
     std::string error; ///< empty if answered
+    bool refused = false; ///< the other machine says that nobody listens there
     bool silent = false; ///< not answered because of a time limit, this call's or TCP's
     std::map<std::string, std::string> headers; ///< names in lower case
 };
@@ -72,6 +73,7 @@
         std::shared_ptr<TcpStream> stream;
         bool reused = false;
         std::string error;
+        bool refused = false;
     };
 
     Awaitable<Connected> connect(const HttpCall&);
--- a/tests/PeerLinkTest.cpp
+++ b/tests/PeerLinkTest.cpp
@@ -4,21 +4,13 @@
 #include "platform/WireNames.h"
 #include "shell/Endpoint.h"
 #include "tests/Tests.h"
+#include "tests/fakes/NoControl.h"
 
 using namespace crocusmount;
 using std::chrono::milliseconds;
 
 namespace {
 
-/// Engines take no orders here.
-class NoControl final : public EngineControl {
-private:
-    Awaitable<std::optional<double>> onSlowness(std::string) override { co_return 1.0; }
-    Awaitable<std::string> onStalledStage(std::string, std::string) override { co_return std::string(); }
-    Awaitable<OrderAnswer> onReroute(std::string, std::string, Chain) override { co_return OrderAnswer::Refused; }
-    Awaitable<OrderAnswer> onPlaceLayers(std::string, LayerRange, Handover) override { co_return OrderAnswer::Refused; }
-};
-
 /// What one instance sees of the store: it is served, or turned away at once.
 class StoreOfOneInstance final : public StoreClient, public LeaseClient {
 public:
--- a/tests/RelayLoopbackTest.cpp
+++ b/tests/RelayLoopbackTest.cpp
@@ -6,6 +6,7 @@
 #include "shell/Endpoint.h"
 #include "tests/RelayHarness.h"
 #include "tests/Tests.h"
+#include "tests/fakes/NoControl.h"
 
 using namespace crocusmount;
 using namespace crocusmount::relay;
@@ -14,35 +15,31 @@
 
 constexpr auto asTuple = net::as_tuple(useAwaitable);
 
-/// Engines take no orders here.
-class NoControl final : public EngineControl {
-private:
-    Awaitable<std::optional<double>> onSlowness(std::string) override { co_return 1.0; }
-    Awaitable<std::string> onStalledStage(std::string, std::string) override { co_return std::string(); }
-    Awaitable<OrderAnswer> onReroute(std::string, std::string, Chain) override { co_return OrderAnswer::Refused; }
-    Awaitable<OrderAnswer> onPlaceLayers(std::string, LayerRange, Handover) override { co_return OrderAnswer::Refused; }
-};
-
 /// Answers each connection's request with the next (an empty one: never) of a list of scripted byte sequences, then
-/// closes.
+/// closes. It listens at two addresses, as no two servers share one.
 class ScriptedServer {
 public:
     ScriptedServer(net::io_context& context, std::vector<std::string> answers)
-        : m_acceptor(context.get_executor(), *parseEndpoint<Tcp>("127.0.0.1:0"))
+        : m_plain(context.get_executor(), *parseEndpoint<Tcp>("127.0.0.1:0"))
+        , m_engine(context.get_executor(), *parseEndpoint<Tcp>("127.0.0.1:0"))
         , m_answers(std::move(answers))
     {
-        net::co_spawn(context.get_executor(), run(), net::detached);
+        net::co_spawn(context.get_executor(), run(m_plain), net::detached);
+        net::co_spawn(context.get_executor(), run(m_engine), net::detached);
     }
 
-    std::string address() const { return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()); }
+    std::string plainAddress() const { return "127.0.0.1:" + std::to_string(m_plain.local_endpoint().port()); }
+    std::string engineAddress() const { return "127.0.0.1:" + std::to_string(m_engine.local_endpoint().port()); }
     std::size_t requests() const { return m_next; }
 
 private:
-    Awaitable<void> run()
+    using Acceptor = net::basic_socket_acceptor<Tcp, Executor>;
+
+    Awaitable<void> run(Acceptor& acceptor)
     {
         while (true) {
-            TcpStream stream(m_acceptor.get_executor());
-            const auto [error] = co_await m_acceptor.async_accept(stream.socket(), asTuple);
+            TcpStream stream(acceptor.get_executor());
+            const auto [error] = co_await acceptor.async_accept(stream.socket(), asTuple);
             if (error)
                 co_return;
             beast::flat_buffer buffer;
@@ -60,7 +57,8 @@
         }
     }
 
-    net::basic_socket_acceptor<Tcp, Executor> m_acceptor;
+    Acceptor m_plain;
+    Acceptor m_engine;
     std::vector<std::string> m_answers;
     std::vector<TcpStream> m_silent; ///< kept open
     std::size_t m_next = 0;
@@ -93,9 +91,9 @@
     RelayNode node(context, options, platform::headerNames(), control);
     ScriptedServer server(context, std::move(answers));
     RegisteredServer plain = RelayHarness::plain("x");
-    plain.address = server.address();
+    plain.address = server.plainAddress();
     RegisteredServer engine = RelayHarness::engine("e", 0, 8);
-    engine.address = server.address();
+    engine.address = server.engineAddress();
     node.post(relay::event::ConfigurationAccepted { RouteTable::make(RelayHarness::configuration()) });
     node.post(relay::event::ServerRegistered { plain });
     node.post(relay::event::ServerRegistered { engine });
--- /dev/null
+++ b/tests/ServerStartTest.cpp
@@ -0,0 +1,192 @@
+#include "relay/StartLedger.h"
+#include "tests/RelayHarness.h"
+#include "tests/Tests.h"
+
+using namespace crocusmount;
+using namespace crocusmount::relay;
+using std::chrono::milliseconds;
+
+TEST_GROUP(ServerStart) {};
+
+namespace {
+
+RegisteredServer entry(const char* id, std::int64_t startedMs, const char* address = "10.0.0.1:80")
+{
+    RegisteredServer made = RelayHarness::engine(id, 0, 4);
+    made.startedAt = StartTime(startedMs);
+    made.address = address;
+    return made;
+}
+
+const char* nameOf(StartStanding standing)
+{
+    switch (standing) {
+    case StartStanding::Known:
+        return "known ";
+    case StartStanding::New:
+        return "new ";
+    default:
+        return "ended ";
+    }
+}
+
+} // namespace
+
+// Eight engines were cut off, crashed behind the cut and started again at their addresses under new ids. When the cut
+// healed, the entries that the old processes had written reached the store after the new ones (a gone id was listed
+// again at 8.37 s with its layers, its successor at the same address at 8.12 s), and calls were sent to them for 4 s.
+TEST(ServerStart, AnEndedStartNeverComesBack)
+{
+    const struct {
+        const char* name;
+        std::vector<RegisteredServer> entries;
+        const char* standings;
+    } cases[] = {
+        { "an entry changes", { entry("a", 0), entry("a", 0) }, "new known " },
+        { "a new id at its address", { entry("a", 0), entry("b", 0), entry("a", 0) }, "new new ended " },
+        { "the old entry comes first", { entry("a", 0), entry("a", 0), entry("b", 0) }, "new known new " },
+        { "other addresses", { entry("a", 0), entry("b", 0, "10.0.0.2:80"), entry("a", 0) }, "new new known " },
+        { "a later start under its id", { entry("a", 5), entry("a", 9), entry("a", 5) }, "new new ended " },
+        { "the same start", { entry("a", 5), entry("a", 5) }, "new known " },
+        { "no time any more", { entry("a", 5), entry("a", 0), entry("a", 5) }, "new ended known " },
+        { "a time at last", { entry("a", 0), entry("a", 5) }, "new new " },
+        { "an earlier start at its address", { entry("b", 9), entry("a", 5) }, "new ended " },
+        { "a later start at its address", { entry("a", 5), entry("b", 9), entry("a", 5) }, "new new ended " },
+        { "the old id starts once more", { entry("a", 5), entry("b", 7), entry("a", 9) }, "new new new " },
+        { "it moved, its address is taken",
+            { entry("a", 0), entry("a", 0, "10.0.0.2:80"), entry("b", 0), entry("a", 0, "10.0.0.2:80") },
+            "new known new known " },
+    };
+    for (const auto& each : cases) {
+        StartLedger ledger;
+        std::string standings;
+        for (const RegisteredServer& server : each.entries)
+            standings += nameOf(ledger.note(server, timePoint(1)));
+        CHECK_EQUAL_TEXT(std::string(each.standings), standings, each.name);
+    }
+}
+
+TEST(ServerStart, WhatIsListedIsUsedAgainWhereItsSupposedSuccessorGoes)
+{
+    ServerFleet fleet;
+    fleet.upsert(entry("a", 0), timePoint(1));
+    fleet.upsert(entry("b", 0), timePoint(2));
+    CHECK_TRUE(fleet.find(BackendId("a")) == nullptr);
+    CHECK_TRUE(fleet.remove(BackendId("b"), timePoint(3)));
+    CHECK_TRUE(fleet.find(BackendId("a")) != nullptr);
+    CHECK_FALSE(fleet.remove(BackendId("a"), timePoint(4)));
+    // Where both say when they started, it has ended for certain.
+    fleet.upsert(entry("c", 5), timePoint(5));
+    fleet.upsert(entry("d", 9), timePoint(6));
+    CHECK_FALSE(fleet.remove(BackendId("d"), timePoint(7)));
+    CHECK_TRUE(fleet.find(BackendId("c")) == nullptr);
+}
+
+TEST(ServerStart, ANewStartBeginsAtNothing)
+{
+    RelayHarness harness;
+    const auto start = harness.running("/draft/1", 1);
+    const BackendId id = start.chain.hops().back().backend;
+    harness.send(relay::event::EngineChecked { id, false, 1 });
+    CHECK_TRUE(harness.reducer().fleet().servers().at(id).isDead(harness.now()));
+    RegisteredServer again = RelayHarness::engine(id.value(), 0, 0);
+    again.startedAt = StartTime(9);
+    harness.send(relay::event::ServerRegistered { again });
+    const FleetServer& server = harness.reducer().fleet().servers().at(id);
+    CHECK_FALSE(server.isDead(harness.now()));
+    CHECK_EQUAL(0, server.ownTokenLayers);
+    CHECK_EQUAL(0U, server.unansweredChecks);
+    // Others' words on the start before do not concern it.
+    harness.send(relay::event::EnginesReportedDead { { engineKey(id) } });
+    CHECK_FALSE(harness.last<relay::effect::CheckEngine>().has_value());
+}
+
+namespace {
+
+/// A sign that an engine has started again.
+struct Sign {
+    const char* name;
+    std::vector<RelayEventBody> events;
+};
+
+std::vector<Sign> signsOfANewStart(const BackendId& id)
+{
+    RegisteredServer later = RelayHarness::engine(id.value(), 0, 0);
+    later.startedAt = StartTime(9);
+    RegisteredServer successor = RelayHarness::engine("z", 0, 0);
+    successor.address = later.address;
+    return {
+        { "its entry", { relay::event::ServerRegistered { later } } },
+        { "another id at its address", { relay::event::ServerRegistered { successor } } },
+        { "its answer to a check", { relay::event::EngineChecked { id, true, 1, false, {}, StartTime(9), {} } } },
+        { "its answer to an order", { relay::event::EngineStartSeen { id, StartTime(9) } } },
+    };
+}
+
+} // namespace
+
+TEST(ServerStart, StreamsLeaveAnEngineThatStartedAgainAtTheFirstSign)
+{
+    for (const bool isFirst : { false, true }) {
+        for (std::size_t sign = 0; sign < 4; ++sign) {
+            RelayHarness harness;
+            const auto start = harness.running("/draft/1", 10);
+            const Hop lost = isFirst ? start.chain.hops().front() : start.chain.hops().back();
+            const Sign each = signsOfANewStart(lost.backend).at(sign);
+            for (const RelayEventBody& event : each.events)
+                harness.send(event);
+            if (isFirst) {
+                const auto next = harness.last<relay::effect::StartAttempt>();
+                CHECK_TRUE_TEXT(next && next->resumeAfter == 10U, each.name);
+                CHECK_FALSE_TEXT(next->chain.contains(lost.backend), each.name);
+                CHECK_TRUE_TEXT(harness.last<relay::effect::CancelAttempt>()->attempt == start.attempt, each.name);
+            } else {
+                const auto order = harness.last<relay::effect::RerouteAttempt>();
+                CHECK_TRUE_TEXT(order && !order->chain.contains(lost.backend), each.name);
+                // Without the order the attempt cannot go on.
+                harness.send(relay::event::RerouteAnswered { start.attempt, false });
+                const auto next = harness.last<relay::effect::StartAttempt>();
+                CHECK_TRUE_TEXT(next && next->resumeAfter == 10U, each.name);
+            }
+        }
+    }
+}
+
+TEST(ServerStart, CallsThatMayNotRunTwiceEndWithATrueWord)
+{
+    RelayHarness harness;
+    const auto start = harness.running("/book/1");
+    RegisteredServer successor = RelayHarness::plain("z");
+    successor.address = start.address;
+    harness.send(relay::event::ServerRegistered { successor });
+    const auto refusal = harness.last<relay::effect::Refuse>();
+    CHECK_TRUE(refusal && refusal->run == RunState::MayHaveRun);
+}
+
+TEST(ServerStart, WordsOfAnEarlierStartChangeNothing)
+{
+    RelayHarness harness;
+    const auto start = harness.running("/draft/1", 10);
+    const BackendId id = start.chain.hops().back().backend;
+    RegisteredServer entry = RelayHarness::engine(id.value(), 4, 8);
+    entry.startedAt = StartTime(9);
+    harness.send(relay::event::ServerRegistered { entry });
+    RegisteredServer late = RelayHarness::engine(id.value(), 0, 8);
+    late.startedAt = StartTime(5);
+    const struct {
+        const char* name;
+        RelayEventBody event;
+    } cases[] = {
+        { "an entry", relay::event::ServerRegistered { late } },
+        { "an answer to a check", relay::event::EngineChecked { id, true, 12, false, StartTime(9), StartTime(5), {} } },
+        { "silence of the start before", relay::event::EngineChecked { id, false, 1, true, StartTime(5), {}, {} } },
+        { "an answer to an order", relay::event::EngineStartSeen { id, StartTime(5) } },
+    };
+    for (const auto& each : cases) {
+        harness.send(each.event);
+        const FleetServer& server = harness.reducer().fleet().servers().at(id);
+        CHECK_TRUE_TEXT(server.entry == entry, each.name);
+        CHECK_FALSE_TEXT(server.isDead(harness.now()), each.name);
+        CHECK_EQUAL_TEXT(1, server.slowness, each.name);
+    }
+}
--- /dev/null
+++ b/tests/fakes/NoControl.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "edge/EngineControl.h"
+
+namespace crocusmount {
+
+/// Engines that live and take no orders.
+class NoControl final : public EngineControl {
+private:
+    Awaitable<EngineReport> onCheck(std::string) override { co_return EngineReport { CheckAnswer::Alive, 1, {}, {} }; }
+    Awaitable<std::string> onStalledStage(std::string, std::string) override { co_return std::string(); }
+    Awaitable<OrderReply> onReroute(std::string, std::string, Chain) override { co_return refusal(); }
+    Awaitable<OrderReply> onPlaceLayers(std::string, LayerRange, Handover) override { co_return refusal(); }
+
+    static OrderReply refusal() { return { OrderAnswer::Refused, 409, {}, {} }; }
+};
+
+} // namespace crocusmount
