Entries of other writers name no server; a lock that names no instance is taken over

Cause: an entry that could not be read left the one before it in use, an unknown state counted as ready, an unreadable instance put an empty address before callers, and a planner's lock that no instance holds stopped all planning.

--- a/programs/crocusmount-entry.cpp
+++ b/programs/crocusmount-entry.cpp
@@ -130,6 +130,7 @@
         gauges.storeCalls = m_store.calls();
         gauges.logLinesDropped = relay::DecisionLog::dropped();
         gauges.fedByPeer = m_mirror.isFed();
+        gauges.unreadableValues = m_follower.unreadable() + m_registry.unreadable();
         if (m_peerLink) {
             gauges.peerBytesSent = m_peerLink->traffic().sentBytes;
             gauges.peerDatagramsReceived = m_peerLink->traffic().received;
--- a/src/edge/InstanceRegistry.cpp
+++ b/src/edge/InstanceRegistry.cpp
@@ -1,6 +1,7 @@
 #include "edge/InstanceRegistry.h"
 
 #include "edge/DecisionLog.h"
+#include "shell/Endpoint.h"
 #include "shell/Json.h"
 
 #include <absl/strings/match.h>
@@ -22,6 +23,23 @@
     /// How often a free lock is looked for; instances differ by a random part so that one of them is first.
     constexpr std::chrono::milliseconds LockInterval { 200 };
     constexpr std::uint32_t LockJitterMs = 200;
+    /// A lock whose holder is not listed for so long was not written by an instance, or not under its lease: a lease
+    /// and the time for which lapsed entries are waited for are shorter together.
+    constexpr std::chrono::milliseconds StrayLockTime { 5000 };
+    constexpr std::size_t LongestIdInLogs = 100;
+    constexpr std::uint64_t UnreadableLogStep = 100; ///< one line for so many entries that cannot be read
+
+    absl::StatusOr<InstanceRegistry::Entry> entryFrom(const std::string& key, const std::string& text)
+    {
+        const std::string id = key.substr(std::string_view(InstancePrefix).size());
+        const boost::json::object value = parseObject(text);
+        InstanceRegistry::Entry entry { id, textOf(value, "address"), textOf(value, "data_centre"),
+            textOf(value, "peer_address") };
+        const bool hasPeerAddress = entry.peerAddress.empty() || parseEndpoint<Udp>(entry.peerAddress).ok();
+        if (id.empty() || entry.dataCentre.empty() || !hasPeerAddress || !parseEndpoint<Tcp>(entry.address).ok())
+            return absl::InvalidArgumentError("instance " + id.substr(0, LongestIdInLogs) + ": not an entry");
+        return entry;
+    }
 
 } // namespace
 
@@ -36,6 +54,7 @@
 
 void InstanceRegistry::start()
 {
+    m_strayLockSince = std::chrono::steady_clock::now();
     net::co_spawn(m_context.get_executor(), keepLoop(), net::detached);
     net::co_spawn(m_context.get_executor(), lockLoop(), net::detached);
 }
@@ -48,16 +67,24 @@
 }
 
 void InstanceRegistry::storeChanged(const StoreEvent& event)
+{
+    if (event.entry.key == PlannerKey)
+        takePlanner(event);
+    else if (absl::StartsWith(event.entry.key, InstancePrefix))
+        takeInstance(event);
+}
+
+void InstanceRegistry::takePlanner(const StoreEvent& event)
+{
+    m_plannerId = event.deleted ? std::string() : event.entry.value;
+    m_plannerRevision = event.deleted ? 0 : event.entry.modRevision;
+    relay::DecisionLog::state("planner_changed",
+        { { "planner", m_plannerId.substr(0, LongestIdInLogs) }, { "revision", event.entry.modRevision } });
+}
+
+void InstanceRegistry::takeInstance(const StoreEvent& event)
 {
     const std::string& key = event.entry.key;
-    if (key == PlannerKey) {
-        m_plannerId = event.deleted ? std::string() : event.entry.value;
-        relay::DecisionLog::state(
-            "planner_changed", { { "planner", m_plannerId }, { "revision", event.entry.modRevision } });
-        return;
-    }
-    if (!absl::StartsWith(key, InstancePrefix))
-        return;
     if (key == m_key) {
         m_listed = !event.deleted;
         return;
@@ -65,14 +92,20 @@
     if (event.deleted) {
         m_others.erase(key);
     } else {
-        const boost::json::object value = parseObject(event.entry.value);
-        Entry entry { key.substr(std::string_view(InstancePrefix).size()), textOf(value, "address"),
-            textOf(value, "data_centre"), textOf(value, "peer_address") };
-        if (entry.address == m_self.address)
+        auto entry = entryFrom(key, event.entry.value);
+        if (!entry.ok()) {
+            // Any client of the store may have written it. It names no instance, also where it replaces one that did.
+            m_others.erase(key);
+            if (++m_unreadable % UnreadableLogStep == 1)
+                relay::DecisionLog::state("instance_unreadable",
+                    { { "error", std::string(entry.status().message()) }, { "unreadable", m_unreadable } });
+            return;
+        }
+        if (entry->address == m_self.address)
             return; // This instance's own, from before its restart.
         // A restarted instance takes the place of the one before, whose lease may have a while to run.
-        std::erase_if(m_others, [&](const auto& other) { return other.second.address == entry.address; });
-        m_others[key] = std::move(entry);
+        std::erase_if(m_others, [&](const auto& other) { return other.second.address == entry->address; });
+        m_others[key] = *std::move(entry);
     }
     relay::DecisionLog::state(event.deleted ? "instance_gone" : "instance_seen",
         { { "other", key }, { "instances", count() }, { "revision", event.entry.modRevision } });
@@ -163,10 +196,13 @@
     while (!m_withdrawn) {
         timer.expires_after(LockInterval + jitter);
         co_await timer.async_wait(net::as_tuple(useAwaitable));
-        if (!m_plannerId.empty() || !m_lease.id || !m_listed)
+        if (m_plannerRevision == 0 || isListed(m_plannerId))
+            m_strayLockSince = std::chrono::steady_clock::now();
+        if (!isLockFree() || !m_lease.id || !m_listed)
             continue;
         StoreWrite write;
         write.guardKey = PlannerKey;
+        write.expectedModRevision = m_plannerRevision;
         write.puts.emplace_back(PlannerKey, m_self.id);
         write.lease = m_lease.id;
         // Whoever won, the mirror tells.
@@ -174,6 +210,16 @@
     }
 }
 
+bool InstanceRegistry::isLockFree() const
+{
+    return m_plannerRevision == 0 || std::chrono::steady_clock::now() > m_strayLockSince + StrayLockTime;
+}
+
+bool InstanceRegistry::isListed(const std::string& id) const
+{
+    return (id == m_self.id && m_listed) || m_others.count(InstancePrefix + id);
+}
+
 Awaitable<void> InstanceRegistry::leave()
 {
     const std::int64_t lease = m_lease.id;
--- a/src/edge/InstanceRegistry.h
+++ b/src/edge/InstanceRegistry.h
@@ -36,12 +36,18 @@
     /// @return the entries of the other live instances
     std::vector<Entry> others() const;
     const Entry& self() const { return m_self; }
+    /// @return entries of instances that could not be read
+    std::uint64_t unreadable() const { return m_unreadable; }
 
 private:
     Awaitable<void> keepLoop();
     Awaitable<void> lockLoop();
     Awaitable<bool> keep();
     Awaitable<bool> registerSelf();
+    void takePlanner(const StoreEvent&);
+    void takeInstance(const StoreEvent&);
+    bool isLockFree() const;
+    bool isListed(const std::string& id) const;
     Awaitable<void> leave();
 
     net::io_context& m_context;
@@ -51,6 +57,9 @@
     std::string m_key;
     std::map<std::string, Entry> m_others; ///< by key
     std::string m_plannerId; ///< holder of the lock; empty: free
+    std::int64_t m_plannerRevision = 0; ///< of the lock; 0: nobody holds it
+    std::chrono::steady_clock::time_point m_strayLockSince; ///< the lock names no listed instance since then
+    std::uint64_t m_unreadable = 0;
     Lease m_lease;
     std::chrono::steady_clock::time_point m_leaseEnds;
     bool m_listed = false; ///< our entry was seen in the store
--- a/src/edge/RelayMetrics.cpp
+++ b/src/edge/RelayMetrics.cpp
@@ -26,6 +26,10 @@
         double(counters.startsEnded));
     families.addCounter("crocusmount_server_entries_outdated_total", "Entries of starts that had ended",
         double(counters.entriesOutdated));
+    families.addCounter(
+        "crocusmount_server_entries_unusable_total", "Entries that fit no service", double(counters.entriesUnusable));
+    families.addCounter("crocusmount_store_values_unreadable_total", "Values of the store that could not be read",
+        double(gauges.unreadableValues));
     families.addCounter(
         "crocusmount_callers_left_total", "Callers gone before the answer", double(counters.callersLeft));
     families.addByReason("crocusmount_refused_total", "Final answers of this instance's own", counters.refused);
--- a/src/edge/RelayMetrics.h
+++ b/src/edge/RelayMetrics.h
@@ -27,6 +27,7 @@
     std::uint64_t copiesTaken = 0; ///< whole copies of the store, from other instances
     std::uint64_t copiesGiven = 0; ///< likewise, to other instances
     std::uint64_t copiesFailed = 0; ///< questions for one without a usable answer
+    std::uint64_t unreadableValues = 0; ///< of the store
     bool fedByPeer = false; ///< another instance passes the store's changes on
 };
 
--- a/src/edge/RelayNode.cpp
+++ b/src/edge/RelayNode.cpp
@@ -33,6 +33,8 @@
             return "server_start_ended";
         case Belief::EntryOutdated:
             return "server_entry_outdated";
+        case Belief::EntryUnusable:
+            return "server_entry_unusable";
         case Belief::Reinstated:
             return "server_reinstated";
         case Belief::ReportedDead:
--- a/src/edge/StoreMirror.cpp
+++ b/src/edge/StoreMirror.cpp
@@ -32,6 +32,9 @@
     /// Between two questions for a peer's copy. Beside the 2 s within which a configuration must be in force it leaves
     /// time to ask three peers that do not answer.
     constexpr std::chrono::milliseconds CopyInterval { 250 };
+    /// Values beyond these are not kept, and the copy is not given to others. A configuration of 1 MB, 820 engines and
+    /// 330 instances need 1.5 MB; any client of the store may write more.
+    constexpr std::size_t MostHeldBytes = 8U << 20U;
 
 } // namespace
 
@@ -213,7 +216,23 @@
     return copy;
 }
 
-bool StoreMirror::isCurrent() const { return m_complete && !m_stale && age() <= OldestPeerAnswer; }
+bool StoreMirror::isCurrent() const
+{
+    return m_complete && !m_stale && age() <= OldestPeerAnswer && m_heldBytes <= MostHeldBytes;
+}
+
+void StoreMirror::hold(const StoreEntry& entry)
+{
+    Held& held = m_held[entry.key];
+    m_heldBytes += entry.value.size() - held.size;
+    held = { entry.modRevision, entry.value.size(), m_heldBytes <= MostHeldBytes ? entry.value : std::string() };
+}
+
+void StoreMirror::letGo(std::map<std::string, Held>::iterator held)
+{
+    m_heldBytes -= held->second.size;
+    m_held.erase(held);
+}
 
 void StoreMirror::peerIsAt(const Progress& peer)
 {
@@ -258,7 +277,7 @@
             m_lapsed.try_emplace(key, m_trustDeletionsFrom);
             return;
         }
-        m_held.erase(known);
+        letGo(known);
         m_lapsed.erase(key);
         m_onChange(event);
         return;
@@ -266,7 +285,7 @@
     m_lapsed.erase(key);
     if (known != m_held.end() && event.entry.modRevision == known->second.revision)
         return;
-    m_held[key] = { event.entry.modRevision, event.entry.value };
+    hold(event.entry);
     m_onChange(event);
 }
 
--- a/src/edge/StoreMirror.h
+++ b/src/edge/StoreMirror.h
@@ -75,7 +75,8 @@
 private:
     struct Held {
         std::int64_t revision = 0;
-        std::string value;
+        std::size_t size = 0;
+        std::string value; ///< empty where the copy had grown too large for it
     };
 
     Awaitable<void> followLoop();
@@ -85,6 +86,8 @@
     Awaitable<absl::Status> readAll();
     Awaitable<absl::Status> watchOnce();
     void replaceBy(const StoreRange&);
+    void hold(const StoreEntry&);
+    void letGo(std::map<std::string, Held>::iterator);
     void take(const StoreEvent&);
     void lostContact(const absl::Status&);
     void regainedContact();
@@ -98,6 +101,7 @@
     OnBatch m_onBatch;
     StoreCopySource* m_copySource = nullptr;
     std::map<std::string, Held> m_held; ///< by key, all that was reported and not deleted since
+    std::size_t m_heldBytes = 0; ///< of their values
     std::map<std::string, std::chrono::steady_clock::time_point> m_lapsed; ///< deletions held back, with their time
     std::chrono::steady_clock::time_point m_lastAnswer;
     std::chrono::steady_clock::time_point m_lostSince;
--- a/src/relay/RelayCounters.h
+++ b/src/relay/RelayCounters.h
@@ -20,6 +20,7 @@
     std::uint64_t deadEngines = 0; ///< checks that were not answered
     std::uint64_t startsEnded = 0; ///< backend servers in whose place a later start was seen
     std::uint64_t entriesOutdated = 0; ///< entries of starts that had ended
+    std::uint64_t entriesUnusable = 0; ///< entries with a service or layers that the configuration does not know
     std::uint64_t callersLeft = 0;
     std::uint64_t configurationsAccepted = 0;
     std::array<std::uint64_t, ReasonCount> refused {}; ///< final answers other than a server's, by reason
--- a/src/relay/RelayEffect.h
+++ b/src/relay/RelayEffect.h
@@ -61,6 +61,7 @@
         enum class Belief {
             StartEnded, ///< a later start took its place: what ran there is lost
             EntryOutdated, ///< it is listed, by an entry of a start that has ended
+            EntryUnusable, ///< it names a service or layers that the configuration does not know
             Reinstated, ///< what was held to have followed it is gone
             ReportedDead, ///< another instance found it dead, and an own stream is silent there
         };
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -84,6 +84,8 @@
         return;
     m_routes = accepted.routes;
     ++m_counters.configurationsAccepted;
+    for (const auto& [id, server] : std::exchange(m_unusable, {}))
+        takeEntry(server, context);
     for (const Unrouted& waiting : std::exchange(m_unrouted, {}))
         admitOrRefuse(waiting.arrival, context);
     dispatchAll(context);
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -96,6 +96,8 @@
     void checkAvoidedEngines(Context&);
     void leaveDeadEngine(const BackendId&, Context&);
     void takeEntry(const RegisteredServer&, Context&);
+    bool isUsable(const RegisteredServer&) const;
+    void setAside(const RegisteredServer&, Context&);
     bool takeStart(const BackendId&, StartTime, const LayerRange&, Context&);
     void leaveEndedStart(const BackendId&, Context&);
     void loseAttempt(Call&, const BackendId& lost, Context&);
@@ -126,6 +128,7 @@
     std::map<ServiceId, ServiceQueue> m_services;
     std::map<ServiceId, RetryBudget> m_budgets;
     std::map<BackendId, TimePoint> m_moveOffAt; ///< servers that leave, with the time at which streams are moved
+    std::map<BackendId, RegisteredServer> m_unusable; ///< entries that fit no service of the configuration
     EngineCheckBudget m_checkBudget;
     std::uint64_t m_nextAttempt = 1;
     std::optional<TimePoint> m_drainedAt;
--- a/src/relay/RelayReducerServers.cpp
+++ b/src/relay/RelayReducerServers.cpp
@@ -11,6 +11,10 @@
 
 namespace {
 
+    /// Entries that fit no service and are kept for the next configuration. Another client of the store may write any
+    /// number of them.
+    constexpr std::size_t MostUnusable = 1000;
+
     bool passes(const Attempt& attempt, const BackendId& server)
     {
         return attempt.server == server || attempt.chain.contains(server);
@@ -26,6 +30,11 @@
 void RelayReducer::takeEntry(const RegisteredServer& server, Context& context)
 {
     using Belief = effect::NoteBelief::Belief;
+    if (!isUsable(server)) {
+        setAside(server, context);
+        return;
+    }
+    m_unusable.erase(server.id);
     const FleetServer* known = m_fleet.find(server.id);
     const bool movesLayers = known && known->entry.layers.size() && known->entry.layers != server.layers;
     const Registration registration = m_fleet.upsert(server, context.now);
@@ -49,8 +58,29 @@
         dispatchAll(context);
 }
 
+bool RelayReducer::isUsable(const RegisteredServer& server) const
+{
+    if (!m_routes)
+        return true;
+    const Service* service = m_routes->service(server.service);
+    return service && (!service->engine || server.layers.end <= service->engine->layers);
+}
+
+/// Such an entry names no server, also where it replaces one that did; a later configuration may give it a meaning.
+void RelayReducer::setAside(const RegisteredServer& server, Context& context)
+{
+    ++m_counters.entriesUnusable;
+    context.effects.emplace_back(
+        effect::NoteBelief { effect::NoteBelief::Belief::EntryUnusable, server.id, server.startedAt });
+    if (m_fleet.find(server.id))
+        on(event::ServerUnregistered { server.id }, context);
+    if (m_unusable.size() < MostUnusable)
+        m_unusable[server.id] = server;
+}
+
 void RelayReducer::on(const event::ServerUnregistered& gone, Context& context)
 {
+    m_unusable.erase(gone.server);
     if (m_fleet.remove(gone.server, context.now))
         context.effects.emplace_back(effect::NoteBelief { effect::NoteBelief::Belief::Reinstated, gone.server, {} });
     // Some servers leave without a word; they too go on serving for a while.
--- /dev/null
+++ b/tests/StoreEntryTest.cpp
@@ -0,0 +1,197 @@
+#include "edge/InstanceRegistry.h"
+#include "edge/RelayNode.h"
+#include "platform/PlatformFollower.h"
+#include "platform/WireCodec.h"
+#include "platform/WireNames.h"
+#include "relay/RouteTable.h"
+#include "tests/RelayHarness.h"
+#include "tests/Tests.h"
+#include "tests/fakes/NoControl.h"
+
+#include <boost/json.hpp>
+
+using namespace crocusmount;
+using namespace crocusmount::relay;
+
+// Any client of the store may write an entry. One that does not hold what it must names no server, the one that it
+// replaces included, and all others hold.
+TEST_GROUP(StoreEntry) {};
+
+namespace {
+
+const char* const GoodEntry = R"({"backend":"model","address":"1.2.3.4:5","zone":"z","version":"v1","slots":192,
+    "state":"draining","cold_remaining_ms":0,"seq":3,"born":1768184554039,"route_type":"card",
+    "layers":{"from":2,"target":7,"version":1}})";
+
+std::string with(const char* field, const char* json)
+{
+    boost::json::object object = boost::json::parse(GoodEntry).as_object();
+    object[field] = boost::json::parse(json);
+    return boost::json::serialize(object);
+}
+
+std::string without(const char* field)
+{
+    boost::json::object object = boost::json::parse(GoodEntry).as_object();
+    object.erase(field);
+    return boost::json::serialize(object);
+}
+
+StoreEvent entryOf(const std::string& id, const std::string& value, std::int64_t revision)
+{
+    return { { "servers/" + id, value, revision }, false };
+}
+
+/// A store that is not there.
+class NoStore final : public StoreClient, public LeaseClient {
+public:
+    std::vector<StoreWrite> writes;
+
+private:
+    Awaitable<absl::StatusOr<StoreRange>> onRange(std::string, std::string) override { co_return gone(); }
+    Awaitable<StoreWriteResult> onWrite(StoreWrite write) override
+    {
+        writes.push_back(std::move(write));
+        co_return StoreWriteResult { WriteOutcome::Committed, 9 };
+    }
+    Awaitable<absl::Status> onWatch(std::string, std::string, std::int64_t, OnWatch) override { co_return gone(); }
+    Awaitable<absl::StatusOr<Lease>> onGrant(std::chrono::milliseconds) override
+    {
+        co_return Lease { 7, std::chrono::seconds(2) };
+    }
+    Awaitable<absl::Status> onKeep(std::int64_t) override { co_return absl::OkStatus(); }
+    Awaitable<absl::Status> onEnd(std::int64_t) override { co_return absl::OkStatus(); }
+
+    static absl::Status gone() { return absl::UnavailableError("no store"); }
+};
+
+/// What reads the store, with the harness's configuration in force.
+struct Reader {
+    net::io_context context { BOOST_ASIO_CONCURRENCY_HINT_UNSAFE };
+    NoControl control;
+    RelayNode node { context, {}, platform::headerNames(), control };
+    NoStore store;
+    InstanceRegistry registry { context, store, store, { "self", "1.1.1.1:1", "z", "" } };
+    platform::PlatformFollower follower { node, registry };
+
+    Reader() { node.post(relay::event::ConfigurationAccepted { RouteTable::make(RelayHarness::configuration()) }); }
+
+    std::string servers() const
+    {
+        std::string ids;
+        for (const auto& [id, server] : node.reducer().fleet().servers())
+            ids += id.value() + " ";
+        return ids;
+    }
+};
+
+} // namespace
+
+TEST(StoreEntry, ACompleteEntryIsDecoded)
+{
+    const auto server = platform::serverFrom("i-1", GoodEntry);
+    CHECK_TRUE(server.ok());
+    CHECK_TRUE(server->leaving);
+    CHECK_TEXT("card", server->accelerator);
+    CHECK_TRUE((server->layers == LayerRange { 2, 7 }));
+    CHECK_EQUAL(1768184554039, server->startedAt.value());
+    CHECK_EQUAL(192U, server->slots);
+    for (const std::string& entry : { with("layers", "null"), without("layers"), with("state", R"("ready")"),
+             without("route_type"), without("born"), with("another", R"({"deep":[1]})") })
+        CHECK_TRUE_TEXT(platform::serverFrom("i-1", entry).ok(), entry.c_str());
+}
+
+TEST(StoreEntry, AnEntryThatLacksAFieldOrHoldsAnotherTypeNamesNoServer)
+{
+    std::vector<std::string> bad { "", "{}", "[]", "null", "3", "\xff\xfe{}", std::string(GoodEntry).substr(0, 90),
+        std::string(1U << 20U, 'x'), std::string(20000, '[') };
+    for (const char* field :
+        { "backend", "address", "zone", "version", "slots", "state", "cold_remaining_ms", "seq" }) {
+        bad.push_back(without(field));
+        for (const char* value : { "null", "true", "[]", "{}", "-1" })
+            bad.push_back(with(field, value));
+    }
+    for (const char* value : { "null", "true", "0", "-5", "1.5", R"("1768184554039")", "9223372036854775808", "1e300" })
+        bad.push_back(with("born", value));
+    for (const char* value : { "0", "1.5", "4294967297", "1e40", R"("192")" })
+        bad.push_back(with("slots", value));
+    for (const char* value : { "\"\"", "\"leaving\"", "\"READY\"" })
+        bad.push_back(with("state", value));
+    for (const char* value : { "\"\"", "\"1.2.3.4\"", "\"1.2.3.4:99999\"", "\"host:80\"", "\"1.2.3.4:\"" })
+        bad.push_back(with("address", value));
+    for (const char* value : { "7", "[]", "{}", R"({"from":7,"target":2})", R"({"from":-1,"target":2})",
+             R"({"from":0,"target":4294967299})", R"({"from":"0","target":"2"})", R"({"from":0})" })
+        bad.push_back(with("layers", value));
+    bad.push_back(with("route_type", "3"));
+    for (const std::string& entry : bad)
+        CHECK_FALSE_TEXT(platform::serverFrom("i-1", entry).ok(), entry.substr(0, 300).c_str());
+}
+
+TEST(StoreEntry, ABadEntryTakesTheServerThatItReplacesAndNoOther)
+{
+    std::string beyond = with("layers", R"({"from":2,"target":9})"); // The model has eight layers.
+    for (const std::string& bad : { without("seq"), with("state", R"("x")"), with("backend", R"("x")"), beyond }) {
+        Reader reader;
+        reader.follower.storeChanged(entryOf("a", GoodEntry, 1));
+        reader.follower.storeChanged(entryOf("b", with("address", R"("1.2.3.5:5")"), 2));
+        CHECK_TEXT("a b ", reader.servers());
+        reader.follower.storeChanged(entryOf("a", bad, 3));
+        CHECK_TEXT("b ", reader.servers());
+        // Also where it stands at the address of a server that lives.
+        reader.follower.storeChanged(entryOf("c", bad, 4));
+        CHECK_TEXT("b ", reader.servers());
+        reader.follower.storeChanged(entryOf("a", GoodEntry, 5));
+        CHECK_TEXT("a b ", reader.servers());
+    }
+}
+
+TEST(StoreEntry, AnEntryCountsOnceAConfigurationKnowsItsService)
+{
+    Reader reader;
+    reader.follower.storeChanged(entryOf("a", with("backend", R"("later")"), 1));
+    CHECK_TEXT("", reader.servers());
+    ServiceConfiguration next = RelayHarness::configuration(2);
+    next.services.push_back({ ServiceId("later"), std::nullopt });
+    reader.node.post(relay::event::ConfigurationAccepted { RouteTable::make(std::move(next)) });
+    CHECK_TEXT("a ", reader.servers());
+}
+
+TEST(StoreEntry, AnUnreadableInstanceIsNotNamedToCallers)
+{
+    const char* const good = R"({"address":"2.2.2.2:2","data_centre":"z","peer_address":"2.2.2.2:3"})";
+    for (const char* bad :
+        { "", "{}", "[]", R"({"address":"","data_centre":"z"})", R"({"address":7,"data_centre":"z"})",
+            R"({"address":"2.2.2.2:2"})", R"({"address":"2.2.2.2:2","data_centre":"z","peer_address":"nowhere"})" }) {
+        Reader reader;
+        reader.follower.storeChanged({ { "crocusmount/instances/b", good, 1 }, false });
+        CHECK_EQUAL_TEXT(2U, reader.registry.callerAddresses().size(), bad);
+        reader.follower.storeChanged({ { "crocusmount/instances/b", bad, 2 }, false });
+        CHECK_EQUAL_TEXT(1U, reader.registry.callerAddresses().size(), bad);
+        CHECK_EQUAL_TEXT(1U, reader.registry.unreadable(), bad);
+    }
+}
+
+TEST(StoreEntry, AConfigurationThatCannotBeReadLeavesTheOneInForce)
+{
+    Reader reader;
+    reader.follower.storeChanged({ { "op/config", "{\"version\":\"x\"}", 1 }, false });
+    CHECK_EQUAL(1U, reader.node.reducer().routes()->configuration().version);
+    CHECK_EQUAL(1U, reader.follower.unreadable());
+}
+
+// The planner's lock held by nobody stopped all planning for good.
+TEST(StoreEntry, ALockThatNamesNoInstanceIsTakenOver)
+{
+    Reader reader;
+    reader.follower.storeChanged({ { "crocusmount/planner", "no instance", 40 }, false });
+    reader.registry.start();
+    const auto isTakeOver = [](const StoreWrite& write) { return write.guardKey == "crocusmount/planner"; };
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    auto found = reader.store.writes.end();
+    while (found == reader.store.writes.end() && std::chrono::steady_clock::now() < end) {
+        reader.context.run_one_for(std::chrono::milliseconds(100));
+        found = std::find_if(reader.store.writes.begin(), reader.store.writes.end(), isTakeOver);
+    }
+    CHECK_TRUE(found != reader.store.writes.end());
+    CHECK_EQUAL(40, found->expectedModRevision);
+}
