--- a/src/admission/RetryBudget.h
+++ b/src/admission/RetryBudget.h
@@ -26,6 +26,8 @@
 
     void earn() { m_saved = std::min(m_burst, m_saved + m_ratio); }
 
+    /// @return whether one more retry is allowed
+    bool hasOne() const { return m_saved >= 1; }
     /// @return whether one more retry is allowed; it is then spent
     bool spend()
     {
--- a/src/edge/PlacementDriver.cpp
+++ b/src/edge/PlacementDriver.cpp
@@ -68,8 +68,8 @@
         if (entry.service != service.id)
             continue;
         present.insert(id);
-        const bool dead
-            = !without.has(relay::Mechanism::EarlyReplacement) && server.unansweredChecks >= ChecksOfADeadEngine;
+        const bool isDead = server.refusedCheck || server.unansweredChecks >= ChecksOfADeadEngine;
+        const bool dead = !without.has(relay::Mechanism::EarlyReplacement) && isDead;
         LayerPlanner::Engine engine { id, entry.dataCentre, entry.accelerator, entry.layers, std::nullopt,
             entry.leaving || dead, entry.slots };
         const auto outstanding = m_outstanding.find(id);
--- a/src/relay/CallPlacer.cpp
+++ b/src/relay/CallPlacer.cpp
@@ -117,6 +117,9 @@
         const AcceleratorKind* card = model.kind(entry.accelerator);
         if (entry.service != call.service || entry.leaving || !entry.layers.size() || !card)
             continue;
+        // Where no other chain is left a call waits for one: an attempt at a dead stage is a retry spent for nothing.
+        if (server.refusedCheck && server.isDead(now))
+            continue;
         const EngineLoad load = loadOn(server, now);
         const double contextTokens = load.tokenLayers / entry.layers.size() + call.tokens;
         const double slowness = m_options.without.has(Mechanism::SlownessPrice) ? 1 : server.slowness;
--- a/src/relay/EngineCheckBudget.cpp
+++ b/src/relay/EngineCheckBudget.cpp
@@ -9,6 +9,8 @@
     /// Checks of one engine by all instances together, a second, beside the burst. The users' platforms price a probe
     /// like a hundredth to a fiftieth of a call: four times as many cost 0.02 of a day's worth on the dearest.
     constexpr double ChecksPerSecond = 0.5;
+    /// Urgent checks of all engines are saved up in this time; a registry shows a dead engine after some four.
+    constexpr double SweepSeconds = 5;
 
 } // namespace
 
@@ -18,6 +20,16 @@
     m_lastEarned = now;
     const double rate = ChecksPerSecond * static_cast<double>(engines) / std::max(1U, instances);
     m_saved = std::min(Burst, m_saved + std::max(0.0, seconds) * rate);
+    const double most = std::max(Burst, static_cast<double>(engines));
+    m_urgent = std::min(most, m_urgent + std::max(0.0, seconds) * most / SweepSeconds);
+}
+
+bool EngineCheckBudget::spendUrgent()
+{
+    if (m_urgent < 1)
+        return spend();
+    m_urgent -= 1;
+    return true;
 }
 
 bool EngineCheckBudget::spend()
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -92,6 +92,9 @@
     void askStalledStage(Call&, Context&);
     void suspectSilentStages(Call&, Context&);
     void checkEngine(FleetServer&, Context&);
+    void checkUrgently(FleetServer&, Context&);
+    bool mayAsk(const FleetServer&) const;
+    void ask(FleetServer&, Context&);
     void recheckSickEngines(Context&);
     void checkAvoidedEngines(Context&);
     void leaveDeadEngine(const BackendId&, Context&);
@@ -100,12 +103,22 @@
     void setAside(const RegisteredServer&, Context&);
     bool takeStart(const BackendId&, StartTime, const LayerRange&, Context&);
     void leaveEndedStart(const BackendId&, Context&);
-    void loseAttempt(Call&, const BackendId& lost, Context&);
+    void loseStage(Call&, const BackendId& lost, Context&);
+    void leaveLostStages(Context&);
+    void loseAttempt(Call&, Context&);
     void drop(Call&, const Attempt&, Context&);
     bool hasSilentStreamThrough(const BackendId&, TimePoint now) const;
     void checkNamedEngine(const Attempt&, const event::AttemptEnded&, Context&);
     void startSecond(Call&, Context&);
-    bool reroute(Call&, const std::vector<BackendId>& away, Context&);
+    /// What became of an attempt to move a running stream.
+    enum class Moving {
+        Ordered,
+        Pending, ///< an order is under way, or stages that it would go to are being checked
+        Impossible,
+    };
+    Moving reroute(Call&, const std::vector<BackendId>& away, Context&);
+    bool awaitsCheck(const Chain&, TimePoint now) const;
+    void checkSilentEngines(Context&);
     void moveOffLeaving(Context&);
     bool isStalled(const Call&, TimePoint now) const;
     std::vector<BackendId> stalledStages(const Call&) const;
--- a/src/relay/RelayReducerChecks.cpp
+++ b/src/relay/RelayReducerChecks.cpp
@@ -26,6 +26,12 @@
     /// Engines that report more than this are checked again, each so often, until they are well.
     constexpr double SlowFactor = 1.5;
     constexpr Duration SlowCheckInterval = std::chrono::milliseconds(1000);
+    /// An engine with an event through it this shortly ago lives.
+    constexpr Duration SweepSilence = std::chrono::milliseconds(100);
+    /// Between two urgent checks of one engine. Engines answer within a few milliseconds.
+    constexpr Duration UrgentInterval = std::chrono::milliseconds(100);
+    /// How long a call is held for the answer of a stage to a check: a silent one has missed it by then.
+    constexpr Duration CheckWait = std::chrono::milliseconds(100);
     /// A dead engine is checked again this long before it would be used again.
     constexpr Duration RecheckLead = std::chrono::milliseconds(200);
 
@@ -61,12 +67,26 @@
 
 void RelayReducer::checkEngine(FleetServer& server, Context& context)
 {
-    if (m_options.without.has(Mechanism::EngineChecks))
-        return;
-    const bool isEngine = !server.entry.accelerator.empty(); // Servers of plain services give no report.
     const Duration interval = server.unansweredChecks ? CheckInterval : AnsweredInterval;
-    if (!isEngine || server.beingChecked || context.now < server.lastCheck + interval || !m_checkBudget.spend())
-        return;
+    if (context.now >= server.lastCheck + interval && mayAsk(server) && m_checkBudget.spend())
+        ask(server, context);
+}
+
+/// The same where there is a sign that it died: a check that it answered before does not count.
+void RelayReducer::checkUrgently(FleetServer& server, Context& context)
+{
+    if (context.now >= server.lastCheck + UrgentInterval && mayAsk(server) && m_checkBudget.spendUrgent())
+        ask(server, context);
+}
+
+bool RelayReducer::mayAsk(const FleetServer& server) const
+{
+    const bool isEngine = !server.entry.accelerator.empty(); // Servers of plain services give no report.
+    return isEngine && !server.beingChecked && !m_options.without.has(Mechanism::EngineChecks);
+}
+
+void RelayReducer::ask(FleetServer& server, Context& context)
+{
     server.beingChecked = true;
     server.lastCheck = context.now;
     ++m_counters.engineChecks;
@@ -96,8 +116,8 @@
 void RelayReducer::checkNamedEngine(const Attempt& attempt, const event::AttemptEnded& ended, Context& context)
 {
     FleetServer* named = ended.culprit.empty() ? nullptr : m_fleet.findByAddress(ended.culprit);
-    if (named && !attempt.chain.hops().empty())
-        checkEngine(*named, context);
+    if (named && !attempt.chain.hops().empty() && !named->isDead(context.now))
+        checkUrgently(*named, context);
 }
 
 void RelayReducer::on(const event::EngineChecked& checked, Context& context)
@@ -107,15 +127,44 @@
         return; // It started again meanwhile, or is gone.
     if (!takeStart(checked.engine, checked.answering, checked.layers, context))
         return;
-    m_fleet.checked(checked.engine, checked.answered ? std::optional(checked.slowness) : std::nullopt, context.now);
-    if (checked.answered)
+    if (checked.answered) {
+        m_fleet.answeredCheck(checked.engine, checked.slowness);
+        dispatchAll(context);
         return;
+    }
+    m_fleet.missedCheck(checked.engine, checked.refused, context.now);
     ++m_counters.deadEngines;
     server = m_fleet.find(checked.engine);
     const bool tells = !m_options.without.has(Mechanism::DeadReports);
     if (tells && server && server->unansweredChecks == 1)
         context.effects.emplace_back(effect::ReportDeadEngine { checked.engine, server->entry.startedAt });
+    if (checked.refused && server && server->unansweredChecks == 1)
+        checkSilentEngines(context);
     leaveDeadEngine(checked.engine, context);
+    dispatchAll(context);
+}
+
+/// The death of one engine raises the chance that others died with it, as with their rack or switch. A stream that is
+/// sent on before that is known meets the next dead stage, and after three of these it is given up.
+void RelayReducer::checkSilentEngines(Context& context)
+{
+    for (const auto& [id, server] : m_fleet.servers()) {
+        if (server.lastProgress + SweepSilence > context.now || server.isDead(context.now))
+            continue;
+        FleetServer& silent = *m_fleet.find(id);
+        silent.sweptAt = context.now;
+        checkUrgently(silent, context);
+    }
+}
+
+/// @return whether a stage is suspected for the death of another one, and is about to answer whether it lives
+bool RelayReducer::awaitsCheck(const Chain& chain, TimePoint now) const
+{
+    return std::any_of(chain.hops().begin(), chain.hops().end(), [&](const Hop& hop) {
+        const auto server = m_fleet.servers().find(hop.backend);
+        return server != m_fleet.servers().end() && server->second.beingChecked
+            && now < server->second.sweptAt + CheckWait;
+    });
 }
 
 /// Another instance's check and an own stream that is silent there are proof enough; without such a stream it is
@@ -127,7 +176,7 @@
         if (server.isDead(context.now) || std::find(keys.begin(), keys.end(), server.others.engine) == keys.end())
             continue;
         if (!hasSilentStreamThrough(id, context.now)) {
-            checkEngine(*m_fleet.find(id), context);
+            checkUrgently(*m_fleet.find(id), context);
             continue;
         }
         m_fleet.reportedDead(id, context.now);
--- a/src/relay/RelayReducerServers.cpp
+++ b/src/relay/RelayReducerServers.cpp
@@ -122,13 +122,12 @@
     }
     for (const RequestId& id : lost) {
         if (const auto call = m_calls.find(id); call != m_calls.end())
-            loseAttempt(call->second, ended, context);
+            loseStage(call->second, ended, context);
     }
 }
 
-/// The attempt cannot go on as it is: a later stage is replaced, or the call goes on elsewhere, or it ends with a true
-/// word. An end of the server is no attempt that the route's limit counts.
-void RelayReducer::loseAttempt(Call& call, const BackendId& lost, Context& context)
+/// A running attempt lost a stage: that is replaced, or the call goes on elsewhere, or it ends with a true word.
+void RelayReducer::loseStage(Call& call, const BackendId& lost, Context& context)
 {
     if (call.second && passes(*call.second, lost)) {
         drop(call, *call.second, context);
@@ -142,10 +141,30 @@
         call.second.reset();
         return;
     }
-    const bool isLeaving = !call.main.reroute.hops().empty() && !call.main.reroute.contains(lost);
     call.main.lostStage = true;
-    if (isLeaving || reroute(call, { lost }, context))
-        return;
+    const bool isLeaving = !call.main.reroute.hops().empty() && !call.main.reroute.contains(lost);
+    if (!isLeaving && reroute(call, { lost }, context) == Moving::Impossible)
+        loseAttempt(call, context);
+}
+
+/// Goes on with attempts whose lost stage could not be replaced at once.
+void RelayReducer::leaveLostStages(Context& context)
+{
+    std::vector<RequestId> waiting;
+    for (const auto& [id, call] : m_calls) {
+        if (call.state == CallState::Running && call.main.lostStage && call.main.reroute.hops().empty() && !call.second)
+            waiting.push_back(id);
+    }
+    for (const RequestId& id : waiting) {
+        const auto call = m_calls.find(id);
+        if (call != m_calls.end() && reroute(call->second, {}, context) == Moving::Impossible)
+            loseAttempt(call->second, context);
+    }
+}
+
+/// An end of the server is no attempt that the route's limit counts.
+void RelayReducer::loseAttempt(Call& call, Context& context)
+{
     drop(call, call.main, context);
     retryOrFinish(call, Reason::ConnectionLost, context);
 }
--- a/src/relay/RelayReducerTime.cpp
+++ b/src/relay/RelayReducerTime.cpp
@@ -24,6 +24,7 @@
     refuseOverdue(context);
     recheckSickEngines(context);
     moveOffLeaving(context);
+    leaveLostStages(context);
     for (auto& [id, call] : m_calls) {
         if (call.state != CallState::Running)
             continue;
@@ -68,6 +69,8 @@
 {
     if (!isRepeatable(call.route->kind) || call.second || !call.main.reroute.hops().empty())
         return;
+    if (call.main.lostStage)
+        return; // leaveLostStages goes on with it.
     suspectSilentStages(call, context);
     if (call.second || !call.main.reroute.hops().empty() || !isStalled(call, context.now))
         return;
@@ -117,7 +120,7 @@
         m_fleet.suspect(stage, context.now + m_options.suspicion);
         call.addAvoided(stage);
     }
-    if (!call.second && !reroute(call, stages, context))
+    if (!call.second && reroute(call, stages, context) == Moving::Impossible)
         startSecond(call, context);
 }
 
@@ -126,22 +129,28 @@
 {
     if (m_options.without.has(Mechanism::SecondAttempts))
         return;
-    if (call.attempts + 1 >= call.route->maxAttempts || !mayRetry(call, context) || !budgetOf(call.service).spend())
+    if (call.attempts + 1 >= call.route->maxAttempts || !mayRetry(call, context) || !budgetOf(call.service).hasOne())
         return;
-    ++m_counters.retried.at(static_cast<std::size_t>(Reason::Stalled));
     call.second = startAttempt(call, context);
+    if (!call.second)
+        return;
+    budgetOf(call.service).spend();
+    ++m_counters.retried.at(static_cast<std::size_t>(Reason::Stalled));
 }
 
-bool RelayReducer::reroute(Call& call, const std::vector<BackendId>& away, Context& context)
+RelayReducer::Moving RelayReducer::reroute(Call& call, const std::vector<BackendId>& away, Context& context)
 {
     Attempt& attempt = call.main;
     const bool firstGoes = std::find(away.begin(), away.end(), attempt.server) != away.end();
-    if (m_options.without.has(Mechanism::Reroutes) || firstGoes || !attempt.reroute.hops().empty()
-        || attempt.reroutes >= m_options.mostReroutes)
-        return false;
+    if (!attempt.reroute.hops().empty())
+        return Moving::Pending;
+    if (m_options.without.has(Mechanism::Reroutes) || firstGoes || attempt.reroutes >= m_options.mostReroutes)
+        return Moving::Impossible;
     auto chain = m_placer.reroute(call, attempt, away, context.now, context.entropy);
     if (!chain)
-        return false;
+        return Moving::Impossible;
+    if (awaitsCheck(*chain, context.now))
+        return Moving::Pending;
     ++attempt.reroutes;
     ++m_counters.rerouted;
     // The new stages need the room from now on; the old ones are given free when the order is answered.
@@ -150,7 +159,7 @@
     call.lastProgress = context.now;
     context.effects.emplace_back(
         effect::RerouteAttempt { attempt.id, call.id, attempt.chain.hops().front().address, *std::move(chain) });
-    return true;
+    return Moving::Ordered;
 }
 
 void RelayReducer::on(const event::RerouteAnswered& answered, Context& context)
@@ -171,8 +180,7 @@
     attempt.reroute = Chain();
     if (!attempt.lostStage || call->second)
         return;
-    drop(*call, call->main, context);
-    retryOrFinish(*call, Reason::ConnectionLost, context);
+    loseAttempt(*call, context);
 }
 
 void RelayReducer::moveOffLeaving(Context& context)
@@ -187,7 +195,8 @@
             if (call.state != CallState::Running || call.second || !call.main.chain.contains(away.front()))
                 continue;
             // The first stage cannot be changed: the stream goes on at another chain once that delivers.
-            if (!reroute(call, away, context) && call.main.server == away.front() && isRepeatable(call.route->kind))
+            const bool moved = reroute(call, away, context) == Moving::Ordered;
+            if (!moved && call.main.server == away.front() && isRepeatable(call.route->kind))
                 startSecond(call, context);
         }
         leaving = m_moveOffAt.erase(leaving);
--- a/src/relay/ServerFleet.cpp
+++ b/src/relay/ServerFleet.cpp
@@ -17,6 +17,8 @@
     constexpr std::uint32_t TroubleRejections = 3;
     /// How long an engine that did not answer a check is left alone; it is checked again before.
     constexpr Duration DeadPause = std::chrono::milliseconds(700);
+    /// An engine behind a cut is back without a word; one whose process has ended registers again.
+    constexpr std::uint32_t SilentDoublings = 1;
     constexpr std::uint32_t MostDoublings = 3; ///< longest avoidance: 4 s, about the time a dead server stays listed
 
 } // namespace
@@ -177,20 +179,29 @@
         server->troubleUntil = server->avoidUntil;
 }
 
-void ServerFleet::checked(const BackendId& id, std::optional<double> slowness, TimePoint now)
+void ServerFleet::answeredCheck(const BackendId& id, double slowness)
 {
     FleetServer* server = find(id);
     if (!server)
         return;
     server->beingChecked = false;
-    if (slowness) {
-        server->slowness = std::max(1.0, *slowness);
-        server->deadUntil = {};
-        server->unansweredChecks = 0;
+    server->slowness = std::max(1.0, slowness);
+    server->deadUntil = {};
+    server->unansweredChecks = 0;
+    server->refusedCheck = false;
+}
+
+void ServerFleet::missedCheck(const BackendId& id, bool refused, TimePoint now)
+{
+    FleetServer* server = find(id);
+    if (!server)
         return;
-    }
+    server->beingChecked = false;
+    server->refusedCheck = refused;
+    const std::uint32_t doublings = std::min(server->unansweredChecks, refused ? MostDoublings : SilentDoublings);
     ++server->unansweredChecks;
-    reportedDead(id, now);
+    server->deadUntil = now + DeadPause * (1U << doublings);
+    suspect(id, server->deadUntil);
 }
 
 void ServerFleet::reportedDead(const BackendId& id, TimePoint now)
--- a/src/relay/ServerFleet.h
+++ b/src/relay/ServerFleet.h
@@ -28,8 +28,10 @@
     double slowness = 1; ///< its work takes this many times as long as its card's figures say, as it last reported
     TimePoint lastCheck; ///< when it was last asked
     bool beingChecked = false;
+    TimePoint sweptAt; ///< when it was last suspected for the death of another engine
     TimePoint deadUntil; ///< it did not answer a check; taken for dead until then
     std::uint32_t unansweredChecks = 0; ///< in a row
+    bool refusedCheck = false; ///< its machine said that no process listens there: it is dead for certain
 
     bool isDead(TimePoint now) const { return now < deadUntil; }
 
@@ -76,9 +78,11 @@
     void turnedAway(const BackendId&, TimePoint now);
     /// Notes that a server stands still. @param until  it is avoided so long
     void suspect(const BackendId&, TimePoint until);
-    /// Notes an engine's answer to a check.
-    /// @param slowness  as it reports; nothing where it did not answer
-    void checked(const BackendId&, std::optional<double> slowness, TimePoint now);
+    /// Notes that an engine answered a check. @param slowness  as it reports
+    void answeredCheck(const BackendId&, double slowness);
+    /// Notes that an engine did not answer a check. It is left alone for longer each time.
+    /// @param refused  its machine says that no process listens there
+    void missedCheck(const BackendId&, bool refused, TimePoint now);
     /// Notes that another instance found it dead, which what this one sees confirms.
     void reportedDead(const BackendId&, TimePoint now);
 
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -271,13 +271,13 @@
         wanted = (order["from"], order["target"])
         if wanted[1] - wanted[0] > 4:
             self.fleet.wrong.append(("memory", time.monotonic(), f"{self.id} ordered to hold {wanted}"))
-        asyncio.get_running_loop().call_later(0.2, self._loaded, self.incarnation, wanted)
+        asyncio.get_running_loop().call_later(0.2, self._loaded, self.born_ms, wanted)
         self.orders += 1
         writer.write(response(202))
         return True
 
-    def _loaded(self, incarnation, layers):
-        if self.alive and incarnation == self.incarnation:
+    def _loaded(self, born_ms, layers):
+        if self.alive and born_ms == self.born_ms:
             self.layers = layers
             self.register()
 
