--- a/src/edge/PlacementDriver.cpp
+++ b/src/edge/PlacementDriver.cpp
@@ -12,7 +12,7 @@
 
     constexpr std::chrono::milliseconds PlanInterval { 200 };
     /// No plan is made while engines come and go faster than this: one made for a part of them fits badly.
-    constexpr std::chrono::milliseconds SettleTime { 700 };
+    constexpr std::chrono::milliseconds SettleTime { 350 };
     /// An order that was refused, as by an engine still busy with another, is given again after this.
     constexpr std::chrono::milliseconds RefusedPause { 1000 };
     /// Time beyond the loading itself until the registry shows it, an engine's heartbeat included.
--- a/src/relay/RelayReducerChecks.cpp
+++ b/src/relay/RelayReducerChecks.cpp
@@ -26,8 +26,8 @@
     /// Engines that report more than this are checked again, each so often, until they are well.
     constexpr double SlowFactor = 1.5;
     constexpr Duration SlowCheckInterval = std::chrono::milliseconds(1000);
-    /// An engine with an event through it this shortly ago lives.
-    constexpr Duration SweepSilence = std::chrono::milliseconds(100);
+    /// An engine with an event through it this shortly ago lives: those that die together are found within a tick.
+    constexpr Duration SweepSilence = std::chrono::milliseconds(20);
     /// Between two urgent checks of one engine. Engines answer within a few milliseconds.
     constexpr Duration UrgentInterval = std::chrono::milliseconds(100);
     /// How long a call is held for the answer of a stage to a check: a silent one has missed it by then.
@@ -140,7 +140,11 @@
         context.effects.emplace_back(effect::ReportDeadEngine { checked.engine, server->entry.startedAt });
     if (checked.refused && server && server->unansweredChecks == 1)
         checkSilentEngines(context);
-    leaveDeadEngine(checked.engine, context);
+    // Streams through a process that is gone hold memory at all other stages until their callers give up on them.
+    if (checked.refused)
+        leaveEndedStart(checked.engine, context);
+    else
+        leaveDeadEngine(checked.engine, context);
     dispatchAll(context);
 }
 
