--- a/src/relay/CallPlacer.cpp
+++ b/src/relay/CallPlacer.cpp
@@ -118,7 +118,7 @@
         if (entry.service != call.service || entry.leaving || !entry.layers.size() || !card)
             continue;
         // Where no other chain is left a call waits for one: an attempt at a dead stage is a retry spent for nothing.
-        if (server.refusedCheck || now < server.fullUntil)
+        if (server.refusedCheck)
             continue;
         const EngineLoad load = loadOn(server, now);
         const double contextTokens = load.tokenLayers / entry.layers.size() + call.tokens;
--- a/src/relay/RelayOptions.h
+++ b/src/relay/RelayOptions.h
@@ -22,7 +22,7 @@
     /// Part of the objective for which a call waits for room. Longer waits turn late what then runs.
     double queueWaitShare = 0.5;
     /// Multiple of an engine's memory that all calls through it may need by the estimates: answers are often shorter.
-    double memoryOvercommit = 1.2;
+    double memoryOvercommit = 2;
     Duration firstEventLimit = std::chrono::milliseconds(900); ///< without an event, before a chain counts as stalled
     Duration minStall = std::chrono::milliseconds(450); ///< shortest gap in a stream that counts as a stall
     double stallFactor = 8; ///< a stall is this many of the stream's usual gaps
--- a/src/relay/ServerFleet.cpp
+++ b/src/relay/ServerFleet.cpp
@@ -174,7 +174,6 @@
     if (!server)
         return;
     const TimePoint until = now + FullPause * (1U << std::min(server->rejectionsInRow, MostDoublings));
-    server->fullUntil = now + FullPause;
     server->avoidUntil = std::max(server->avoidUntil, until);
     if (++server->rejectionsInRow >= TroubleRejections)
         server->troubleUntil = server->avoidUntil;
--- a/src/relay/ServerFleet.h
+++ b/src/relay/ServerFleet.h
@@ -23,7 +23,6 @@
     std::uint32_t failuresInRow = 0;
     std::uint32_t rejectionsInRow = 0; ///< calls turned away since the last event through it
     TimePoint avoidUntil; ///< no new work before, where another server will do
-    TimePoint fullUntil; ///< it turned calls away: no work before, as each attempt would be a retry spent for nothing
     TimePoint troubleUntil; ///< the same, but only after signs that no call at all gets through
     TimePoint lastProgress; ///< last event of any call through it
     double slowness = 1; ///< its work takes this many times as long as its card's figures say, as it last reported
