--- a/src/relay/Call.h
+++ b/src/relay/Call.h
@@ -48,7 +48,6 @@
     Attempt main; ///< while running
     std::optional<Attempt> second; ///< started because the main one stands still; the first to go on is kept
     TimePoint lastProgress; ///< an event, or the start of the main attempt
-    TimePoint lastDelivered; ///< the last event that the caller was given
     Duration usualGap {}; ///< moving average between two events
     std::uint32_t attempts = 0; ///< ended ones that a server may have run
     std::uint32_t rejections = 0; ///< attempts that reached no server, or one that did not run the call
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -12,9 +12,6 @@
     constexpr unsigned Misdirected = 421;
     /// A retry that waits for room gives up after this; by then the caller's own limit is near.
     constexpr Duration RetryWait = std::chrono::milliseconds(800);
-    /// A stream that its caller has a part of is waited for from its last event on: callers give up after 2 s at least,
-    /// and where it goes on before, all of it counts.
-    constexpr Duration ResumeWait = std::chrono::milliseconds(1800);
     /// Calls that wait for the first configuration; an instance that starts late takes no more.
     constexpr std::size_t MostUnrouted = 256;
     /// Weight of one gap in a stream's usual one.
@@ -219,7 +216,6 @@
     call->answering = true;
     call->lastEvent = delivered.eventId;
     call->lastProgress = context.now;
-    call->lastDelivered = context.now;
     m_fleet.progressed(call->main.chain, context.now);
 }
 
@@ -311,8 +307,7 @@
 {
     if (mayRetry(call, context) && budgetOf(call.service).spend()) {
         ++m_counters.retried.at(static_cast<std::size_t>(reason));
-        const TimePoint patience = call.answering ? call.lastDelivered + ResumeWait : context.now + RetryWait;
-        call.waitUntil = std::min(call.deadline, patience);
+        call.waitUntil = std::min(call.deadline, context.now + RetryWait);
         call.state = CallState::Waiting;
         if (!place(call, context))
             queueOf(call).waiting().pushFront(call.workspace, 1, -call.rank, call.id);
