A stream moved to a stage that ended meanwhile is moved on; an old answer to a check ends the check

Cause, on reading the change: an accepted order cleared the mark of a lost stage though the new chain held an ended one; an answer of an earlier start left its engine marked as being checked for good. Tests: AStreamThatWasMovedToAnEndedStageIsMovedOn, WordsOfAnEarlierStartChangeNothing.

--- a/src/relay/RelayReducerChecks.cpp
+++ b/src/relay/RelayReducerChecks.cpp
@@ -122,9 +122,10 @@
 
 void RelayReducer::on(const event::EngineChecked& checked, Context& context)
 {
-    const FleetServer* server = m_fleet.find(checked.engine);
+    FleetServer* server = m_fleet.find(checked.engine);
     if (!server || checked.asked != server->entry.startedAt)
         return; // It started again meanwhile, or is gone.
+    server->beingChecked = false;
     if (!takeStart(checked.engine, checked.answering, checked.layers, context))
         return;
     if (checked.answered) {
--- a/src/relay/RelayReducerServers.cpp
+++ b/src/relay/RelayReducerServers.cpp
@@ -126,6 +126,15 @@
     }
 }
 
+/// @return whether a stage is gone for certain: a later start took its place, or nobody listens there
+bool RelayReducer::hasEndedStage(const Chain& chain) const
+{
+    return std::any_of(chain.hops().begin(), chain.hops().end(), [&](const Hop& hop) {
+        const auto server = m_fleet.servers().find(hop.backend);
+        return server == m_fleet.servers().end() ? m_fleet.hasEnded(hop.backend) : server->second.refusedCheck;
+    });
+}
+
 /// A running attempt lost a stage: that is replaced, or the call goes on elsewhere, or it ends with a true word.
 void RelayReducer::loseStage(Call& call, const BackendId& lost, Context& context)
 {
--- a/src/relay/RelayReducerTime.cpp
+++ b/src/relay/RelayReducerTime.cpp
@@ -177,12 +177,12 @@
     m_fleet.unbook(answered.accepted ? attempt.chain : attempt.reroute, call->tokens);
     if (answered.accepted) {
         attempt.chain = attempt.reroute;
-        attempt.lostStage = false;
+        attempt.lostStage = hasEndedStage(attempt.chain);
     }
     attempt.reroute = Chain();
-    if (!attempt.lostStage || call->second)
-        return;
-    loseAttempt(*call, context);
+    const bool goesOn = answered.accepted || !attempt.lostStage || call->second;
+    if (!goesOn)
+        loseAttempt(*call, context);
 }
 
 void RelayReducer::moveOffLeaving(Context& context)
--- a/src/relay/ServerFleet.h
+++ b/src/relay/ServerFleet.h
@@ -54,6 +54,9 @@
     /// @return whether another server takes its place, one whose entry was held to be outdated
     bool remove(const BackendId&, TimePoint now);
 
+    /// @return whether a later start is known to have taken a server's place
+    bool hasEnded(const BackendId& id) const { return m_starts.hasEnded(id); }
+
     const std::map<BackendId, FleetServer>& servers() const { return m_servers; }
     FleetServer* find(const BackendId&);
     FleetServer* findByAddress(const std::string& address);
--- a/src/relay/StartLedger.cpp
+++ b/src/relay/StartLedger.cpp
@@ -59,6 +59,12 @@
     m_starts[server.id] = { server.startedAt, server.address, now, false };
 }
 
+bool StartLedger::hasEnded(const BackendId& id) const
+{
+    const auto start = m_starts.find(id);
+    return start != m_starts.end() && start->second.ended;
+}
+
 BackendId StartLedger::occupantOf(const std::string& address) const
 {
     const auto occupant = m_occupants.find(address);
--- a/src/relay/StartLedger.h
+++ b/src/relay/StartLedger.h
@@ -32,6 +32,8 @@
     /// An instance that reads the list for the first time cannot tell which of two ids at one address came first.
     void reinstate(const RegisteredServer&, TimePoint now);
 
+    /// @return whether a later start has ended the one that is known of an id
+    bool hasEnded(const BackendId&) const;
     /// @return the id that is known at an address, or an empty one
     BackendId occupantOf(const std::string& address) const;
 
--- a/tests/ServerStartTest.cpp
+++ b/tests/ServerStartTest.cpp
@@ -153,6 +153,34 @@
     }
 }
 
+// While one stage is being replaced, the stage that the stream is to go to starts again as well.
+TEST(ServerStart, AStreamThatWasMovedToAnEndedStageIsMovedOn)
+{
+    RelayHarness harness;
+    const auto start = harness.running("/draft/1", 10);
+    const Hop lost = start.chain.hops().back();
+    harness.send(relay::event::EngineChecked { lost.backend, false, 1, true });
+    // The others are asked whether they died with it; a stream goes only to those that answered.
+    CHECK_TRUE(harness.last<relay::effect::CheckEngine>().has_value());
+    CHECK_FALSE(harness.last<relay::effect::RerouteAttempt>().has_value());
+    for (const char* id : { "a", "b", "c", "d" }) {
+        if (BackendId(id) != lost.backend)
+            harness.send(relay::event::EngineChecked { BackendId(id), true, 1 });
+    }
+    harness.tick(milliseconds(20));
+    const auto order = harness.last<relay::effect::RerouteAttempt>();
+    CHECK_TRUE(order.has_value());
+    const Hop target = order->chain.hops().back();
+    RegisteredServer successor = RelayHarness::engine("z", 0, 0);
+    successor.address = target.address;
+    harness.send(relay::event::ServerRegistered { successor });
+    harness.send(relay::event::RerouteAnswered { start.attempt, true });
+    harness.send(relay::event::ServerRegistered { RelayHarness::engine("e", 4, 8) });
+    harness.tick(milliseconds(20));
+    const auto next = harness.last<relay::effect::RerouteAttempt>();
+    CHECK_TRUE(next && next->chain.contains(BackendId("e")));
+}
+
 TEST(ServerStart, CallsThatMayNotRunTwiceEndWithATrueWord)
 {
     RelayHarness harness;
@@ -189,6 +217,7 @@
         CHECK_TRUE_TEXT(server.entry == entry, each.name);
         CHECK_FALSE_TEXT(server.isDead(harness.now()), each.name);
         CHECK_EQUAL_TEXT(1, server.slowness, each.name);
+        CHECK_FALSE_TEXT(server.beingChecked, each.name);
     }
 }
 
