An attempt at a server that lives counts against the route's limit, also where a later stage ended

Change: drop counts it unless its first server is gone for certain. Test: AnAttemptAtAServerThatLivesCounts.

--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -103,6 +103,7 @@
     void setAside(const RegisteredServer&, Context&);
     bool takeStart(const BackendId&, StartTime, const LayerRange&, Context&);
     void leaveEndedStart(const BackendId&, Context&);
+    bool isGone(const BackendId&) const;
     bool hasEndedStage(const Chain&) const;
     void loseStage(Call&, const BackendId& lost, Context&);
     void leaveLostStages(Context&);
--- a/src/relay/RelayReducerServers.cpp
+++ b/src/relay/RelayReducerServers.cpp
@@ -126,13 +126,17 @@
     }
 }
 
-/// @return whether a stage is gone for certain: a later start took its place, or nobody listens there
+/// @return whether a stage is gone for certain
 bool RelayReducer::hasEndedStage(const Chain& chain) const
 {
-    return std::any_of(chain.hops().begin(), chain.hops().end(), [&](const Hop& hop) {
-        const auto server = m_fleet.servers().find(hop.backend);
-        return server == m_fleet.servers().end() ? m_fleet.hasEnded(hop.backend) : server->second.refusedCheck;
-    });
+    return std::any_of(chain.hops().begin(), chain.hops().end(), [&](const Hop& hop) { return isGone(hop.backend); });
+}
+
+/// @return whether a server is gone for certain: a later start took its place, or nobody listens there
+bool RelayReducer::isGone(const BackendId& id) const
+{
+    const auto server = m_fleet.servers().find(id);
+    return server == m_fleet.servers().end() ? m_fleet.hasEnded(id) : server->second.refusedCheck;
 }
 
 /// A running attempt lost a stage: that is replaced, or the call goes on elsewhere, or it ends with a true word.
@@ -171,18 +175,20 @@
     }
 }
 
-/// An end of the server is no attempt that the route's limit counts.
 void RelayReducer::loseAttempt(Call& call, Context& context)
 {
     drop(call, call.main, context);
     retryOrFinish(call, Reason::ConnectionLost, context);
 }
 
-/// Cancels an attempt whose server has ended.
+/// Cancels an attempt that has lost a stage. It is none that the route's limit counts only where the server that took
+/// the call is the one that ended: with all of them left out, six streams ran at three servers where two were allowed.
 void RelayReducer::drop(Call& call, const Attempt& attempt, Context& context)
 {
     context.effects.emplace_back(effect::CancelAttempt { attempt.id });
     call.mayHaveRun = call.mayHaveRun || attempt.sent;
+    if (!isGone(attempt.server))
+        ++call.attempts;
     release(call, attempt, context);
 }
 
--- a/tests/ServerStartTest.cpp
+++ b/tests/ServerStartTest.cpp
@@ -153,6 +153,38 @@
     }
 }
 
+// A stream was cut off at a first stage that lived, because a later one had ended, and was then sent to two servers
+// more where its route allows two in all.
+TEST(ServerStart, AnAttemptAtAServerThatLivesCounts)
+{
+    const struct {
+        const char* name;
+        bool firstEnds;
+        int furtherAttempts;
+    } cases[] = { { "a later stage ended", false, 1 }, { "the first stage ended", true, 2 } };
+    for (const auto& each : cases) {
+        RelayHarness harness;
+        const auto start = harness.running("/draft/1", 10);
+        const Hop lost = each.firstEnds ? start.chain.hops().front() : start.chain.hops().back();
+        RegisteredServer successor = RelayHarness::engine("z", 0, 0);
+        successor.address = lost.address;
+        harness.send(relay::event::ServerRegistered { successor });
+        if (!each.firstEnds)
+            harness.send(relay::event::RerouteAnswered { start.attempt, false });
+        int further = 0;
+        for (auto next = harness.last<relay::effect::StartAttempt>(); next && further < 5; ++further) {
+            harness.send(relay::event::AttemptSent { next->attempt });
+            harness.send(relay::event::AttemptEnded { next->attempt, AttemptResult::Broken, 200, "" });
+            next = harness.last<relay::effect::StartAttempt>();
+            if (!next) {
+                harness.tick(milliseconds(600)); // The servers that failed are left alone for half a second.
+                next = harness.last<relay::effect::StartAttempt>();
+            }
+        }
+        CHECK_EQUAL_TEXT(each.furtherAttempts, further, each.name);
+    }
+}
+
 // While one stage is being replaced, the stage that the stream is to go to starts again as well.
 TEST(ServerStart, AStreamThatWasMovedToAnEndedStageIsMovedOn)
 {
