--- a/src/relay/Call.h
+++ b/src/relay/Call.h
@@ -28,6 +28,7 @@
     bool sent = false; ///< its bytes went out
     bool late = false; ///< no event came within the objective
     bool lostStage = false; ///< one of its stages has ended: without a reroute it cannot go on
+    TimePoint nextTry; ///< to replace the lost stage
     TimePoint started;
 };
 
--- a/src/relay/RelayReducerServers.cpp
+++ b/src/relay/RelayReducerServers.cpp
@@ -14,6 +14,8 @@
     /// Entries that fit no service and are kept for the next configuration. Another client of the store may write any
     /// number of them.
     constexpr std::size_t MostUnusable = 1000;
+    /// Between two tries to replace a lost stage; each is a search over all engines.
+    constexpr Duration LostStageInterval = std::chrono::milliseconds(200);
 
     bool passes(const Attempt& attempt, const BackendId& server)
     {
@@ -165,7 +167,8 @@
 {
     std::vector<RequestId> waiting;
     for (const auto& [id, call] : m_calls) {
-        if (call.state == CallState::Running && call.main.lostStage && call.main.reroute.hops().empty() && !call.second)
+        const bool isLost = call.state == CallState::Running && call.main.lostStage && !call.second;
+        if (isLost && call.main.reroute.hops().empty() && context.now >= call.main.nextTry)
             waiting.push_back(id);
     }
     for (const RequestId& id : waiting) {
@@ -175,10 +178,31 @@
     }
 }
 
+/// An answer that the caller has a part of is given up only for an attempt that begins now: without one its server ends
+/// it, or its caller. Cut here it broke the promise that planned work loses nothing (18 streams of one day, as engines
+/// left).
 void RelayReducer::loseAttempt(Call& call, Context& context)
 {
+    if (!call.answering) {
+        drop(call, call.main, context);
+        retryOrFinish(call, Reason::ConnectionLost, context);
+        return;
+    }
+    call.main.nextTry = context.now + LostStageInterval;
+    const std::uint32_t counted = isGone(call.main.server) ? 0 : 1;
+    if (call.attempts + counted >= call.route->maxAttempts || !mayRetry(call, context)
+        || !budgetOf(call.service).hasOne())
+        return;
+    auto next = startAttempt(call, context);
+    if (!next)
+        return;
+    budgetOf(call.service).spend();
+    ++m_counters.retried.at(static_cast<std::size_t>(Reason::ConnectionLost));
+    ++m_counters.resumed;
     drop(call, call.main, context);
-    retryOrFinish(call, Reason::ConnectionLost, context);
+    call.main = *std::move(next);
+    call.lastProgress = context.now;
+    call.usualGap = Duration(0);
 }
 
 /// Cancels an attempt that has lost a stage. It is none that the route's limit counts only where the server that took
--- a/tests/ServerStartTest.cpp
+++ b/tests/ServerStartTest.cpp
@@ -185,6 +185,29 @@
     }
 }
 
+// Engines left one after the other, and no other was free: the streams through them were cut by this side, where their
+// servers would have served on for a while.
+TEST(ServerStart, APartOfAnAnswerIsNotCutWhereNothingCanGoOnWithIt)
+{
+    RelayHarness harness;
+    const auto start = harness.running("/draft/1", 10);
+    const Hop lost = start.chain.hops().back();
+    for (const char* id : { "b", "d" }) {
+        if (BackendId(id) != lost.backend)
+            harness.send(relay::event::ServerUnregistered { BackendId(id) });
+    }
+    RegisteredServer successor = RelayHarness::engine("z", 0, 0);
+    successor.address = lost.address;
+    harness.send(relay::event::ServerRegistered { successor });
+    CHECK_FALSE(harness.last<relay::effect::BreakAnswer>().has_value());
+    CHECK_FALSE(harness.last<relay::effect::CancelAttempt>().has_value());
+    harness.tick(milliseconds(200));
+    harness.send(relay::event::ServerRegistered { RelayHarness::engine("e", 4, 8) });
+    harness.tick(milliseconds(200));
+    const auto order = harness.last<relay::effect::RerouteAttempt>();
+    CHECK_TRUE(order && order->chain.contains(BackendId("e")));
+}
+
 // While one stage is being replaced, the stage that the stream is to go to starts again as well.
 TEST(ServerStart, AStreamThatWasMovedToAnEndedStageIsMovedOn)
 {
