Streams are moved off a leaving engine after half of the time for which it goes on serving

Ruled out: moves by the planner (25 loads).

Change: the delay is half of the platform's drain bound, read from the settings: 1 s where that is 2 s, as before.

--- a/programs/crocusmount-entry.cpp
+++ b/programs/crocusmount-entry.cpp
@@ -35,6 +35,10 @@
 /// Part of the retries that the platform allows which this product uses; the rest covers instances that are counted
 /// late.
 constexpr double RetryShare = 0.85;
+/// Part of the time for which a leaving backend server goes on serving after which running streams are moved off it.
+/// Most end by themselves before; each that is moved takes its KV cache along, half a gigabyte for a prompt of 900
+/// tokens.
+constexpr double MoveOffShare = 0.5;
 /// By then the other instances send callers elsewhere; what comes on a kept connection would come too late to end.
 constexpr std::chrono::milliseconds CloseIdleAfter { 700 };
 /// Callers that know this instance still connect for up to three lifetimes of a directory answer.
@@ -57,6 +61,7 @@
     options.dataCentre = DataCentreId(settings.dataCentre);
     options.retryRatio = settings.retryRatio * RetryShare;
     options.retryRipening = Duration(static_cast<std::int64_t>(settings.retryWindowSeconds * 1e6));
+    options.rerouteDelay = Duration(static_cast<std::int64_t>(MoveOffShare * settings.drainMs * 1000));
     options.retrySlack = settings.retrySlack * RetryShare;
     return options;
 }
--- a/tests/EdgeTest.cpp
+++ b/tests/EdgeTest.cpp
@@ -142,6 +142,8 @@
     } cases[] = {
         { good, "" },
         { good + "bounds:\n  grace_s: soon\n", "bounds.grace_s" },
+        { good + "bounds:\n  drain_ms: soon\n", "bounds.drain_ms" },
+        { good + "bounds:\n  drain_ms: 4000\n", "" },
         { "zone: z\n", "node_name: missing" },
         { "node_name: n\nzone: z\nip: i\nlisten: 3\n", "listen.front: missing" },
         { "a: [", "not YAML" },
--- a/tests/RelayReducerTest.cpp
+++ b/tests/RelayReducerTest.cpp
@@ -463,3 +463,31 @@
     }
     CHECK_TRUE(harness.last<relay::effect::StartAttempt>().has_value());
 }
+
+// Streams that are moved take their KV cache along, which costs as much as a new one; most end by themselves.
+TEST(RelayReducer, AStreamIsMovedOffALeavingStageOnlyAfterTheDelay)
+{
+    const struct {
+        int delayMs;
+        int afterMs;
+        bool moved;
+    } cases[] = { { 1000, 900, false }, { 1000, 1100, true }, { 2000, 1900, false }, { 2000, 2100, true } };
+    for (const auto& each : cases) {
+        RelayOptions options;
+        options.rerouteDelay = milliseconds(each.delayMs);
+        RelayHarness harness(options);
+        const auto start = harness.running("/draft/1", 10);
+        const Hop last = start.chain.hops().back();
+        RegisteredServer leaving = harness.reducer().fleet().servers().at(last.backend).entry;
+        leaving.leaving = true;
+        harness.send(relay::event::ServerRegistered { leaving });
+        bool moved = false;
+        std::uint64_t event = 11;
+        for (int ms = 0; ms < each.afterMs; ms += 20, ++event) {
+            harness.events(start.attempt, event, event); // Each takes 20 ms.
+            harness.tick(milliseconds(0));
+            moved = moved || harness.last<relay::effect::RerouteAttempt>().has_value();
+        }
+        CHECK_EQUAL(each.moved, moved);
+    }
+}
