--- a/src/edge/PeerLink.cpp
+++ b/src/edge/PeerLink.cpp
@@ -57,8 +57,7 @@
         return server.status();
     link->m_copyServer = *std::move(server);
     mirror.setCopySource(link->m_copies);
-    node.setOnTellOfEngine(
-        [raw = link.get()](const relay::effect::TellOfEngine& report) { raw->tellOfEngine(report); });
+    node.setOnFinding([raw = link.get()](const relay::effect::ShareFinding& report) { raw->shareFinding(report); });
     mirror.setOnBatch([raw = link.get()](const StoreMirror::Changes& changes) { raw->passOn(changes); });
     net::co_spawn(context.get_executor(), link->receiveLoop(), net::detached);
     net::co_spawn(context.get_executor(), link->roundLoop(), net::detached);
@@ -138,10 +137,10 @@
 }
 
 /// Tells all other instances at once: a round of the exchange takes as long as the pause that callers accept.
-void PeerLink::tellOfEngine(const relay::effect::TellOfEngine& report)
+void PeerLink::shareFinding(const relay::effect::ShareFinding& report)
 {
     PeerDatagram datagram;
-    const bool isDead = report.finding == relay::effect::TellOfEngine::Finding::Dead;
+    const bool isDead = report.finding == relay::effect::ShareFinding::Finding::Dead;
     (isDead ? datagram.deadEngines : datagram.closedEngines)
         .push_back(relay::engineKey(report.engine, report.startedAt));
     sendToAll(encode(datagram));
--- a/src/edge/PeerLink.h
+++ b/src/edge/PeerLink.h
@@ -17,7 +17,7 @@
 namespace relay {
     class RelayNode;
     namespace effect {
-        struct TellOfEngine;
+        struct ShareFinding;
     }
 }
 
@@ -49,7 +49,7 @@
     void makeRound();
     void receive(const std::string& bytes);
     void passOn(const StoreMirror::Changes&);
-    void tellOfEngine(const relay::effect::TellOfEngine&);
+    void shareFinding(const relay::effect::ShareFinding&);
     void announceLeaving();
     void sendToAll(const std::string& bytes);
     void sendToDataCentre(const std::string& bytes);
--- a/src/edge/RelayNode.cpp
+++ b/src/edge/RelayNode.cpp
@@ -218,10 +218,10 @@
     net::co_spawn(m_context.get_executor(), checkEngine(check), net::detached);
 }
 
-void RelayNode::on(const effect::TellOfEngine& report)
+void RelayNode::on(const effect::ShareFinding& report)
 {
-    if (m_onTellOfEngine)
-        m_onTellOfEngine(report);
+    if (m_onFinding)
+        m_onFinding(report);
 }
 
 Awaitable<void> RelayNode::checkEngine(effect::CheckEngine check)
--- a/src/edge/RelayNode.h
+++ b/src/edge/RelayNode.h
@@ -36,10 +36,10 @@
     void callerLeft(RequestId);
     void post(RelayEventBody);
 
-    /// Has each engine that a check finds dead told to the other instances.
-    void setOnTellOfEngine(std::function<void(const effect::TellOfEngine&)> onTellOfEngine)
+    /// Has what checks find of engines told to the other instances.
+    void setOnFinding(std::function<void(const effect::ShareFinding&)> onFinding)
     {
-        m_onTellOfEngine = std::move(onTellOfEngine);
+        m_onFinding = std::move(onFinding);
     }
 
     const RelayReducer& reducer() const { return m_reducer; }
@@ -77,7 +77,7 @@
     void on(const effect::CancelAttempt&);
     void on(const effect::AskStalledStage&);
     void on(const effect::CheckEngine&);
-    void on(const effect::TellOfEngine&);
+    void on(const effect::ShareFinding&);
     void on(const effect::NoteBelief&);
     void on(const effect::RerouteAttempt&);
     void on(const effect::Refuse&);
@@ -88,7 +88,7 @@
     net::io_context& m_context;
     HeaderNames m_names;
     EngineControl& m_control;
-    std::function<void(const effect::TellOfEngine&)> m_onTellOfEngine;
+    std::function<void(const effect::ShareFinding&)> m_onFinding;
     RelayReducer m_reducer;
     RelayLatencies m_latencies;
     pcg64 m_random;
--- a/src/edge/StoreMirror.h
+++ b/src/edge/StoreMirror.h
@@ -58,9 +58,8 @@
     /// before it to follow the store and to pass on what it says: were all to ask at once, a store that is slow or away
     /// got a call a second from each of hundreds.
     void setTurn(std::size_t turn) { m_turn = turn; }
-    /// @return whether the others of the data centre may rely on this copy: it follows the store by itself, and is
-    /// among
-    ///         the few whose turn it is to pass changes on
+    /// @return whether the others of the data centre may rely on this copy: it follows the store by itself, and few
+    ///         instances come before this one
     bool leads() const;
     /// @return whether another instance keeps this copy up to date
     bool isFed() const { return m_mayBeFed && m_peerSpoke && std::chrono::steady_clock::now() < m_fedUntil; }
--- a/src/relay/LoadExchange.cpp
+++ b/src/relay/LoadExchange.cpp
@@ -12,9 +12,8 @@
     /// A sender that was silent this long no longer counts; some rounds may be lost on the way.
     constexpr Duration ReportLifetime = std::chrono::milliseconds(900);
 
-    /// A member that was silent this long is taken for dead. Twice a report's lifetime: a word against an instance
-    /// costs it its callers, and what it is for, to drop a dead one from answers to callers, its lease did after two
-    /// seconds.
+    /// A member that was silent this long is taken for dead, and callers are not sent there. Twice the lifetime of a
+    /// report, as a few lost datagrams must not cost an instance its callers.
     constexpr Duration MemberSilence = 2 * ReportLifetime;
 
     void add(EngineLoads& sums, const std::vector<EngineLoad>& loads)
--- a/src/relay/RelayEffect.h
+++ b/src/relay/RelayEffect.h
@@ -51,7 +51,7 @@
     };
 
     /// Tell the other instances what a check found of an engine.
-    struct TellOfEngine {
+    struct ShareFinding {
         enum class Finding {
             Dead,
             Closed, ///< it has room and takes no new work: it leaves, or gives up its layers
@@ -108,7 +108,7 @@
 } // namespace effect
 
 using RelayEffect = std::variant<effect::StartAttempt, effect::CancelAttempt, effect::AskStalledStage,
-    effect::CheckEngine, effect::TellOfEngine, effect::NoteBelief, effect::RerouteAttempt, effect::Refuse,
+    effect::CheckEngine, effect::ShareFinding, effect::NoteBelief, effect::RerouteAttempt, effect::Refuse,
     effect::DeliverServerFailure, effect::BreakAnswer>;
 using RelayEffects = std::vector<RelayEffect>;
 
--- a/src/relay/RelayReducerChecks.cpp
+++ b/src/relay/RelayReducerChecks.cpp
@@ -146,7 +146,7 @@
     server = m_fleet.find(checked.engine);
     const bool tells = !m_options.without.has(Mechanism::DeadReports);
     if (tells && server && server->unansweredChecks == 1)
-        context.effects.emplace_back(effect::TellOfEngine { checked.engine, server->entry.startedAt });
+        context.effects.emplace_back(effect::ShareFinding { checked.engine, server->entry.startedAt });
     if (server && server->unansweredChecks == 1)
         checkSilentEngines(checked.refused, context);
     // Streams through a process that is gone hold memory at all other stages until their callers give up on them.
@@ -190,7 +190,7 @@
     context.effects.emplace_back(
         effect::NoteBelief { effect::NoteBelief::Belief::Closed, checked.engine, server->entry.startedAt });
     context.effects.emplace_back(
-        effect::TellOfEngine { checked.engine, server->entry.startedAt, effect::TellOfEngine::Finding::Closed });
+        effect::ShareFinding { checked.engine, server->entry.startedAt, effect::ShareFinding::Finding::Closed });
 }
 
 void RelayReducer::on(const event::EnginesReportedClosed& reported, Context& context)
--- a/tests/EngineCheckTest.cpp
+++ b/tests/EngineCheckTest.cpp
@@ -93,9 +93,9 @@
 {
     RelayHarness harness;
     harness.send(relay::event::EngineChecked { BackendId("a"), false, 1 });
-    CHECK_TRUE(harness.last<relay::effect::TellOfEngine>()->engine == BackendId("a"));
+    CHECK_TRUE(harness.last<relay::effect::ShareFinding>()->engine == BackendId("a"));
     harness.send(relay::event::EngineChecked { BackendId("a"), false, 1 });
-    CHECK_FALSE(harness.last<relay::effect::TellOfEngine>().has_value());
+    CHECK_FALSE(harness.last<relay::effect::ShareFinding>().has_value());
 }
 
 TEST(EngineCheck, AReportOfADeadEngineIsBelievedWhereAnOwnStreamIsSilentThere)
@@ -224,7 +224,7 @@
     harness->send(relay::event::AttemptEnded { start.attempt, AttemptResult::NotRun, 503, address });
     // The check for its death comes at once; its answer tells of the time before.
     harness->send(relay::event::EngineChecked { engine, true, 1, false, {}, {}, {}, 0, 0.1 });
-    CHECK_FALSE(harness->last<relay::effect::TellOfEngine>().has_value());
+    CHECK_FALSE(harness->last<relay::effect::ShareFinding>().has_value());
     harness->tick(milliseconds(310));
     harness->send(relay::event::EngineChecked { engine, true, 1, false, {}, {}, {}, queued, memoryUsed });
     return harness;
@@ -251,11 +251,11 @@
     const BackendId engine("b");
     for (const auto& each : cases) {
         const auto harness = turnedAwayBy(engine, each.queued, each.memoryUsed);
-        const auto told = harness->last<relay::effect::TellOfEngine>();
+        const auto told = harness->last<relay::effect::ShareFinding>();
         CHECK_EQUAL_TEXT(each.closed, told.has_value(), each.name);
         if (!told)
             continue;
-        CHECK_TRUE_TEXT(told->finding == relay::effect::TellOfEngine::Finding::Closed, each.name);
+        CHECK_TRUE_TEXT(told->finding == relay::effect::ShareFinding::Finding::Closed, each.name);
         CHECK_TRUE_TEXT(told->engine == engine, each.name);
         for (int i = 0; i < 12; ++i)
             CHECK_FALSE_TEXT(harness->running("/draft/1").chain.contains(engine), each.name);
@@ -278,7 +278,7 @@
     harness.events(next.attempt, 1, 1);
     harness.tick(milliseconds(310));
     harness.send(relay::event::EngineChecked { last.backend, true, 1, false, {}, {}, {}, 0, 0.1 });
-    CHECK_FALSE(harness.last<relay::effect::TellOfEngine>().has_value());
+    CHECK_FALSE(harness.last<relay::effect::ShareFinding>().has_value());
 }
 
 TEST(EngineCheck, AnotherInstancesWordOnAClosedEngineHoldsForAWhile)
