--- a/src/edge/StoreMirror.cpp
+++ b/src/edge/StoreMirror.cpp
@@ -182,7 +182,8 @@
     if (newer.range.revision < m_revision)
         co_return; // The store answered meanwhile.
     m_trustDeletionsFrom = std::max(m_trustDeletionsFrom, asked + newer.progress.lapseGrace);
-    m_lastAnswer = std::max(m_lastAnswer, asked - newer.progress.age);
+    m_peerAnswered = std::max(m_peerAnswered, asked - newer.progress.age);
+    m_lastAnswer = std::max(m_lastAnswer, m_peerAnswered);
     replaceBy(newer.range);
     reportLapsed();
 }
@@ -297,6 +298,7 @@
     if (!m_mayBeFed || !m_complete || peer.age > OldestPeerAnswer)
         return;
     m_peerSpoke = true;
+    m_peerAnswered = std::max(m_peerAnswered, now - peer.age);
     m_fedUntil = now + std::min(PeerWordLifetime, OldestPeerAnswer - peer.age);
     m_trustDeletionsFrom = std::max(m_trustDeletionsFrom, now + peer.lapseGrace);
     if (peer.revision > m_revision && m_peerRevision <= m_revision)
@@ -391,7 +393,7 @@
     if (!m_inContact && m_complete) {
         // Where peers' copies went on, the store was away for this instance alone, and nothing lapsed. Deletions were
         // held back all the same, and told to be by the peers: calls reached a server 2.1 s after it had left.
-        if (now - m_lostSince > Outage && now - m_lastAnswer > Outage)
+        if (now - m_lostSince > Outage && now - m_peerAnswered > Outage)
             m_trustDeletionsFrom = now + LapseGrace;
         relay::DecisionLog::state("store_regained", { { "silent_ms", age().count() }, { "revision", m_revision } });
     }
--- a/src/edge/StoreMirror.h
+++ b/src/edge/StoreMirror.h
@@ -118,6 +118,7 @@
     std::size_t m_heldBytes = 0; ///< of their values
     std::map<std::string, std::chrono::steady_clock::time_point> m_lapsed; ///< deletions held back, with their time
     std::chrono::steady_clock::time_point m_lastAnswer;
+    std::chrono::steady_clock::time_point m_peerAnswered; ///< when the store last answered a peer, as far as it told
     std::chrono::steady_clock::time_point m_lostSince;
     std::chrono::steady_clock::time_point m_trustDeletionsFrom;
     std::chrono::steady_clock::time_point m_fedUntil;
