--- a/src/edge/InstanceRegistry.cpp
+++ b/src/edge/InstanceRegistry.cpp
@@ -23,9 +23,11 @@
     constexpr std::size_t LongestIdInLogs = 100;
     constexpr std::uint64_t UnreadableLogStep = 100; ///< one line for so many entries that cannot be read
 
+    std::string idOf(const std::string& key) { return key.substr(std::string_view(InstancePrefix).size()); }
+
     absl::StatusOr<InstanceRegistry::Entry> entryFrom(const std::string& key, const std::string& text)
     {
-        const std::string id = key.substr(std::string_view(InstancePrefix).size());
+        const std::string id = idOf(key);
         const boost::json::object value = parseObject(text);
         InstanceRegistry::Entry entry { id, textOf(value, "address"), textOf(value, "data_centre"),
             textOf(value, "peer_address") };
@@ -70,7 +72,7 @@
     }
     if (event.deleted) {
         m_others.erase(key);
-        m_leaving.erase(relay::instanceKey(InstanceId(key.substr(std::string_view(InstancePrefix).size()))));
+        m_leaving.erase(relay::instanceKey(InstanceId(idOf(key))));
     } else {
         auto entry = entryFrom(key, event.entry.value);
         if (!entry.ok()) {
@@ -87,7 +89,7 @@
         std::erase_if(m_others, [&](const auto& other) { return other.second.address == entry->address; });
         m_others[key] = *std::move(entry);
     }
-    const std::string id = key.substr(std::string_view(InstancePrefix).size());
+    const std::string id = idOf(key);
     event.deleted ? m_digest.removed(id, event.entry.modRevision) : m_digest.added(id, event.entry.modRevision);
     m_digest.write(count(), std::chrono::steady_clock::now());
 }
