Sight: log lines name what two calls have in common, and how far an attempt was when it broke

Cause: no line told that two calls under different ids are the same request, nor whether a server had begun to run one when it ended, so the hypotheses of docs/incidents/crashing-request.md could not be told apart. No decision changes: the reducer notes when an answer begins and does nothing with it yet.

--- a/src/edge/RelayNode.cpp
+++ b/src/edge/RelayNode.cpp
@@ -1,6 +1,7 @@
 #include "edge/RelayNode.h"
 
 #include "edge/DecisionLog.h"
+#include "edge/RequestDigest.h"
 
 #include <random>
 
@@ -12,6 +13,8 @@
     constexpr std::chrono::milliseconds BusyTick { 20 };
     /// The same with no call open, when nothing can be due.
     constexpr std::chrono::milliseconds IdleTick { 200 };
+    /// In logs, the time since an answer began that never did.
+    constexpr std::int64_t NotBegun = -1;
 
     std::string chainText(const Chain& chain)
     {
@@ -92,8 +95,10 @@
 RelayNode::OpenCall RelayNode::open(std::shared_ptr<const CallerRequest> request, CallSpec spec)
 {
     const RequestId id(m_nextCall++);
+    spec.content = digestOf(*request, spec.host);
     auto pipe = std::make_shared<AnswerPipe>(m_context);
-    m_open[id] = { spec.name, std::move(request), pipe, now(), std::nullopt, std::nullopt, Duration(0), 0 };
+    m_open[id] = { spec.name, spec.content.toText(), std::move(request), pipe, now(), std::nullopt, std::nullopt,
+        Duration(0), 0 };
     if (!m_reducer.openCalls())
         m_tick.cancel();
     post(event::CallArrived { id, std::move(spec) });
@@ -122,6 +127,8 @@
         RelayEffects effects;
         if (const auto* ended = std::get_if<event::AttemptEnded>(&event.body))
             noteEnd(*ended);
+        if (const auto* begun = std::get_if<event::AnswerBegun>(&event.body))
+            noteBegun(*begun);
         if (const auto* delivered = std::get_if<event::EventDelivered>(&event.body))
             noteEvent(*delivered);
         m_reducer.reduce(event, effects);
@@ -130,6 +137,12 @@
     m_reducing = false;
 }
 
+void RelayNode::noteBegun(const event::AnswerBegun& begun)
+{
+    if (const auto running = m_attempts.find(begun.attempt); running != m_attempts.end())
+        running->second.begun = now();
+}
+
 void RelayNode::noteEvent(const event::EventDelivered& delivered)
 {
     const auto running = m_attempts.find(delivered.attempt);
@@ -151,7 +164,8 @@
     const auto running = m_attempts.find(ended.attempt);
     if (running == m_attempts.end())
         return;
-    const RequestId call = running->second.call;
+    const Running attempt = running->second;
+    const RequestId call = attempt.call;
     m_attempts.erase(running);
     const auto open = m_open.find(call);
     if (open == m_open.end())
@@ -162,7 +176,10 @@
         return;
     }
     DecisionLog::call("attempt_failed", open->second.name,
-        { { "result", toString(ended.result) }, { "status", ended.status }, { "culprit", ended.culprit } });
+        { { "result", toString(ended.result) }, { "status", ended.status }, { "culprit", ended.culprit },
+            { "server", attempt.server.value() }, { "request", open->second.content },
+            { "sent_ms", toMs(now() - attempt.started) },
+            { "begun_ms", attempt.begun ? toMs(now() - *attempt.begun) : NotBegun } });
 }
 
 void RelayNode::apply(const RelayEffects& effects)
@@ -178,12 +195,12 @@
         return;
     DecisionLog::call("attempt", found->second.name,
         { { "route", start.route }, { "workspace", start.workspace }, { "server", start.server.value() },
-            { "address", start.address }, { "chain", chainText(start.chain) },
+            { "request", found->second.content }, { "address", start.address }, { "chain", chainText(start.chain) },
             { "remaining_ms", toMs(start.remaining) }, { "resume_after", start.resumeAfter.value_or(0) },
             { "waited_ms", toMs(now() - found->second.arrived) } });
     auto attempt = std::make_shared<UpstreamAttempt>(m_context, m_names, start, found->second.request,
         found->second.pipe, [this](RelayEventBody body) { post(std::move(body)); });
-    m_attempts[start.attempt] = { start.call, attempt };
+    m_attempts[start.attempt] = { start.call, attempt, start.server, now(), std::nullopt };
     attempt->start();
 }
 
--- a/src/edge/RelayNode.h
+++ b/src/edge/RelayNode.h
@@ -52,6 +52,7 @@
 private:
     struct Open {
         std::string name; ///< the caller's id, for logs
+        std::string content; ///< the digest of what it sent, for logs
         std::shared_ptr<const CallerRequest> request;
         std::shared_ptr<AnswerPipe> pipe;
         TimePoint arrived;
@@ -64,9 +65,13 @@
     struct Running {
         RequestId call;
         std::shared_ptr<UpstreamAttempt> attempt;
+        BackendId server;
+        TimePoint started;
+        std::optional<TimePoint> begun; ///< when the head of a success came
     };
 
     Awaitable<void> tickLoop();
+    void noteBegun(const event::AnswerBegun&);
     void noteEvent(const event::EventDelivered&);
     void noteEnd(const event::AttemptEnded&);
     Awaitable<void> askStalledStage(effect::AskStalledStage, std::string name);
--- a/src/edge/UpstreamAttempt.cpp
+++ b/src/edge/UpstreamAttempt.cpp
@@ -149,6 +149,8 @@
         co_return ended(AttemptResult::NotRun, status, std::string(head[m_names.culprit]));
     if (!head.count(m_names.seal) || head.count(http::field::content_encoding))
         co_return ended(AttemptResult::Broken, status);
+    if (success)
+        m_post(event::AnswerBegun { m_order.attempt });
     const std::string_view type = head[http::field::content_type];
     if (success && m_order.stream && type.substr(0, 17) == "text/event-stream")
         co_return co_await takeStream(*parser);
--- a/src/relay/Call.h
+++ b/src/relay/Call.h
@@ -26,6 +26,7 @@
     TimePoint lastQuestion;
     std::uint32_t events = 0; ///< delivered to the caller
     bool sent = false; ///< its bytes went out
+    std::optional<TimePoint> begunAt; ///< when the head of a success came: the server had begun to run the call
     bool late = false; ///< no event came within the objective
     bool lostStage = false; ///< one of its stages has ended: without a reroute it cannot go on
     TimePoint nextTry; ///< to replace the lost stage
--- a/src/relay/CallSpec.h
+++ b/src/relay/CallSpec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "crocusmount/Time.h"
+#include "relay/RequestIdentity.h"
 
 #include <cstdint>
 #include <optional>
@@ -13,6 +14,7 @@
     std::string name; ///< the caller's own id of this call, for logs
     std::string host; ///< without a port
     std::string path; ///< without the query
+    ContentDigest content; ///< of all that the caller sent but headers: a repeat has the same under another name
     std::string key; ///< the bearer key; empty if none was sent
     Duration patience {}; ///< how long the caller waits; zero: not said
     std::uint32_t promptTokens = 0;
--- a/src/relay/RelayEvent.h
+++ b/src/relay/RelayEvent.h
@@ -65,6 +65,11 @@
         AttemptId attempt;
     };
 
+    /// The head of a success came: the server has begun to run the call.
+    struct AnswerBegun {
+        AttemptId attempt;
+    };
+
     /// A whole event of a stream was handed to the caller.
     struct EventDelivered {
         AttemptId attempt;
@@ -128,9 +133,9 @@
 
 using RelayEventBody = std::variant<event::ConfigurationAccepted, event::ServerRegistered, event::ServerUnregistered,
     event::InstancesCounted, event::LoadsReported, event::CallArrived, event::CallerLeft, event::AttemptSent,
-    event::EventDelivered, event::AttemptEnded, event::RerouteAnswered, event::StalledStageNamed, event::EngineChecked,
-    event::EngineStartSeen, event::EnginesReportedDead, event::EnginesReportedClosed, event::DrainRequested,
-    event::Tick>;
+    event::AnswerBegun, event::EventDelivered, event::AttemptEnded, event::RerouteAnswered, event::StalledStageNamed,
+    event::EngineChecked, event::EngineStartSeen, event::EnginesReportedDead, event::EnginesReportedClosed,
+    event::DrainRequested, event::Tick>;
 
 /// Something that happened, with all the time and entropy that the relay may use for it.
 struct RelayEvent {
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -204,6 +204,15 @@
     attempt.sent = true;
 }
 
+void RelayReducer::on(const event::AnswerBegun& begun, Context& context)
+{
+    Call* call = findByAttempt(begun.attempt);
+    if (!call)
+        return;
+    Attempt& attempt = call->main.id == begun.attempt ? call->main : *call->second;
+    attempt.begunAt = context.now;
+}
+
 void RelayReducer::on(const event::EventDelivered& delivered, Context& context)
 {
     Call* call = findByAttempt(delivered.attempt);
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -55,6 +55,7 @@
     void on(const event::CallArrived&, Context&);
     void on(const event::CallerLeft&, Context&);
     void on(const event::AttemptSent&, Context&);
+    void on(const event::AnswerBegun&, Context&);
     void on(const event::EventDelivered&, Context&);
     void on(const event::AttemptEnded&, Context&);
     void on(const event::RerouteAnswered&, Context&);
--- a/src/shell/Sha256.cpp
+++ b/src/shell/Sha256.cpp
@@ -1,21 +1,24 @@
 #include "shell/Sha256.h"
 
-#include <array>
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
 
 namespace crocusmount {
 
+Sha256Digest sha256(const std::string& text)
+{
+    Sha256Digest digest {};
+    EVP_Digest(text.data(), text.size(), digest.data(), nullptr, EVP_sha256(), nullptr);
+    return digest;
+}
+
 std::string sha256Hex(const std::string& text)
 {
-    std::array<unsigned char, EVP_MAX_MD_SIZE> digest {};
-    unsigned length = 0;
-    EVP_Digest(text.data(), text.size(), digest.data(), &length, EVP_sha256(), nullptr);
     static constexpr char digits[] = "0123456789abcdef";
     std::string hex;
-    for (unsigned i = 0; i < length; ++i) {
-        hex += digits[digest[i] >> 4];
-        hex += digits[digest[i] & 15];
+    for (const std::uint8_t byte : sha256(text)) {
+        hex += digits[byte >> 4];
+        hex += digits[byte & 15];
     }
     return hex;
 }
