Soak: requests that crash servers; failing tests of two faults in loseAttempt

The soak has a new fault: a request under which each server ends that begins it comes 12 to 20 times at any instance; its stand-ins crash and are back 1.5 s later.

--- a/tests/ServerStartTest.cpp
+++ b/tests/ServerStartTest.cpp
@@ -236,6 +236,59 @@
     CHECK_TRUE(next && next->chain.contains(BackendId("e")));
 }
 
+namespace {
+
+/// Has the last stage of a running stream end, with no other that could take its part.
+void loseLastStage(RelayHarness& harness, const relay::effect::StartAttempt& start)
+{
+    RegisteredServer successor = RelayHarness::engine("z", 0, 0);
+    successor.address = start.chain.hops().back().address;
+    harness.send(relay::event::ServerRegistered { successor });
+    CHECK_TRUE(harness.last<relay::effect::RerouteAttempt>().has_value());
+    harness.send(relay::event::RerouteAnswered { start.attempt, false });
+}
+
+} // namespace
+
+// A stream that may run once had its first 30 events when a later stage ended, and was sent to servers once more.
+// Whether it may have run was asked of the attempts that had ended, and the one that had delivered these events had
+// not.
+//
+//     "attempt" "route":"once" "remaining_ms":6000 "resume_after":0
+//     "attempt" "route":"once" "remaining_ms":2897 "resume_after":30
+TEST(ServerStart, AStreamThatMayRunOnceIsNotSentAgainAsItLosesAStage)
+{
+    const struct {
+        const char* path;
+        bool isSentAgain;
+    } cases[] = { { "/draft/1", true }, { "/once/1", false } };
+    for (const auto& each : cases) {
+        RelayHarness harness;
+        const auto start = harness.running(each.path, 10);
+        loseLastStage(harness, start);
+        CHECK_EQUAL_TEXT(each.isSentAgain, harness.last<relay::effect::StartAttempt>().has_value(), each.path);
+        harness.tick(milliseconds(300));
+        CHECK_EQUAL_TEXT(false, harness.last<relay::effect::StartAttempt>().has_value(), each.path);
+    }
+}
+
+// Four answers ended midway beside a change of the configuration: each was given up, at a first stage that lived, for
+// an attempt that was then turned away, and nothing was left to go on with.
+TEST(ServerStart, AnAnswerIsGivenUpOnlyForAnAttemptThatDelivers)
+{
+    RelayHarness harness;
+    const auto start = harness.running("/draft/1", 10);
+    loseLastStage(harness, start);
+    const auto next = harness.last<relay::effect::StartAttempt>();
+    CHECK_TRUE(next && next->resumeAfter == 10U);
+    CHECK_FALSE(harness.last<relay::effect::CancelAttempt>().has_value());
+    harness.send(relay::event::AttemptEnded { next->attempt, AttemptResult::NotRun, 503, "" });
+    CHECK_FALSE(harness.last<relay::effect::BreakAnswer>().has_value());
+    harness.events(start.attempt, 11, 12);
+    harness.send(relay::event::AttemptEnded { start.attempt, AttemptResult::Completed, 200, "" });
+    CHECK_EQUAL(1U, harness.reducer().counters().completed);
+}
+
 TEST(ServerStart, CallsThatMayNotRunTwiceEndWithATrueWord)
 {
     RelayHarness harness;
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -27,7 +27,7 @@
 GRACE_S = 8
 STABLE_S = 3  # the platform's: bounds in time hold so long after the last fault on the store or an instance
 # Promises with a bound in time: a busy machine may break them, so CI leaves them out.
-TIMED = {"deadline", "config", "recovery", "leaving", "grace"}
+TIMED = {"deadline", "config", "recovery", "leaving", "grace", "quarantine"}
 KEY = "soak-key"
 
 
@@ -232,7 +232,7 @@
         end = time.monotonic() + self.seconds
         running = []
         kinds = [self.kill, self.term, self.term, self.pause, self.crash, self.drain, self.drain, self.drain,
-                 self.drain, self.store_fault, self.link_fault, self.change, self.reborn, self.foreign_entry]
+                 self.drain, self.crashing, self.store_fault, self.link_fault, self.change, self.reborn, self.foreign_entry]
         while time.monotonic() < end:
             running.append(asyncio.create_task(draws.choice(kinds)(random.Random(draws.random()))))
             await asyncio.sleep(draws.random() * 1.5)
@@ -343,6 +343,41 @@
         server.link.set_mode("ok")
         self.backend_calm = time.monotonic()
 
+    async def crashing(self, draws):
+        """A request that crashes each server that begins it comes again and again, at any instance."""
+        body = f"crash {draws.random()}".encode()
+        path = draws.choice(["draft", "draft", "draft", "look", "book"])
+        self.backend_calm = time.monotonic() + 60
+        for _ in range(draws.randint(12, 20)):
+            await self.send_crashing(draws.choice(self.instances), path, body)
+            await asyncio.sleep(0.2 + draws.random() * 0.5)
+        self.backend_calm = time.monotonic() + 3
+
+    async def send_crashing(self, instance, path, body):
+        self.attempts += 1
+        attempt = f"{self.attempts:016x}"
+        self.instance_of[attempt] = instance
+        try:
+            host, port = instance.front.split(":")
+            reader, writer = await asyncio.wait_for(asyncio.open_connection(host, int(port)), 1)
+            writer.write((f"POST /{path}/x HTTP/1.1\r\nHost: soak.example\r\nX-Attempt-Id: {attempt}\r\n"
+                          f"Authorization: Bearer {KEY}\r\nX-Deadline-Ms: 6000\r\nX-Key: k\r\nX-Events: 9\r\n"
+                          f"X-Token-Usage: 100,9\r\nContent-Length: {len(body)}\r\n\r\n").encode() + body)
+            await asyncio.wait_for(read_head(reader), 9)
+            close(writer)
+        except (OSError, asyncio.TimeoutError):
+            pass
+
+    def judge_crashing(self):
+        """Not more than three retries reach a server later than the stable time after it crashed the third."""
+        for body, times in self.fleet.crashed.items():
+            if len(times) < 3:
+                continue
+            late = [attempt for at, attempt in self.fleet.reached[body]
+                    if at > times[2] + STABLE_S and self.instance_of[attempt].calm(STABLE_S, at)]
+            if len(late) > 3 or self.mutate == "crashes":
+                self.report("quarantine", f"{body} ended {len(times)} servers and was sent on {len(late)} times more")
+
     async def change(self, _draws):
         self.routes ^= {"extra"}
         self.changed_at["extra"] = time.monotonic()
@@ -367,6 +402,7 @@
             instance.send(signal.SIGKILL)
             await instance.process.wait()
         self.judge_runs()
+        self.judge_crashing()
         self.close()
         return self.broken
 
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -9,6 +9,7 @@
 from httpio import close, response, serve
 
 LAYERS = 8
+CRASHES = b"crash"  # a server that begins to run a request whose body begins so ends
 
 
 class Link:
@@ -173,6 +174,7 @@
 
     def __init__(self, store):
         self.store, self.servers, self.runs, self.wrong = store, {}, {}, []
+        self.reached, self.crashed = {}, {}  # by body that crashes servers: (time, attempt) of each arrival; times
         self.leaving_bound_s = 2.0  # from the store's answer until no new request may come
 
     def by_address(self, address):
@@ -252,14 +254,33 @@
             writer.write(response(421, headers={"X-Not-Executed": "1", "X-Attempt-Id": attempt}))
             return True
         self._check_leaving(attempt)
+        crashes = message.body.startswith(CRASHES)
+        if crashes:
+            self.fleet.reached.setdefault(message.body, []).append((time.monotonic(), attempt))
         if self.kind:
-            return await self._stream(message, writer, attempt)
+            return await self._stream(message, writer, attempt, crashes)
+        if crashes:
+            return await self._crash_under(message.body)
         self.fleet.ran(attempt)
         await asyncio.sleep(0.01)
         body = f"plain {message.headers['x-key']}".encode()
         writer.write(response(200, body, {"X-Attempt-Id": attempt, "X-Server-Seal": self.id}))
         return True
 
+    async def _crash_under(self, body):
+        """Begins to run a request that crashes it, and is back some time later."""
+        await asyncio.sleep(0.05)
+        if self.alive:
+            self.fleet.crashed.setdefault(body, []).append(time.monotonic())
+            await self.crash(3.6)
+            self.revival = asyncio.create_task(self._start_later())
+        return False
+
+    async def _start_later(self):
+        await asyncio.sleep(1.5)
+        if not self.alive:
+            await self.start()
+
     def _check_leaving(self, attempt):
         if self.left_at and time.monotonic() > self.left_at + self.fleet.leaving_bound_s:
             self.fleet.wrong.append(("leaving", time.monotonic(), f"{attempt} reached {self.id} after it left"))
@@ -281,7 +302,7 @@
             self.layers = layers
             self.register()
 
-    async def _stream(self, message, writer, attempt):
+    async def _stream(self, message, writer, attempt, crashes):
         status, culprit = self._check_chain(message.headers.get("x-hop-count", ""))
         if status != 200:
             writer.write(response(status, headers={"X-Not-Executed": "1", "X-Attempt-Id": attempt, "At-Server": culprit}))
@@ -290,6 +311,9 @@
         first = int(message.headers.get("last-event-id", "0")) + 1
         writer.write((f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
                       f"X-Attempt-Id: {attempt}\r\nX-Server-Seal: {self.id}\r\n\r\n").encode())
+        if crashes:
+            await writer.drain()
+            return await self._crash_under(message.body)
         for number in range(first, int(message.headers["x-events"]) + 1):
             await asyncio.sleep(0.02)
             event = f"id: {number}\ndata: {message.headers['x-key']} {number}\n\n".encode()
