A stream that may run once is not sent again as it loses a stage

Cause: loseAttempt goes on with an answer that the caller has a part of, and asked mayRetry, which knows of attempts that have ended alone; the one that had delivered these events was still running. Callers of startSecond ask whether the kind is repeatable; this place did not. Why the mend holds: what the caller has a part of has run, so nothing but the kind decides.

--- a/src/relay/RelayReducerServers.cpp
+++ b/src/relay/RelayReducerServers.cpp
@@ -194,6 +194,9 @@
     }
     call.main.nextTry = context.now + LostStageInterval;
     const std::uint32_t counted = isGone(call.main.server) ? 0 : 1;
+    // The caller's part of the answer shows that this attempt has run, though it has not ended.
+    if (!isRepeatable(call.route->kind))
+        return;
     if (awaitsVerdict(call) || call.attempts + counted >= call.route->maxAttempts || !mayRetry(call, context)
         || !budgetOf(call.service).hasOne())
         return;
