--- a/src/relay/Call.h
+++ b/src/relay/Call.h
@@ -29,6 +29,7 @@
     std::optional<TimePoint> begunAt; ///< when the head of a success came: the server had begun to run the call
     bool late = false; ///< no event came within the objective
     bool lostStage = false; ///< one of its stages has ended: without a reroute it cannot go on
+    bool lostServer = false; ///< the start of the server that took it has ended
     TimePoint nextTry; ///< to replace the lost stage
     TimePoint started;
 };
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -118,6 +118,7 @@
     bool takeStart(const BackendId&, StartTime, const LayerRange&, Context&);
     void leaveEndedStart(const BackendId&, Context&);
     bool isGone(const BackendId&) const;
+    bool hasLostServer(const Attempt&) const;
     bool hasEndedStage(const Chain&) const;
     void loseStage(Call&, const BackendId& lost, Context&);
     void leaveLostStages(Context&);
--- a/src/relay/RelayReducerServers.cpp
+++ b/src/relay/RelayReducerServers.cpp
@@ -145,6 +145,9 @@
     return server == m_fleet.servers().end() ? m_fleet.hasEnded(id) : server->second.refusedCheck;
 }
 
+/// @return whether the start of the server that took the attempt has ended; another one may bear its id
+bool RelayReducer::hasLostServer(const Attempt& attempt) const { return attempt.lostServer || isGone(attempt.server); }
+
 /// A running attempt lost a stage: that is replaced, or the call goes on elsewhere, or it ends with a true word.
 void RelayReducer::loseStage(Call& call, const BackendId& lost, Context& context)
 {
@@ -161,6 +164,7 @@
         return;
     }
     call.main.lostStage = true;
+    call.main.lostServer = call.main.lostServer || call.main.server == lost;
     const bool isLeaving = !call.main.reroute.hops().empty() && !call.main.reroute.contains(lost);
     if (!isLeaving && reroute(call, { lost }, context) == Moving::Impossible)
         loseAttempt(call, context);
@@ -193,7 +197,7 @@
         return;
     }
     call.main.nextTry = context.now + LostStageInterval;
-    const std::uint32_t counted = isGone(call.main.server) ? 0 : 1;
+    const std::uint32_t counted = hasLostServer(call.main) ? 0 : 1;
     // The caller's part of the answer shows that this attempt has run, though it has not ended.
     if (!isRepeatable(call.route->kind))
         return;
@@ -205,6 +209,12 @@
         return;
     budgetOf(call.service).spend();
     ++m_counters.retried.at(static_cast<std::size_t>(Reason::ConnectionLost));
+    // A first stage that lives may still end the answer, and the next server may turn the call away: the first to go on
+    // is kept. Given up at once, four answers ended midway.
+    if (!hasLostServer(call.main)) {
+        call.second = *std::move(next);
+        return;
+    }
     ++m_counters.resumed;
     drop(call, call.main, context);
     call.main = *std::move(next);
@@ -218,7 +228,7 @@
 {
     context.effects.emplace_back(effect::CancelAttempt { attempt.id });
     call.mayHaveRun = call.mayHaveRun || attempt.sent;
-    if (!isGone(attempt.server))
+    if (!hasLostServer(attempt))
         ++call.attempts;
     release(call, attempt, context);
 }
