--- a/programs/crocusmount-entry.cpp
+++ b/programs/crocusmount-entry.cpp
@@ -3,6 +3,7 @@
 #include "edge/DecisionLog.h"
 #include "edge/FrontServer.h"
 #include "edge/InstanceRegistry.h"
+#include "edge/OperatorEndpoints.h"
 #include "edge/PeerLink.h"
 #include "edge/PlacementDriver.h"
 #include "edge/PlannerLock.h"
@@ -85,6 +86,7 @@
         , m_placement(context, m_node, m_lock, m_control)
         , m_endpoints(
               { [this] { return ready(); }, [this] { return callerAddresses(); }, [this] { return metrics(); } })
+        , m_operators(m_quarantine, m_endpoints)
         , m_signals(context, SIGTERM, SIGINT, SIGHUP)
     {
     }
@@ -95,9 +97,10 @@
         if (!front.ok())
             return front.status();
         m_front = *std::move(front);
-        for (const std::string& address :
-            { m_settings.readyAddress, m_settings.directoryAddress, m_settings.ip + ":" + MetricsPort }) {
-            auto server = HttpServer::make(m_context, address, HttpLimits(), m_endpoints);
+        const std::pair<std::string, HttpHandler*> listeners[] = { { m_settings.readyAddress, &m_endpoints },
+            { m_settings.directoryAddress, &m_endpoints }, { m_settings.ip + ":" + MetricsPort, &m_operators } };
+        for (const auto& [address, handler] : listeners) {
+            auto server = HttpServer::make(m_context, address, HttpLimits(), *handler);
             if (!server.ok())
                 return server.status();
             m_servers.push_back(*std::move(server));
@@ -206,6 +209,7 @@
     StoreMirror m_mirror;
     PlacementDriver m_placement;
     platform::PlatformEndpoints m_endpoints;
+    OperatorEndpoints m_operators;
     net::signal_set m_signals;
     std::unique_ptr<relay::FrontServer> m_front;
     std::unique_ptr<PeerLink> m_peerLink;
--- a/programs/crocusmount.cpp
+++ b/programs/crocusmount.cpp
@@ -3,6 +3,7 @@
 #include "programs/CommandLine.h"
 #include "shell/CallStory.h"
 #include "shell/HttpClient.h"
+#include "shell/Json.h"
 #include "shell/SseParser.h"
 
 #include <absl/status/statusor.h>
@@ -34,6 +35,8 @@
   drain                      let the instance finish its streams and leave
   settle                     find out how a write in doubt ended (--nonce, --base)
   why CALL [FILE...]         print one call's life from the instances' log lines, in FILEs or on standard input
+  quarantine                 print the requests that are sent to no server (--entry: an instance's metrics address)
+  quarantine lift ID         have one of them sent to servers again
 Commands for callers:
   entries                    print the instances to use
   send PIPELINE PROMPT       send a completion and print the answer
@@ -397,6 +400,24 @@
     return reportApply(client, answer);
 }
 
+int quarantine(const Client& client)
+{
+    const HttpAnswer answer = client.call(http::verb::get, "/quarantine");
+    if (!succeeded(answer))
+        return ExitFailed;
+    if (client.json) {
+        std::cout << answer.body << "\n";
+        return ExitOk;
+    }
+    const json::object listed = objectOf(answer);
+    for (const json::value& each : listOf(listed, "quarantined")) {
+        const json::object& entry = each.as_object();
+        std::cout << textOf(entry, "id") << "  " << textOf(entry, "workspace") << "  servers "
+                  << json::serialize(entry.at("servers")) << "\n";
+    }
+    return ExitOk;
+}
+
 void takeLines(std::istream& input, CallStory& story)
 {
     for (std::string line; std::getline(input, line);)
@@ -451,6 +472,11 @@
         return succeeded(client.call(http::verb::post, "/admin/v1/drain")) ? ExitOk : ExitFailed;
     if (command == "settle" && arguments.has("nonce") && arguments.has("base"))
         return settle(client, arguments);
+    if (command == "quarantine" && words == 1)
+        return quarantine(client);
+    if (command == "quarantine" && words == 3 && arguments.words.at(1) == "lift")
+        return succeeded(client.call(http::verb::delete_, "/quarantine/" + arguments.words.at(2))) ? ExitOk
+                                                                                                   : ExitFailed;
     if (command == "entries" && words == 1)
         return entries(client);
     if (command == "send" && words == 3)
--- /dev/null
+++ b/src/edge/OperatorEndpoints.cpp
@@ -0,0 +1,66 @@
+#include "edge/OperatorEndpoints.h"
+
+#include "edge/DecisionLog.h"
+#include "edge/QuarantineStore.h"
+
+#include <boost/json.hpp>
+
+namespace crocusmount {
+
+namespace {
+
+    constexpr std::string_view QuarantinePath = "/quarantine";
+
+} // namespace
+
+OperatorEndpoints::OperatorEndpoints(QuarantineStore& quarantine, HttpHandler& others)
+    : m_quarantine(quarantine)
+    , m_others(others)
+{
+}
+
+Awaitable<void> OperatorEndpoints::onExchange(HttpExchange& exchange)
+{
+    const std::string path = exchange.path();
+    const http::verb verb = exchange.request().method();
+    if (path == QuarantinePath && verb == http::verb::get) {
+        co_await exchange.respond(list());
+        co_return;
+    }
+    const std::string begin = std::string(QuarantinePath) + "/";
+    if (path.substr(0, begin.size()) == begin && verb == http::verb::delete_) {
+        std::string id = path.substr(begin.size());
+        HttpReply reply = co_await lift(std::move(id));
+        co_await exchange.respond(std::move(reply));
+        co_return;
+    }
+    co_await m_others.handle(exchange);
+}
+
+HttpReply OperatorEndpoints::list() const
+{
+    boost::json::array entries;
+    for (const auto& [id, entry] : m_quarantine.entries()) {
+        entries.push_back(boost::json::object { { "id", id }, { "workspace", entry.request.workspace.value() },
+            { "since_ms", entry.sinceMs }, { "servers", entry.servers } });
+    }
+    HttpReply reply;
+    reply.body = boost::json::serialize(boost::json::object { { "quarantined", std::move(entries) } });
+    return reply;
+}
+
+Awaitable<HttpReply> OperatorEndpoints::lift(std::string id)
+{
+    std::string named = id;
+    const absl::Status status = co_await m_quarantine.lift(std::move(named));
+    relay::DecisionLog::state("quarantine_lift", { { "id", id }, { "outcome", status.ToString() } });
+    HttpReply reply;
+    if (absl::IsNotFound(status))
+        reply.status = 404;
+    else if (!status.ok())
+        reply.status = 503;
+    reply.body = boost::json::serialize(boost::json::object { { "outcome", std::string(status.message()) } });
+    co_return reply;
+}
+
+} // namespace crocusmount
--- a/src/edge/RelayNode.cpp
+++ b/src/edge/RelayNode.cpp
@@ -6,6 +6,7 @@
 #include "edge/RequestDigest.h"
 #include "shell/Endpoint.h"
 
+#include <absl/strings/str_cat.h>
 #include <random>
 
 namespace crocusmount::relay {
@@ -37,6 +38,8 @@
     {
         using Belief = effect::NoteBelief::Belief;
         switch (belief) {
+        case Belief::ProcessEnded:
+            return "server_ended";
         case Belief::StartEnded:
             return "server_start_ended";
         case Belief::EntryOutdated:
@@ -55,6 +58,8 @@
         return "belief";
     }
 
+    std::string keyText(std::uint64_t key) { return absl::StrCat(absl::Hex(key, absl::kZeroPad16)); }
+
     std::int64_t toMs(Duration duration)
     {
         return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
@@ -263,7 +268,7 @@
     const CrashSuspect& suspect = note.crash.suspect;
     DecisionLog::state(note.counts ? "server_ended_under_request" : "server_ended_in_group",
         { { "request", suspect.request.content.toText() }, { "workspace", suspect.request.workspace.value() },
-            { "server_key", note.crash.server }, { "just_begun", suspect.sign == CrashSign::JustBegun } });
+            { "server_key", keyText(note.crash.server) }, { "just_begun", suspect.sign == CrashSign::JustBegun } });
 }
 
 void RelayNode::on(const effect::QuarantineRequest& verdict)
@@ -318,8 +323,9 @@
 
 void RelayNode::on(const effect::NoteBelief& note)
 {
-    DecisionLog::state(
-        toString(note.belief), { { "server", note.server.value() }, { "started_ms", note.startedAt.value() } });
+    DecisionLog::state(toString(note.belief),
+        { { "server", note.server.value() }, { "started_ms", note.startedAt.value() },
+            { "server_key", keyText(engineKey(note.server, note.startedAt)) } });
 }
 
 void RelayNode::on(const effect::RerouteAttempt& order)
@@ -377,6 +383,7 @@
 void RelayNode::noteAnswer(const Open& open, std::string_view outcome, boost::json::object inputs)
 {
     inputs["outcome"] = outcome;
+    inputs["request"] = open.content;
     const Duration total = now() - open.arrived;
     (outcome == "completed" ? m_latencies.completed : m_latencies.refused).observe(total);
     if (open.firstEvent) {
--- a/src/relay/CrashEvidence.cpp
+++ b/src/relay/CrashEvidence.cpp
@@ -63,11 +63,11 @@
 
 void CrashEvidence::noteSilent(std::uint64_t server, TimePoint now) { m_ends.try_emplace(server, End { now, {} }); }
 
-void CrashEvidence::noteEnded(std::uint64_t server, std::vector<CrashSuspect> running, TimePoint now)
+bool CrashEvidence::noteEnded(std::uint64_t server, std::vector<CrashSuspect> running, TimePoint now)
 {
     End& end = m_ends.try_emplace(server, End { now, {} }).first->second;
     if (end.certainAt)
-        return;
+        return false;
     end.certainAt = now;
     end.suspects = std::move(running);
     std::erase_if(m_lost, [&](const Lost& lost) {
@@ -76,6 +76,7 @@
             end.add(lost.suspect);
         return wasThere;
     });
+    return true;
 }
 
 bool CrashEvidence::isOfGroup(const End& end, const RequestIdentity& request) const
--- a/src/relay/CrashEvidence.h
+++ b/src/relay/CrashEvidence.h
@@ -31,7 +31,8 @@
 
     /// Notes that a server's process has ended.
     /// @param running  those of running attempts there
-    void noteEnded(std::uint64_t server, std::vector<CrashSuspect> running, TimePoint now);
+    /// @return whether that is news
+    bool noteEnded(std::uint64_t server, std::vector<CrashSuspect> running, TimePoint now);
 
     /// What is known of the ends that are old enough to be told from the loss of a group.
     struct Findings {
--- a/src/relay/RelayEffect.h
+++ b/src/relay/RelayEffect.h
@@ -102,6 +102,7 @@
     /// A belief about a backend server changed on another's word; for the log.
     struct NoteBelief {
         enum class Belief {
+            ProcessEnded, ///< no process listens there, or its entry ended as it did not answer
             StartEnded, ///< a later start took its place: what ran there is lost
             EntryOutdated, ///< it is listed, by an entry of a start that has ended
             EntryUnusable, ///< it names a service or layers that the configuration does not know
--- a/src/relay/RelayReducerCrashes.cpp
+++ b/src/relay/RelayReducerCrashes.cpp
@@ -117,7 +117,9 @@
         if (call.second)
             consider(call, *call.second);
     }
-    m_crashEvidence.noteEnded(server.others.engine, std::move(running), context.now);
+    if (m_crashEvidence.noteEnded(server.others.engine, std::move(running), context.now))
+        context.effects.emplace_back(
+            effect::NoteBelief { effect::NoteBelief::Belief::ProcessEnded, server.entry.id, server.entry.startedAt });
 }
 
 void RelayReducer::settleCrashes(Context& context)
--- a/src/shell/CallStory.cpp
+++ b/src/shell/CallStory.cpp
@@ -26,6 +26,16 @@
 
     std::int64_t timeOf(const json::object& line) { return numberOf(line, "time_ms"); }
 
+    /// @return what the call has in common with its repeats, as its lines say; empty if none does
+    std::string requestOf(const std::vector<json::object>& lines)
+    {
+        for (const json::object& line : lines) {
+            if (std::string request = textOf(line, "request"); !request.empty())
+                return request;
+        }
+        return {};
+    }
+
     void sortByTime(std::vector<json::object>& lines)
     {
         std::stable_sort(
@@ -53,6 +63,8 @@
     }
     if (textOf(line, "call") == m_call)
         m_lines.push_back(std::move(line));
+    else if (textOf(line, "call").empty() && !textOf(line, "request").empty())
+        m_verdicts.push_back(std::move(line));
     else if (!engineOf(line).empty())
         m_beliefs.push_back(std::move(line));
 }
@@ -88,6 +100,11 @@
         if (concerns && time >= first - BeliefLeadMs && time <= last && used.count(engineOf(belief)))
             all.push_back(belief);
     }
+    const std::string request = requestOf(m_lines);
+    for (const json::object& verdict : m_verdicts) {
+        if (!request.empty() && textOf(verdict, "request") == request && timeOf(verdict) <= last)
+            all.push_back(verdict);
+    }
     sortByTime(all);
     for (json::object& line : all)
         line["since_ms"] = timeOf(line) - first;
--- a/src/shell/CallStory.h
+++ b/src/shell/CallStory.h
@@ -9,7 +9,7 @@
 namespace crocusmount {
 
 /// One call's life, put together from the log lines of all instances: its own lines, what the instances that carried it
-/// believed meanwhile of its engines, and the orders to these.
+/// believed meanwhile of its engines, the orders to these, and what any instance held against its request before.
 class CallStory {
 public:
     /// @param call  the caller's id of the call
@@ -34,6 +34,7 @@
     std::string m_call;
     std::vector<boost::json::object> m_lines; ///< that name the call
     std::vector<boost::json::object> m_beliefs; ///< on engines
+    std::vector<boost::json::object> m_verdicts; ///< on requests under which servers ended
     std::uint64_t m_unreadable = 0;
 };
 
--- a/tests/CallStoryTest.cpp
+++ b/tests/CallStoryTest.cpp
@@ -16,6 +16,9 @@
     R"({"time_ms":2200,"instance":"z","what":"order","engine":"i-2","from":4,"to":8,"answer":0})",
     R"({"time_ms":2050,"instance":"a","what":"attempt","call":"c2","server":"i-1","chain":"i-1=0-4,i-2=4-8"})",
     R"({"time_ms":9000,"instance":"a","what":"server_gone","server":"i-2"})",
+    R"({"time_ms":1000,"instance":"z","what":"request_quarantined","request":"d4","servers":3})",
+    R"({"time_ms":1001,"instance":"z","what":"request_quarantined","request":"d5","servers":3})",
+    R"({"time_ms":3000,"instance":"a","what":"answer","call":"c4","outcome":"refused","request":"d4"})",
     "no log line",
 };
 
@@ -46,6 +49,16 @@
     }
 }
 
+TEST(CallStory, WhatWasHeldAgainstItsRequestIsShown)
+{
+    const auto lines = storyOf("c4").lines();
+    CHECK_EQUAL(2U, lines.size());
+    CHECK_TEXT("request_quarantined", std::string(lines[0].at("what").as_string()));
+    CHECK_TEXT("d4", std::string(lines[0].at("request").as_string()));
+    CHECK_EQUAL(-2000, lines[0].at("since_ms").as_int64());
+    CHECK_EQUAL(0, lines[1].at("since_ms").as_int64());
+}
+
 TEST(CallStory, TheTextHoldsALineEach)
 {
     const std::string text = storyOf("c2").text();
--- a/tests/RelayLoopbackTest.cpp
+++ b/tests/RelayLoopbackTest.cpp
@@ -1,5 +1,6 @@
 #include "edge/FrontServer.h"
 #include "edge/RelayNode.h"
+#include "edge/RequestDigest.h"
 #include "platform/PlatformCallReader.h"
 #include "platform/WireNames.h"
 #include "relay/RouteTable.h"
@@ -8,6 +9,9 @@
 #include "tests/Tests.h"
 #include "tests/fakes/NoControl.h"
 
+#include <cstring>
+#include <optional>
+
 using namespace crocusmount;
 using namespace crocusmount::relay;
 
@@ -82,7 +86,8 @@
 };
 
 /// Runs one call through front, node and attempt, with one scripted server for all services.
-Exchange runCall(const std::string& request, std::vector<std::string> answers)
+Exchange runCall(const std::string& request, std::vector<std::string> answers,
+    const std::optional<RequestIdentity>& quarantined = std::nullopt)
 {
     net::io_context context(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE);
     NoControl control;
@@ -97,6 +102,8 @@
     node.post(relay::event::ConfigurationAccepted { RouteTable::make(RelayHarness::configuration()) });
     node.post(relay::event::ServerRegistered { plain });
     node.post(relay::event::ServerRegistered { engine });
+    if (quarantined)
+        node.post(relay::event::QuarantineListed { *quarantined });
     const platform::PlatformCallReader reader;
     // The port is chosen by the system; the test learns it from a probe socket.
     net::basic_socket_acceptor<Tcp, Executor> probe(context.get_executor(), *parseEndpoint<Tcp>("127.0.0.1:0"));
@@ -228,6 +235,32 @@
     }
 }
 
+TEST(RelayLoopback, AQuarantinedRequestIsRefusedForGoodWhateverItsIdAndHeaders)
+{
+    const std::string whole = head("200 OK") + "Content-Length: 4\r\n\r\nbody";
+    CallerRequest known(http::verb::post, "/book/1", 11);
+    known.body() = "hi";
+    const RequestIdentity quarantined { WorkspaceId("w"), digestOf(known, "h.example") };
+    std::string renamed = call("/book/1");
+    renamed.replace(renamed.find("X-Attempt-Id: me"), std::strlen("X-Attempt-Id: me"), "X-Attempt-Id: another");
+    std::string otherBody = call("/book/1");
+    otherBody.replace(otherBody.size() - 2, 2, "ho");
+    const struct {
+        const char* name;
+        std::string request;
+        bool refused;
+    } cases[] = { { "the same", call("/book/1"), true }, { "under another id", renamed, true },
+        { "another body", otherBody, false }, { "another path", call("/book/2"), false } };
+    for (const auto& each : cases) {
+        const Exchange result = runCall(each.request, { whole }, quarantined);
+        CHECK_EQUAL_TEXT(each.refused ? 0U : 1U, result.requests, each.name);
+        CHECK_EQUAL_TEXT(each.refused, has(result.answer, "HTTP/1.1 400"), each.name);
+        CHECK_EQUAL_TEXT(each.refused, has(result.answer, "crashes_servers"), each.name);
+        CHECK_EQUAL_TEXT(each.refused, has(result.answer, "not_run"), each.name);
+        CHECK_FALSE_TEXT(has(result.answer, "Retry-After"), each.name);
+    }
+}
+
 // odpoklic-lj quiet-1: the attempt's own timer fired first, 45 calls ended as 502 and their servers were left alone.
 TEST(RelayLoopback, ACallThatReachesItsDeadlineIsAnsweredAsSuch)
 {
--- a/tests/StoreEntryTest.cpp
+++ b/tests/StoreEntryTest.cpp
@@ -243,3 +243,59 @@
     CHECK_TRUE(found != reader.store.writes.end());
     CHECK_EQUAL(40, found->expectedModRevision);
 }
+
+namespace {
+
+StoreEvent eventOf(const StoreWrite& write, std::int64_t revision)
+{
+    if (write.puts.empty())
+        return { { write.deletes.front(), "", revision }, true };
+    return { { write.puts.front().first, write.puts.front().second, revision }, false };
+}
+
+} // namespace
+
+// What one instance found out is read by those that start later, and lifted for all by a deletion.
+TEST(StoreEntry, AVerdictOnARequestIsWrittenReadAndLifted)
+{
+    Reader finder;
+    RequestIdentity request { WorkspaceId("a workspace"), {} };
+    request.content.bytes[3] = 7;
+    QuarantineSink& sink = finder.quarantine;
+    sink.quarantine({ request, 3, 6, true });
+    finder.context.run_for(std::chrono::milliseconds(20));
+    CHECK_EQUAL(1U, finder.store.writes.size());
+    CHECK_EQUAL(0, finder.store.writes[0].expectedModRevision);
+
+    Reader other;
+    const StoreEvent listed = eventOf(finder.store.writes[0], 9);
+    other.follower.storeChanged(listed);
+    CHECK_TRUE(other.node.reducer().quarantine().isQuarantined(request, other.node.now()));
+    const std::string id = QuarantineStore::idOf(request);
+    CHECK_EQUAL(3U, other.quarantine.entries().at(id).servers);
+    net::co_spawn(other.context, other.quarantine.lift(id), net::detached);
+    other.context.run_for(std::chrono::milliseconds(20));
+    CHECK_EQUAL(1U, other.store.writes.size());
+    CHECK_EQUAL(9, other.store.writes[0].expectedModRevision);
+    other.follower.storeChanged(eventOf(other.store.writes[0], 10));
+    CHECK_FALSE(other.node.reducer().quarantine().isQuarantined(request, other.node.now()));
+}
+
+TEST(StoreEntry, WhatIsNoVerdictQuarantinesNothing)
+{
+    Reader finder;
+    const RequestIdentity request { WorkspaceId("w"), {} };
+    QuarantineSink& sink = finder.quarantine;
+    sink.quarantine({ request, 3, 6, true });
+    finder.context.run_for(std::chrono::milliseconds(20));
+    const StoreEvent sound = eventOf(finder.store.writes.at(0), 9);
+    const std::string values[] = { "", "[]", "{}", "\xff\x00", sound.entry.value.substr(1),
+        R"({"workspace":"w","content":"00"})", R"({"workspace":"w","content":7,"since_ms":"x"})",
+        R"({"workspace":"v","content":"00000000000000000000000000000000","since_ms":1,"servers":3})" };
+    Reader reader;
+    for (const std::string& value : values)
+        reader.follower.storeChanged({ { sound.entry.key, value, 9 }, false });
+    CHECK_TRUE(reader.quarantine.entries().empty());
+    CHECK_EQUAL(std::size(values), reader.quarantine.unreadable());
+    CHECK_TRUE(reader.node.reducer().quarantine().empty());
+}
