--- a/src/relay/Call.h
+++ b/src/relay/Call.h
@@ -32,6 +32,9 @@
     bool lostServer = false; ///< the start of the server that took it has ended
     TimePoint nextTry; ///< to replace the lost stage
     TimePoint started;
+
+    /// @return whether a server takes part in it
+    bool passes(const BackendId& id) const { return server == id || chain.contains(id); }
 };
 
 /// One call between its arrival and its final answer.
--- a/src/relay/RelayReducerCrashes.cpp
+++ b/src/relay/RelayReducerCrashes.cpp
@@ -32,11 +32,6 @@
         return hasRun ? CrashSign::None : CrashSign::JustBegun;
     }
 
-    bool passes(const Attempt& attempt, const BackendId& server)
-    {
-        return attempt.server == server || attempt.chain.contains(server);
-    }
-
 } // namespace
 
 bool RelayReducer::countsCrashes() const { return !m_options.without.has(Mechanism::Quarantine); }
@@ -106,7 +101,7 @@
         return;
     std::vector<CrashSuspect> running;
     const auto consider = [&](const Call& call, const Attempt& attempt) {
-        const CrashSign sign = passes(attempt, server.entry.id) ? signOf(call, attempt) : CrashSign::None;
+        const CrashSign sign = attempt.passes(server.entry.id) ? signOf(call, attempt) : CrashSign::None;
         if (sign != CrashSign::None)
             running.push_back({ call.identity, sign });
     };
--- a/src/relay/RelayReducerServers.cpp
+++ b/src/relay/RelayReducerServers.cpp
@@ -17,11 +17,6 @@
     /// Between two tries to replace a lost stage; each is a search over all engines.
     constexpr Duration LostStageInterval = std::chrono::milliseconds(200);
 
-    bool passes(const Attempt& attempt, const BackendId& server)
-    {
-        return attempt.server == server || attempt.chain.contains(server);
-    }
-
 } // namespace
 
 void RelayReducer::on(const event::ServerRegistered& registered, Context& context)
@@ -123,7 +118,7 @@
     for (const auto& [id, call] : m_calls) {
         if (call.state != CallState::Running)
             continue;
-        if (passes(call.main, ended) || (call.second && passes(*call.second, ended)))
+        if (call.main.passes(ended) || (call.second && call.second->passes(ended)))
             lost.push_back(id);
     }
     for (const RequestId& id : lost) {
@@ -151,11 +146,11 @@
 /// A running attempt lost a stage: that is replaced, or the call goes on elsewhere, or it ends with a true word.
 void RelayReducer::loseStage(Call& call, const BackendId& lost, Context& context)
 {
-    if (call.second && passes(*call.second, lost)) {
+    if (call.second && call.second->passes(lost)) {
         drop(call, *call.second, context);
         call.second.reset();
     }
-    if (!passes(call.main, lost))
+    if (!call.main.passes(lost))
         return;
     if (call.second) {
         drop(call, call.main, context);
