A copy of the store that left values out does not call itself whole

What callers would see: while a copy is over its bound of 8 MB it keeps further values out; when it had shrunk it was current again, and gave instances that the store turns away those entries empty, which they took for unreadable: servers vanish there. Cause: whether a copy is whole was asked of its size now, not of what it holds. Mend: values left out are counted, a copy with any is not current, and one that has shrunk to half the bound reads all once more. The test fails before and passes after.

--- a/src/edge/StoreMirror.cpp
+++ b/src/edge/StoreMirror.cpp
@@ -273,22 +273,29 @@
     return copy;
 }
 
-bool StoreMirror::isCurrent() const
-{
-    return m_complete && !m_stale && age() <= OldestPeerAnswer && m_heldBytes <= MostHeldBytes;
-}
+bool StoreMirror::isCurrent() const { return m_complete && !m_stale && age() <= OldestPeerAnswer && m_leftOut == 0; }
 
 void StoreMirror::hold(const StoreEntry& entry)
 {
     Held& held = m_held[entry.key];
     m_heldBytes += entry.value.size() - held.size;
-    held = { entry.modRevision, entry.value.size(), m_heldBytes <= MostHeldBytes ? entry.value : std::string() };
+    const bool fits = m_heldBytes <= MostHeldBytes;
+    if (held.isLeftOut)
+        --m_leftOut;
+    if (!fits)
+        ++m_leftOut;
+    held = { entry.modRevision, entry.value.size(), fits ? entry.value : std::string(), !fits };
 }
 
 void StoreMirror::letGo(std::map<std::string, Held>::iterator held)
 {
     m_heldBytes -= held->second.size;
+    if (held->second.isLeftOut)
+        --m_leftOut;
     m_held.erase(held);
+    // What was left out fits again: it is read with all the rest.
+    if (m_leftOut && m_heldBytes <= MostHeldBytes / 2)
+        m_stale = true;
 }
 
 void StoreMirror::peerIsAt(const Progress& peer)
@@ -357,8 +364,11 @@
         return;
     }
     m_lapsed.erase(key);
-    if (known != m_held.end() && event.entry.modRevision == known->second.revision)
+    if (known != m_held.end() && event.entry.modRevision == known->second.revision) {
+        if (known->second.isLeftOut)
+            hold(event.entry);
         return;
+    }
     hold(event.entry);
     m_onChange(event);
 }
--- a/src/edge/StoreMirror.h
+++ b/src/edge/StoreMirror.h
@@ -86,7 +86,8 @@
     struct Held {
         std::int64_t revision = 0;
         std::size_t size = 0;
-        std::string value; ///< empty where the copy had grown too large for it
+        std::string value; ///< empty where it is left out
+        bool isLeftOut = false; ///< the copy had grown too large for it
     };
 
     Awaitable<void> followLoop();
@@ -115,7 +116,8 @@
     OnBatch m_onBatch;
     StoreCopySource* m_copySource = nullptr;
     std::map<std::string, Held> m_held; ///< by key, all that was reported and not deleted since
-    std::size_t m_heldBytes = 0; ///< of their values
+    std::size_t m_heldBytes = 0; ///< of their values, also of those left out
+    std::size_t m_leftOut = 0; ///< values that are left out: others must not take the copy for a whole one
     std::map<std::string, std::chrono::steady_clock::time_point> m_lapsed; ///< deletions held back, with their time
     std::chrono::steady_clock::time_point m_lastAnswer;
     std::chrono::steady_clock::time_point m_peerAnswered; ///< when the store last answered a peer, as far as it told
--- a/tests/EdgeTest.cpp
+++ b/tests/EdgeTest.cpp
@@ -389,6 +389,22 @@
     }
 }
 
+// While a copy had grown over its bound, it kept the next values out; when it had shrunk again it called itself current
+// and gave these entries to other instances empty, who took them for servers whose entry nobody can read.
+TEST(Edge, ACopyThatLeftValuesOutIsNotGivenAsAWholeOne)
+{
+    const std::string large(5U << 20U, 'x');
+    FedMirror fed;
+    CHECK_TRUE(fed.mirror().isCurrent());
+    fed.mirror().takeFromPeer({ 10, { 12, { { { "s/2", large, 11 }, false }, { { "s/3", large, 12 }, false } } } });
+    CHECK_FALSE(fed.mirror().isCurrent());
+    fed.mirror().takeFromPeer({ 12, { 13, { { { "s/2", "", 13 }, true } } } });
+    bool isWhole = true;
+    for (const StoreEntry& entry : fed.mirror().copy().range.entries)
+        isWhole = isWhole && !entry.value.empty();
+    CHECK_EQUAL(isWhole, fed.mirror().isCurrent());
+}
+
 TEST(Edge, ChangesAreSplitIntoPartsThatJoinOn)
 {
     const auto change = [](std::int64_t revision, std::size_t bytes) {
