The first plan of a service's layers waits for the engines that start

Cause: 38 engines registered within 2.6 s; for half a second none came after the thirteenth, and the planner, which waited for a list that stood still for 350 ms, planned for 13. The plan for the rest kept what these held. Mend: where no engine holds layers or is ordered to, the list must stand still for 1000 ms, about a heartbeat; later plans wait 350 ms as before, as missing layers cost callers. The timing is a unit of its own without I/O (PlanTiming), its test replays the recorded arrivals: 13 before, 38 after.

--- a/src/edge/PlacementDriver.cpp
+++ b/src/edge/PlacementDriver.cpp
@@ -11,8 +11,6 @@
 namespace {
 
     constexpr std::chrono::milliseconds PlanInterval { 200 };
-    /// No plan is made while engines come and go faster than this: one made for a part of them fits badly.
-    constexpr std::chrono::milliseconds SettleTime { 350 };
     /// An order that was refused, as by an engine still busy with another, is given again after this.
     constexpr std::chrono::milliseconds RefusedPause { 1000 };
     /// Time beyond the loading itself until the registry shows it, an engine's heartbeat included.
@@ -82,10 +80,9 @@
         }
         engines.push_back(std::move(engine));
     }
-    Seen& seen = m_seen[service.id];
-    if (present != seen.engines)
-        seen = { std::move(present), now };
-    if (now - seen.since < SettleTime)
+    const bool anyHolds = std::any_of(engines.begin(), engines.end(),
+        [](const LayerPlanner::Engine& engine) { return engine.held.size() || engine.ordered; });
+    if (!m_timings[service.id].isDue(std::move(present), anyHolds, m_node.now()))
         return;
     const Handover handover = without.has(relay::Mechanism::Preempt) ? Handover::Drain : handoverFor(service.id);
     for (const LayerPlanner::Order& order : LayerPlanner::plan(*service.engine, engines, without)) {
--- a/src/edge/PlacementDriver.h
+++ b/src/edge/PlacementDriver.h
@@ -2,9 +2,9 @@
 
 #include "edge/EngineControl.h"
 #include "planning/LayerPlanner.h"
+#include "planning/PlanTiming.h"
 
 #include <map>
-#include <set>
 
 namespace crocusmount {
 
@@ -28,11 +28,6 @@
         std::chrono::steady_clock::time_point until; ///< by then it should be reported
     };
 
-    struct Seen {
-        std::set<BackendId> engines;
-        std::chrono::steady_clock::time_point since;
-    };
-
     Awaitable<void> planLoop();
     void planService(const relay::Service&);
     Awaitable<void> give(LayerPlanner::Order, std::string address, std::chrono::milliseconds expected, Handover);
@@ -43,7 +38,7 @@
     const PlannerLock& m_lock;
     EngineControl& m_control;
     std::map<BackendId, Outstanding> m_outstanding;
-    std::map<relay::ServiceId, Seen> m_seen;
+    std::map<relay::ServiceId, PlanTiming> m_timings;
 };
 
 } // namespace crocusmount
