--- a/tests/StoreEntryTest.cpp
+++ b/tests/StoreEntryTest.cpp
@@ -289,7 +289,7 @@
     sink.quarantine({ request, 3, 6, true });
     finder.context.run_for(std::chrono::milliseconds(20));
     const StoreEvent sound = eventOf(finder.store.writes.at(0), 9);
-    const std::string values[] = { "", "[]", "{}", "\xff\x00", sound.entry.value.substr(1),
+    const std::string values[] = { "", "[]", "{}", "\xff\xfe", sound.entry.value.substr(1),
         R"({"workspace":"w","content":"00"})", R"({"workspace":"w","content":7,"since_ms":"x"})",
         R"({"workspace":"v","content":"00000000000000000000000000000000","since_ms":1,"servers":3})" };
     Reader reader;
