An engine's answer to a check is held against the start that is known after it; a late probe against none

Found on the last read of the diff: on(EngineChecked) used what it had found of the engine after taking in that another start answered, which erases that. It looks the engine up again. A probe that was answered after a plain server's place was taken by another start would have counted as the new one's end.

--- a/src/relay/RelayReducerChecks.cpp
+++ b/src/relay/RelayReducerChecks.cpp
@@ -134,6 +134,9 @@
     server->beingChecked = false;
     if (!takeStart(checked.engine, checked.answering, checked.layers, context))
         return;
+    server = m_fleet.find(checked.engine); // A new start stands at another place.
+    if (!server)
+        return;
     if (checked.answered) {
         m_crashEvidence.noteAlive(server->others.engine);
         m_fleet.answeredCheck(checked.engine, checked.slowness);
--- a/src/relay/RelayReducerCrashes.cpp
+++ b/src/relay/RelayReducerCrashes.cpp
@@ -5,7 +5,6 @@
 // kept a fleet of 38 engines from answering nine streams in ten for seconds on end.
 
 #include "relay/RelayReducer.h"
-#include "relay/ScaledDuration.h"
 
 #include <algorithm>
 
@@ -85,8 +84,8 @@
 void RelayReducer::on(const event::ServerProbed& probed, Context& context)
 {
     FleetServer* server = m_fleet.find(probed.server);
-    if (!server)
-        return;
+    if (!server || !server->beingChecked)
+        return; // Another start has taken its place.
     server->beingChecked = false;
     if (probed.listens)
         m_crashEvidence.noteAlive(server->others.engine);
