--- a/src/relay/RelayReducerServers.cpp
+++ b/src/relay/RelayReducerServers.cpp
@@ -205,7 +205,7 @@
     budgetOf(call.service).spend();
     ++m_counters.retried.at(static_cast<std::size_t>(Reason::ConnectionLost));
     // A first stage that lives may still end the answer, and the next server may turn the call away: the first to go on
-    // is kept. Given up at once, four answers ended midway.
+    // is kept, or an answer could end midway for a rejection.
     if (!hasLostServer(call.main)) {
         call.second = *std::move(next);
         return;
