--- a/src/planning/PlanTiming.h
+++ b/src/planning/PlanTiming.h
@@ -10,8 +10,8 @@
 /// Tells when the list of a service's engines is whole enough to plan for. Each plan keeps what the one before placed,
 /// so one made for a part of the engines fits badly until layers are moved.
 ///
-/// The load pattern that it answers: engines of a service that starts register over some seconds, in no order. A pause
-/// of half a second among them had 13 of 38 planned for alone; streams were late all day, with engines to spare.
+/// The load pattern that it answers: engines of a service that starts register over some seconds, with pauses among
+/// them. A first plan for those before a pause leaves the fleet badly placed for as long as nothing moves.
 class PlanTiming {
 public:
     /// Takes in the list.
--- a/src/relay/RelayReducerCrashes.cpp
+++ b/src/relay/RelayReducerCrashes.cpp
@@ -1,8 +1,8 @@
 // What RelayReducer does about requests under which servers end.
 //
 // The load pattern that this answers: callers send a request that crashes each server that runs it, again and again, to
-// any instance. Each crash ends all other streams through that server, and it comes back empty: a few such requests keep
-// a fleet from answering anybody.
+// any instance. Each crash ends all other streams through that server, and it comes back empty: a few such requests
+// keep a fleet from answering anybody.
 
 #include "relay/RelayReducer.h"
 
