A popular request is not blamed where all servers of a service end

What callers would see: a request that many send, and that is beginning at every server of a service at any moment, refused for good for 30 minutes after all of these ended together. Cause: ends under the same request are not taken for the loss of a group, since one request may end several servers within 0.3 s; a popular one is at all of them by chance. Ruled out: a narrower window alone, as plain servers that end are seen by different instances. Mend: what has lately run soundly on an instance (the last 4,096 requests) is no suspect there. A request that crashes servers never does. The test fails before and passes after; the other tests of CrashingRequest hold.

--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -12,6 +12,7 @@
 #include "relay/RequestQuarantine.h"
 #include "relay/ServerFleet.h"
 #include "relay/ServiceQueue.h"
+#include "relay/SoundRequests.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <deque>
@@ -139,6 +140,7 @@
     void checkSilentEngines(bool isCertain, Context&);
     void moveOffLeaving(Context&);
     bool countsCrashes() const;
+    CrashSign crashSign(const Call&, const Attempt&) const;
     void noteLost(const Call&, const Attempt&, Context&);
     void askUnsettledServers(Context&);
     void probe(FleetServer&, Context&);
@@ -178,6 +180,7 @@
     std::map<BackendId, RegisteredServer> m_unusable; ///< entries that fit no service of the configuration
     CrashEvidence m_crashEvidence;
     RequestQuarantine m_quarantine;
+    SoundRequests m_soundRequests;
     EngineCheckBudget m_checkBudget;
     std::uint64_t m_nextAttempt = 1;
     std::optional<TimePoint> m_startedAt; ///< time of the first event
--- a/src/relay/RelayReducerCrashes.cpp
+++ b/src/relay/RelayReducerCrashes.cpp
@@ -35,10 +35,17 @@
 
 bool RelayReducer::countsCrashes() const { return !m_options.without.has(Mechanism::Quarantine); }
 
+/// @return what the end of a server tells of a call that had an attempt there; nothing where its request lately ran
+/// well
+CrashSign RelayReducer::crashSign(const Call& call, const Attempt& attempt) const
+{
+    return m_soundRequests.contains(call.identity) ? CrashSign::None : signOf(call, attempt);
+}
+
 /// An attempt broke off, or was given up at a server that may be dead.
 void RelayReducer::noteLost(const Call& call, const Attempt& attempt, Context& context)
 {
-    const CrashSign sign = signOf(call, attempt);
+    const CrashSign sign = crashSign(call, attempt);
     if (sign == CrashSign::None || !countsCrashes())
         return;
     std::vector<std::uint64_t> servers;
@@ -100,7 +107,7 @@
         return;
     std::vector<CrashSuspect> running;
     const auto consider = [&](const Call& call, const Attempt& attempt) {
-        const CrashSign sign = attempt.passes(server.entry.id) ? signOf(call, attempt) : CrashSign::None;
+        const CrashSign sign = attempt.passes(server.entry.id) ? crashSign(call, attempt) : CrashSign::None;
         if (sign != CrashSign::None)
             running.push_back({ call.identity, sign });
     };
@@ -199,6 +206,7 @@
 void RelayReducer::noteSound(Call& call, Context& context)
 {
     call.ranSoundly = true;
+    m_soundRequests.add(call.identity);
     if (!m_quarantine.empty() && lift(call.identity, true, context))
         context.effects.emplace_back(effect::ShareSoundRequest { call.identity });
 }
--- a/tests/CrashingRequestTest.cpp
+++ b/tests/CrashingRequestTest.cpp
@@ -140,3 +140,38 @@
         CHECK_EQUAL_TEXT(0U, fleet.sound().refusedForGood, each.name);
     }
 }
+
+// A popular request is beginning at all plain servers as they end in one moment. It is not the cause.
+TEST(CrashingRequest, APopularRequestIsNotBlamedWhereAllServersOfAServiceEnd)
+{
+    RelayHarness harness;
+    std::uint64_t next = 1000;
+    const auto callPopular = [&] {
+        CallSpec spec;
+        spec.host = "h.example";
+        spec.path = "/look/1";
+        spec.key = "key";
+        spec.content.bytes[0] = 9;
+        harness.send(relay::event::CallArrived { RequestId(next++), spec });
+        return harness.last<relay::effect::StartAttempt>();
+    };
+    harness.send(relay::event::ServerRegistered { RelayHarness::plain("z") });
+    const auto served = callPopular();
+    CHECK_TRUE(served.has_value());
+    harness.send(relay::event::AttemptSent { served->attempt });
+    harness.send(relay::event::AttemptEnded { served->attempt, AttemptResult::Completed, 200, "" });
+    std::vector<relay::effect::StartAttempt> running;
+    for (int i = 0; i < 6; ++i) {
+        running.push_back(*callPopular());
+        harness.send(relay::event::AttemptSent { running.back().attempt });
+    }
+    for (const auto& each : running) {
+        RegisteredServer successor = RelayHarness::plain("x");
+        successor.id = BackendId("next " + each.server.value());
+        successor.address = each.address;
+        harness.send(relay::event::ServerRegistered { successor });
+    }
+    harness.tick(milliseconds(1000));
+    CHECK_TRUE(callPopular().has_value());
+    CHECK_EQUAL(0U, harness.reducer().counters().quarantined);
+}
