Operators' endpoint: a named reply, and a test over a real connection

Found on the last read: a temporary in a co_await expression, which g++ 12 destroys twice. The test lists, lifts, and asks for what is not there.

--- a/src/edge/OperatorEndpoints.cpp
+++ b/src/edge/OperatorEndpoints.cpp
@@ -24,7 +24,8 @@
     const std::string path = exchange.path();
     const http::verb verb = exchange.request().method();
     if (path == QuarantinePath && verb == http::verb::get) {
-        co_await exchange.respond(list());
+        HttpReply reply = list(); // A named value: g++ 12 destroys temporaries of a co_await expression twice.
+        co_await exchange.respond(std::move(reply));
         co_return;
     }
     const std::string begin = std::string(QuarantinePath) + "/";
--- a/tests/StoreEntryTest.cpp
+++ b/tests/StoreEntryTest.cpp
@@ -1,4 +1,5 @@
 #include "edge/InstanceRegistry.h"
+#include "edge/OperatorEndpoints.h"
 #include "edge/PlannerLock.h"
 #include "edge/QuarantineStore.h"
 #include "edge/RelayNode.h"
@@ -6,6 +7,7 @@
 #include "platform/WireCodec.h"
 #include "platform/WireNames.h"
 #include "relay/RouteTable.h"
+#include "shell/HttpClient.h"
 #include "tests/RelayHarness.h"
 #include "tests/Tests.h"
 #include "tests/fakes/NoControl.h"
@@ -299,3 +301,57 @@
     CHECK_EQUAL(std::size(values), reader.quarantine.unreadable());
     CHECK_TRUE(reader.node.reducer().quarantine().empty());
 }
+
+namespace {
+
+/// Answers what is not the operators' to ask.
+class NothingElse final : public HttpHandler {
+    Awaitable<void> onExchange(HttpExchange& exchange) override
+    {
+        HttpReply reply;
+        reply.status = 404;
+        co_await exchange.respond(std::move(reply));
+    }
+};
+
+} // namespace
+
+TEST(StoreEntry, OperatorsSeeAndLiftVerdicts)
+{
+    Reader finder;
+    QuarantineSink& sink = finder.quarantine;
+    const RequestIdentity request { WorkspaceId("w"), {} };
+    sink.quarantine({ request, 3, 6, true });
+    finder.context.run_for(std::chrono::milliseconds(20));
+    Reader reader;
+    reader.follower.storeChanged(eventOf(finder.store.writes.at(0), 9));
+    NothingElse others;
+    OperatorEndpoints operators(reader.quarantine, others);
+    const auto server = HttpServer::make(reader.context, "127.0.0.1:0", HttpLimits(), operators);
+    CHECK_TRUE(server.ok());
+    const std::string id = QuarantineStore::idOf(request);
+    const struct {
+        http::verb verb;
+        std::string target;
+        unsigned status;
+        std::string contains;
+    } cases[] = { { http::verb::get, "/quarantine", 200, id }, { http::verb::delete_, "/quarantine/none", 404, "" },
+        { http::verb::get, "/metrics", 404, "" }, { http::verb::delete_, "/quarantine/" + id, 200, "" } };
+    for (const auto& each : cases) {
+        HttpClient client(reader.context);
+        HttpAnswer answer;
+        HttpCall call;
+        call.address = (*server)->address();
+        call.verb = each.verb;
+        call.target = each.target;
+        call.timeout = std::chrono::seconds(5);
+        net::co_spawn(
+            reader.context, [&]() -> Awaitable<void> { answer = co_await client.call(std::move(call)); },
+            net::detached);
+        for (int i = 0; i < 200 && !answer.status; ++i)
+            reader.context.run_for(std::chrono::milliseconds(20));
+        CHECK_EQUAL_TEXT(each.status, answer.status, each.target.c_str());
+        CHECK_TRUE_TEXT(answer.body.find(each.contains) != std::string::npos, each.target.c_str());
+    }
+    CHECK_EQUAL(1U, reader.store.writes.size());
+}
