--- a/tests/ServerStartTest.cpp
+++ b/tests/ServerStartTest.cpp
@@ -289,6 +289,39 @@
     CHECK_EQUAL(1U, harness.reducer().counters().completed);
 }
 
+// An answer ran on while another attempt was tried beside it. Each further check that its lost stage did not take cut
+// the answer in favour of that attempt, which the next server then turned away, and nothing was left.
+//
+//     22.634 s its server runs it; 29.728 s its run is cut; 29.732 s the next one sheds it; 29.743 s the answer breaks
+//     off
+TEST(ServerStart, AnAnswerIsNotCutForAnAttemptBesideItAsItsStageIsFoundLostOnceMore)
+{
+    RelayHarness harness;
+    const auto start = harness.running("/draft/1", 10);
+    const Hop lost = start.chain.hops().back();
+    harness.send(relay::event::EngineChecked { lost.backend, false, 1, true });
+    for (const char* id : { "a", "b", "c", "d" }) {
+        if (BackendId(id) != lost.backend)
+            harness.send(relay::event::EngineChecked { BackendId(id), true, 1 });
+    }
+    std::optional<relay::effect::StartAttempt> next;
+    for (int i = 0; i < 20 && !next; ++i) {
+        harness.tick(milliseconds(50));
+        next = harness.last<relay::effect::StartAttempt>();
+        if (harness.last<relay::effect::RerouteAttempt>()) {
+            harness.send(relay::event::RerouteAnswered { start.attempt, false });
+            next = harness.last<relay::effect::StartAttempt>();
+        }
+    }
+    CHECK_TRUE(next.has_value());
+    harness.send(relay::event::EngineChecked { lost.backend, false, 1, true });
+    CHECK_FALSE(harness.last<relay::effect::CancelAttempt>().has_value());
+    harness.send(relay::event::AttemptEnded { next->attempt, AttemptResult::NotRun, 503, "" });
+    CHECK_FALSE(harness.last<relay::effect::BreakAnswer>().has_value());
+    harness.events(start.attempt, 11, 12);
+    CHECK_EQUAL(0U, harness.reducer().counters().refused.at(static_cast<std::size_t>(Reason::RefusedByBackend)));
+}
+
 TEST(ServerStart, CallsThatMayNotRunTwiceEndWithATrueWord)
 {
     RelayHarness harness;
