A running answer is kept beside another attempt as its stage is found lost once more

Cause: loseStage, called again at each further check that a lost stage does not take, dropped the running attempt where a second was under way, though that had delivered nothing. Mend: an answer that the caller has a part of is kept until the other delivers, unless the server that took it has ended.

--- a/src/relay/RelayReducerServers.cpp
+++ b/src/relay/RelayReducerServers.cpp
@@ -152,14 +152,17 @@
     }
     if (!call.main.passes(lost))
         return;
+    call.main.lostStage = true;
+    call.main.lostServer = call.main.lostServer || call.main.server == lost;
     if (call.second) {
+        // An answer that the caller has a part of is kept until the other attempt delivers: it may be turned away yet.
+        if (call.answering && !hasLostServer(call.main))
+            return;
         drop(call, call.main, context);
         call.main = *call.second;
         call.second.reset();
         return;
     }
-    call.main.lostStage = true;
-    call.main.lostServer = call.main.lostServer || call.main.server == lost;
     const bool isLeaving = !call.main.reroute.hops().empty() && !call.main.reroute.contains(lost);
     if (!isLeaving && reroute(call, { lost }, context) == Moving::Impossible)
         loseAttempt(call, context);
