Log which limit kept a failed call from another attempt

The log named the last failure of the call, not what kept it from going on: attempts, rejections, the retry budget or the deadline.

Change: the limit is a value (RetryLimit), told in the line `answer` and counted in crocusmount_retries_denied_total; the line `attempt` tells its purpose. No decision changes.

--- a/src/edge/RelayMetrics.cpp
+++ b/src/edge/RelayMetrics.cpp
@@ -49,6 +49,10 @@
     families.addByReason("crocusmount_refused_total", "Final answers of this instance's own", counters.refused);
     families.addByReason(
         "crocusmount_retried_total", "Further attempts, by the reason of the one before", counters.retried);
+    for (std::size_t limit = 0; limit < RetryLimitCount; ++limit) {
+        families.addCounter("crocusmount_retries_denied_total", "Failed attempts that no other one followed",
+            double(counters.retriesDenied.at(limit)), { { "limit", toString(static_cast<RetryLimit>(limit)) } });
+    }
     families.addGauge("crocusmount_open_calls", "Calls without a final answer", double(gauges.openCalls));
     families.addGauge("crocusmount_waiting_calls", "Calls that wait for room", double(gauges.waitingCalls));
     families.addGauge("crocusmount_connections", "Callers' connections", double(gauges.connections));
--- a/src/edge/RelayNode.cpp
+++ b/src/edge/RelayNode.cpp
@@ -32,6 +32,8 @@
         return text;
     }
 
+    const char* limitText(const std::optional<RetryLimit>& limit) { return limit ? toString(*limit) : "none"; }
+
     bool isRefused(const EngineReport& report) { return report.answer == CheckAnswer::Refused; }
 
     const char* toString(effect::NoteBelief::Belief belief)
@@ -205,9 +207,9 @@
         return;
     DecisionLog::call("attempt", found->second.name,
         { { "route", start.route }, { "workspace", start.workspace }, { "server", start.server.value() },
-            { "request", found->second.content }, { "address", start.address }, { "chain", chainText(start.chain) },
-            { "remaining_ms", toMs(start.remaining) }, { "resume_after", start.resumeAfter.value_or(0) },
-            { "waited_ms", toMs(now() - found->second.arrived) } });
+            { "request", found->second.content }, { "purpose", toString(start.purpose) }, { "address", start.address },
+            { "chain", chainText(start.chain) }, { "remaining_ms", toMs(start.remaining) },
+            { "resume_after", start.resumeAfter.value_or(0) }, { "waited_ms", toMs(now() - found->second.arrived) } });
     auto attempt = std::make_shared<UpstreamAttempt>(m_context, m_names, start, found->second.request,
         found->second.pipe, [this](RelayEventBody body) { post(std::move(body)); });
     m_attempts[start.attempt] = { start.call, attempt, start.server, now(), std::nullopt };
@@ -355,7 +357,7 @@
         return;
     noteAnswer(found->second, "refused",
         { { "reason", toString(refusal.reason) }, { "run", toString(refusal.run) },
-            { "retry_after_ms", toMs(refusal.retryAfter) } });
+            { "retry_after_ms", toMs(refusal.retryAfter) }, { "limit", limitText(refusal.limit) } });
     found->second.pipe->refuse(refusal);
     m_open.erase(found);
 }
@@ -375,7 +377,8 @@
     const auto found = m_open.find(broken.call);
     if (found == m_open.end())
         return;
-    noteAnswer(found->second, "broken_off", { { "reason", toString(broken.reason) } });
+    noteAnswer(
+        found->second, "broken_off", { { "reason", toString(broken.reason) }, { "limit", limitText(broken.limit) } });
     found->second.pipe->breakOff();
     m_open.erase(found);
 }
--- /dev/null
+++ b/src/relay/AttemptPurpose.cpp
@@ -0,0 +1,22 @@
+#include "relay/AttemptPurpose.h"
+
+namespace crocusmount::relay {
+
+const char* toString(AttemptPurpose purpose)
+{
+    switch (purpose) {
+    case AttemptPurpose::First:
+        return "first";
+    case AttemptPurpose::Retry:
+        return "retry";
+    case AttemptPurpose::Stalled:
+        return "stalled";
+    case AttemptPurpose::Leaving:
+        return "leaving";
+    case AttemptPurpose::LostStage:
+        return "lost_stage";
+    }
+    return "unknown";
+}
+
+} // namespace crocusmount::relay
--- /dev/null
+++ b/src/relay/AttemptPurpose.h
@@ -0,0 +1,17 @@
+#pragma once
+
+namespace crocusmount::relay {
+
+/// Why an attempt at a call begins.
+enum class AttemptPurpose {
+    First,
+    Retry, ///< the one before failed, or no server had room
+    Stalled, ///< the running one stands still
+    Leaving, ///< the server that runs the other one is about to go
+    LostStage, ///< the running one lost a stage for good
+};
+
+/// @return the snake_case name used in logs
+const char* toString(AttemptPurpose);
+
+} // namespace crocusmount::relay
--- a/src/relay/RelayCounters.h
+++ b/src/relay/RelayCounters.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "crocusmount/Reason.h"
+#include "relay/RetryLimit.h"
 
 #include <array>
 #include <cstdint>
@@ -31,6 +32,8 @@
     std::uint64_t configurationsAccepted = 0;
     std::array<std::uint64_t, ReasonCount> refused {}; ///< final answers other than a server's, by reason
     std::array<std::uint64_t, ReasonCount> retried {}; ///< further attempts, by the reason of the one before
+    /// Calls whose attempt failed and that were not tried again, by what kept them from it.
+    std::array<std::uint64_t, RetryLimitCount> retriesDenied {};
 };
 
 } // namespace crocusmount::relay
--- a/src/relay/RelayEffect.h
+++ b/src/relay/RelayEffect.h
@@ -5,7 +5,9 @@
 #include "crocusmount/Reason.h"
 #include "crocusmount/RunState.h"
 #include "crocusmount/Time.h"
+#include "relay/AttemptPurpose.h"
 #include "relay/CrashReport.h"
+#include "relay/RetryLimit.h"
 
 #include <cstdint>
 #include <optional>
@@ -30,6 +32,7 @@
         std::string route; ///< its id, for logs
         std::string workspace; ///< empty for an anonymous route
         bool stream = false;
+        AttemptPurpose purpose = AttemptPurpose::First;
     };
 
     /// Close the attempt's connection, so that the server stops its work.
@@ -131,6 +134,7 @@
         Reason reason = Reason::NoCapacity;
         RunState run = RunState::NotRun;
         Duration retryAfter {}; ///< zero: no use in coming back
+        std::optional<RetryLimit> limit {}; ///< what kept it from another attempt; none: no attempt failed
     };
 
     /// The final answer: the failure that a server gave, which the shell keeps.
@@ -142,6 +146,7 @@
     struct BreakAnswer {
         RequestId call;
         Reason reason = Reason::ConnectionLost;
+        std::optional<RetryLimit> limit {}; ///< what kept it from another attempt
     };
 
 } // namespace effect
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -328,11 +328,18 @@
     }
 }
 
-bool RelayReducer::mayRetry(const Call& call, const Context& context) const
+/// @return what forbids another attempt at the call, whatever the budget; nothing: it may be tried again
+std::optional<RetryLimit> RelayReducer::retryLimit(const Call& call, const Context& context) const
 {
-    const bool safe = !call.mayHaveRun || isRepeatable(call.route->kind);
-    const bool attemptsLeft = call.attempts < call.route->maxAttempts && call.rejections < m_options.mostRejections;
-    return safe && attemptsLeft && context.now < call.deadline;
+    if (call.mayHaveRun && !isRepeatable(call.route->kind))
+        return RetryLimit::NotRepeatable;
+    if (call.attempts >= call.route->maxAttempts)
+        return RetryLimit::Attempts;
+    if (call.rejections >= m_options.mostRejections)
+        return RetryLimit::Rejections;
+    if (context.now >= call.deadline)
+        return RetryLimit::Deadline;
+    return std::nullopt;
 }
 
 void RelayReducer::retryOrFinish(Call& call, Reason reason, Context& context)
@@ -341,7 +348,10 @@
         finishUnanswered(call, Reason::CrashesServers, context);
         return;
     }
-    if (mayRetry(call, context) && budgetOf(call.service).spend()) {
+    std::optional<RetryLimit> limit = retryLimit(call, context);
+    if (!limit && !budgetOf(call.service).spend())
+        limit = RetryLimit::Budget;
+    if (!limit) {
         ++m_counters.retried.at(static_cast<std::size_t>(reason));
         if (awaitsVerdict(call))
             hold(call, context);
@@ -349,12 +359,13 @@
             enqueueAgain(call, context);
         return;
     }
+    ++m_counters.retriesDenied.at(static_cast<std::size_t>(*limit));
     if (reason == Reason::ServerFailure && !call.answering) {
         context.effects.emplace_back(effect::DeliverServerFailure { call.id });
         remove(call.id);
         return;
     }
-    finishUnanswered(call, reason, context);
+    finishUnanswered(call, reason, context, limit);
 }
 
 /// Has a call that was running wait for another server, before those that came after it.
@@ -366,16 +377,16 @@
         queueOf(call).waiting().pushFront(call.workspace, 1, -call.rank, call.id);
 }
 
-void RelayReducer::finishUnanswered(Call& call, Reason reason, Context& context)
+void RelayReducer::finishUnanswered(Call& call, Reason reason, Context& context, std::optional<RetryLimit> limit)
 {
     ++m_counters.refused.at(static_cast<std::size_t>(reason));
     if (call.answering) {
-        context.effects.emplace_back(effect::BreakAnswer { call.id, reason });
+        context.effects.emplace_back(effect::BreakAnswer { call.id, reason, limit });
     } else {
         const RunState run = call.mayHaveRun ? RunState::MayHaveRun : RunState::NotRun;
         const Duration comeBack = reason == Reason::NoCapacity ? comeBackAfterShortage(queueOf(call), context)
                                                                : comeBackAfter(reason, context);
-        context.effects.emplace_back(effect::Refuse { call.id, reason, run, comeBack });
+        context.effects.emplace_back(effect::Refuse { call.id, reason, run, comeBack, limit });
     }
     remove(call.id);
 }
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -88,7 +88,7 @@
     void dispatchAll(Context&);
     void dispatch(FairQueue&, Context&);
     bool place(Call&, Context&);
-    std::optional<Attempt> startAttempt(Call&, Context&);
+    std::optional<Attempt> startAttempt(Call&, AttemptPurpose, Context&);
     void cancel(Call&, const Attempt&, Context&);
     void release(Call&, const Attempt&, Context&);
     void keepOnly(Call&, AttemptId, Context&);
@@ -96,8 +96,8 @@
     bool mayBeDead(const BackendId&, TimePoint now);
     void noteOutcome(const Attempt&, const Call&, const event::AttemptEnded&, Context&);
     void retryOrFinish(Call&, Reason, Context&);
-    bool mayRetry(const Call&, const Context&) const;
-    void finishUnanswered(Call&, Reason, Context&);
+    std::optional<RetryLimit> retryLimit(const Call&, const Context&) const;
+    void finishUnanswered(Call&, Reason, Context&, std::optional<RetryLimit> = std::nullopt);
     void refuseOverdue(Context&);
     void noteLateness(Call&, Context&);
     void checkRunning(Call&, Context&);
--- a/src/relay/RelayReducerPlacing.cpp
+++ b/src/relay/RelayReducerPlacing.cpp
@@ -47,7 +47,8 @@
     const bool limited = !m_options.without.has(Mechanism::StreamLimit);
     if (limited && isStream(call.route->kind) && !call.answering && !queueOf(call).hasRoom())
         return false;
-    auto attempt = startAttempt(call, context);
+    const bool isFirst = !call.attempts && !call.rejections;
+    auto attempt = startAttempt(call, isFirst ? AttemptPurpose::First : AttemptPurpose::Retry, context);
     if (!attempt)
         return false;
     if (call.answering)
@@ -59,7 +60,7 @@
     return true;
 }
 
-std::optional<Attempt> RelayReducer::startAttempt(Call& call, Context& context)
+std::optional<Attempt> RelayReducer::startAttempt(Call& call, AttemptPurpose purpose, Context& context)
 {
     auto placement = m_placer.place(call, context.now, context.entropy);
     if (!placement || awaitsCheck(placement->chain, context) || isKnownFull(call, placement->chain, context.now))
@@ -88,6 +89,7 @@
     start.route = call.route->id.value();
     start.workspace = call.workspace.value();
     start.stream = isStream(call.route->kind);
+    start.purpose = purpose;
     context.effects.emplace_back(std::move(start));
     return attempt;
 }
--- a/src/relay/RelayReducerServers.cpp
+++ b/src/relay/RelayReducerServers.cpp
@@ -199,10 +199,10 @@
     // The caller's part of the answer shows that this attempt has run, though it has not ended.
     if (!isRepeatable(call.route->kind))
         return;
-    if (awaitsVerdict(call) || call.attempts + counted >= call.route->maxAttempts || !mayRetry(call, context)
+    if (awaitsVerdict(call) || call.attempts + counted >= call.route->maxAttempts || retryLimit(call, context)
         || !budgetOf(call.service).hasOne())
         return;
-    auto next = startAttempt(call, context);
+    auto next = startAttempt(call, AttemptPurpose::LostStage, context);
     if (!next)
         return;
     budgetOf(call.service).spend();
--- a/src/relay/RelayReducerTime.cpp
+++ b/src/relay/RelayReducerTime.cpp
@@ -66,7 +66,8 @@
         Call& call = m_calls.at(id);
         const bool late = context.now >= call.deadline;
         keepOnly(call, AttemptId(), context);
-        finishUnanswered(call, late ? Reason::TimedOut : Reason::NoCapacity, context);
+        const RetryLimit limit = late ? RetryLimit::Deadline : RetryLimit::NoServer;
+        finishUnanswered(call, late ? Reason::TimedOut : Reason::NoCapacity, context, limit);
     }
 }
 
@@ -144,10 +145,10 @@
 {
     if (m_options.without.has(Mechanism::SecondAttempts))
         return;
-    if (awaitsVerdict(call) || call.attempts + 1 >= call.route->maxAttempts || !mayRetry(call, context)
+    if (awaitsVerdict(call) || call.attempts + 1 >= call.route->maxAttempts || retryLimit(call, context)
         || !budgetOf(call.service).hasOne())
         return;
-    call.second = startAttempt(call, context);
+    call.second = startAttempt(call, AttemptPurpose::Stalled, context);
     if (!call.second)
         return;
     budgetOf(call.service).spend();
