Answers are not cut as a leaving server stops listening

Cause: a server that leaves closes its listener some 4 s after its first word and goes on with the calls that it has. A refused check was proof of its end (isGone), leaveEndedStart cancelled all answers that had begun there, and where the attempt in their place was shed nothing was left.

Ruled out: a crash of the first stage; our own shutdown; a change of the configuration (only what the rule counts by). Only calls that began there run on.

Change: such a server takes no call and no order, and what began there runs on.

--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -120,6 +120,7 @@
     void leaveEndedStart(const BackendId&, Context&);
     bool isGone(const BackendId&) const;
     bool hasLostServer(const Attempt&) const;
+    bool finishesCalls(const BackendId&) const;
     bool hasEndedStage(const Chain&) const;
     void loseStage(Call&, const BackendId& lost, Context&);
     void leaveLostStages(Context&);
--- a/src/relay/RelayReducerServers.cpp
+++ b/src/relay/RelayReducerServers.cpp
@@ -141,7 +141,19 @@
 }
 
 /// @return whether the start of the server that took the attempt has ended; another one may bear its id
-bool RelayReducer::hasLostServer(const Attempt& attempt) const { return attempt.lostServer || isGone(attempt.server); }
+bool RelayReducer::hasLostServer(const Attempt& attempt) const
+{
+    return attempt.lostServer || (isGone(attempt.server) && !finishesCalls(attempt.server));
+}
+
+/// A server that leaves stops listening before the calls that it took have ended: to cut them for that would lose
+/// answers that it goes on sending.
+/// @return whether a server that takes no connection may still run calls
+bool RelayReducer::finishesCalls(const BackendId& id) const
+{
+    const auto server = m_fleet.servers().find(id);
+    return server != m_fleet.servers().end() && server->second.entry.leaving;
+}
 
 /// A running attempt lost a stage: that is replaced, or the call goes on elsewhere, or it ends with a true word.
 void RelayReducer::loseStage(Call& call, const BackendId& lost, Context& context)
@@ -150,7 +162,7 @@
         drop(call, *call.second, context);
         call.second.reset();
     }
-    if (!call.main.passes(lost))
+    if (!call.main.passes(lost) || (call.main.server == lost && finishesCalls(lost)))
         return;
     call.main.lostStage = true;
     call.main.lostServer = call.main.lostServer || call.main.server == lost;
--- a/src/relay/RelayReducerTime.cpp
+++ b/src/relay/RelayReducerTime.cpp
@@ -161,7 +161,9 @@
     const bool firstGoes = std::find(away.begin(), away.end(), attempt.server) != away.end();
     if (!attempt.reroute.hops().empty())
         return Moving::Pending;
-    if (m_options.without.has(Mechanism::Reroutes) || awaitsVerdict(call) || firstGoes
+    const FleetServer* first = m_fleet.find(attempt.server);
+    const bool takesOrders = !first || !first->refusedCheck;
+    if (m_options.without.has(Mechanism::Reroutes) || awaitsVerdict(call) || firstGoes || !takesOrders
         || attempt.reroutes >= m_options.mostReroutes)
         return Moving::Impossible;
     auto chain = m_placer.reroute(call, attempt, away, context.now, context.entropy);
