Answers are moved off a leaving server while it still sends

What callers saw: as an engine left, answers that had begun there ended midway or stood still.

Cause: a first stage cannot be replaced within a run, so such a stream is tried at another chain. Each event of one attempt cancels the other: the leaving engine sends one each some 40 ms, the other attempt first reads the prompt and all that was written. It could not win, spent a retry, and the server was forgotten after the one try.

Change: HoldAnswer and ContinueAnswer. What the leaving server sends is held back while the other attempt starts, one second at most, so that this goes on exactly after the last delivered event.

Ruled out: letting both run and dropping what came twice: an answer would then be made of pieces of two runs.

Test: without the hold it is red ("the shortest drain": attempts break off with their server).

--- a/src/edge/RelayNode.cpp
+++ b/src/edge/RelayNode.cpp
@@ -225,6 +225,18 @@
     m_attempts.erase(found);
 }
 
+void RelayNode::on(const effect::HoldAnswer& hold)
+{
+    if (const auto found = m_attempts.find(hold.attempt); found != m_attempts.end())
+        found->second.attempt->hold();
+}
+
+void RelayNode::on(const effect::ContinueAnswer& released)
+{
+    if (const auto found = m_attempts.find(released.attempt); found != m_attempts.end())
+        found->second.attempt->continueAnswer();
+}
+
 void RelayNode::on(const effect::AskStalledStage& question)
 {
     const auto found = m_open.find(question.call);
--- a/src/edge/RelayNode.h
+++ b/src/edge/RelayNode.h
@@ -84,6 +84,8 @@
     void apply(const RelayEffects&);
     void on(const effect::StartAttempt&);
     void on(const effect::CancelAttempt&);
+    void on(const effect::HoldAnswer&);
+    void on(const effect::ContinueAnswer&);
     void on(const effect::AskStalledStage&);
     void on(const effect::CheckEngine&);
     void on(const effect::ProbeServer&);
--- a/src/edge/UpstreamAttempt.cpp
+++ b/src/edge/UpstreamAttempt.cpp
@@ -49,6 +49,7 @@
     , m_post(std::move(post))
     , m_stream(context.get_executor())
     , m_lastEvent(m_order.resumeAfter.value_or(0))
+    , m_release(context.get_executor())
 {
 }
 
@@ -69,6 +70,25 @@
 {
     m_cancelled = true;
     m_stream.close();
+    continueAnswer();
+}
+
+void UpstreamAttempt::hold()
+{
+    m_held = true;
+    m_release.expires_at(std::chrono::steady_clock::time_point::max());
+}
+
+void UpstreamAttempt::continueAnswer()
+{
+    m_held = false;
+    m_release.cancel();
+}
+
+Awaitable<void> UpstreamAttempt::untilReleased()
+{
+    while (m_held)
+        co_await m_release.async_wait(asTuple);
 }
 
 CallerRequest UpstreamAttempt::outgoing(
@@ -226,7 +246,7 @@
     while (!parser.is_done()) {
         const bool readable = co_await readSome(parser, bytes);
         splitter.feed(bytes);
-        if (m_cancelled || !deliverEvents(splitter, head) || !readable)
+        if (m_cancelled || !co_await deliverEvents(splitter, head) || !readable)
             co_return ended(AttemptResult::Broken, head.status);
     }
     if (!m_begun)
@@ -236,12 +256,15 @@
     co_return ended(AttemptResult::Completed, head.status);
 }
 
-bool UpstreamAttempt::deliverEvents(EventSplitter& splitter, const AnswerHead& head)
+Awaitable<bool> UpstreamAttempt::deliverEvents(EventSplitter& splitter, const AnswerHead& head)
 {
     while (const auto event = splitter.next()) {
+        co_await untilReleased();
+        if (m_cancelled)
+            co_return false;
         // An event that the caller has already is another run's; what follows cannot be trusted to join.
         if (event->id && m_lastEvent && *event->id <= m_lastEvent)
-            return false;
+            co_return false;
         if (!m_begun) {
             m_begun = true;
             m_pipe->begin(head);
@@ -251,9 +274,9 @@
             m_lastEvent = *event->id;
         m_post(event::EventDelivered { m_order.attempt, m_lastEvent });
         if (m_cancelled)
-            return false;
+            co_return false;
     }
-    return true;
+    co_return true;
 }
 
 } // namespace crocusmount::relay
--- a/src/edge/UpstreamAttempt.h
+++ b/src/edge/UpstreamAttempt.h
@@ -28,6 +28,10 @@
     /// Closes the connection. Nothing is reported after that.
     void cancel();
 
+    /// Hands over no further event until continueAnswer.
+    void hold();
+    void continueAnswer();
+
     /// @return the call as the server gets it
     static CallerRequest outgoing(const HeaderNames&, const effect::StartAttempt&, const CallerRequest&);
 
@@ -41,7 +45,8 @@
     Awaitable<bool> readSome(Parser&, std::string_view& bytes);
     Awaitable<event::AttemptEnded> takeWhole(Parser&, bool success);
     Awaitable<event::AttemptEnded> takeStream(Parser&);
-    bool deliverEvents(EventSplitter&, const AnswerHead&);
+    Awaitable<bool> deliverEvents(EventSplitter&, const AnswerHead&);
+    Awaitable<void> untilReleased();
     bool isOwnAnswer(const Parser&) const;
     event::AttemptEnded ended(AttemptResult, unsigned status = 0, std::string culprit = {}) const;
 
@@ -56,6 +61,8 @@
     std::uint64_t m_lastEvent = 0;
     bool m_begun = false; ///< the caller has the head of the answer
     bool m_cancelled = false;
+    bool m_held = false;
+    Timer m_release; ///< cancelled as a hold ends
 };
 
 } // namespace crocusmount::relay
--- a/src/relay/Call.h
+++ b/src/relay/Call.h
@@ -31,6 +31,9 @@
     bool lostStage = false; ///< one of its stages has ended: without a reroute it cannot go on
     bool lostServer = false; ///< the start of the server that took it has ended
     TimePoint nextTry; ///< to replace the lost stage
+    std::uint32_t moves = 0; ///< attempts begun beside it because its server leaves
+    TimePoint nextMove; ///< off a stage that leaves
+    std::optional<TimePoint> heldUntil; ///< what its server sends is held back for the other attempt, so long at most
     TimePoint started;
 
     /// @return whether a server takes part in it
--- a/src/relay/RelayEffect.h
+++ b/src/relay/RelayEffect.h
@@ -40,6 +40,17 @@
         AttemptId attempt;
     };
 
+    /// Keep what an attempt's server sends from the caller until ContinueAnswer: another attempt goes on after the last
+    /// delivered event, and a later one would reach the caller twice.
+    struct HoldAnswer {
+        AttemptId attempt;
+    };
+
+    /// Deliver what was held back, and what follows.
+    struct ContinueAnswer {
+        AttemptId attempt;
+    };
+
     /// Ask the first stage at which stage a running stream stands still.
     struct AskStalledStage {
         AttemptId attempt;
@@ -151,10 +162,10 @@
 
 } // namespace effect
 
-using RelayEffect = std::variant<effect::StartAttempt, effect::CancelAttempt, effect::AskStalledStage,
-    effect::CheckEngine, effect::ProbeServer, effect::ShareCrashes, effect::ShareSoundRequest, effect::NoteCrash,
-    effect::QuarantineRequest, effect::ClearRequest, effect::ShareFinding, effect::NoteBelief, effect::RerouteAttempt,
-    effect::Refuse, effect::DeliverServerFailure, effect::BreakAnswer>;
+using RelayEffect = std::variant<effect::StartAttempt, effect::CancelAttempt, effect::HoldAnswer,
+    effect::ContinueAnswer, effect::AskStalledStage, effect::CheckEngine, effect::ProbeServer, effect::ShareCrashes,
+    effect::ShareSoundRequest, effect::NoteCrash, effect::QuarantineRequest, effect::ClearRequest, effect::ShareFinding,
+    effect::NoteBelief, effect::RerouteAttempt, effect::Refuse, effect::DeliverServerFailure, effect::BreakAnswer>;
 using RelayEffects = std::vector<RelayEffect>;
 
 } // namespace crocusmount::relay
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -275,7 +275,7 @@
         // The other attempt goes on.
         if (!wasSecond)
             call.main = *call.second;
-        call.second.reset();
+        endSecond(call, context);
     } else {
         call.addAvoided(blamedFor(attempt, ended));
         retryOrFinish(call, reasonOf(ended.result), context);
@@ -408,7 +408,7 @@
         return;
     if (call.second && call.second->id != kept) {
         cancel(call, *call.second, context);
-        call.second.reset();
+        endSecond(call, context);
     }
     if (call.main.id == kept)
         return;
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -17,6 +17,7 @@
 #include <absl/container/flat_hash_map.h>
 #include <deque>
 #include <optional>
+#include <set>
 
 namespace crocusmount::relay {
 
@@ -128,7 +129,8 @@
     void drop(Call&, const Attempt&, Context&);
     bool hasSilentStreamThrough(const BackendId&, TimePoint now) const;
     void checkNamedEngine(const Attempt&, const event::AttemptEnded&, Context&);
-    void startSecond(Call&, Context&);
+    bool startSecond(Call&, AttemptPurpose, Context&);
+    void endSecond(Call&, Context&);
     /// What became of an attempt to move a running stream.
     enum class Moving {
         Ordered,
@@ -140,6 +142,13 @@
     void suspectOfDyingAlong(FleetServer&, Context&);
     void checkSilentEngines(bool isCertain, Context&);
     void moveOffLeaving(Context&);
+    bool mustLeave(const Hop&) const;
+    bool isLeaving(const BackendId&) const;
+    std::vector<BackendId> stagesToLeave(const Call&, TimePoint now) const;
+    void moveOff(Call&, const std::vector<BackendId>& away, Context&);
+    void holdAnswer(Call&, Context&);
+    void continueAnswer(Call&, Context&);
+    void releaseOverdueAnswer(Call&, Context&);
     bool countsCrashes() const;
     CrashSign crashSign(const Call&, const Attempt&) const;
     void noteLost(const Call&, const Attempt&, Context&);
@@ -177,7 +186,7 @@
     absl::flat_hash_map<AttemptId, RequestId> m_attempts;
     std::map<ServiceId, ServiceQueue> m_services;
     std::map<ServiceId, RetryBudget> m_budgets;
-    std::map<BackendId, TimePoint> m_moveOffAt; ///< servers that leave, with the time at which streams are moved
+    std::map<BackendId, TimePoint> m_moveOffAt; ///< servers that leave, with the time from which streams are moved
     std::map<BackendId, RegisteredServer> m_unusable; ///< entries that fit no service of the configuration
     CrashEvidence m_crashEvidence;
     RequestQuarantine m_quarantine;
--- a/src/relay/RelayReducerChecks.cpp
+++ b/src/relay/RelayReducerChecks.cpp
@@ -44,6 +44,8 @@
 
     bool isSilent(const Call& call, TimePoint now)
     {
+        if (call.main.heldUntil)
+            return false;
         const Duration still = now - call.lastProgress;
         if (!call.main.events)
             return still > scaled(call.route->objective, FirstEventShare);
--- a/src/relay/RelayReducerServers.cpp
+++ b/src/relay/RelayReducerServers.cpp
@@ -160,7 +160,7 @@
 {
     if (call.second && call.second->passes(lost)) {
         drop(call, *call.second, context);
-        call.second.reset();
+        endSecond(call, context);
     }
     if (!call.main.passes(lost) || (call.main.server == lost && finishesCalls(lost)))
         return;
--- a/src/relay/RelayReducerTime.cpp
+++ b/src/relay/RelayReducerTime.cpp
@@ -33,6 +33,7 @@
     for (auto& [id, call] : m_calls) {
         if (call.state != CallState::Running)
             continue;
+        releaseOverdueAnswer(call, context);
         noteLateness(call, context);
         checkRunning(call, context);
     }
@@ -104,7 +105,7 @@
         return;
     for (const BackendId& culprit : culprits)
         call.addAvoided(culprit);
-    startSecond(call, context);
+    startSecond(call, AttemptPurpose::Stalled, context);
 }
 
 void RelayReducer::askStalledStage(Call& call, Context& context)
@@ -137,22 +138,33 @@
         call.addAvoided(stage);
     }
     if (!call.second && reroute(call, stages, context) == Moving::Impossible)
-        startSecond(call, context);
+        startSecond(call, AttemptPurpose::Stalled, context);
 }
 
 /// Tries the call elsewhere while the main attempt goes on: a server's silence is no reason to end an answer.
-void RelayReducer::startSecond(Call& call, Context& context)
+/// @return whether another attempt began
+bool RelayReducer::startSecond(Call& call, AttemptPurpose purpose, Context& context)
 {
     if (m_options.without.has(Mechanism::SecondAttempts))
-        return;
+        return false;
+    RetryBudget& budget = budgetOf(call.service);
     if (awaitsVerdict(call) || call.attempts + 1 >= call.route->maxAttempts || retryLimit(call, context)
-        || !budgetOf(call.service).hasOne())
-        return;
-    call.second = startAttempt(call, AttemptPurpose::Stalled, context);
+        || !budget.hasOne())
+        return false;
+    call.second = startAttempt(call, purpose, context);
     if (!call.second)
-        return;
-    budgetOf(call.service).spend();
-    ++m_counters.retried.at(static_cast<std::size_t>(Reason::Stalled));
+        return false;
+    budget.spend();
+    const Reason reason = purpose == AttemptPurpose::Leaving ? Reason::Draining : Reason::Stalled;
+    ++m_counters.retried.at(static_cast<std::size_t>(reason));
+    return true;
+}
+
+/// The main attempt goes on alone.
+void RelayReducer::endSecond(Call& call, Context& context)
+{
+    call.second.reset();
+    continueAnswer(call, context);
 }
 
 RelayReducer::Moving RelayReducer::reroute(Call& call, const std::vector<BackendId>& away, Context& context)
@@ -203,26 +215,6 @@
         loseAttempt(*call, context);
 }
 
-void RelayReducer::moveOffLeaving(Context& context)
-{
-    for (auto leaving = m_moveOffAt.begin(); leaving != m_moveOffAt.end();) {
-        if (context.now < leaving->second) {
-            ++leaving;
-            continue;
-        }
-        const std::vector<BackendId> away { leaving->first };
-        for (auto& [id, call] : m_calls) {
-            if (call.state != CallState::Running || call.second || !call.main.chain.contains(away.front()))
-                continue;
-            // The first stage cannot be changed: the stream goes on at another chain once that delivers.
-            const bool moved = reroute(call, away, context) == Moving::Ordered;
-            if (!moved && call.main.server == away.front() && isRepeatable(call.route->kind))
-                startSecond(call, context);
-        }
-        leaving = m_moveOffAt.erase(leaving);
-    }
-}
-
 bool RelayReducer::isStalled(const Call& call, TimePoint now) const
 {
     const Duration still = now - call.lastProgress;
--- a/tests/LeavingServerTest.cpp
+++ b/tests/LeavingServerTest.cpp
@@ -1,9 +1,10 @@
-#include "tests/RelayHarness.h"
+#include "tests/LeavingFleet.h"
 #include "tests/Tests.h"
 
 using namespace crocusmount;
 using namespace crocusmount::relay;
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 TEST_GROUP(LeavingServer) {};
 
@@ -11,8 +12,57 @@
 
 RegisteredServer first(const char* id) { return RelayHarness::engine(id, 0, 4); }
 
+/// Has all streams begin at engine "a", with "c" and "e" as the other first stages from then on.
+void beginAtOneServer(LeavingFleet& fleet, std::uint32_t streams)
+{
+    fleet.remove(BackendId("c"));
+    fleet.begin(streams);
+    fleet.add(first("c"));
+    fleet.add(first("e"));
+}
+
 } // namespace
 
+// Answers ended midway as the engine that they began at left: each was tried elsewhere once, that attempt was given up
+// for the next event of the leaving engine, and the engine then ended under them.
+TEST(LeavingServer, AnswersGoOnElsewhereBeforeTheirServerEnds)
+{
+    const struct {
+        const char* name;
+        Duration drain;
+        std::uint32_t streams;
+        Duration reading;
+        std::uint32_t rejections;
+        bool othersFollow; ///< the server that most streams went to leaves too
+        std::uint32_t mostCut; ///< attempts that may break off with their server
+    } cases[] = {
+        { "the shortest drain", seconds(2), 30, milliseconds(120), 0, false, 0 },
+        { "a long drain", seconds(4), 30, milliseconds(120), 0, false, 0 },
+        { "a drain that most streams outlast", seconds(8), 30, milliseconds(120), 0, false, 0 },
+        { "prompts are read slowly", seconds(4), 30, milliseconds(700), 0, false, 0 },
+        { "some are turned away", seconds(4), 30, milliseconds(120), 20, false, 0 },
+    };
+    for (const auto& each : cases) {
+        LeavingFleet::Options options;
+        options.reading = each.reading;
+        options.rejections = each.rejections;
+        options.relay.retrySlack = 200;
+        LeavingFleet fleet(options);
+        beginAtOneServer(fleet, each.streams);
+        fleet.leave(first("a"), each.drain);
+        if (each.othersFollow) {
+            fleet.run(milliseconds(2500));
+            fleet.leave(first("c"), each.drain);
+        }
+        fleet.run(seconds(18));
+        CHECK_EQUAL_TEXT(0U, fleet.brokenOff(), each.name);
+        CHECK_EQUAL_TEXT(each.streams, fleet.completed(), each.name);
+        CHECK_EQUAL_TEXT(0U, fleet.misplaced(), each.name);
+        CHECK_TRUE_TEXT(fleet.cutByEnd() <= each.mostCut, each.name);
+        CHECK_TRUE_TEXT(fleet.furtherAttempts() <= 2 * each.streams + each.rejections, each.name);
+    }
+}
+
 // A server that leaves stops listening before its streams have ended. That was taken for its end, and answers that it
 // still sent were cut; the servers that were left turned them away.
 //
--- a/tests/RelayHarness.h
+++ b/tests/RelayHarness.h
@@ -40,6 +40,8 @@
         return found;
     }
 
+    /// @return all effects of the last event or tick
+    const RelayEffects& effects() const { return m_effects; }
     RelayReducer& reducer() { return m_reducer; }
     TimePoint now() const { return m_now; }
 
--- a/tests/RelayLoopbackTest.cpp
+++ b/tests/RelayLoopbackTest.cpp
@@ -269,3 +269,47 @@
     const Exchange result = runCall(request, { "" });
     CHECK_TRUE_TEXT(has(result.answer, "HTTP/1.1 504") && has(result.answer, "timed_out"), result.answer.c_str());
 }
+
+// What a server sends after another attempt has begun to go on with its answer would reach the caller twice.
+TEST(RelayLoopback, AHeldAnswerReachesTheCallerOnlyAfterItsRelease)
+{
+    net::io_context context(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE);
+    const std::string stream = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+    ScriptedServer server(context,
+        { head("200 OK") + "Content-Type: text/event-stream\r\nContent-Length: " + std::to_string(stream.size())
+            + "\r\n\r\n" + stream });
+    relay::effect::StartAttempt order;
+    order.attempt = AttemptId(1);
+    order.address = server.plainAddress();
+    order.remaining = std::chrono::seconds(5);
+    order.stream = true;
+    auto request = std::make_shared<CallerRequest>(http::verb::post, "/draft/1", 11);
+    request->set("X-Attempt-Id", "me");
+    std::vector<std::uint64_t> delivered;
+    bool completed = false;
+    std::shared_ptr<UpstreamAttempt> attempt;
+    const HeaderNames names = platform::headerNames();
+    attempt = std::make_shared<UpstreamAttempt>(
+        context, names, order, request, std::make_shared<AnswerPipe>(context), [&](RelayEventBody body) {
+            if (const auto* event = std::get_if<relay::event::EventDelivered>(&body)) {
+                delivered.push_back(event->eventId);
+                attempt->hold();
+            }
+            const auto* ended = std::get_if<relay::event::AttemptEnded>(&body);
+            completed = completed || (ended && ended->result == AttemptResult::Completed);
+        });
+    attempt->start();
+    while (delivered.empty())
+        context.run_one();
+    context.poll();
+    CHECK_EQUAL(1U, delivered.size());
+    CHECK_FALSE(completed);
+    attempt->continueAnswer();
+    while (!completed) {
+        context.run_one();
+        if (delivered.size() == 2)
+            attempt->continueAnswer();
+    }
+    CHECK_EQUAL(2U, delivered.size());
+    CHECK_EQUAL(2U, delivered.back());
+}
