An answer whose server is lost waits for another one as long as its caller does

What callers saw: answers ended midway within 5 ms of the loss of their server, with seconds of their time left.

Cause: retryOrFinish ended a call at once where the service's retries were spent, or where three servers had turned it away at any time since it began. An answer under way cannot come back as a refused call can.

Change: interrupt() keeps such an answer out of the queue; it goes on at the first server with room and a retry, before new calls, until two seconds after its last event, when callers leave. Rejections do not end it. A server that has left (it said so, and its entry ended) is taken off the route's limit.

--- a/src/relay/Call.h
+++ b/src/relay/Call.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "crocusmount/Chain.h"
+#include "crocusmount/Reason.h"
 #include "relay/CallSpec.h"
 #include "relay/RouteTable.h"
 
 #include <algorithm>
 #include <memory>
 #include <optional>
+#include <vector>
 
 namespace crocusmount::relay {
 
@@ -59,8 +61,11 @@
     std::optional<Attempt> second; ///< started because the main one stands still; the first to go on is kept
     TimePoint lastProgress; ///< an event, or the start of the main attempt
     Duration usualGap {}; ///< moving average between two events
-    std::uint32_t attempts = 0; ///< ended ones that a server may have run
+    std::vector<BackendId> ranOn; ///< servers of ended attempts that may have run it
     std::uint32_t rejections = 0; ///< attempts that reached no server, or one that did not run the call
+    std::optional<Reason> interruption; ///< why its answer waits for another server
+    TimePoint nextResume; ///< no search for that server before
+    TimePoint lastDelivered; ///< when the caller had the last event
     bool mayHaveRun = false;
     bool answering = false; ///< the caller has a part of the answer
     std::uint64_t lastEvent = 0; ///< that the caller has
@@ -72,6 +77,8 @@
     /// @return whether a server failed it; how late such a call is tells nothing of the load
     bool hasMetTrouble() const { return !avoid.empty(); }
 
+    bool hasFailed() const { return !ranOn.empty() || rejections; }
+
     void addAvoided(const BackendId& id)
     {
         if (std::find(avoid.begin(), avoid.end(), id) == avoid.end())
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -239,6 +239,7 @@
     call->answering = true;
     call->lastEvent = delivered.eventId;
     call->lastProgress = context.now;
+    call->lastDelivered = context.now;
     m_fleet.progressed(call->main.chain, context.now);
     const TimePoint begun = call->main.begunAt.value_or(call->main.started);
     if (!call->ranSoundly && context.now - begun >= SoundRun)
@@ -268,7 +269,7 @@
     if (ended.result == AttemptResult::ConnectFailed || ended.result == AttemptResult::NotRun) {
         ++call.rejections;
     } else {
-        ++call.attempts;
+        call.ranOn.push_back(attempt.server);
         call.mayHaveRun = call.mayHaveRun || attempt.sent;
     }
     if (call.second) {
@@ -328,14 +329,23 @@
     }
 }
 
+/// @return attempts that the route's limit counts. An answer under way may go on at another server for each that has
+/// left since.
+std::uint32_t RelayReducer::attemptsOf(const Call& call) const
+{
+    const auto counts = [&](const BackendId& id) { return !call.answering || !m_fleet.hasLeft(id); };
+    return static_cast<std::uint32_t>(std::count_if(call.ranOn.begin(), call.ranOn.end(), counts));
+}
+
 /// @return what forbids another attempt at the call, whatever the budget; nothing: it may be tried again
 std::optional<RetryLimit> RelayReducer::retryLimit(const Call& call, const Context& context) const
 {
     if (call.mayHaveRun && !isRepeatable(call.route->kind))
         return RetryLimit::NotRepeatable;
-    if (call.attempts >= call.route->maxAttempts)
+    if (attemptsOf(call) >= call.route->maxAttempts)
         return RetryLimit::Attempts;
-    if (call.rejections >= m_options.mostRejections)
+    // An answer that ends midway is worth more tries: the budget and the caller's patience bound them.
+    if (!call.answering && call.rejections >= m_options.mostRejections)
         return RetryLimit::Rejections;
     if (context.now >= call.deadline)
         return RetryLimit::Deadline;
@@ -349,6 +359,11 @@
         return;
     }
     std::optional<RetryLimit> limit = retryLimit(call, context);
+    // A server that ran it may leave while the caller waits.
+    if (call.answering && (!limit || *limit == RetryLimit::Attempts)) {
+        interrupt(call, reason, context);
+        return;
+    }
     if (!limit && !budgetOf(call.service).spend())
         limit = RetryLimit::Budget;
     if (!limit) {
@@ -359,8 +374,8 @@
             enqueueAgain(call, context);
         return;
     }
-    ++m_counters.retriesDenied.at(static_cast<std::size_t>(*limit));
     if (reason == Reason::ServerFailure && !call.answering) {
+        ++m_counters.retriesDenied.at(static_cast<std::size_t>(*limit));
         context.effects.emplace_back(effect::DeliverServerFailure { call.id });
         remove(call.id);
         return;
@@ -380,6 +395,8 @@
 void RelayReducer::finishUnanswered(Call& call, Reason reason, Context& context, std::optional<RetryLimit> limit)
 {
     ++m_counters.refused.at(static_cast<std::size_t>(reason));
+    if (limit)
+        ++m_counters.retriesDenied.at(static_cast<std::size_t>(*limit));
     if (call.answering) {
         context.effects.emplace_back(effect::BreakAnswer { call.id, reason, limit });
     } else {
@@ -397,7 +414,7 @@
     if (mayBeDead(attempt.server, context.now))
         noteLost(call, attempt, context);
     call.mayHaveRun = call.mayHaveRun || attempt.sent;
-    ++call.attempts;
+    call.ranOn.push_back(attempt.server);
     release(call, attempt, context);
 }
 
@@ -441,6 +458,7 @@
         return;
     if (found->second.state == CallState::Waiting)
         queueOf(found->second).waiting().erase(id);
+    m_interrupted.erase(id);
     m_calls.erase(found);
 }
 
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -97,9 +97,11 @@
     bool mayBeDead(const BackendId&, TimePoint now);
     void noteOutcome(const Attempt&, const Call&, const event::AttemptEnded&, Context&);
     void retryOrFinish(Call&, Reason, Context&);
+    std::uint32_t attemptsOf(const Call&) const;
     std::optional<RetryLimit> retryLimit(const Call&, const Context&) const;
     void finishUnanswered(Call&, Reason, Context&, std::optional<RetryLimit> = std::nullopt);
     void refuseOverdue(Context&);
+    std::optional<RetryLimit> limitOfWait(const Call&, const Context&);
     void noteLateness(Call&, Context&);
     void checkRunning(Call&, Context&);
     void leaveStages(Call&, const std::vector<BackendId>&, Context&);
@@ -149,6 +151,9 @@
     void holdAnswer(Call&, Context&);
     void continueAnswer(Call&, Context&);
     void releaseOverdueAnswer(Call&, Context&);
+    void interrupt(Call&, Reason, Context&);
+    bool resume(Call&, Context&);
+    void resumeInterrupted(Context&);
     bool countsCrashes() const;
     CrashSign crashSign(const Call&, const Attempt&) const;
     void noteLost(const Call&, const Attempt&, Context&);
@@ -184,6 +189,7 @@
     std::deque<Unrouted> m_unrouted; ///< calls that came before the first configuration, oldest first
     std::map<RequestId, Call> m_calls;
     absl::flat_hash_map<AttemptId, RequestId> m_attempts;
+    std::set<RequestId> m_interrupted; ///< calls whose answer waits for another server
     std::map<ServiceId, ServiceQueue> m_services;
     std::map<ServiceId, RetryBudget> m_budgets;
     std::map<BackendId, TimePoint> m_moveOffAt; ///< servers that leave, with the time from which streams are moved
--- a/src/relay/RelayReducerMoves.cpp
+++ b/src/relay/RelayReducerMoves.cpp
@@ -23,6 +23,10 @@
     constexpr std::uint32_t MostMoves = 4;
     /// How long an answer is held back for the attempt that is to go on with it. Callers wait two seconds for an event.
     constexpr Duration LongestAnswerHold = std::chrono::milliseconds(1000);
+    /// Shortest pause in an answer after which callers leave.
+    constexpr Duration CallerPatience = std::chrono::milliseconds(2000);
+    /// Between two searches for a server that could go on with an answer.
+    constexpr Duration ResumeInterval = std::chrono::milliseconds(20);
 
 } // namespace
 
@@ -122,4 +126,41 @@
         keepOnly(call, call.main.id, context);
 }
 
+/// The server of an answer that the caller has a part of is lost. It goes on at the first server with room while the
+/// caller waits for it.
+void RelayReducer::interrupt(Call& call, Reason reason, Context& context)
+{
+    call.state = CallState::Waiting;
+    call.interruption = reason;
+    call.waitUntil = std::min(call.deadline, call.lastDelivered + CallerPatience);
+    call.nextResume = context.now;
+    if (!resume(call, context))
+        m_interrupted.insert(call.id);
+}
+
+bool RelayReducer::resume(Call& call, Context& context)
+{
+    if (context.now < call.nextResume)
+        return false;
+    call.nextResume = context.now + ResumeInterval;
+    RetryBudget& budget = budgetOf(call.service);
+    if (awaitsVerdict(call) || retryLimit(call, context) || !budget.hasOne() || !place(call, context))
+        return false;
+    budget.spend();
+    ++m_counters.retried.at(static_cast<std::size_t>(*call.interruption));
+    call.interruption.reset();
+    return true;
+}
+
+void RelayReducer::resumeInterrupted(Context& context)
+{
+    std::vector<RequestId> resumed;
+    for (const RequestId& id : m_interrupted) {
+        if (resume(m_calls.at(id), context))
+            resumed.push_back(id);
+    }
+    for (const RequestId& id : resumed)
+        m_interrupted.erase(id);
+}
+
 } // namespace crocusmount::relay
--- a/src/relay/RelayReducerPlacing.cpp
+++ b/src/relay/RelayReducerPlacing.cpp
@@ -23,6 +23,7 @@
 
 void RelayReducer::dispatchAll(Context& context)
 {
+    resumeInterrupted(context);
     for (auto& [service, queue] : m_services)
         dispatch(queue.waiting(), context);
 }
@@ -47,8 +48,8 @@
     const bool limited = !m_options.without.has(Mechanism::StreamLimit);
     if (limited && isStream(call.route->kind) && !call.answering && !queueOf(call).hasRoom())
         return false;
-    const bool isFirst = !call.attempts && !call.rejections;
-    auto attempt = startAttempt(call, isFirst ? AttemptPurpose::First : AttemptPurpose::Retry, context);
+    const AttemptPurpose purpose = call.hasFailed() ? AttemptPurpose::Retry : AttemptPurpose::First;
+    auto attempt = startAttempt(call, purpose, context);
     if (!attempt)
         return false;
     if (call.answering)
--- a/src/relay/RelayReducerServers.cpp
+++ b/src/relay/RelayReducerServers.cpp
@@ -211,7 +211,7 @@
     // The caller's part of the answer shows that this attempt has run, though it has not ended.
     if (!isRepeatable(call.route->kind))
         return;
-    if (awaitsVerdict(call) || call.attempts + counted >= call.route->maxAttempts || retryLimit(call, context)
+    if (awaitsVerdict(call) || attemptsOf(call) + counted >= call.route->maxAttempts || retryLimit(call, context)
         || !budgetOf(call.service).hasOne())
         return;
     auto next = startAttempt(call, AttemptPurpose::LostStage, context);
@@ -239,7 +239,7 @@
     context.effects.emplace_back(effect::CancelAttempt { attempt.id });
     call.mayHaveRun = call.mayHaveRun || attempt.sent;
     if (!hasLostServer(attempt))
-        ++call.attempts;
+        call.ranOn.push_back(attempt.server);
     release(call, attempt, context);
 }
 
--- a/src/relay/RelayReducerTime.cpp
+++ b/src/relay/RelayReducerTime.cpp
@@ -65,13 +65,25 @@
     }
     for (const RequestId& id : due) {
         Call& call = m_calls.at(id);
-        const bool late = context.now >= call.deadline;
+        const std::optional<RetryLimit> limit = limitOfWait(call, context);
+        const Reason shortage = call.interruption.value_or(Reason::NoCapacity);
         keepOnly(call, AttemptId(), context);
-        const RetryLimit limit = late ? RetryLimit::Deadline : RetryLimit::NoServer;
-        finishUnanswered(call, late ? Reason::TimedOut : Reason::NoCapacity, context, limit);
+        finishUnanswered(call, context.now >= call.deadline ? Reason::TimedOut : shortage, context, limit);
     }
 }
 
+/// @return what kept a call from another attempt for as long as it may wait; nothing: it had none
+std::optional<RetryLimit> RelayReducer::limitOfWait(const Call& call, const Context& context)
+{
+    if (context.now >= call.deadline)
+        return RetryLimit::Deadline;
+    if (!call.hasFailed())
+        return std::nullopt;
+    const auto limit = retryLimit(call, context);
+    const bool isUnpaid = call.interruption && !budgetOf(call.service).hasOne();
+    return limit.value_or(isUnpaid ? RetryLimit::Budget : RetryLimit::NoServer);
+}
+
 /// Streams that have no event yet tell of an overload sooner than those that at last get one.
 void RelayReducer::noteLateness(Call& call, Context& context)
 {
@@ -148,7 +160,7 @@
     if (m_options.without.has(Mechanism::SecondAttempts))
         return false;
     RetryBudget& budget = budgetOf(call.service);
-    if (awaitsVerdict(call) || call.attempts + 1 >= call.route->maxAttempts || retryLimit(call, context)
+    if (awaitsVerdict(call) || attemptsOf(call) + 1 >= call.route->maxAttempts || retryLimit(call, context)
         || !budget.hasOne())
         return false;
     call.second = startAttempt(call, purpose, context);
--- a/src/relay/ServerFleet.cpp
+++ b/src/relay/ServerFleet.cpp
@@ -22,6 +22,8 @@
     /// How long an engine that takes no new work is sent none. The list shows a leaving one within a heartbeat, where
     /// the store answers; one that gives up layers is busy for seconds.
     constexpr Duration ClosedPause = std::chrono::milliseconds(2000);
+    /// How long it is remembered that a server has left; calls last for less.
+    constexpr Duration LeftMemory = std::chrono::minutes(1);
     constexpr std::uint32_t MostDoublings = 3; ///< longest avoidance: 4 s, about the time a dead server stays listed
 
 } // namespace
@@ -42,6 +44,7 @@
         return result;
     }
     m_outdated.erase(entry.id);
+    m_left.erase(entry.id);
     if (before != entry.id) {
         const auto other = m_servers.find(before);
         if (other != m_servers.end() && other->second.entry.address == entry.address) {
@@ -73,6 +76,9 @@
         return false;
     const RegisteredServer last = gone->second.entry;
     m_servers.erase(gone);
+    std::erase_if(m_left, [&](const auto& each) { return now > each.second + LeftMemory; });
+    if (last.leaving)
+        m_left[id] = now;
     // Where both say when they started, the outdated one has ended for certain.
     const auto next = std::find_if(m_outdated.begin(), m_outdated.end(), [&](const auto& each) {
         const bool certain = each.second.startedAt.value() && last.startedAt.value();
--- a/src/relay/ServerFleet.h
+++ b/src/relay/ServerFleet.h
@@ -66,6 +66,9 @@
     /// @return whether a later start is known to have taken a server's place
     bool hasEnded(const BackendId& id) const { return m_starts.hasEnded(id); }
 
+    /// @return whether a server has left: it said that it would, and then its entry ended
+    bool hasLeft(const BackendId& id) const { return m_left.count(id) > 0; }
+
     const std::map<BackendId, FleetServer>& servers() const { return m_servers; }
     FleetServer* find(const BackendId&);
     FleetServer* findByAddress(const std::string& address);
@@ -105,6 +108,7 @@
 private:
     std::map<BackendId, FleetServer> m_servers;
     std::map<BackendId, RegisteredServer> m_outdated; ///< entries that are listed, of starts that have ended
+    std::map<BackendId, TimePoint> m_left; ///< servers that have left lately, with the time
     StartLedger m_starts;
     bool m_knowsOthers = false;
 };
--- a/tests/LeavingServerTest.cpp
+++ b/tests/LeavingServerTest.cpp
@@ -41,6 +41,8 @@
         { "a drain that most streams outlast", seconds(8), 30, milliseconds(120), 0, false, 0 },
         { "prompts are read slowly", seconds(4), 30, milliseconds(700), 0, false, 0 },
         { "some are turned away", seconds(4), 30, milliseconds(120), 20, false, 0 },
+        { "engines leave in series", seconds(3), 30, milliseconds(120), 0, true, 30 },
+        { "engines leave in series, some turn calls away", seconds(3), 30, milliseconds(120), 10, true, 30 },
     };
     for (const auto& each : cases) {
         LeavingFleet::Options options;
@@ -63,6 +65,55 @@
     }
 }
 
+// An answer ended midway with twelve seconds of its time left, as three servers had turned it away within 7 ms; others
+// ended at the first server that turned them away, as the retries of the service were spent.
+TEST(LeavingServer, AnAnswerWaitsForAServerAsLongAsItsCallerDoes)
+{
+    const struct {
+        const char* name;
+        std::uint32_t rejections;
+        Duration untilServer; ///< until another server is there at all
+        std::uint32_t brokenOff;
+    } cases[] = {
+        { "the first server takes it", 0, Duration(0), 0 },
+        { "four turn it away", 4, Duration(0), 0 },
+        { "none is there for a second", 0, seconds(1), 0 },
+        { "none is there for as long as the caller waits", 0, seconds(4), 1 },
+    };
+    for (const auto& each : cases) {
+        LeavingFleet::Options options;
+        options.rejections = each.rejections;
+        LeavingFleet fleet(options);
+        fleet.remove(BackendId("c"));
+        fleet.begin(1);
+        fleet.leave(first("a"), Duration(0));
+        fleet.run(each.untilServer);
+        fleet.add(first("c"));
+        fleet.add(first("e"));
+        fleet.run(seconds(12));
+        CHECK_EQUAL_TEXT(each.brokenOff, fleet.brokenOff(), each.name);
+        CHECK_EQUAL_TEXT(1 - each.brokenOff, fleet.completed(), each.name);
+        CHECK_EQUAL_TEXT(0U, fleet.misplaced(), each.name);
+    }
+}
+
+// The retries were spent as a server ended; its answers go on as soon as the service has earned some.
+TEST(LeavingServer, AnAnswerWaitsForTheRetryBudget)
+{
+    LeavingFleet::Options options;
+    options.relay.retrySlack = 2;
+    options.relay.retryRatio = 0.5;
+    LeavingFleet fleet(options);
+    beginAtOneServer(fleet, 4);
+    fleet.leave(first("a"), Duration(0));
+    fleet.run(milliseconds(300));
+    CHECK_EQUAL(0U, fleet.brokenOff());
+    fleet.begin(4);
+    fleet.run(seconds(12));
+    CHECK_EQUAL(0U, fleet.brokenOff());
+    CHECK_EQUAL(8U, fleet.completed());
+}
+
 // A server that leaves stops listening before its streams have ended. That was taken for its end, and answers that it
 // still sent were cut; the servers that were left turned them away.
 //
