Calls that can come back leave retries to answers under way

What callers saw: as servers left in series answers ended midway, the limit being the retry budget, while new calls were tried at three servers each.

Cause: one budget a service, first come, first served. New calls that full engines turn away spend it in the first seconds of a shortage.

Change: reservedRetries(): a new stream leaves half of the saved retries, one beside an answer that stands still a quarter. Plain services keep all of theirs.

Test: without it four of four answers are broken off.

--- a/src/admission/RetryBudget.h
+++ b/src/admission/RetryBudget.h
@@ -39,12 +39,13 @@
 
     void earn() { m_saved = std::min(m_burst, m_saved + m_ratio); }
 
+    /// @param reserved  part of the burst that is left to more urgent retries
     /// @return whether one more retry is allowed
-    bool hasOne() const { return m_saved >= 1; }
+    bool hasOne(double reserved = 0) const { return m_saved >= 1 + reserved * m_ripe * m_burst; }
     /// @return whether one more retry is allowed; it is then spent
-    bool spend()
+    bool spend(double reserved = 0)
     {
-        if (m_saved < 1)
+        if (!hasOne(reserved))
             return false;
         m_saved -= 1;
         return true;
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -179,6 +179,7 @@
     double retryBurst() const;
     double ripeShare() const;
     RetryBudget& budgetOf(const ServiceId&);
+    static double reservedRetries(const Call&, AttemptPurpose);
     bool isKnownFull(const Call&, const Chain&, TimePoint now) const;
 
     RelayOptions m_options;
--- a/src/relay/RelayReducerPlacing.cpp
+++ b/src/relay/RelayReducerPlacing.cpp
@@ -18,6 +18,10 @@
     /// Parts of the expected rest of a shortage between which callers come back.
     constexpr double LeastComeBack = 0.5;
     constexpr double MostComeBack = 1.5;
+    /// Part of the saved retries that is kept for answers under way.
+    constexpr double ReservedForAnswers = 0.5;
+    /// Part of them that is kept for answers whose server is lost or about to go.
+    constexpr double ReservedForLostAnswers = 0.25;
 
 } // namespace
 
@@ -135,6 +139,18 @@
     return std::min(1.0, age / std::chrono::duration<double>(m_options.retryRipening).count());
 }
 
+/// A call that is refused can come back; an answer that ends midway is lost with all that was written. One that stands
+/// still may yet go on by itself.
+/// @return the part of the saved retries that such an attempt leaves to more urgent ones
+double RelayReducer::reservedRetries(const Call& call, AttemptPurpose purpose)
+{
+    if (!isStream(call.route->kind))
+        return 0;
+    if (!call.answering)
+        return ReservedForAnswers;
+    return purpose == AttemptPurpose::Stalled ? ReservedForLostAnswers : 0;
+}
+
 RetryBudget& RelayReducer::budgetOf(const ServiceId& service)
 {
     return m_budgets.try_emplace(service, m_options.retryRatio, retryBurst(), ripeShare()).first->second;
--- a/tests/LeavingServerTest.cpp
+++ b/tests/LeavingServerTest.cpp
@@ -97,6 +97,29 @@
     }
 }
 
+// Retries of calls that could have come back had used up the service's budget when a server ended, and the answers
+// that ran there were cut.
+TEST(LeavingServer, CallsThatCanComeBackLeaveRetriesToAnswersUnderWay)
+{
+    LeavingFleet::Options options;
+    options.relay.retrySlack = 12;
+    options.relay.retryRatio = 0;
+    LeavingFleet fleet(options);
+    beginAtOneServer(fleet, 4);
+    RelayHarness& harness = fleet.harness();
+    // New calls are turned away until none of them is tried again.
+    for (int i = 0; i < 20; ++i) {
+        harness.call("/draft/2");
+        for (auto next = harness.last<relay::effect::StartAttempt>(); next;
+             next = harness.last<relay::effect::StartAttempt>())
+            harness.send(relay::event::AttemptEnded { next->attempt, AttemptResult::NotRun, 503, "" });
+    }
+    fleet.leave(first("a"), Duration(0));
+    fleet.run(seconds(12));
+    CHECK_EQUAL(0U, fleet.brokenOff());
+    CHECK_EQUAL(4U, fleet.completed());
+}
+
 // The retries were spent as a server ended; its answers go on as soon as the service has earned some.
 TEST(LeavingServer, AnAnswerWaitsForTheRetryBudget)
 {
