--- a/tests/CrashingRequestTest.cpp
+++ b/tests/CrashingRequestTest.cpp
@@ -1,6 +1,9 @@
 #include "tests/CrashFleet.h"
 #include "tests/Tests.h"
 
+#include <functional>
+#include <optional>
+
 using namespace crocusmount;
 using namespace crocusmount::relay;
 using std::chrono::milliseconds;
@@ -113,6 +116,44 @@
     }
 }
 
+// A share of the calls crashes the engine that runs it. Once those requests are known, sound streams are lost to them
+// no more: they end as on a day without.
+TEST(CrashingRequest, CostsSoundStreamsOnlyWhatEndsBeforeItIsKnown)
+{
+    constexpr Duration ArrivalGap = milliseconds(20);
+    constexpr Duration EnginesBack = seconds(3);
+    const struct {
+        const char* name;
+        Duration begin;
+        std::uint64_t oneIn; ///< calls; one of them crashes its engine
+    } cases[] = { { "few, early", seconds(1), 33 }, { "few, late", seconds(8), 33 }, { "many", seconds(3), 10 } };
+    for (const auto& each : cases) {
+        CrashFleet fleet({});
+        std::uint64_t failedThen = 0;
+        std::optional<Duration> knownAt; // when each of the requests had crashed three engines
+        while (fleet.elapsed() < each.begin + seconds(30)) {
+            const Duration now = fleet.elapsed();
+            bool isKnown = true;
+            for (std::uint8_t which = 0; which < Requests; ++which)
+                isKnown = isKnown && fleet.crashing(which).crashes.size() >= 3;
+            if (isKnown && !knownAt)
+                knownAt = now;
+            const std::size_t instance = fleet.random() % fleet.instances();
+            if (now >= each.begin && fleet.random() % each.oneIn == 0)
+                fleet.sendCrashing(instance, static_cast<std::uint8_t>(fleet.random() % Requests));
+            else
+                fleet.sendSound(instance);
+            if (!knownAt || now < *knownAt + EnginesBack + StableWindow)
+                failedThen = fleet.sound().failed;
+            fleet.runUntil(now + ArrivalGap);
+        }
+        CHECK_TRUE_TEXT(knownAt && *knownAt < each.begin + seconds(20), each.name);
+        CHECK_EQUAL_TEXT(failedThen, fleet.sound().failed, each.name);
+        CHECK_EQUAL_TEXT(0U, fleet.sound().refusedForGood, each.name);
+        CHECK_TRUE_TEXT(fleet.sound().completed > 1000, each.name);
+    }
+}
+
 // Engines that end together, or one by one with nothing to blame, are held against no request.
 TEST(CrashingRequest, NoSoundRequestIsBlamedForTheLossOfEngines)
 {
