Comments without measurements; one place that finds an attempt of a call

Call::attempt() replaces the same choice in three handlers. Two includes were not used. No decision changes.

--- a/src/admission/ConcurrencyLimit.cpp
+++ b/src/admission/ConcurrencyLimit.cpp
@@ -16,8 +16,8 @@
     constexpr double EarlyRatio = 0.5;
     /// The bound grows only while it binds: in flight at least this part of it.
     constexpr double BindingShare = 0.8;
-    /// An early answer makes room for one more. With half of one the bound stood still until streams ended, which takes
-    /// seconds (20 days with trouble on 38 engines: 1.5% of the calls refused with half of one, 1.2% with one).
+    /// An early answer makes room for one more. With less the bound would stand still until streams end, which takes
+    /// seconds.
     constexpr double Increase = 1;
     /// A bound far above what is in flight would take many steps to bind. The number of calls varies by chance, by the
     /// square root of their mean, so the bound keeps this many such deviations above it.
--- a/src/edge/PeerLink.cpp
+++ b/src/edge/PeerLink.cpp
@@ -20,8 +20,8 @@
     /// In one datagram; some 100 bytes each with a long name of a workspace.
     constexpr std::size_t MostCrashes = 200;
     /// Of keys and values in one datagram; their encoding takes some bytes a change more. When the store is back after
-    /// an outage, the entries of 216 engines come in one batch of 75 KB; too large for a datagram, it sent each of 295
-    /// instances to the store.
+    /// an outage, the entries of all engines come in one batch; too large for a datagram, it would send each instance
+    /// to the store.
     constexpr std::size_t MostChangeBytes = 50000;
 
     relay::LoadPeer peerOf(const InstanceRegistry::Entry& entry)
--- a/src/edge/PlacementDriver.cpp
+++ b/src/edge/PlacementDriver.cpp
@@ -95,8 +95,7 @@
 }
 
 /// An engine that waits for the streams through its old layers may take seconds, in which the layers that are missing
-/// stay so. Streams that may be resumed go on elsewhere within some hundred milliseconds (20 days with
-/// trouble on 38 engines: 1.2% of the calls refused where engines waited, 0.9% where they cut).
+/// stay so. Streams that may be resumed go on elsewhere within some hundred milliseconds.
 Handover PlacementDriver::handoverFor(const relay::ServiceId& service) const
 {
     for (const relay::Route& route : m_node.reducer().routes()->configuration().routes) {
--- a/src/planning/LayerPlanner.cpp
+++ b/src/planning/LayerPlanner.cpp
@@ -13,9 +13,8 @@
 
     /// KV cache beside the layers, in tokens, and the copies of the model that the fleet should hold to choose it, best
     /// first. With more of it fewer copies fit; what counts is that streams in flight fit at all, because an engine
-    /// that runs out of memory turns calls away or reads the newest one again. The first figure was measured on 93
-    /// engines (9.5 copies), where it carries a quarter more; 38 engines need all their 4 copies, as a lost one is a
-    /// quarter.
+    /// that runs out of memory turns calls away or reads the newest one again. A small fleet keeps all its copies, as
+    /// each is a large part of it.
     constexpr struct {
         double tokens;
         double copies;
--- a/src/relay/Call.h
+++ b/src/relay/Call.h
@@ -77,6 +77,9 @@
     /// @return whether a server failed it; how late such a call is tells nothing of the load
     bool hasMetTrouble() const { return !avoid.empty(); }
 
+    /// @return the running attempt of that id, which is one of the two
+    Attempt& attempt(AttemptId wanted) { return main.id == wanted ? main : *second; }
+
     bool hasFailed() const { return !ranOn.empty() || rejections; }
 
     void addAvoided(const BackendId& id)
--- a/src/relay/CallPlacer.cpp
+++ b/src/relay/CallPlacer.cpp
@@ -13,8 +13,7 @@
 
     /// A server avoided after a failure is still better than none.
     constexpr double AvoidedPenaltyMs = 1000;
-    /// Part of all instances that must avoid a server before the others do too. A few may have a fault of their own,
-    /// and on 59 instances two words against a full engine emptied it.
+    /// Part of all instances that must avoid a server before the others do too: a few may have a fault of their own.
     constexpr double AvoiderShare = 0.25;
     constexpr double LeastAvoiders = 2;
     /// A server on which this very call failed before.
--- a/src/relay/CrashEvidence.h
+++ b/src/relay/CrashEvidence.h
@@ -6,7 +6,6 @@
 #include <deque>
 #include <map>
 #include <optional>
-#include <set>
 #include <vector>
 
 namespace crocusmount::relay {
--- a/src/relay/EngineCost.cpp
+++ b/src/relay/EngineCost.cpp
@@ -7,7 +7,7 @@
 namespace {
 
     /// What a further stream costs with its share of the steps of all others: at full memory about three times as much
-    /// as alone, from the model's figures of a step (a context of 110,000 tokens in some 110 streams).
+    /// as alone.
     constexpr double BatchGrowth = 2;
     /// Cost of an engine whose memory is full, over an empty one: streams are thrown back there and read again.
     constexpr double FullGrowth = 10;
--- a/src/relay/RelayOptions.h
+++ b/src/relay/RelayOptions.h
@@ -13,13 +13,12 @@
     DisabledMechanisms without; ///< none in production
     double retryRatio = 0.15; ///< retries that each call earns; the platform allows 0.2 over all instances
     double retrySlack = 100; ///< retries over all instances beyond that, within the platform's window
-    /// An instance has its share of the slack only after this time from its start; the platform counts over 10 s. With
-    /// the whole share at each start, 19 starts in a day led to 555 retries within 10 s where 509 were allowed.
+    /// An instance has its share of the slack only after this time from its start: one that starts again and again must
+    /// not have the whole share each time.
     Duration retryRipening {};
     /// How long a call waits for the first configuration of an instance that has just started. The load that it
     /// answers: all instances lose power and start together while the store is still away; their callers have spent the
-    /// one retry that they make. With 250 ms, 2,228 calls of 295 instances were refused within a second and a half
-    /// before the first of them had read the store, and most did not come back.
+    /// one retry that they make, and most that are refused then do not come back.
     Duration configurationWait = std::chrono::milliseconds(3000);
     /// The same as part of the caller's patience: the rest is for the call itself, or for another instance.
     double configurationWaitShare = 0.25;
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -207,8 +207,7 @@
     Call* call = findByAttempt(sent.attempt);
     if (!call)
         return;
-    Attempt& attempt = call->main.id == sent.attempt ? call->main : *call->second;
-    attempt.sent = true;
+    call->attempt(sent.attempt).sent = true;
 }
 
 void RelayReducer::on(const event::AnswerBegun& begun, Context& context)
@@ -216,8 +215,7 @@
     Call* call = findByAttempt(begun.attempt);
     if (!call)
         return;
-    Attempt& attempt = call->main.id == begun.attempt ? call->main : *call->second;
-    attempt.begunAt = context.now;
+    call->attempt(begun.attempt).begunAt = context.now;
 }
 
 void RelayReducer::on(const event::EventDelivered& delivered, Context& context)
--- a/src/relay/RelayReducerChecks.cpp
+++ b/src/relay/RelayReducerChecks.cpp
@@ -13,8 +13,7 @@
 
 namespace {
 
-    /// A stream is silent after this multiple of its usual gap: the longest of 73 gaps of a sound stream is 1.9 times
-    /// the usual one for nine in ten streams.
+    /// A stream is silent after this multiple of its usual gap; few sound streams have a gap of twice the usual one.
     constexpr double SilentGaps = 2.5;
     /// Shortest silence. The reducer looks each 20 ms.
     constexpr Duration LeastSilence = std::chrono::milliseconds(60);
@@ -167,8 +166,8 @@
 
 /// Asks engines that turned calls away whether they had room then.
 ///
-/// The load pattern that this answers: 17 of 205 engines leave at once while the store is silent, so that no list says
-/// so. 86 instances were turned away 566 times by one of them within 8 s, which spent the retries of all.
+/// The load pattern that this answers: engines leave while the store is silent, so that no list says so. Each instance
+/// is turned away by each of them again and again, which spends the retries of all.
 void RelayReducer::checkClosedEngines(Context& context)
 {
     for (const auto& [id, server] : m_fleet.servers()) {
@@ -217,8 +216,8 @@
 
 /// The death of one engine raises the chance that others died with it, as with their rack or switch. A stream that is
 /// sent on before that is known meets the next dead stage, and after three of these it is given up. Engines that own
-/// calls pass through are asked at once, the others where a call would go there: 295 instances that each asked 165
-/// engines with nothing of theirs put 48,000 questions for each group of eight that died.
+/// calls pass through are asked at once, the others where a call would go there: if each instance asked all, sound
+/// engines would be busy with connections and taken for dead.
 ///
 /// @param isCertain  the engine is dead for certain; one that only did not answer may be overloaded, and then it does
 ///                   not keep calls from going elsewhere at once
--- a/src/relay/RelayReducerPlacing.cpp
+++ b/src/relay/RelayReducerPlacing.cpp
@@ -10,8 +10,7 @@
 
 namespace {
 
-    /// Half of the streams in flight end within about so long. Times to come back that follow a shortage: 5.4% of the
-    /// calls refused on two hard days of 38 engines, against 6.9% with times of 0.6 to 2 s.
+    /// Half of the streams in flight end within about so long.
     constexpr Duration LeastShortage = std::chrono::milliseconds(1300);
     /// Callers heed a time to come back up to a third of what they have left, of 20 s on the users' platforms.
     constexpr Duration LongestShortage = std::chrono::milliseconds(4000);
@@ -156,8 +155,8 @@
     return m_budgets.try_emplace(service, m_options.retryRatio, retryBurst(), ripeShare()).first->second;
 }
 
-/// A call that a stage has just turned away goes there again only after that stage's pause: three attempts within 7 ms
-/// at the one engine that was left spent three retries of the fleet's share for nothing.
+/// A call that a stage has just turned away goes there again only after that stage's pause: attempts at the one engine
+/// that is left would spend retries for nothing.
 bool RelayReducer::isKnownFull(const Call& call, const Chain& chain, TimePoint now) const
 {
     return std::any_of(chain.hops().begin(), chain.hops().end(), [&](const Hop& hop) {
--- a/src/relay/RelayReducerServers.cpp
+++ b/src/relay/RelayReducerServers.cpp
@@ -197,8 +197,7 @@
 }
 
 /// An answer that the caller has a part of is given up only for an attempt that begins now: without one its server ends
-/// it, or its caller. Cut here it broke the promise that planned work loses nothing (18 streams of one day, as engines
-/// left).
+/// it, or its caller. Cut here it would break the promise that planned work loses nothing.
 void RelayReducer::loseAttempt(Call& call, Context& context)
 {
     if (!call.answering) {
@@ -232,8 +231,8 @@
     call.usualGap = Duration(0);
 }
 
-/// Cancels an attempt that has lost a stage. It is none that the route's limit counts only where the server that took
-/// the call is the one that ended: with all of them left out, six streams ran at three servers where two were allowed.
+/// Cancels an attempt that has lost a stage. The route's limit leaves it out only where the server that took the call
+/// is the one that ended: the others can still run it.
 void RelayReducer::drop(Call& call, const Attempt& attempt, Context& context)
 {
     context.effects.emplace_back(effect::CancelAttempt { attempt.id });
--- a/src/relay/RelayReducerTime.cpp
+++ b/src/relay/RelayReducerTime.cpp
@@ -212,7 +212,7 @@
     Call* call = findByAttempt(answered.attempt);
     if (!call)
         return;
-    Attempt& attempt = call->main.id == answered.attempt ? call->main : *call->second;
+    Attempt& attempt = call->attempt(answered.attempt);
     if (attempt.reroute.hops().empty())
         return;
     if (!answered.accepted)
--- a/src/relay/StartLedger.h
+++ b/src/relay/StartLedger.h
@@ -19,7 +19,6 @@
 
 /// Tells the starts of backend servers apart, so that an ended one never comes back: a copy of the store may be behind,
 /// and an entry that a server wrote before it crashed may reach the store when its successor is already listed.
-/// (38 engines, 8 cut off and started again behind the cut: all eight old entries were listed once more, for 4 s.)
 ///
 /// Of two starts under one id the later time counts. Of two ids at one address, too; where one of them names no time,
 /// the id that was seen first has ended, since a process that starts takes a new id or says when it started.
--- a/tests/CrashFleet.h
+++ b/tests/CrashFleet.h
@@ -4,7 +4,6 @@
 #include "tests/RelayHarness.h"
 
 #include <deque>
-#include <functional>
 #include <map>
 #include <set>
 #include <string>
