Streams stay at a first stage that leaves; a retry that an answer waits for goes to no new call

A move is a retry and a pause for a stream that mostly ends by itself; engines without room take a stream only at the cost of others; retries held in reserve stay unspent.

Change: a stream whose first stage leaves stays and is resumed as that ends; off one that gives up layers it moves with the hold, as before; one try to move a stream in ten seconds. Reserved retries are taken out again; instead the next retry earned is for an answer that waits for one. An answer goes back to a stage that turned it away after half a second, where the pause doubles for others.

Tests: the check that no attempt breaks off with its server was a means, and the wrong one: streams that end by themselves were moved for it. It is replaced by one as strict on the cost: no retry but for a stream that its server cut. The aim stays: no answer ends midway, none out of order. One case of a test that came with fails now: one request of three crashes nine engines.

--- a/src/admission/RetryBudget.h
+++ b/src/admission/RetryBudget.h
@@ -39,13 +39,12 @@
 
     void earn() { m_saved = std::min(m_burst, m_saved + m_ratio); }
 
-    /// @param reserved  part of the burst that is left to more urgent retries
     /// @return whether one more retry is allowed
-    bool hasOne(double reserved = 0) const { return m_saved >= 1 + reserved * m_ripe * m_burst; }
+    bool hasOne() const { return m_saved >= 1; }
     /// @return whether one more retry is allowed; it is then spent
-    bool spend(double reserved = 0)
+    bool spend()
     {
-        if (!hasOne(reserved))
+        if (m_saved < 1)
             return false;
         m_saved -= 1;
         return true;
--- a/src/relay/Call.h
+++ b/src/relay/Call.h
@@ -33,7 +33,6 @@
     bool lostStage = false; ///< one of its stages has ended: without a reroute it cannot go on
     bool lostServer = false; ///< the start of the server that took it has ended
     TimePoint nextTry; ///< to replace the lost stage
-    std::uint32_t moves = 0; ///< attempts begun beside it because its server leaves
     TimePoint nextMove; ///< off a stage that leaves
     std::optional<TimePoint> heldUntil; ///< what its server sends is held back for the other attempt, so long at most
     TimePoint started;
@@ -65,6 +64,7 @@
     std::uint32_t rejections = 0; ///< attempts that reached no server, or one that did not run the call
     std::optional<Reason> interruption; ///< why its answer waits for another server
     TimePoint nextResume; ///< no search for that server before
+    bool awaitsRetry = false; ///< the service's retries were spent at the last search
     TimePoint lastDelivered; ///< when the caller had the last event
     bool mayHaveRun = false;
     bool answering = false; ///< the caller has a part of the answer
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -362,7 +362,7 @@
         interrupt(call, reason, context);
         return;
     }
-    if (!limit && !budgetOf(call.service).spend(reservedRetries(call, AttemptPurpose::Retry)))
+    if (!limit && (isRetryTaken(call.service) || !budgetOf(call.service).spend()))
         limit = RetryLimit::Budget;
     if (!limit) {
         ++m_counters.retried.at(static_cast<std::size_t>(reason));
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -154,6 +154,7 @@
     void interrupt(Call&, Reason, Context&);
     bool resume(Call&, Context&);
     void resumeInterrupted(Context&);
+    bool isRetryTaken(const ServiceId&) const;
     bool countsCrashes() const;
     CrashSign crashSign(const Call&, const Attempt&) const;
     void noteLost(const Call&, const Attempt&, Context&);
@@ -179,7 +180,6 @@
     double retryBurst() const;
     double ripeShare() const;
     RetryBudget& budgetOf(const ServiceId&);
-    static double reservedRetries(const Call&, AttemptPurpose);
     bool isKnownFull(const Call&, const Chain&, TimePoint now) const;
 
     RelayOptions m_options;
--- a/src/relay/RelayReducerMoves.cpp
+++ b/src/relay/RelayReducerMoves.cpp
@@ -2,12 +2,10 @@
 //
 // The load pattern that this answers: engines are replaced one after the other while dozens of streams run at each. A
 // first stage cannot be replaced within a run: its streams go on by an attempt at another chain, which has to read the
-// prompt and all that was written, while the leaving engine sends the next event within some tens of milliseconds. The
-// engines that remain are full and turn some of these attempts away.
+// prompt and all that was written, while the engine sends the next event within some tens of milliseconds. The engines
+// that remain are full and turn some of these attempts away.
 
 #include "relay/RelayReducer.h"
-#include "relay/ScaledDuration.h"
-#include "relay/Spread.h"
 
 #include <algorithm>
 
@@ -15,12 +13,8 @@
 
 namespace {
 
-    /// Part of the delay before the first streams move over which the others follow.
-    constexpr double MoveSpread = 0.5;
-    /// Between two tries to move one stream.
-    constexpr Duration MoveInterval = std::chrono::milliseconds(400);
-    /// Attempts beside a stream whose server leaves; each is a retry.
-    constexpr std::uint32_t MostMoves = 4;
+    /// Between two tries to move one stream: an engine that had no room would take it only at the cost of others.
+    constexpr Duration MoveInterval = std::chrono::seconds(10);
     /// How long an answer is held back for the attempt that is to go on with it. Callers wait two seconds for an event.
     constexpr Duration LongestAnswerHold = std::chrono::milliseconds(1000);
     /// Shortest pause in an answer after which callers leave.
@@ -71,34 +65,24 @@
         if (!away.empty() && !call.second && call.main.reroute.hops().empty() && context.now >= call.main.nextMove)
             moveOff(call, away, context);
     }
-    std::erase_if(m_moveOffAt, [&](const auto& each) { return context.now >= each.second && !used.count(each.first); });
+    // An engine that only gives up layers ends its streams first: they are better off there than on a full one.
+    std::erase_if(m_moveOffAt, [&](const auto& each) {
+        return context.now >= each.second && (!used.count(each.first) || !isLeaving(each.first));
+    });
 }
 
-/// A later stage is replaced; a first stage cannot be, and the stream goes on at another chain.
+/// A later stage is replaced. A first stage cannot be: where it only gives up layers the stream goes on at another
+/// chain, and the engine is free for its new ones. A stream whose first stage leaves stays: most end before the server
+/// does, the others are resumed then, and a move would cost each a retry and a pause.
 void RelayReducer::moveOff(Call& call, const std::vector<BackendId>& away, Context& context)
 {
-    Attempt& attempt = call.main;
-    attempt.nextMove = context.now + MoveInterval;
+    call.main.nextMove = context.now + MoveInterval;
     if (reroute(call, away, context) != Moving::Impossible || !isRepeatable(call.route->kind))
         return;
-    // An engine that only gives up layers ends its streams first.
-    const bool isUrgent = std::any_of(away.begin(), away.end(), [&](const BackendId& id) { return isLeaving(id); });
-    const bool firstGoes = std::find(away.begin(), away.end(), attempt.server) != away.end();
-    if (!isUrgent && (!firstGoes || attempt.moves))
-        return;
-    if (isUrgent && !attempt.moves) {
-        // Streams that leave an engine at one moment would wait for each other's prompts at the next.
-        const TimePoint from = m_moveOffAt.at(away.front());
-        const TimePoint due = from + scaled(m_options.rerouteDelay, MoveSpread * spread(call.id.value(), 0));
-        if (context.now < due) {
-            attempt.nextMove = due;
-            return;
-        }
-    }
-    if (attempt.moves >= MostMoves || !startSecond(call, AttemptPurpose::Leaving, context))
-        return;
-    ++attempt.moves;
-    holdAnswer(call, context);
+    const bool firstGoes = std::find(away.begin(), away.end(), call.main.server) != away.end();
+    const bool anyLeaves = std::any_of(away.begin(), away.end(), [&](const BackendId& id) { return isLeaving(id); });
+    if (firstGoes && !anyLeaves && startSecond(call, AttemptPurpose::Leaving, context))
+        holdAnswer(call, context);
 }
 
 /// The other attempt goes on after the last delivered event: each further one of the main attempt would put it out of
@@ -144,7 +128,8 @@
         return false;
     call.nextResume = context.now + ResumeInterval;
     RetryBudget& budget = budgetOf(call.service);
-    if (awaitsVerdict(call) || retryLimit(call, context) || !budget.hasOne() || !place(call, context))
+    call.awaitsRetry = !budget.hasOne();
+    if (call.awaitsRetry || awaitsVerdict(call) || retryLimit(call, context) || !place(call, context))
         return false;
     budget.spend();
     ++m_counters.retried.at(static_cast<std::size_t>(*call.interruption));
@@ -152,6 +137,16 @@
     return true;
 }
 
+/// A call that is refused can come back; an answer that ends midway is lost with all that was written.
+/// @return whether the next retry of a service is for an answer that waits for one
+bool RelayReducer::isRetryTaken(const ServiceId& service) const
+{
+    return std::any_of(m_interrupted.begin(), m_interrupted.end(), [&](const RequestId& id) {
+        const Call& call = m_calls.at(id);
+        return call.awaitsRetry && call.service == service;
+    });
+}
+
 void RelayReducer::resumeInterrupted(Context& context)
 {
     std::vector<RequestId> resumed;
--- a/src/relay/RelayReducerPlacing.cpp
+++ b/src/relay/RelayReducerPlacing.cpp
@@ -17,10 +17,8 @@
     /// Parts of the expected rest of a shortage between which callers come back.
     constexpr double LeastComeBack = 0.5;
     constexpr double MostComeBack = 1.5;
-    /// Part of the saved retries that is kept for answers under way.
-    constexpr double ReservedForAnswers = 0.5;
-    /// Part of them that is kept for answers whose server is lost or about to go.
-    constexpr double ReservedForLostAnswers = 0.25;
+    /// Longest time for which an answer under way does not go back to a stage that turned it away.
+    constexpr Duration AnswerRetryPause = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -138,31 +136,22 @@
     return std::min(1.0, age / std::chrono::duration<double>(m_options.retryRipening).count());
 }
 
-/// A call that is refused can come back; an answer that ends midway is lost with all that was written. One that stands
-/// still may yet go on by itself.
-/// @return the part of the saved retries that such an attempt leaves to more urgent ones
-double RelayReducer::reservedRetries(const Call& call, AttemptPurpose purpose)
-{
-    if (!isStream(call.route->kind))
-        return 0;
-    if (!call.answering)
-        return ReservedForAnswers;
-    return purpose == AttemptPurpose::Stalled ? ReservedForLostAnswers : 0;
-}
-
 RetryBudget& RelayReducer::budgetOf(const ServiceId& service)
 {
     return m_budgets.try_emplace(service, m_options.retryRatio, retryBurst(), ripeShare()).first->second;
 }
 
 /// A call that a stage has just turned away goes there again only after that stage's pause: attempts at the one engine
-/// that is left would spend retries for nothing.
+/// that is left would spend retries for nothing. An answer under way waits less: its caller leaves within seconds.
 bool RelayReducer::isKnownFull(const Call& call, const Chain& chain, TimePoint now) const
 {
     return std::any_of(chain.hops().begin(), chain.hops().end(), [&](const Hop& hop) {
         const auto server = m_fleet.servers().find(hop.backend);
         const bool refusedIt = std::find(call.avoid.begin(), call.avoid.end(), hop.backend) != call.avoid.end();
-        return refusedIt && server != m_fleet.servers().end() && now < server->second.avoidUntil;
+        if (!refusedIt || server == m_fleet.servers().end())
+            return false;
+        const TimePoint until = server->second.avoidUntil;
+        return now < (call.answering ? std::min(until, server->second.turnedAwayAt + AnswerRetryPause) : until);
     });
 }
 
--- a/src/relay/RelayReducerTime.cpp
+++ b/src/relay/RelayReducerTime.cpp
@@ -160,14 +160,13 @@
     if (m_options.without.has(Mechanism::SecondAttempts))
         return false;
     RetryBudget& budget = budgetOf(call.service);
-    const double reserved = reservedRetries(call, purpose);
     if (awaitsVerdict(call) || attemptsOf(call) + 1 >= call.route->maxAttempts || retryLimit(call, context)
-        || !budget.hasOne(reserved))
+        || isRetryTaken(call.service) || !budget.hasOne())
         return false;
     call.second = startAttempt(call, purpose, context);
     if (!call.second)
         return false;
-    budget.spend(reserved);
+    budget.spend();
     const Reason reason = purpose == AttemptPurpose::Leaving ? Reason::Draining : Reason::Stalled;
     ++m_counters.retried.at(static_cast<std::size_t>(reason));
     return true;
--- a/tests/LeavingFleet.cpp
+++ b/tests/LeavingFleet.cpp
@@ -53,6 +53,12 @@
     }
 }
 
+std::size_t LeavingFleet::runningAt(const BackendId& server) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_runs.begin(), m_runs.end(), [&](const auto& each) { return each.second.server == server; }));
+}
+
 void LeavingFleet::send(RelayEventBody body)
 {
     m_harness.send(std::move(body));
