--- a/src/relay/AttemptPurpose.h
+++ b/src/relay/AttemptPurpose.h
@@ -7,7 +7,7 @@
     First,
     Retry, ///< the one before failed, or no server had room
     Stalled, ///< the running one stands still
-    Leaving, ///< the server that runs the other one is about to go
+    Leaving, ///< the first stage of the running one gives up layers
     LostStage, ///< the running one lost a stage for good
 };
 
