Tell crashes apart from group losses by when servers were last alive

Symptom: three requests crashed each engine that ran them.

Cause: CrashEvidence dismisses the end of a server if two others ended within 300 ms of it, as in the loss of a rack.

Ruled out by a trace: the request was not cleared as sound, and no call was forwarded after the verdict on its request.

Fix: record when each server was last known to be alive (an event, the start of an answer, or an answered check). A server ended between that time and the detection of its end. Ends whose intervals do not overlap, with a tolerance of 40 ms for events in transit, no longer count as part of the same group loss.

Add three cases for CrashEvidence, and two in which engines end 60 and 140 ms apart with no request to blame.

--- a/src/relay/CrashEvidence.cpp
+++ b/src/relay/CrashEvidence.cpp
@@ -8,8 +8,10 @@
 
     /// After this time from the end of one server all that ended with it have been found.
     constexpr Duration SettleTime = std::chrono::milliseconds(300);
-    /// Servers that are found dead within this time of each other ended together.
+    /// Servers that are found dead further apart than this did not end together.
     constexpr Duration GroupWindow = std::chrono::milliseconds(300);
+    /// Maximum delay before an event relayed by a server that has since ended reaches this instance.
+    constexpr Duration MaxEventDelay = std::chrono::milliseconds(40);
     /// So many others that end in the same moment have a cause of their own. A single one may be another request's.
     constexpr std::size_t GroupSize = 2;
     /// The registry shows the end of a server that nobody could ask after three heartbeats.
@@ -61,11 +63,22 @@
         m_ends.erase(end);
 }
 
-void CrashEvidence::noteSilent(std::uint64_t server, TimePoint now) { m_ends.try_emplace(server, End { now, {} }); }
+bool CrashEvidence::End::mayHaveEndedTogether(const End& other) const
+{
+    const Duration apart = std::max(other.foundAt - foundAt, foundAt - other.foundAt);
+    return apart <= GroupWindow
+        && std::max(lastAliveAt, other.lastAliveAt) <= std::min(foundAt, other.foundAt) + MaxEventDelay;
+}
+
+void CrashEvidence::noteSilent(std::uint64_t server, TimePoint now, TimePoint lastAliveAt)
+{
+    m_ends.try_emplace(server, End { now, lastAliveAt });
+}
 
-bool CrashEvidence::noteEnded(std::uint64_t server, std::vector<CrashSuspect> running, TimePoint now)
+bool CrashEvidence::noteEnded(
+    std::uint64_t server, std::vector<CrashSuspect> running, TimePoint now, TimePoint lastAliveAt)
 {
-    End& end = m_ends.try_emplace(server, End { now, {} }).first->second;
+    End& end = m_ends.try_emplace(server, End { now, lastAliveAt }).first->second;
     if (end.certainAt)
         return false;
     end.certainAt = now;
@@ -83,8 +96,7 @@
 {
     const auto others = std::count_if(m_ends.begin(), m_ends.end(), [&](const auto& each) {
         const End& other = each.second;
-        const Duration apart = std::max(end.foundAt - other.foundAt, other.foundAt - end.foundAt);
-        return &other != &end && apart <= GroupWindow && !other.concerns(request);
+        return &other != &end && end.mayHaveEndedTogether(other) && !other.concerns(request);
     });
     return static_cast<std::size_t>(others) >= GroupSize;
 }
--- a/src/relay/CrashEvidence.h
+++ b/src/relay/CrashEvidence.h
@@ -15,7 +15,8 @@
 ///
 /// A server that crashes ends all that it runs. What sets the cause apart from the bystanders is that the server had
 /// only just begun to run it (CrashSign); what sets a crash apart from the loss of a rack or a switch is that no others
-/// ended in the same moment.
+/// ended in the same moment. A server ended at some time between when it was last known to be alive and when its end
+/// was detected; servers whose intervals do not overlap did not end together, even if detected within a short time.
 class CrashEvidence {
 public:
     /// Notes that an attempt ended unfinished, and that any of these servers may have ended under it.
@@ -26,12 +27,14 @@
     void noteAlive(std::uint64_t server);
 
     /// Notes that a server does not answer, which may be a cut.
-    void noteSilent(std::uint64_t server, TimePoint now);
+    /// @param lastAliveAt  when it was last known to be alive
+    void noteSilent(std::uint64_t server, TimePoint now, TimePoint lastAliveAt = {});
 
     /// Notes that a server's process has ended.
     /// @param running  those of running attempts there
+    /// @param lastAliveAt  when it was last known to be alive
     /// @return whether that is news
-    bool noteEnded(std::uint64_t server, std::vector<CrashSuspect> running, TimePoint now);
+    bool noteEnded(std::uint64_t server, std::vector<CrashSuspect> running, TimePoint now, TimePoint lastAliveAt = {});
 
     /// What is known of the ends that are old enough to be told from the loss of a group.
     struct Findings {
@@ -55,12 +58,15 @@
     };
     struct End {
         TimePoint foundAt;
+        TimePoint lastAliveAt; ///< when it was last known to be alive
         std::optional<TimePoint> certainAt; ///< nothing: it only does not answer
         bool settled = false;
         std::vector<CrashSuspect> suspects;
 
         bool concerns(const RequestIdentity&) const;
         void add(const CrashSuspect&);
+        /// @return whether both ends were found close together and may have been at the same time
+        bool mayHaveEndedTogether(const End&) const;
     };
 
     bool isOfGroup(const End&, const RequestIdentity&) const;
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -215,7 +215,9 @@
     Call* call = findByAttempt(begun.attempt);
     if (!call)
         return;
-    call->attempt(begun.attempt).begunAt = context.now;
+    Attempt& attempt = call->attempt(begun.attempt);
+    attempt.begunAt = context.now;
+    m_fleet.answerBegun(attempt.server, attempt.chain, context.now);
 }
 
 void RelayReducer::on(const event::EventDelivered& delivered, Context& context)
--- a/src/relay/RelayReducerChecks.cpp
+++ b/src/relay/RelayReducerChecks.cpp
@@ -145,7 +145,7 @@
         dispatchAll(context);
         return;
     }
-    m_crashEvidence.noteSilent(server->others.engine, context.now);
+    m_crashEvidence.noteSilent(server->others.engine, context.now, server->lastAliveAt);
     if (checked.refused)
         noteServerEnded(*server, context);
     m_fleet.missedCheck(checked.engine, checked.refused, context.now);
--- a/src/relay/RelayReducerCrashes.cpp
+++ b/src/relay/RelayReducerCrashes.cpp
@@ -118,7 +118,7 @@
         if (call.second)
             consider(call, *call.second);
     }
-    if (m_crashEvidence.noteEnded(server.others.engine, std::move(running), context.now))
+    if (m_crashEvidence.noteEnded(server.others.engine, std::move(running), context.now, server.lastAliveAt))
         context.effects.emplace_back(
             effect::NoteBelief { effect::NoteBelief::Belief::ProcessEnded, server.entry.id, server.entry.startedAt });
 }
--- a/src/relay/ServerFleet.cpp
+++ b/src/relay/ServerFleet.cpp
@@ -156,12 +156,23 @@
     for (const Hop& hop : chain.hops()) {
         if (FleetServer* server = find(hop.backend)) {
             server->lastProgress = now;
+            server->lastAliveAt = now;
             server->rejectionsInRow = 0;
             server->troubleUntil = {};
         }
     }
 }
 
+void ServerFleet::answerBegun(const BackendId& id, const Chain& chain, TimePoint now)
+{
+    if (FleetServer* server = find(id))
+        server->lastAliveAt = now;
+    for (const Hop& hop : chain.hops()) {
+        if (FleetServer* server = find(hop.backend))
+            server->lastAliveAt = now;
+    }
+}
+
 void ServerFleet::failed(const BackendId& id, TimePoint now)
 {
     FleetServer* server = find(id);
@@ -216,6 +227,7 @@
     if (!server)
         return;
     server->beingChecked = false;
+    server->lastAliveAt = std::max(server->lastAliveAt, server->lastCheck);
     server->slowness = std::max(1.0, slowness);
     server->deadUntil = {};
     server->unansweredChecks = 0;
--- a/src/relay/ServerFleet.h
+++ b/src/relay/ServerFleet.h
@@ -25,6 +25,7 @@
     TimePoint avoidUntil; ///< no new work before, where another server will do
     TimePoint troubleUntil; ///< the same, but only after signs that no call at all gets through
     TimePoint lastProgress; ///< last event of any call through it
+    TimePoint lastAliveAt; ///< last event, start of an answer, or sending of a check that it answered
     double slowness = 1; ///< its work takes this many times as long as its card's figures say, as it last reported
     TimePoint listedAt; ///< when its entry last changed: it wrote that shortly before
     TimePoint lastCheck; ///< when it was last asked
@@ -83,6 +84,8 @@
     std::vector<EngineLoad> ownLoads(TimePoint now) const;
 
     void progressed(const Chain&, TimePoint now);
+    /// Notes that an attempt's answer began, which shows that its server and all stages of its chain were alive.
+    void answerBegun(const BackendId&, const Chain&, TimePoint now);
 
     /// Notes a failed attempt: the server is avoided for a time that doubles with each failure in a row.
     void failed(const BackendId&, TimePoint now);
--- a/tests/CrashingRequestTest.cpp
+++ b/tests/CrashingRequestTest.cpp
@@ -161,19 +161,29 @@
         const char* name;
         std::size_t count;
         Duration interval;
+        Duration spacing = milliseconds(0); ///< between the ends of one group; 0: all at once
     } cases[] = { { "one at a time", 1, milliseconds(900) }, { "three at a time", 3, milliseconds(2500) },
-        { "half of one kind", 4, seconds(4) }, { "nearly all of one kind", 7, seconds(6) } };
+        { "half of one kind", 4, seconds(4) }, { "nearly all of one kind", 7, seconds(6) },
+        { "half of one kind, 60 ms apart", 4, seconds(4), milliseconds(60) },
+        { "nearly all of one kind, 140 ms apart", 7, seconds(6), milliseconds(140) } };
     for (const auto& each : cases) {
         CrashFleet fleet({});
         Duration next = seconds(2);
         bool first = true;
+        std::size_t endedCount = 0;
         while (fleet.elapsed() < seconds(60)) {
             const Duration now = fleet.elapsed();
             for (int i = 0; i < 2; ++i)
                 fleet.sendSound(fleet.random() % fleet.instances());
             if (now >= next) {
-                fleet.crashGroup(each.count, std::exchange(first, !first));
-                next = now + each.interval;
+                endedCount = each.spacing.count() ? endedCount + 1 : each.count;
+                fleet.crashGroup(endedCount, first);
+                const bool isGroupComplete = endedCount == each.count;
+                next = now + (isGroupComplete ? each.interval : each.spacing);
+                if (isGroupComplete) {
+                    endedCount = 0;
+                    first = !first;
+                }
             }
             fleet.runUntil(now + milliseconds(20));
         }
--- a/tests/RequestQuarantineTest.cpp
+++ b/tests/RequestQuarantineTest.cpp
@@ -163,6 +163,27 @@
                 evidence.noteEnded(2, {}, at(milliseconds(100)));
             },
             1, 0 },
+        { "two others end shortly after its server, both known to be alive after its end was found",
+            [&](CrashEvidence& evidence) {
+                evidence.noteEnded(1, { suspect }, at(milliseconds(0)));
+                evidence.noteEnded(2, {}, at(milliseconds(100)), at(milliseconds(90)));
+                evidence.noteSilent(3, at(milliseconds(200)), at(milliseconds(120)));
+            },
+            1, 0 },
+        { "two others end before its server was last known to be alive",
+            [&](CrashEvidence& evidence) {
+                evidence.noteEnded(2, {}, at(milliseconds(0)));
+                evidence.noteEnded(3, {}, at(milliseconds(50)));
+                evidence.noteEnded(1, { suspect }, at(milliseconds(200)), at(milliseconds(150)));
+            },
+            1, 0 },
+        { "two others end with its server, and the last event of one arrives late",
+            [&](CrashEvidence& evidence) {
+                evidence.noteEnded(1, { suspect }, at(milliseconds(100)), at(milliseconds(80)));
+                evidence.noteEnded(2, {}, at(milliseconds(180)), at(milliseconds(130)));
+                evidence.noteSilent(3, at(milliseconds(200)), at(milliseconds(40)));
+            },
+            0, 1 },
     };
     for (const auto& each : cases) {
         CrashEvidence evidence;
