Refuse unknown routes and keys permanently only if the copy is current

Callers treat 404 and 401 as final.

Refuse unknown routes and keys as NotConfigured (503, not run, with a retry time) while a peer is known to be ahead of this instance's copy of the store, or if no instance is known to have heard from the store for 1.5 s.

The 1.5 s branch has no test of its own.

Tests: RelayReducer.UnknownRoutesAndKeysAreRefusedPermanentlyOnlyIfCopyIsCurrent, Edge.CopyIsOutdatedWhilePeerIsAhead.

--- a/include/crocusmount/Reason.h
+++ b/include/crocusmount/Reason.h
@@ -24,7 +24,7 @@
     Isolated,
     NotRepeatable,
     CallerGone,
-    NotConfigured, ///< no configuration has been read yet
+    NotConfigured, ///< no configuration has been read yet, or the one in use may be outdated
     UnknownRoute,
     UnknownKey,
     CrashesServers, ///< servers ended each time it ran: it is sent to none
--- a/src/edge/PeerLink.cpp
+++ b/src/edge/PeerLink.cpp
@@ -137,6 +137,7 @@
         m_mirror.takeFromPeer(*datagram->storeChanges);
     if (datagram->storeProgress)
         m_mirror.peerIsAt(*datagram->storeProgress);
+    reportStoreCopy();
 }
 
 /// Hands a batch to the other instances of this data centre. A value that is too large for a datagram, and what comes
@@ -186,6 +187,14 @@
     }
 }
 
+/// Notifies the relay when the copy of the store becomes outdated or current again.
+void PeerLink::reportStoreCopy()
+{
+    const bool isOutdated = m_mirror.isOutdated();
+    if (isOutdated != std::exchange(m_reportedOutdated, isOutdated))
+        m_node.post(relay::event::StoreCopyChecked { isOutdated });
+}
+
 void PeerLink::announceLeaving()
 {
     if (m_leavingRounds++ >= LeavingRounds)
@@ -281,6 +290,7 @@
     repeat();
     if (m_registry.isWithdrawn())
         announceLeaving();
+    reportStoreCopy();
     m_registry.setSilent(m_exchange.silentInstances(m_node.now()));
     auto loads = m_exchange.others(m_node.now());
     if (loads.has_value() != std::exchange(m_knowsOthers, loads.has_value()))
--- a/src/edge/PeerLink.h
+++ b/src/edge/PeerLink.h
@@ -56,6 +56,7 @@
     void onShareSoundRequest(const relay::effect::ShareSoundRequest&) override;
     void sendRepeatedly(std::string bytes);
     void repeat();
+    void reportStoreCopy();
     void announceLeaving();
     void sendToAll(const std::string& bytes);
     void sendToDataCentre(const std::string& bytes);
@@ -78,6 +79,7 @@
     std::vector<Repeated> m_repeated; ///< what the next rounds send once more
     int m_leavingRounds = 0; ///< in which this instance has said that it leaves
     bool m_watchedStore = false;
+    bool m_reportedOutdated = false; ///< last state of the store copy that was posted to the relay
     bool m_knowsOthers = false;
 };
 
--- a/src/edge/StoreMirror.h
+++ b/src/edge/StoreMirror.h
@@ -18,6 +18,9 @@
 /// another one is taken over.
 class StoreMirror {
 public:
+    /// Maximum age of the store's last answer before the copy is considered outdated.
+    static constexpr std::chrono::milliseconds MaxAnswerAge { 1500 };
+
     using OnChange = std::function<void(const StoreEvent&)>;
 
     /// How far a copy is.
@@ -75,6 +78,8 @@
     /// @return whether the copy is complete and as fresh as others may rely on
     bool isCurrent() const;
 
+    /// @return whether a peer has a later revision, or the store's last known answer is older than MaxAnswerAge
+    bool isOutdated() const { return m_peerRevision > m_revision || age() > MaxAnswerAge; }
     /// @return whether the copy has ever been complete
     bool isComplete() const { return m_complete; }
     /// @return whether the last call to the store was answered
@@ -103,6 +108,7 @@
     void take(const StoreEvent&);
     void apply(const Changes&);
     void applyPendingChanges();
+    void setRevision(std::int64_t revision);
     void lostContact(const absl::Status&);
     void regainedContact();
     void reportLapsed();
@@ -129,6 +135,7 @@
     std::chrono::steady_clock::time_point m_fedUntil;
     std::chrono::steady_clock::time_point m_peerHeardUntil;
     std::chrono::steady_clock::time_point m_behindSince; ///< of the peer's revision, where it is higher
+    std::chrono::steady_clock::time_point m_advancedAt; ///< when the revision last increased
     std::optional<std::chrono::steady_clock::time_point> m_watchSince; ///< of the watch in flight
     std::map<std::int64_t, Changes> m_pendingChanges; ///< out-of-order changes by preceding revision
     std::size_t m_turn = 0; ///< instances that come before this one
--- a/src/relay/RelayEvent.h
+++ b/src/relay/RelayEvent.h
@@ -46,6 +46,12 @@
         std::uint32_t instances = 1;
     };
 
+    /// Reports whether the local copy of the store lacks changes that a peer has, or may lack changes because the store
+    /// has not answered recently.
+    struct StoreCopyChecked {
+        bool isOutdated = false;
+    };
+
     /// What the other instances have running on the engines, by engineKey; nothing where that is not known.
     struct LoadsReported {
         std::optional<EngineLoads> loads;
@@ -159,11 +165,11 @@
 } // namespace event
 
 using RelayEventBody = std::variant<event::ConfigurationAccepted, event::ServerRegistered, event::ServerUnregistered,
-    event::InstancesCounted, event::LoadsReported, event::CallArrived, event::CallerLeft, event::AttemptSent,
-    event::AnswerBegun, event::EventDelivered, event::AttemptEnded, event::RerouteAnswered, event::StalledStageNamed,
-    event::EngineChecked, event::ServerProbed, event::CrashesReported, event::SoundRequestsReported,
-    event::QuarantineListed, event::QuarantineLifted, event::EngineStartSeen, event::EnginesReportedDead,
-    event::EnginesReportedClosed, event::DrainRequested, event::Tick>;
+    event::InstancesCounted, event::StoreCopyChecked, event::LoadsReported, event::CallArrived, event::CallerLeft,
+    event::AttemptSent, event::AnswerBegun, event::EventDelivered, event::AttemptEnded, event::RerouteAnswered,
+    event::StalledStageNamed, event::EngineChecked, event::ServerProbed, event::CrashesReported,
+    event::SoundRequestsReported, event::QuarantineListed, event::QuarantineLifted, event::EngineStartSeen,
+    event::EnginesReportedDead, event::EnginesReportedClosed, event::DrainRequested, event::Tick>;
 
 /// Something that happened, with all the time and entropy that the relay may use for it.
 struct RelayEvent {
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -99,6 +99,8 @@
         budget.setBurst(retryBurst());
 }
 
+void RelayReducer::on(const event::StoreCopyChecked& checked, Context&) { m_isStoreCopyOutdated = checked.isOutdated; }
+
 void RelayReducer::on(const event::LoadsReported& reported, Context& context)
 {
     const bool used = !m_options.without.has(Mechanism::LoadExchange);
@@ -120,15 +122,16 @@
         return Reason::NotConfigured;
     call.routes = m_routes;
     call.route = m_routes->route(call.spec.host, call.spec.path);
+    // Callers do not retry after UnknownRoute or UnknownKey, so an outdated configuration must not produce them.
     if (!call.route)
-        return Reason::UnknownRoute;
+        return m_isStoreCopyOutdated ? Reason::NotConfigured : Reason::UnknownRoute;
     if (m_drainedAt && context.now > *m_drainedAt + m_options.lastCall)
         return Reason::Draining;
     call.rank = call.route->rank;
     if (!m_routes->configuration().workspaces.empty() && !call.route->anonymous) {
         const KeyHolder* holder = m_routes->holderOf(call.spec.key);
         if (!holder)
-            return Reason::UnknownKey;
+            return m_isStoreCopyOutdated ? Reason::NotConfigured : Reason::UnknownKey;
         call.workspace = holder->workspace;
         call.rank = holder->rank.value_or(call.rank);
     }
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -56,6 +56,7 @@
     void on(const event::ServerRegistered&, Context&);
     void on(const event::ServerUnregistered&, Context&);
     void on(const event::InstancesCounted&, Context&);
+    void on(const event::StoreCopyChecked&, Context&);
     void on(const event::LoadsReported&, Context&);
     void on(const event::CallArrived&, Context&);
     void on(const event::CallerLeft&, Context&);
@@ -187,6 +188,7 @@
     ServerFleet m_fleet;
     CallPlacer m_placer;
     std::shared_ptr<const RouteTable> m_routes;
+    bool m_isStoreCopyOutdated = false; ///< other instances may use a later configuration
     std::deque<Unrouted> m_unrouted; ///< calls that came before the first configuration, oldest first
     std::map<RequestId, Call> m_calls;
     absl::flat_hash_map<AttemptId, RequestId> m_attempts;
--- a/tests/EdgeTest.cpp
+++ b/tests/EdgeTest.cpp
@@ -389,6 +389,16 @@
     }
 }
 
+TEST(Edge, CopyIsOutdatedWhilePeerIsAhead)
+{
+    FedMirror fed;
+    CHECK_FALSE(fed.mirror().isOutdated());
+    fed.mirror().peerIsAt({ 12, milliseconds(10), milliseconds(0) });
+    CHECK_TRUE(fed.mirror().isOutdated());
+    fed.mirror().takeFromPeer({ 10, { 12, { { { "s/2", "v", 12 }, false } } } });
+    CHECK_FALSE(fed.mirror().isOutdated());
+}
+
 // Forwarded datagrams can arrive out of order. A copy must not have to reread the store because of that.
 TEST(Edge, OutOfOrderPeerChangesAreAppliedInOrder)
 {
--- a/tests/RelayReducerTest.cpp
+++ b/tests/RelayReducerTest.cpp
@@ -33,6 +33,27 @@
     }
 }
 
+// Guards against permanent refusals of valid calls by an instance that has not read the latest configuration.
+TEST(RelayReducer, UnknownRoutesAndKeysAreRefusedPermanentlyOnlyIfCopyIsCurrent)
+{
+    const struct {
+        const char* path;
+        const char* key;
+        Reason reasonIfCurrent;
+    } cases[] = { { "/none/1", "key", Reason::UnknownRoute }, { "/draft/1", "other", Reason::UnknownKey } };
+    for (const auto& each : cases) {
+        RelayHarness harness;
+        for (const bool isOutdated : { true, false }) {
+            harness.send(relay::event::StoreCopyChecked { isOutdated });
+            harness.call(each.path, each.key);
+            const auto refusal = harness.last<relay::effect::Refuse>();
+            CHECK_TRUE_TEXT((isOutdated ? Reason::NotConfigured : each.reasonIfCurrent) == refusal->reason, each.path);
+            CHECK_TRUE_TEXT(refusal->run == RunState::NotRun, each.path);
+            CHECK_EQUAL_TEXT(isOutdated, refusal->retryAfter.count() > 0, each.path);
+        }
+    }
+}
+
 TEST(RelayReducer, AnOlderConfigurationIsIgnored)
 {
     RelayHarness harness;
