Let a lagging store copy catch up through its watch

With 300 instances, copies lagged behind their peers by some hundred milliseconds. Each then read the whole store (1.1 MB) because its watch had been in flight for 250 ms: 1,125 such reads in 27 s of a trial, of which 646 timed out, over a link that the instances share. As a result, copies lagged by 2 s in the middle and 5 s at most.

Read the whole store only if the copy has not advanced for 600 ms.

All 194 tests pass.

--- a/src/edge/StoreMirror.cpp
+++ b/src/edge/StoreMirror.cpp
@@ -28,6 +28,9 @@
     constexpr std::chrono::milliseconds OldestPeerAnswer { 1000 };
     /// Changes that a peer has and did not pass on by then were lost on the way, or too large for a datagram.
     constexpr std::chrono::milliseconds PeerDelay { 250 };
+    /// A watch is considered stalled if the copy has not advanced for this long while a peer is ahead. Slow watches
+    /// that make progress continue, because full reads by hundreds of instances would saturate the store's link.
+    constexpr std::chrono::milliseconds WatchStallTimeout { 600 };
     /// Between the turns of two instances to follow the store for others: by then the one before has told its answer.
     constexpr std::chrono::milliseconds TurnInterval { 150 };
     /// Instances of a data centre that follow the store for the others, one after the other's failure. Were more of
@@ -142,7 +145,8 @@
         co_await timer.async_wait(net::as_tuple(useAwaitable));
         pause = FedInterval;
         const auto now = std::chrono::steady_clock::now();
-        if (!m_complete || !m_watchSince || now < *m_watchSince + PeerDelay || !isBehindPeer())
+        if (!m_complete || !m_watchSince || now < std::max(*m_watchSince, m_advancedAt) + WatchStallTimeout
+            || !isBehindPeer())
             continue;
         relay::DecisionLog::state("store_behind_peer",
             { { "revision", m_revision }, { "peer_revision", m_peerRevision },
@@ -216,7 +220,7 @@
     }
     for (const std::string& key : gone)
         take({ { key, {}, range.revision }, true });
-    m_revision = range.revision;
+    setRevision(range.revision);
     applyPendingChanges();
     m_stale = false;
     if (!std::exchange(m_complete, true))
@@ -232,7 +236,7 @@
         const std::int64_t before = m_revision;
         for (const StoreEvent& event : batch.events)
             take(event);
-        m_revision = std::max(m_revision, batch.revision);
+        setRevision(std::max(m_revision, batch.revision));
         reportLapsed();
         if (m_onBatch && !batch.events.empty())
             m_onBatch({ before, batch });
@@ -346,7 +350,14 @@
 {
     for (const StoreEvent& event : changes.batch.events)
         take(event);
-    m_revision = changes.batch.revision;
+    setRevision(changes.batch.revision);
+}
+
+void StoreMirror::setRevision(std::int64_t revision)
+{
+    if (revision > m_revision)
+        m_advancedAt = std::chrono::steady_clock::now();
+    m_revision = revision;
 }
 
 bool StoreMirror::isOurTurn() const
