Test that a lagging copy that advances does not reread the store

Of the condition for a full read of the store that changed, only the branch for a hung watch was tested.

Edge.CopyThatAdvancesBehindItsPeerDoesNotRereadStore feeds changes to a copy that stays behind its peer for 1.2 s, and expects no further read of the store. The page size is not under test.

--- a/tests/EdgeTest.cpp
+++ b/tests/EdgeTest.cpp
@@ -269,10 +269,15 @@
     }
 
     int watches = 0;
+    int reads = 0;
     StoreRange snapshot { 10, { { "s/1", "v", 5 } } }; ///< what reading all of it gives
 
 private:
-    Awaitable<absl::StatusOr<StoreRange>> onRange(std::string, std::string) override { co_return snapshot; }
+    Awaitable<absl::StatusOr<StoreRange>> onRange(std::string, std::string) override
+    {
+        ++reads;
+        co_return snapshot;
+    }
     Awaitable<StoreWriteResult> onWrite(StoreWrite) override { co_return StoreWriteResult(); }
     Awaitable<absl::Status> onWatch(std::string, std::string, std::int64_t, OnWatch) override
     {
@@ -308,6 +313,12 @@
         while (!m_store.watches)
             m_context.run_one();
     }
+    void runFor(milliseconds span)
+    {
+        const auto end = std::chrono::steady_clock::now() + span;
+        while (std::chrono::steady_clock::now() < end)
+            m_context.run_one_for(milliseconds(10));
+    }
     /// Runs until the copy is at that revision, or for ten seconds.
     void runUntilAt(std::int64_t revision)
     {
@@ -513,6 +524,21 @@
     CHECK_TEXT("+s/1 +s/2 ", fed.seen());
 }
 
+// Guards against full reads of the store while a copy lags behind its peer but keeps advancing.
+TEST(Edge, CopyThatAdvancesBehindItsPeerDoesNotRereadStore)
+{
+    FedMirror fed;
+    fed.runUntilWatching();
+    const int initialReads = fed.store().reads;
+    for (std::int64_t revision = 11; revision < 23; ++revision) {
+        fed.mirror().peerIsAt({ 100, milliseconds(10), milliseconds(0) });
+        fed.mirror().takeFromPeer({ revision - 1, { revision, { { { "s/2", "v", revision }, false } } } });
+        fed.runFor(milliseconds(100));
+    }
+    CHECK_EQUAL(22, fed.mirror().revision());
+    CHECK_EQUAL(initialReads, fed.store().reads);
+}
+
 // A copy that follows the store by itself fell into an outage of 8 s with a watch that was to wait for 20 s. The
 // store's machine went on acknowledging packets, so that nothing ended the watch when the store was back, and a
 // confirmed change was in force 13 s late there (store_lost with silent_ms 22301) while the other instances took it at
