--- a/tests/LoadExchangeTest.cpp
+++ b/tests/LoadExchangeTest.cpp
@@ -308,8 +308,9 @@
             CHECK_TRUE_TEXT(loads.has_value(), each.name);
             CHECK_EQUAL_TEXT(each.engines, loads->size(), each.name);
             const std::uint64_t otherEngine = engineKey(BackendId(std::to_string(9)));
-            DOUBLES_EQUAL_TEXT(1000.0 * static_cast<double>(each.instances / 10), loads->at(otherEngine).tokenLayers,
-                1000.0, each.name);
+            const std::size_t reporters = each.instances / 10;
+            DOUBLES_EQUAL_TEXT(
+                1000.0 * static_cast<double>(reporters), loads->at(otherEngine).tokenLayers, 1000.0, each.name);
         }
     }
 }
