Ask a plain server which start answers, not whether it accepts connections

Cause: a probe that was accepted counted as a sign of life. Ruled out: that the server was back before the probe.

Change: the probe reads the service's health check. The id that it names tells the known start from another one; no answer, or one without an id, tells nothing, and the server is probed again. The stand-ins of the soak serve the published health check; schedule, promises and bounds are unchanged.

--- a/src/edge/EngineControl.h
+++ b/src/edge/EngineControl.h
@@ -4,6 +4,7 @@
 #include "crocusmount/LayerRange.h"
 #include "edge/EngineReport.h"
 #include "edge/OrderReply.h"
+#include "edge/ServerIdentity.h"
 #include "shell/Net.h"
 
 #include <string>
@@ -16,7 +17,7 @@
     Preempt, ///< they are cut off at once, and go on elsewhere
 };
 
-/// Gives orders to engines. Implemented by the platform's adapter.
+/// Gives orders to engines and asks servers how they are. Implemented by the platform's adapter.
 class EngineControl {
 public:
     virtual ~EngineControl() = default;
@@ -37,6 +38,13 @@
     /// Asks an engine how it is.
     Awaitable<EngineReport> check(std::string address) { return onCheck(std::move(address)); }
 
+    /// Asks a plain server which start of a server it is.
+    /// @param path  of its service's health check
+    Awaitable<ServerIdentity> identify(std::string address, std::string path)
+    {
+        return onIdentify(std::move(address), std::move(path));
+    }
+
     /// Asks the first stage of a running stream at which stage it stands still.
     /// @return that stage's address, the asked engine's own where it does not answer, or nothing where it knows of none
     Awaitable<std::string> stalledStage(std::string address, std::string call)
@@ -46,6 +54,7 @@
 
 private:
     virtual Awaitable<EngineReport> onCheck(std::string address) = 0;
+    virtual Awaitable<ServerIdentity> onIdentify(std::string address, std::string path) = 0;
     virtual Awaitable<std::string> onStalledStage(std::string address, std::string call) = 0;
     virtual Awaitable<OrderReply> onReroute(std::string address, std::string call, Chain) = 0;
     virtual Awaitable<OrderReply> onPlaceLayers(std::string address, LayerRange, Handover) = 0;
--- a/src/edge/RelayNode.cpp
+++ b/src/edge/RelayNode.cpp
@@ -4,7 +4,6 @@
 #include "edge/PeerSink.h"
 #include "edge/QuarantineSink.h"
 #include "edge/RequestDigest.h"
-#include "shell/Endpoint.h"
 
 #include <absl/strings/str_cat.h>
 #include <random>
@@ -17,8 +16,6 @@
     constexpr std::chrono::milliseconds BusyTick { 20 };
     /// The same with no call open, when nothing can be due.
     constexpr std::chrono::milliseconds IdleTick { 200 };
-    /// A machine without that process refuses at once; links answer within a few milliseconds.
-    constexpr std::chrono::milliseconds ProbeLimit { 150 };
     /// In logs, the time since an answer began that never did.
     constexpr std::int64_t NotBegun = -1;
 
@@ -34,6 +31,30 @@
 
     const char* limitText(const std::optional<RetryLimit>& limit) { return limit ? toString(*limit) : "none"; }
 
+    using Finding = event::ServerProbed::Finding;
+
+    const char* toString(Finding finding)
+    {
+        switch (finding) {
+        case Finding::Alive:
+            return "alive";
+        case Finding::Ended:
+            return "ended";
+        case Finding::Unknown:
+            return "unknown";
+        }
+        return "finding";
+    }
+
+    Finding findingOf(const ServerIdentity& identity, const BackendId& asked)
+    {
+        if (identity.answer == CheckAnswer::Refused)
+            return Finding::Ended;
+        if (identity.answer == CheckAnswer::Silent || identity.id.value().empty())
+            return Finding::Unknown;
+        return identity.id == asked ? Finding::Alive : Finding::Ended;
+    }
+
     bool isRefused(const EngineReport& report) { return report.answer == CheckAnswer::Refused; }
 
     const char* toString(effect::NoteBelief::Belief belief)
@@ -310,16 +331,13 @@
 
 Awaitable<void> RelayNode::probeServer(effect::ProbeServer probe)
 {
-    TcpStream stream(m_context.get_executor());
-    stream.expires_after(ProbeLimit);
-    const auto endpoint = parseEndpoint<Tcp>(probe.address);
-    boost::system::error_code error = net::error::invalid_argument;
-    if (endpoint.ok())
-        std::tie(error) = co_await stream.async_connect(*endpoint, net::as_tuple(useAwaitable));
-    const bool listens = error != net::error::connection_refused;
-    DecisionLog::state(
-        "server_probed", { { "server", probe.server.value() }, { "listens", listens }, { "error", error.message() } });
-    post(event::ServerProbed { probe.server, listens });
+    std::string address = probe.address;
+    std::string path = probe.path;
+    const ServerIdentity identity = co_await m_control.identify(std::move(address), std::move(path));
+    const Finding finding = findingOf(identity, probe.server);
+    DecisionLog::state("server_probed",
+        { { "server", probe.server.value() }, { "finding", toString(finding) }, { "said", identity.id.value() } });
+    post(event::ServerProbed { probe.server, finding });
 }
 
 Awaitable<void> RelayNode::checkEngine(effect::CheckEngine check)
--- a/src/relay/RelayEffect.h
+++ b/src/relay/RelayEffect.h
@@ -65,10 +65,11 @@
         StartTime startedAt {}; ///< the start that is known
     };
 
-    /// Ask a plain server for a connection: it gives no report.
+    /// Ask a plain server which start of it answers: it gives no report.
     struct ProbeServer {
         BackendId server;
         std::string address;
+        std::string path; ///< of its service's health check
     };
 
     /// Tell the other instances under which requests servers ended.
--- a/src/relay/RelayEvent.h
+++ b/src/relay/RelayEvent.h
@@ -132,10 +132,16 @@
         std::vector<std::uint64_t> engines; ///< their keys, see engineKey
     };
 
-    /// A plain server was asked for a connection.
+    /// A plain server was asked which start of it answers.
     struct ServerProbed {
+        enum class Finding {
+            Alive, ///< the start that was asked answered
+            Ended, ///< another start answered, or no process listens there
+            Unknown, ///< no answer, or one that names no start: what accepts connections may be a proxy before it
+        };
+
         BackendId server;
-        bool listens = false; ///< false: its machine says that no process listens there
+        Finding finding = Finding::Unknown;
     };
 
     /// Another instance saw servers end under requests.
--- a/src/relay/RelayReducerCrashes.cpp
+++ b/src/relay/RelayReducerCrashes.cpp
@@ -14,6 +14,8 @@
 
     /// How often it is looked whether a held call may go on.
     constexpr Duration HoldStep = std::chrono::milliseconds(50);
+    /// Between two probes of a server where the first did not tell whether it lives.
+    constexpr Duration ProbeInterval = std::chrono::milliseconds(400);
     /// A call is held so long at most: by then each end has been told from the loss of a group, or cannot be.
     constexpr Duration LongestHold = std::chrono::milliseconds(1000);
 
@@ -69,7 +71,10 @@
         return;
     for (const auto& [id, server] : m_fleet.servers()) {
         const auto since = unsettled.find(server.others.engine);
-        if (since == unsettled.end() || server.lastCheck >= since->second)
+        if (since == unsettled.end())
+            continue;
+        const bool isProbeDue = server.nextProbe && context.now >= *server.nextProbe;
+        if (server.lastCheck >= since->second && !isProbeDue)
             continue;
         if (server.isEngine())
             checkUrgently(*m_fleet.find(id), context);
@@ -78,14 +83,15 @@
     }
 }
 
-/// A plain server gives no report; whether a process listens there is seen by connecting.
+/// A plain server gives no report; its health check names the start that answers.
 void RelayReducer::probe(FleetServer& server, Context& context)
 {
-    if (server.beingChecked || !m_checkBudget.spendUrgent())
+    const Service* service = m_routes ? m_routes->service(server.entry.service) : nullptr;
+    if (server.beingChecked || !service || service->healthPath.empty() || !m_checkBudget.spendUrgent())
         return;
     server.beingChecked = true;
     server.lastCheck = context.now;
-    context.effects.emplace_back(effect::ProbeServer { server.entry.id, server.entry.address });
+    context.effects.emplace_back(effect::ProbeServer { server.entry.id, server.entry.address, service->healthPath });
 }
 
 void RelayReducer::on(const event::ServerProbed& probed, Context& context)
@@ -93,11 +99,15 @@
     FleetServer* server = m_fleet.find(probed.server);
     if (!server || !server->beingChecked)
         return; // Another start has taken its place.
+    using Finding = event::ServerProbed::Finding;
     server->beingChecked = false;
-    if (probed.listens)
+    server->nextProbe.reset();
+    if (probed.finding == Finding::Alive)
         m_crashEvidence.noteAlive(server->others.engine);
-    else
+    else if (probed.finding == Finding::Ended)
         noteServerEnded(*server, context);
+    else
+        server->nextProbe = context.now + ProbeInterval;
 }
 
 /// A server's process has ended. One that was leaving has done so by itself.
--- a/src/relay/ServerFleet.h
+++ b/src/relay/ServerFleet.h
@@ -31,6 +31,7 @@
     TimePoint listedAt; ///< when its entry last changed: it wrote that shortly before
     TimePoint lastCheck; ///< when it was last asked
     bool beingChecked = false;
+    std::optional<TimePoint> nextProbe; ///< its last probe did not tell whether it lives
     TimePoint sweptAt; ///< when it was last suspected for the death of another engine
     TimePoint deadUntil; ///< it did not answer a check; taken for dead until then
     std::uint32_t unansweredChecks = 0; ///< in a row
--- a/src/relay/ServiceConfiguration.h
+++ b/src/relay/ServiceConfiguration.h
@@ -72,6 +72,7 @@
 struct Service {
     ServiceId id;
     std::optional<EngineModel> engine; ///< absent for a plain service
+    std::string healthPath {}; ///< at which a server names the start that it is; empty: none
 };
 
 /// What one caller may take.
--- a/tests/RequestQuarantineTest.cpp
+++ b/tests/RequestQuarantineTest.cpp
@@ -215,35 +215,51 @@
         CHECK_FALSE(decodePeerDatagram(bytes.substr(0, length)).ok());
 }
 
+namespace {
+
+/// Sends a request that is at a plain server as its answer breaks off.
+/// @return the attempt
+relay::effect::StartAttempt breakOffAtPlainServer(RelayHarness& harness, std::uint64_t which)
+{
+    CallSpec spec;
+    spec.host = "h.example";
+    spec.path = "/book/1";
+    spec.key = "key";
+    spec.content.bytes[0] = 9;
+    harness.send(relay::event::CallArrived { RequestId(which), spec });
+    const auto start = harness.last<relay::effect::StartAttempt>();
+    if (!start)
+        return {};
+    harness.send(relay::event::AttemptSent { start->attempt });
+    harness.send(relay::event::AttemptEnded { start->attempt, AttemptResult::Broken, 0, "" });
+    return *start;
+}
+
+/// Registers the next start of a plain server at the address of the one before.
+void registerSuccessor(RelayHarness& harness, const std::string& address, int number)
+{
+    RegisteredServer successor = RelayHarness::plain("x");
+    successor.id = BackendId("x" + std::to_string(number));
+    successor.address = address;
+    harness.send(relay::event::ServerRegistered { successor });
+}
+
+} // namespace
+
 // A plain service's server gives no report and sends no head before its answer.
 TEST(RequestQuarantine, ARequestThatEndsPlainServersIsFoundByProbes)
 {
     RelayHarness harness;
-    const auto call = [&](std::uint64_t which) {
-        CallSpec spec;
-        spec.host = "h.example";
-        spec.path = "/book/1";
-        spec.key = "key";
-        spec.content.bytes[0] = 9;
-        harness.send(relay::event::CallArrived { RequestId(which), spec });
-    };
     std::uint64_t next = 1000;
     for (int crash = 0; crash < 3; ++crash) {
-        call(next++);
-        const auto start = harness.last<relay::effect::StartAttempt>();
-        CHECK_TRUE(start.has_value());
-        harness.send(relay::event::AttemptSent { start->attempt });
-        harness.send(relay::event::AttemptEnded { start->attempt, AttemptResult::Broken, 0, "" });
+        const auto start = breakOffAtPlainServer(harness, next++);
         const auto probe = harness.last<relay::effect::ProbeServer>();
-        CHECK_TRUE(probe && probe->server == start->server);
-        harness.send(relay::event::ServerProbed { probe->server, false });
-        RegisteredServer successor = RelayHarness::plain("x");
-        successor.id = BackendId("x" + std::to_string(crash));
-        successor.address = start->address;
-        harness.send(relay::event::ServerRegistered { successor });
+        CHECK_TRUE(probe && probe->server == start.server);
+        harness.send(relay::event::ServerProbed { probe->server, relay::event::ServerProbed::Finding::Ended });
+        registerSuccessor(harness, start.address, crash);
         harness.tick(milliseconds(1000));
     }
-    call(next);
+    breakOffAtPlainServer(harness, next);
     const auto refusal = harness.last<relay::effect::Refuse>();
     CHECK_TRUE(refusal && refusal->reason == Reason::CrashesServers);
     CHECK_TRUE(refusal->run == RunState::NotRun);
@@ -251,6 +267,44 @@
     CHECK_FALSE(harness.last<relay::effect::StartAttempt>().has_value());
 }
 
+// A proxy before a server accepted each probe, which was taken for a sign of life of the server that had ended behind
+// it: one request ended nine servers and more.
+TEST(RequestQuarantine, AnEndThatAProbeDoesNotShowIsCountedOnceTheNextStartIsRegistered)
+{
+    using Finding = relay::event::ServerProbed::Finding;
+    const struct {
+        const char* name;
+        Finding finding;
+        bool isQuarantined;
+    } cases[] = {
+        { "the probe does not tell", Finding::Unknown, true },
+        { "the server is alive and is replaced later", Finding::Alive, false },
+    };
+    for (const auto& each : cases) {
+        RelayHarness harness;
+        std::uint64_t next = 1000;
+        for (int crash = 0; crash < 3; ++crash) {
+            const auto start = breakOffAtPlainServer(harness, next++);
+            CHECK_FALSE_TEXT(start.server.value().empty(), each.name);
+            const auto probe = harness.last<relay::effect::ProbeServer>();
+            CHECK_TRUE_TEXT(probe && probe->path == "/health", each.name);
+            harness.send(relay::event::ServerProbed { start.server, each.finding });
+            bool isAskedAgain = false;
+            for (int wait = 0; wait < 50; ++wait) {
+                harness.tick(milliseconds(20));
+                isAskedAgain = isAskedAgain || harness.last<relay::effect::ProbeServer>();
+            }
+            CHECK_EQUAL_TEXT(each.finding == Finding::Unknown, isAskedAgain, each.name);
+            registerSuccessor(harness, start.address, crash);
+            harness.tick(milliseconds(1000));
+        }
+        breakOffAtPlainServer(harness, next);
+        const auto refusal = harness.last<relay::effect::Refuse>();
+        const bool isQuarantined = refusal && refusal->reason == Reason::CrashesServers;
+        CHECK_EQUAL_TEXT(each.isQuarantined, isQuarantined, each.name);
+    }
+}
+
 // Nothing that one workspace sends bears on another one's requests, and a verdict can be lifted.
 TEST(RequestQuarantine, AVerdictOfTheStoreIsInForceUntilItIsLifted)
 {
--- a/tests/StoreEntryTest.cpp
+++ b/tests/StoreEntryTest.cpp
@@ -157,7 +157,7 @@
     reader.follower.storeChanged(entryOf("a", with("backend", R"("later")"), 1));
     CHECK_TEXT("", reader.servers());
     ServiceConfiguration next = RelayHarness::configuration(2);
-    next.services.push_back({ ServiceId("later"), std::nullopt });
+    next.services.push_back({ ServiceId("later"), std::nullopt, {} });
     reader.node.post(relay::event::ConfigurationAccepted { RouteTable::make(std::move(next)) });
     CHECK_TEXT("a ", reader.servers());
 }
--- a/tests/fakes/NoControl.h
+++ b/tests/fakes/NoControl.h
@@ -8,6 +8,7 @@
 class NoControl final : public EngineControl {
 private:
     Awaitable<EngineReport> onCheck(std::string) override { co_return EngineReport { CheckAnswer::Alive, 1, {}, {} }; }
+    Awaitable<ServerIdentity> onIdentify(std::string, std::string) override { co_return ServerIdentity {}; }
     Awaitable<std::string> onStalledStage(std::string, std::string) override { co_return std::string(); }
     Awaitable<OrderReply> onReroute(std::string, std::string, Chain) override { co_return refusal(); }
     Awaitable<OrderReply> onPlaceLayers(std::string, LayerRange, Handover) override { co_return refusal(); }
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -20,7 +20,7 @@
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 from httpio import close, read_body, read_head  # noqa: E402
-from standins import LAYERS, Fleet, Link, Server, Store  # noqa: E402
+from standins import HEALTH_PATH, LAYERS, Fleet, Link, Server, Store  # noqa: E402
 
 ZONES = ["za", "zb"]
 INSTANCES = 4
@@ -105,7 +105,8 @@
                   "kinds": [{"name": "card", "size_mb": 520, "pace": 1}], "models": [{"name": "m", "load_s": 0.4}]}
         self.store.put("op/config", json.dumps({
             "version": self.version, "routes": routes, "limits": {},
-            "services": [{"name": "plain"}, {"name": "model", "engine": engine}],
+            "services": [{"name": "plain", "health_check": HEALTH_PATH},
+                         {"name": "model", "health_check": HEALTH_PATH, "engine": engine}],
             "tenants": [{"name": "w", "api_keys": [KEY]}]}))
 
     async def start(self):
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -9,6 +9,7 @@
 from httpio import close, response, serve
 
 LAYERS = 8
+HEALTH_PATH = "/health"
 CRASHES = b"crash"  # a server that begins to run a request whose body begins so ends
 
 
@@ -249,6 +250,9 @@
             return True
         if target == "/crocusmount/order":
             return self._order(json.loads(message.body), writer)
+        if target == HEALTH_PATH:
+            writer.write(response(200 if self.state == "ready" else 503, headers={"X-Instance-Id": self.id}))
+            return True
         attempt = message.headers.get("x-attempt-id", "")
         if message.headers.get("x-expect-instance", self.id) != self.id:
             writer.write(response(421, headers={"X-Not-Executed": "1", "X-Attempt-Id": attempt}))
