--- a/src/edge/PlacementDriver.cpp
+++ b/src/edge/PlacementDriver.cpp
@@ -89,8 +89,8 @@
         const double loadMs = 1000.0 * service.engine->loadSeconds * order.layers.size() / service.engine->layers;
         const auto expected = std::chrono::milliseconds(static_cast<std::int64_t>(loadMs * LoadSlack)) + ReportSlack;
         m_outstanding[order.engine] = { servers.at(order.engine).entry.startedAt, order.layers, now + expected };
-        net::co_spawn(m_context.get_executor(), give(order, servers.at(order.engine).entry.address, expected, handover),
-            net::detached);
+        net::co_spawn(
+            m_context.get_executor(), give(order, servers.at(order.engine), expected, handover), net::detached);
     }
 }
 
@@ -108,11 +108,15 @@
 }
 
 Awaitable<void> PlacementDriver::give(
-    LayerPlanner::Order order, std::string address, std::chrono::milliseconds expected, Handover handover)
+    LayerPlanner::Order order, relay::FleetServer engine, std::chrono::milliseconds expected, Handover handover)
 {
+    std::string address = engine.entry.address;
     const OrderReply reply = co_await m_control.placeLayers(std::move(address), order.layers, handover);
     relay::DecisionLog::state("order",
         { { "engine", order.engine.value() }, { "from", order.layers.begin }, { "to", order.layers.end },
+            { "held_from", engine.entry.layers.begin }, { "held_to", engine.entry.layers.end },
+            { "calls", engine.ownCalls + engine.others.calls },
+            { "token_layers", engine.ownTokenLayers + engine.others.tokenLayers },
             { "preempt", handover == Handover::Preempt }, { "answer", static_cast<int>(reply.answer) },
             { "status", reply.status }, { "expected_ms", expected.count() } });
     m_node.post(relay::event::EngineStartSeen { order.engine, reply.startedAt });
--- a/src/edge/PlacementDriver.h
+++ b/src/edge/PlacementDriver.h
@@ -11,6 +11,7 @@
 class PlannerLock;
 
 namespace relay {
+    struct FleetServer;
     class RelayNode;
 }
 
@@ -30,7 +31,7 @@
 
     Awaitable<void> planLoop();
     void planService(const relay::Service&);
-    Awaitable<void> give(LayerPlanner::Order, std::string address, std::chrono::milliseconds expected, Handover);
+    Awaitable<void> give(LayerPlanner::Order, relay::FleetServer engine, std::chrono::milliseconds expected, Handover);
     Handover handoverFor(const relay::ServiceId&) const;
 
     net::io_context& m_context;
--- a/src/edge/RelayNode.cpp
+++ b/src/edge/RelayNode.cpp
@@ -210,8 +210,8 @@
     }
     DecisionLog::call("attempt_failed", open->second.name,
         { { "result", toString(ended.result) }, { "status", ended.status }, { "culprit", ended.culprit },
-            { "server", attempt.server.value() }, { "request", open->second.content },
-            { "sent_ms", toMs(now() - attempt.started) },
+            { "server", attempt.server.value() }, { "chain", chainText(attempt.chain) },
+            { "request", open->second.content }, { "sent_ms", toMs(now() - attempt.started) },
             { "begun_ms", attempt.begun ? toMs(now() - *attempt.begun) : NotBegun } });
 }
 
@@ -233,7 +233,7 @@
             { "resume_after", start.resumeAfter.value_or(0) }, { "waited_ms", toMs(now() - found->second.arrived) } });
     auto attempt = std::make_shared<UpstreamAttempt>(m_context, m_names, start, found->second.request,
         found->second.pipe, [this](RelayEventBody body) { post(std::move(body)); });
-    m_attempts[start.attempt] = { start.call, attempt, start.server, now(), std::nullopt };
+    m_attempts[start.attempt] = { start.call, attempt, start.server, start.chain, now(), std::nullopt };
     attempt->start();
 }
 
@@ -242,10 +242,20 @@
     const auto found = m_attempts.find(cancel.attempt);
     if (found == m_attempts.end())
         return;
+    noteCancelled(found->second, cancel.cause);
     found->second.attempt->cancel();
     m_attempts.erase(found);
 }
 
+void RelayNode::noteCancelled(const Running& attempt, CancelCause cause)
+{
+    if (const auto open = m_open.find(attempt.call); open != m_open.end()) {
+        DecisionLog::call("attempt_cancelled", open->second.name,
+            { { "cause", toString(cause) }, { "server", attempt.server.value() },
+                { "chain", chainText(attempt.chain) } });
+    }
+}
+
 void RelayNode::on(const effect::HoldAnswer& hold)
 {
     if (const auto found = m_attempts.find(hold.attempt); found != m_attempts.end())
@@ -376,6 +386,8 @@
     DecisionLog::call("reroute", name,
         { { "chain", chainText(order.chain) }, { "accepted", reply.isAccepted() }, { "status", reply.status },
             { "culprit", reply.culprit } });
+    if (const auto running = m_attempts.find(order.attempt); reply.isAccepted() && running != m_attempts.end())
+        running->second.chain = order.chain;
     post(event::RerouteAnswered { order.attempt, reply.isAccepted(), reply.culprit });
     post(event::EngineStartSeen { order.chain.hops().front().backend, reply.startedAt });
 }
--- a/src/edge/RelayNode.h
+++ b/src/edge/RelayNode.h
@@ -69,6 +69,7 @@
         RequestId call;
         std::shared_ptr<UpstreamAttempt> attempt;
         BackendId server;
+        Chain chain; ///< after the last accepted reroute
         TimePoint started;
         std::optional<TimePoint> begun; ///< when the head of a success came
     };
@@ -77,6 +78,7 @@
     void noteBegun(const event::AnswerBegun&);
     void noteEvent(const event::EventDelivered&);
     void noteEnd(const event::AttemptEnded&);
+    void noteCancelled(const Running&, CancelCause);
     Awaitable<void> askStalledStage(effect::AskStalledStage, std::string name);
     Awaitable<void> checkEngine(effect::CheckEngine);
     Awaitable<void> probeServer(effect::ProbeServer);
--- a/src/relay/RelayEffect.h
+++ b/src/relay/RelayEffect.h
@@ -6,6 +6,7 @@
 #include "crocusmount/RunState.h"
 #include "crocusmount/Time.h"
 #include "relay/AttemptPurpose.h"
+#include "relay/CancelCause.h"
 #include "relay/CrashReport.h"
 #include "relay/RetryLimit.h"
 
@@ -38,6 +39,7 @@
     /// Close the attempt's connection, so that the server stops its work.
     struct CancelAttempt {
         AttemptId attempt;
+        CancelCause cause = CancelCause::Superseded; ///< for logs
     };
 
     /// Keep what an attempt's server sends from the caller until ContinueAnswer: another attempt goes on after the last
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -411,9 +411,9 @@
     remove(call.id);
 }
 
-void RelayReducer::cancel(Call& call, const Attempt& attempt, Context& context)
+void RelayReducer::cancel(Call& call, const Attempt& attempt, CancelCause cause, Context& context)
 {
-    context.effects.emplace_back(effect::CancelAttempt { attempt.id });
+    context.effects.emplace_back(effect::CancelAttempt { attempt.id, cause });
     if (mayBeDead(attempt.server, context.now))
         noteLost(call, attempt, context);
     call.mayHaveRun = call.mayHaveRun || attempt.sent;
@@ -426,13 +426,14 @@
 {
     if (call.state != CallState::Running)
         return;
+    const CancelCause cause = kept == AttemptId() ? CancelCause::CallEnded : CancelCause::Superseded;
     if (call.second && call.second->id != kept) {
-        cancel(call, *call.second, context);
+        cancel(call, *call.second, cause, context);
         endSecond(call, context);
     }
     if (call.main.id == kept)
         return;
-    cancel(call, call.main, context);
+    cancel(call, call.main, cause, context);
     if (call.second) {
         call.main = *call.second;
         call.second.reset();
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -91,7 +91,7 @@
     void dispatch(FairQueue&, Context&);
     bool place(Call&, Context&);
     std::optional<Attempt> startAttempt(Call&, AttemptPurpose, Context&);
-    void cancel(Call&, const Attempt&, Context&);
+    void cancel(Call&, const Attempt&, CancelCause, Context&);
     void release(Call&, const Attempt&, Context&);
     void keepOnly(Call&, AttemptId, Context&);
     BackendId blamedFor(const Attempt&, const event::AttemptEnded&);
--- a/src/relay/RelayReducerServers.cpp
+++ b/src/relay/RelayReducerServers.cpp
@@ -235,7 +235,7 @@
 /// is the one that ended: the others can still run it.
 void RelayReducer::drop(Call& call, const Attempt& attempt, Context& context)
 {
-    context.effects.emplace_back(effect::CancelAttempt { attempt.id });
+    context.effects.emplace_back(effect::CancelAttempt { attempt.id, CancelCause::LostStage });
     call.mayHaveRun = call.mayHaveRun || attempt.sent;
     if (!hasLostServer(attempt))
         call.ranOn.push_back(attempt.server);
