Engines that are moved end the streams through their old layers first

Cause: the planner's order. An engine whose layers were worth more elsewhere was ordered to give them up at once (strategy preempt) where all routes of the service can be resumed. Every stream through it broke in that moment, up to 75 at a time; the retries and the room for all of them were not there. The reason for cutting them, that missing layers are back sooner, does not hold where they have no place to go.

Change: orders let what runs end or be moved off (strategy queue). The choice between the two and its switch are gone.

--- a/src/edge/EngineControl.h
+++ b/src/edge/EngineControl.h
@@ -11,21 +11,16 @@
 
 namespace crocusmount {
 
-/// What becomes of the calls that pass through layers that an engine is to give up.
-enum class Handover {
-    Drain, ///< they end first, and the new layers are loaded after that
-    Preempt, ///< they are cut off at once, and go on elsewhere
-};
-
 /// Gives orders to engines and asks servers how they are. Implemented by the platform's adapter.
 class EngineControl {
 public:
     virtual ~EngineControl() = default;
 
-    /// Orders an engine to hold a range of layers, and no others.
-    Awaitable<OrderReply> placeLayers(std::string address, LayerRange layers, Handover handover)
+    /// Orders an engine to hold a range of layers, and no others. Layers that it gives up take no new calls; those that
+    /// pass through them end, or are moved off, before the new layers are loaded.
+    Awaitable<OrderReply> placeLayers(std::string address, LayerRange layers)
     {
-        return onPlaceLayers(std::move(address), layers, handover);
+        return onPlaceLayers(std::move(address), layers);
     }
 
     /// Orders the first stage of a running stream to go on over another chain.
@@ -57,7 +52,7 @@
     virtual Awaitable<ServerIdentity> onIdentify(std::string address, std::string path) = 0;
     virtual Awaitable<std::string> onStalledStage(std::string address, std::string call) = 0;
     virtual Awaitable<OrderReply> onReroute(std::string address, std::string call, Chain) = 0;
-    virtual Awaitable<OrderReply> onPlaceLayers(std::string address, LayerRange, Handover) = 0;
+    virtual Awaitable<OrderReply> onPlaceLayers(std::string address, LayerRange) = 0;
 };
 
 } // namespace crocusmount
--- a/src/edge/PlacementDriver.cpp
+++ b/src/edge/PlacementDriver.cpp
@@ -84,41 +84,26 @@
         [](const LayerPlanner::Engine& engine) { return engine.held.size() || engine.ordered; });
     if (!m_timings[service.id].isDue(std::move(present), anyHolds, m_node.now()))
         return;
-    const Handover handover = without.has(relay::Mechanism::Preempt) ? Handover::Drain : handoverFor(service.id);
     for (const LayerPlanner::Order& order : LayerPlanner::plan(*service.engine, engines, without)) {
         const double loadMs = 1000.0 * service.engine->loadSeconds * order.layers.size() / service.engine->layers;
         const auto expected = std::chrono::milliseconds(static_cast<std::int64_t>(loadMs * LoadSlack)) + ReportSlack;
         m_outstanding[order.engine] = { servers.at(order.engine).entry.startedAt, order.layers, now + expected };
-        net::co_spawn(
-            m_context.get_executor(), give(order, servers.at(order.engine), expected, handover), net::detached);
+        net::co_spawn(m_context.get_executor(), give(order, servers.at(order.engine), expected), net::detached);
     }
 }
 
-/// An engine that waits for the streams through its old layers may take seconds, in which the layers that are missing
-/// stay so. Streams that may be resumed go on elsewhere within some hundred milliseconds.
-Handover PlacementDriver::handoverFor(const relay::ServiceId& service) const
-{
-    for (const relay::Route& route : m_node.reducer().routes()->configuration().routes) {
-        const bool leadsThere = std::any_of(
-            route.split.begin(), route.split.end(), [&](const auto& share) { return share.service == service; });
-        if (leadsThere && !relay::isRepeatable(route.kind))
-            return Handover::Drain;
-    }
-    return Handover::Preempt;
-}
-
 Awaitable<void> PlacementDriver::give(
-    LayerPlanner::Order order, relay::FleetServer engine, std::chrono::milliseconds expected, Handover handover)
+    LayerPlanner::Order order, relay::FleetServer engine, std::chrono::milliseconds expected)
 {
     std::string address = engine.entry.address;
-    const OrderReply reply = co_await m_control.placeLayers(std::move(address), order.layers, handover);
+    const OrderReply reply = co_await m_control.placeLayers(std::move(address), order.layers);
     relay::DecisionLog::state("order",
         { { "engine", order.engine.value() }, { "from", order.layers.begin }, { "to", order.layers.end },
             { "held_from", engine.entry.layers.begin }, { "held_to", engine.entry.layers.end },
             { "calls", engine.ownCalls + engine.others.calls },
             { "token_layers", engine.ownTokenLayers + engine.others.tokenLayers },
-            { "preempt", handover == Handover::Preempt }, { "answer", static_cast<int>(reply.answer) },
-            { "status", reply.status }, { "expected_ms", expected.count() } });
+            { "answer", static_cast<int>(reply.answer) }, { "status", reply.status },
+            { "expected_ms", expected.count() } });
     m_node.post(relay::event::EngineStartSeen { order.engine, reply.startedAt });
     if (reply.answer == OrderAnswer::Refused) {
         if (const auto outstanding = m_outstanding.find(order.engine); outstanding != m_outstanding.end())
--- a/src/edge/PlacementDriver.h
+++ b/src/edge/PlacementDriver.h
@@ -31,8 +31,7 @@
 
     Awaitable<void> planLoop();
     void planService(const relay::Service&);
-    Awaitable<void> give(LayerPlanner::Order, relay::FleetServer engine, std::chrono::milliseconds expected, Handover);
-    Handover handoverFor(const relay::ServiceId&) const;
+    Awaitable<void> give(LayerPlanner::Order, relay::FleetServer engine, std::chrono::milliseconds expected);
 
     net::io_context& m_context;
     relay::RelayNode& m_node;
--- a/src/relay/Mechanism.cpp
+++ b/src/relay/Mechanism.cpp
@@ -17,7 +17,6 @@
         { "dead-reports", Mechanism::DeadReports },
         { "slowness-price", Mechanism::SlownessPrice },
         { "early-replacement", Mechanism::EarlyReplacement },
-        { "preempt", Mechanism::Preempt },
         { "holder-weights", Mechanism::HolderWeights },
         { "moves", Mechanism::Moves },
         { "entry-price", Mechanism::EntryPrice },
--- a/src/relay/Mechanism.h
+++ b/src/relay/Mechanism.h
@@ -15,7 +15,6 @@
     DeadReports, ///< telling the other instances of a dead engine
     SlownessPrice, ///< dearer engines where they report that they are slow
     EarlyReplacement, ///< placing the layers of a dead engine elsewhere before the list shows its end
-    Preempt, ///< moved engines cut the calls through their old layers
     HolderWeights, ///< holders of layers count by their speed where engines are placed
     Moves, ///< moving engines to where holders are missing
     EntryPrice, ///< dearer first stages where their slots are taken
--- a/tests/PlannerLockTest.cpp
+++ b/tests/PlannerLockTest.cpp
@@ -1,6 +1,7 @@
 #include "edge/PlannerLock.h"
 #include "edge/InstanceRegistry.h"
 #include "tests/Tests.h"
+#include "tests/fakes/LockStore.h"
 
 #include <deque>
 
@@ -9,40 +10,6 @@
 
 namespace {
 
-constexpr const char* LockKey = "crocusmount/planner";
-
-/// A store that keeps the lock, and counts what is asked of it.
-class LockStore final : public StoreClient, public LeaseClient {
-public:
-    std::string holder;
-    std::int64_t revision = 0;
-    std::size_t writesToTheLock = 0;
-
-private:
-    Awaitable<absl::StatusOr<StoreRange>> onRange(std::string, std::string) override
-    {
-        co_return absl::UnavailableError("no list");
-    }
-    Awaitable<StoreWriteResult> onWrite(StoreWrite write) override
-    {
-        if (write.guardKey != LockKey)
-            co_return StoreWriteResult { WriteOutcome::Committed, 1 };
-        ++writesToTheLock;
-        if (write.expectedModRevision != revision)
-            co_return StoreWriteResult { WriteOutcome::Conflict, 0 };
-        holder = write.puts.front().second;
-        revision += 10;
-        co_return StoreWriteResult { WriteOutcome::Committed, revision };
-    }
-    Awaitable<absl::Status> onWatch(std::string, std::string, std::int64_t, OnWatch) override
-    {
-        co_return absl::UnavailableError("no watch");
-    }
-    Awaitable<absl::StatusOr<Lease>> onGrant(milliseconds lifetime) override { co_return Lease { 7, lifetime }; }
-    Awaitable<absl::Status> onKeep(std::int64_t) override { co_return absl::OkStatus(); }
-    Awaitable<absl::Status> onEnd(std::int64_t) override { co_return absl::OkStatus(); }
-};
-
 struct Instance {
     InstanceRegistry registry;
     PlannerLock lock;
@@ -84,14 +51,14 @@
         while ((m_store.holder.empty() || m_store.holder == before) && std::chrono::steady_clock::now() < end)
             m_context.run_one_for(milliseconds(20));
         runFor(SeenAfter);
-        tell({ { LockKey, m_store.holder, m_store.revision }, false });
+        tell({ { LockStore::LockKey, m_store.holder, m_store.revision }, false });
         runFor(std::chrono::seconds(1));
     }
 
     /// The holder has died: its lease ends, and all see the lock go free.
     void freeLock()
     {
-        tell({ { LockKey, "", ++m_store.revision }, true });
+        tell({ { LockStore::LockKey, "", ++m_store.revision }, true });
         m_store.revision = 0;
         m_store.holder.clear();
     }
--- a/tests/fakes/NoControl.h
+++ b/tests/fakes/NoControl.h
@@ -11,7 +11,7 @@
     Awaitable<ServerIdentity> onIdentify(std::string, std::string) override { co_return ServerIdentity {}; }
     Awaitable<std::string> onStalledStage(std::string, std::string) override { co_return std::string(); }
     Awaitable<OrderReply> onReroute(std::string, std::string, Chain) override { co_return refusal(); }
-    Awaitable<OrderReply> onPlaceLayers(std::string, LayerRange, Handover) override { co_return refusal(); }
+    Awaitable<OrderReply> onPlaceLayers(std::string, LayerRange) override { co_return refusal(); }
 
     static OrderReply refusal() { return { OrderAnswer::Refused, 409, {}, {} }; }
 };
