Move only engines at which little runs

Cause: an engine that is moved holds nothing until the last stream through it has ended. The planner did not know what runs at an engine.

The test failed before: the engine in use was moved as readily as the idle one.

--- a/src/edge/PlacementDriver.cpp
+++ b/src/edge/PlacementDriver.cpp
@@ -69,7 +69,7 @@
         const bool isDead = server.refusedCheck || server.unansweredChecks >= ChecksOfADeadEngine;
         const bool dead = !without.has(relay::Mechanism::EarlyReplacement) && isDead;
         LayerPlanner::Engine engine { id, entry.dataCentre, entry.accelerator, entry.layers, std::nullopt,
-            entry.leaving || dead, entry.slots };
+            entry.leaving || dead, entry.slots, server.ownTokenLayers + server.others.tokenLayers };
         const auto outstanding = m_outstanding.find(id);
         if (outstanding != m_outstanding.end()) {
             const Outstanding& order = outstanding->second;
--- a/src/planning/LayerPlanner.cpp
+++ b/src/planning/LayerPlanner.cpp
@@ -27,6 +27,10 @@
     /// Orders under way with which no engine is moved: the store of weights is shared, and each takes capacity out.
     constexpr std::size_t MostAtOnce = 2;
 
+    /// Part of its memory for requests that an engine may have in use as it is moved. It serves nothing until the
+    /// streams through it have ended, and those that begin there cannot be replaced.
+    constexpr double MostUseOfMoved = 0.1;
+
     /// Part of the slots that are taken when the memory of a data centre is full.
     constexpr double SlotUse = 0.6;
 
@@ -78,14 +82,23 @@
         return KvTargets[std::size(KvTargets) - 1].tokens;
     }
 
+    /// @return whether an engine holds layers and little runs there
+    bool isMovable(const relay::EngineModel& model, const LayerPlanner::Engine& engine)
+    {
+        const auto* kind = model.kind(engine.accelerator);
+        if (!kind || engine.leaving || engine.ordered || !engine.held.size())
+            return false;
+        return engine.tokenLayers <= MostUseOfMoved * model.kvTokenLayers(*kind, engine.held.size());
+    }
+
     /// Finds the engine whose range is worth more elsewhere.
-    std::optional<LayerPlanner::Order> bestMove(const HolderWeights& weights,
+    std::optional<LayerPlanner::Order> bestMove(const relay::EngineModel& model, const HolderWeights& weights,
         const std::vector<LayerPlanner::Engine>& engines, const std::set<BackendId>& moving, LayerCoverage& coverage)
     {
         std::optional<LayerPlanner::Order> best;
         double most = 0;
         for (const auto& engine : engines) {
-            if (engine.leaving || engine.ordered || !engine.held.size() || moving.count(engine.id))
+            if (moving.count(engine.id) || !isMovable(model, engine))
                 continue;
             const std::size_t kind = weights.indexOf(engine.accelerator);
             coverage.add(engine.dataCentre, engine.held, kind, -1);
@@ -154,7 +167,7 @@
     std::set<BackendId> moving;
     const std::size_t most = without.has(relay::Mechanism::Moves) ? 0 : MostAtOnce;
     while (orders.size() + underWay < most) {
-        const auto move = bestMove(weights, engines, moving, coverage);
+        const auto move = bestMove(model, weights, engines, moving, coverage);
         if (!move)
             break;
         const auto engine
--- a/src/planning/LayerPlanner.h
+++ b/src/planning/LayerPlanner.h
@@ -23,6 +23,7 @@
         std::optional<LayerRange> ordered; ///< an order under way
         bool leaving = false;
         std::uint32_t slots = 1; ///< calls that may enter there at once
+        double tokenLayers = 0; ///< KV cache in use there, of all instances
     };
 
     struct Order {
--- a/tests/PlacementTest.cpp
+++ b/tests/PlacementTest.cpp
@@ -193,6 +193,47 @@
     CHECK_TRUE(holes <= 8);
 }
 
+// Engines that dozens of streams passed through were moved as readily as idle ones. They held nothing for up to 16 s,
+// until the last of these had ended, while the fleet was short of room.
+TEST(Placement, AnEngineIsMovedOnlyWhileLittleRunsThere)
+{
+    const struct {
+        const char* name;
+        std::vector<double> use; ///< part of the memory for requests in use, of each holder of the same layers
+        std::vector<std::string> moved;
+    } cases[] = {
+        { "one of them is idle", { 0.9, 0, 0.9 }, { "1" } },
+        { "little runs at one of them", { 0.9, 0.5, 0.05 }, { "2" } },
+        { "two of them are idle", { 0, 0.9, 0 }, { "0", "2" } },
+        { "all are in use", { 0.5, 0.5, 0.5 }, {} },
+        { "more is booked than fits", { 3, 3, 3 }, {} },
+    };
+    const EngineModel model = usersModel();
+    const AcceleratorKind& card = *model.kind("l4");
+    for (const auto& each : cases) {
+        std::vector<LayerPlanner::Engine> engines;
+        const auto add = [&](const std::string& id, const LayerRange& held, double use) {
+            LayerPlanner::Engine engine;
+            engine.id = BackendId(id);
+            engine.dataCentre = DataCentreId("a");
+            engine.accelerator = card.name;
+            engine.held = held;
+            engine.tokenLayers = use * model.kvTokenLayers(card, held.size());
+            engines.push_back(engine);
+        };
+        for (std::size_t i = 0; i < each.use.size(); ++i)
+            add(std::to_string(i), { 8, 16 }, each.use[i]);
+        // Nothing holds the last eight layers.
+        for (std::uint32_t begin = 0; begin < 72; begin += 8)
+            add("holder-" + std::to_string(begin), { begin, begin + 8 }, 1);
+        std::vector<std::string> moved;
+        for (const auto& order : LayerPlanner::plan(model, engines))
+            moved.push_back(order.engine.value());
+        std::sort(moved.begin(), moved.end());
+        CHECK_TRUE_TEXT(moved == each.moved, each.name);
+    }
+}
+
 TEST(Placement, AnEngineWithAnOrderUnderWayGetsNoOther)
 {
     auto engines = usersEngines();
