--- a/src/edge/EngineControl.h
+++ b/src/edge/EngineControl.h
@@ -33,8 +33,9 @@
     /// Asks an engine how it is.
     Awaitable<EngineReport> check(std::string address) { return onCheck(std::move(address)); }
 
-    /// Asks a plain server which start of a server it is.
+    /// Asks a plain server which start of it answers.
     /// @param path  of its service's health check
+    /// @return what answered at the address; its id is that of another start where one has taken the server's place
     Awaitable<ServerIdentity> identify(std::string address, std::string path)
     {
         return onIdentify(std::move(address), std::move(path));
--- a/src/edge/ServerIdentity.h
+++ b/src/edge/ServerIdentity.h
@@ -5,10 +5,10 @@
 
 namespace crocusmount {
 
-/// What a plain server answers to the question which start of a server it is.
+/// The start of a server that answered a health check, as far as it names itself.
 struct ServerIdentity {
     CheckAnswer answer = CheckAnswer::Silent;
-    BackendId id; ///< of the start that answered; empty if it did not say
+    BackendId id; ///< empty: the answer named none
 };
 
 } // namespace crocusmount
