--- a/src/planning/LayerPlanner.cpp
+++ b/src/planning/LayerPlanner.cpp
@@ -28,7 +28,7 @@
     constexpr std::size_t MostAtOnce = 2;
 
     /// Part of its memory for requests that an engine may have in use as it is moved. It serves nothing until the
-    /// streams through it have ended, and those that begin there cannot be replaced.
+    /// streams through it have ended, and those that entered there cannot be rerouted.
     constexpr double MostUseOfMoved = 0.1;
 
     /// Part of the slots that are taken when the memory of a data centre is full.
--- a/tests/PlacementDriverTest.cpp
+++ b/tests/PlacementDriverTest.cpp
@@ -90,8 +90,8 @@
 
 TEST_GROUP(PlacementDriver) {};
 
-// An engine whose layers were worth more elsewhere was ordered to cut the streams through them; 75 and 49 streams at a
-// time were sent anew, and those for which no retry or room was left ended midway.
+// An engine whose layers were worth more elsewhere was ordered to cut the streams through them. Those for which no
+// retry or room was left ended midway.
 TEST(PlacementDriver, AnEngineThatIsMovedEndsItsStreamsFirst)
 {
     ServiceConfiguration repeatable = RelayHarness::configuration();
--- a/tests/PlacementTest.cpp
+++ b/tests/PlacementTest.cpp
@@ -193,8 +193,8 @@
     CHECK_TRUE(holes <= 8);
 }
 
-// Engines that dozens of streams passed through were moved as readily as idle ones. They held nothing for up to 16 s,
-// until the last of these had ended, while the fleet was short of room.
+// Engines that dozens of streams passed through were moved as readily as idle ones, and held nothing until the last of
+// these had ended, while the fleet was short of room.
 TEST(Placement, AnEngineIsMovedOnlyWhileLittleRunsThere)
 {
     const struct {
--- a/tests/RequestQuarantineTest.cpp
+++ b/tests/RequestQuarantineTest.cpp
@@ -268,7 +268,7 @@
 }
 
 // A proxy before a server accepted each probe, which was taken for a sign of life of the server that had ended behind
-// it: one request ended nine servers and more.
+// it: the request was never quarantined.
 TEST(RequestQuarantine, AnEndThatAProbeDoesNotShowIsCountedOnceTheNextStartIsRegistered)
 {
     using Finding = relay::event::ServerProbed::Finding;
