Log and count the limits that servers name in their answers

Ruled out: using the store or the engines' reports for it; the limit stands in answers only.

Change: the head of each own answer is read for the limit and posted to the reducer, which keeps it with the server, ordered by the time of the attempt, and logs its begin, change and end (server_limit). Two metrics: answers that named one, and servers that name one. No call is sent elsewhere for it.

Conclusion: an instance's belief can be read from its log.

--- a/src/edge/HeaderNames.h
+++ b/src/edge/HeaderNames.h
@@ -16,6 +16,7 @@
     std::string seal; ///< on an answer: the server's signature; an answer without it is not delivered
     std::string chain; ///< the chain of stages with their layer ranges, see wireText()
     std::string resumeAfter; ///< id of the last event that the caller has received
+    std::string serverLimit; ///< on an answer: requests a second that the server takes from all instances together
     std::string culprit; ///< on an answer: address of the stage that failed
     std::vector<std::string> fromInstancesOnly; ///< headers that are removed from callers' requests
 };
--- a/src/edge/RelayMetrics.cpp
+++ b/src/edge/RelayMetrics.cpp
@@ -44,6 +44,10 @@
         double(counters.held));
     families.addGauge(
         "crocusmount_quarantined_requests", "Requests that are sent to no server", double(gauges.quarantined));
+    families.addCounter("crocusmount_server_limits_seen_total", "Answers that named a limit of their server",
+        double(counters.limitsSeen));
+    families.addGauge(
+        "crocusmount_limited_servers", "Backend servers that name a limit", double(gauges.limitedServers));
     families.addCounter(
         "crocusmount_callers_left_total", "Callers gone before the answer", double(counters.callersLeft));
     families.addByReason("crocusmount_refused_total", "Final answers of this instance's own", counters.refused);
--- a/src/edge/RelayNode.cpp
+++ b/src/edge/RelayNode.cpp
@@ -374,6 +374,14 @@
             { "server_key", hexKey(engineKey(note.server, note.startedAt)) } });
 }
 
+void RelayNode::on(const effect::LogServerLimit& note)
+{
+    boost::json::object fields { { "server", note.server.value() }, { "named", note.perSecond.has_value() } };
+    if (note.perSecond)
+        fields["per_second"] = *note.perSecond;
+    DecisionLog::state("server_limit", fields);
+}
+
 void RelayNode::on(const effect::RerouteAttempt& order)
 {
     const auto found = m_openCalls.find(order.call);
--- a/src/edge/RelayNode.h
+++ b/src/edge/RelayNode.h
@@ -118,6 +118,7 @@
     void on(const effect::ClearRequest&);
     void on(const effect::ReportEngineState&);
     void on(const effect::LogServerState&);
+    void on(const effect::LogServerLimit&);
     void on(const effect::RerouteAttempt&);
     void on(const effect::Refuse&);
     void on(const effect::DeliverServerFailure&);
--- a/src/edge/UpstreamAttempt.cpp
+++ b/src/edge/UpstreamAttempt.cpp
@@ -5,7 +5,8 @@
 #include "shell/Endpoint.h"
 
 #include <absl/strings/match.h>
-#include <absl/strings/str_cat.h>
+#include <absl/strings/numbers.h>
+#include <cmath>
 
 namespace crocusmount::relay {
 
@@ -42,6 +43,15 @@
         return head;
     }
 
+    /// @return the requests a second that a server accepts, or nothing if the text is not a decimal number of at least
+    /// 0
+    std::optional<double> parseLimit(std::string_view text)
+    {
+        double perSecond = 0;
+        const bool isNumber = absl::SimpleAtod(absl::string_view(text.data(), text.size()), &perSecond);
+        return isNumber && std::isfinite(perSecond) && perSecond >= 0 ? std::optional(perSecond) : std::nullopt;
+    }
+
 } // namespace
 
 UpstreamAttempt::UpstreamAttempt(net::io_context& context, const HeaderNames& names, effect::StartAttempt order,
@@ -169,6 +179,7 @@
     }
     const auto& head = parser->get().base();
     const unsigned status = head.result_int();
+    m_postEvent(event::ServerLimitSeen { m_order.attempt, parseLimit(head[m_headerNames.serverLimit]) });
     const bool isSuccess = status >= 200 && status < 300;
     if (!isSuccess && (head.count(m_headerNames.notRun) || status == MisdirectedRequest))
         co_return makeEnded(AttemptResult::NotRun, status, std::string(head[m_headerNames.culprit]));
--- a/src/relay/RelayEffect.h
+++ b/src/relay/RelayEffect.h
@@ -133,6 +133,12 @@
         StartTime startedAt {}; ///< start in the entry or report that caused the change; zero if unknown
     };
 
+    /// Log that the limit that a backend server names has begun, changed or ended.
+    struct LogServerLimit {
+        BackendId server;
+        std::optional<double> perSecond; ///< requests a second; nothing if the limit has ended
+    };
+
     /// Order the first stage to continue a running stream over another chain that has the same first stage. Stages that
     /// are part of both chains keep their KV cache.
     struct RerouteAttempt {
@@ -168,7 +174,7 @@
 using RelayEffect = std::variant<effect::StartAttempt, effect::CancelAttempt, effect::HoldAnswer,
     effect::ContinueAnswer, effect::AskStalledStage, effect::CheckEngine, effect::ProbeServer, effect::ShareCrashes,
     effect::ShareHarmlessRequest, effect::LogCrash, effect::QuarantineRequest, effect::ClearRequest,
-    effect::ReportEngineState, effect::LogServerState, effect::RerouteAttempt, effect::Refuse,
+    effect::ReportEngineState, effect::LogServerState, effect::LogServerLimit, effect::RerouteAttempt, effect::Refuse,
     effect::DeliverServerFailure, effect::BreakAnswer>;
 using RelayEffects = std::vector<RelayEffect>;
 
--- a/src/relay/RelayEvent.h
+++ b/src/relay/RelayEvent.h
@@ -76,6 +76,12 @@
         AttemptId attempt;
     };
 
+    /// The header of an answer arrived, which names the rate of requests that the server accepts, or no such limit.
+    struct ServerLimitSeen {
+        AttemptId attempt;
+        std::optional<double> perSecond; ///< requests a second from all instances; nothing if the answer names no limit
+    };
+
     /// The header of a successful answer arrived, so the server has begun to run the call.
     struct AnswerBegun {
         AttemptId attempt;
@@ -179,10 +185,11 @@
 
 using RelayEventBody = std::variant<event::ConfigurationAccepted, event::ServerRegistered, event::ServerUnregistered,
     event::InstancesCounted, event::StoreCopyChecked, event::LoadsReported, event::CallArrived, event::CallerLeft,
-    event::AttemptSent, event::AnswerBegun, event::EventDelivered, event::AttemptEnded, event::RerouteAnswered,
-    event::StalledStageReported, event::EngineChecked, event::ServerProbed, event::CrashesReported,
-    event::HarmlessRequestsReported, event::QuarantineListed, event::QuarantineLifted, event::EngineStartSeen,
-    event::EnginesReportedDead, event::EnginesReportedClosed, event::DrainRequested, event::Tick>;
+    event::AttemptSent, event::ServerLimitSeen, event::AnswerBegun, event::EventDelivered, event::AttemptEnded,
+    event::RerouteAnswered, event::StalledStageReported, event::EngineChecked, event::ServerProbed,
+    event::CrashesReported, event::HarmlessRequestsReported, event::QuarantineListed, event::QuarantineLifted,
+    event::EngineStartSeen, event::EnginesReportedDead, event::EnginesReportedClosed, event::DrainRequested,
+    event::Tick>;
 
 /// An event, with the only time and randomness that the reducer may use to handle it.
 struct RelayEvent {
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -35,6 +35,7 @@
 /// - RelayReducerChecks.cpp: health checks of engines
 /// - RelayReducerServers.cpp: servers that register, restart or end
 /// - RelayReducerMoves.cpp: answers that move off leaving servers or resume after a lost one
+/// - RelayReducerLimits.cpp: limits that servers name
 /// - RelayReducerCrashes.cpp: requests that crash servers, and their quarantine
 class RelayReducer {
 public:
@@ -76,6 +77,7 @@
     void on(const event::CallArrived&, Context&);
     void on(const event::CallerLeft&, Context&);
     void on(const event::AttemptSent&, Context&);
+    void on(const event::ServerLimitSeen&, Context&);
     void on(const event::AnswerBegun&, Context&);
     void on(const event::EventDelivered&, Context&);
     void on(const event::AttemptEnded&, Context&);
--- a/src/relay/ServerFleet.cpp
+++ b/src/relay/ServerFleet.cpp
@@ -96,6 +96,12 @@
     return true;
 }
 
+std::size_t ServerFleet::limitedCount() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        m_servers.begin(), m_servers.end(), [](const auto& each) { return each.second.limit.isNamed(); }));
+}
+
 FleetServer* ServerFleet::find(const BackendId& id)
 {
     const auto found = m_servers.find(id);
@@ -198,6 +204,16 @@
     ++server->consecutiveFailures;
 }
 
+bool ServerFleet::recordLimit(const BackendId& id, const ServerLimit& limit)
+{
+    FleetServer* server = find(id);
+    if (!server || limit.askedAt < server->limit.askedAt)
+        return false;
+    const bool isChanged = server->limit.perSecond != limit.perSecond;
+    server->limit = limit;
+    return isChanged;
+}
+
 void ServerFleet::recordSuccess(const BackendId& id)
 {
     FleetServer* server = find(id);
--- a/src/relay/ServerFleet.h
+++ b/src/relay/ServerFleet.h
@@ -4,6 +4,7 @@
 #include "crocusmount/Time.h"
 #include "relay/LoadReport.h"
 #include "relay/RegisteredServer.h"
+#include "relay/ServerLimit.h"
 #include "relay/ServerStartTracker.h"
 
 #include <map>
@@ -40,6 +41,8 @@
     std::uint32_t unansweredChecks = 0; ///< consecutive unanswered health checks
     bool refusedCheck = false; ///< the last health check was refused: no process listens there, so the server is dead
 
+    ServerLimit limit; ///< rate of requests that this server accepts from all instances
+
     TimePoint lastRejectedAt; ///< when this server last rejected a call of this instance
     TimePoint lastAcceptedAt; ///< when a new call through this server last had its first event
     bool closedCheckDue = false; ///< whether to ask if this server had free capacity when it last rejected a call
@@ -81,6 +84,8 @@
     /// Returns the servers that may need a health check. Removes those that no longer do from the index.
     /// @return ids of servers that are dead, slow, or have closedCheckDue set
     const std::set<BackendId>& checkCandidates(TimePoint now);
+    /// @return number of servers that name a limit
+    std::size_t limitedCount() const;
     FleetServer* find(const BackendId&);
     FleetServer* findByAddress(const std::string& address);
 
@@ -102,6 +107,9 @@
 
     /// Records a failed attempt. The server is avoided for a time that doubles with each consecutive failure.
     void recordFailure(const BackendId&, TimePoint now);
+    /// Records the limit that a server named, or that it names none. Ignores what is older than the known limit.
+    /// @return whether the limit began, changed or ended
+    bool recordLimit(const BackendId&, const ServerLimit&);
     /// Records a successful attempt.
     void recordSuccess(const BackendId&);
     /// Records that a server rejected a call. The server is avoided for a short time, since a full server has free
--- a/tests/RelayLoopbackTest.cpp
+++ b/tests/RelayLoopbackTest.cpp
@@ -88,6 +88,7 @@
 struct CallOutcome {
     std::string answer; ///< bytes that the caller received
     std::size_t requests = 0; ///< requests that reached the backend server
+    std::optional<double> limit {}; ///< requests a second that the backend server is known to accept
 };
 
 /// Runs one call through FrontServer, RelayNode and UpstreamAttempt, with one scripted server for all services.
@@ -124,6 +125,7 @@
     net::co_spawn(context.get_executor(), sendToFrontServer(context, address, request, result.answer), net::detached);
     context.run();
     result.requests = server.requests();
+    result.limit = node.reducer().fleet().servers().at(plain.id).limit.perSecond;
     return result;
 }
 
@@ -180,6 +182,30 @@
     }
 }
 
+TEST(RelayLoopback, TheLimitThatAServerNamesIsRead)
+{
+    const struct {
+        const char* name;
+        std::string head; ///< of the answer
+        std::optional<double> limit;
+    } cases[] = {
+        { "a success", answerHead("200 OK") + "Server-Limit: 8.5\r\n", 8.5 },
+        { "another case of letters", answerHead("200 OK") + "server-limit: 12\r\n", 12 },
+        { "no requests at all", answerHead("200 OK") + "Server-Limit: 0\r\n", 0 },
+        { "a failure", answerHead("500 Oops") + "Server-Limit: 8.5\r\n", 8.5 },
+        { "a rejection", "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nServer-Limit: 8.5\r\n", 8.5 },
+        { "no limit", answerHead("200 OK"), std::nullopt },
+        { "no number", answerHead("200 OK") + "Server-Limit: many\r\n", std::nullopt },
+        { "a negative number", answerHead("200 OK") + "Server-Limit: -1\r\n", std::nullopt },
+        { "not a number", answerHead("200 OK") + "Server-Limit: nan\r\n", std::nullopt },
+        { "infinite", answerHead("200 OK") + "Server-Limit: inf\r\n", std::nullopt },
+    };
+    for (const auto& each : cases) {
+        const CallOutcome result = runCall(requestTo("/book/1"), { each.head + "Content-Length: 0\r\n\r\n" });
+        CHECK_TRUE_TEXT(result.limit == each.limit, each.name);
+    }
+}
+
 TEST(RelayLoopback, StreamsAreForwardedByWholeEventsAndIncompleteStreamsLookIncomplete)
 {
     const std::string streamHead
