Test that all instances together keep to a server's limit; known to fail

Callers saw: nothing; the server got 2.6 to 3.9 times what it takes.

Cause: instances read the limit and do not use it.

It shows at once in virtual time with reducers alone.

Change: LimitFleet runs several reducers in front of servers that name a limit; the test checks the most requests in any 4 s from 3 s after the limit was named, at 9, 60 and 295 instances, also where all callers come to one instance.

--- /dev/null
+++ b/tests/LimitFleet.cpp
@@ -0,0 +1,235 @@
+#include "tests/LimitFleet.h"
+
+#include <algorithm>
+#include <cstring>
+
+namespace crocusmount::relay {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    constexpr Duration TickInterval = milliseconds(20);
+    /// One way between an instance and a server.
+    constexpr Duration NetworkDelay = milliseconds(1);
+    /// From the arrival of a request at its server to the header of the answer.
+    constexpr Duration TimeToBegin = milliseconds(40);
+    /// Between two events of a stream.
+    constexpr Duration EventInterval = milliseconds(40);
+    constexpr std::uint64_t EventsPerStream = 20;
+    constexpr std::uint32_t SlotsPerServer = 192;
+    /// An instance counts as told this long after it received the limit.
+    constexpr Duration ToldDelay = milliseconds(500);
+
+} // namespace
+
+LimitFleet::LimitFleet(Options options)
+    : m_options(std::move(options))
+{
+    for (std::size_t i = 0; i < m_options.firstStages; ++i) {
+        addServer(RelayHarness::engine("e" + std::to_string(i), 0, 4));
+        addServer(RelayHarness::engine("f" + std::to_string(i), 4, 8));
+    }
+    for (std::size_t i = 0; i < m_options.plainServers; ++i)
+        addServer(RelayHarness::plain("p" + std::to_string(i)));
+    m_instances.resize(m_options.instances);
+    for (std::size_t i = 0; i < m_options.instances; ++i) {
+        startInstance(i);
+        at(TickInterval * i / m_options.instances, [this, i] { tick(i); });
+    }
+    at(Duration(0), [this] { sendCall(); });
+}
+
+void LimitFleet::addServer(const RegisteredServer& entry)
+{
+    Server& server = m_servers[entry.id];
+    server.entry = entry;
+    server.entry.address = "10.0.1." + std::to_string(m_servers.size()) + ":80";
+    server.entry.slots = SlotsPerServer;
+}
+
+void LimitFleet::startInstance(std::size_t instance)
+{
+    RelayOptions options;
+    options.dataCentre = DataCentreId("z");
+    m_instances[instance].reducer = std::make_unique<RelayReducer>(options);
+    post(instance, event::ConfigurationAccepted { RouteTable::make(RelayHarness::configuration()) });
+    post(instance, event::InstancesCounted { static_cast<std::uint32_t>(m_instances.size()) });
+    for (const auto& [id, server] : m_servers)
+        post(instance, event::ServerRegistered { server.entry });
+}
+
+double LimitFleet::random()
+{
+    m_randomState = m_randomState * 6364136223846793005ULL + 1442695040888963407ULL;
+    return static_cast<double>(m_randomState >> 11U) / 9007199254740992.0; // 2^53
+}
+
+void LimitFleet::at(Duration delay, std::function<void()> action)
+{
+    m_actions.emplace(m_now + delay, std::move(action));
+}
+
+void LimitFleet::run(Duration span)
+{
+    const TimePoint end = m_now + span;
+    while (!m_actions.empty() && m_actions.begin()->first <= end) {
+        auto next = m_actions.extract(m_actions.begin());
+        m_now = next.key();
+        next.mapped()();
+    }
+    m_now = end;
+}
+
+void LimitFleet::tick(std::size_t instance)
+{
+    post(instance, event::Tick {});
+    at(TickInterval, [this, instance] { tick(instance); });
+}
+
+void LimitFleet::setLimit(const std::string& server, std::optional<double> perSecond)
+{
+    m_servers.at(BackendId(server)).limit = perSecond;
+}
+
+void LimitFleet::sendCall()
+{
+    const bool isForFirst = random() < m_options.shareOfFirstInstance;
+    const std::size_t instance = isForFirst ? 0 : static_cast<std::size_t>(random() * m_instances.size());
+    const RequestId id(m_nextCall++);
+    CallSpec spec;
+    spec.host = "h.example";
+    spec.path = m_options.path;
+    spec.key = "key";
+    spec.callerTimeout = std::chrono::seconds(20);
+    spec.promptTokens = 100;
+    spec.maxAnswerTokens = 50;
+    const std::uint64_t number = id.value();
+    std::memcpy(spec.content.bytes.data(), &number, sizeof(number));
+    m_instances[instance].openCalls[id] = m_now;
+    post(instance, event::CallArrived { id, spec });
+    // The time between two calls varies, so that the calls do not fall into step with the ticks.
+    at(Duration(static_cast<std::int64_t>(2e6 * random() / m_options.callsPerSecond)), [this] { sendCall(); });
+}
+
+void LimitFleet::post(std::size_t instance, RelayEventBody body)
+{
+    RelayEffects effects;
+    const auto entropy = static_cast<std::uint64_t>(random() * 1e18);
+    m_instances[instance].reducer->reduce({ m_now, entropy, std::move(body) }, effects);
+    apply(instance, effects);
+}
+
+void LimitFleet::apply(std::size_t instance, const RelayEffects& effects)
+{
+    for (const RelayEffect& effect : effects) {
+        if (const auto* started = std::get_if<effect::StartAttempt>(&effect)) {
+            start(instance, *started);
+        } else if (const auto* cancelled = std::get_if<effect::CancelAttempt>(&effect)) {
+            m_attempts.erase({ instance, cancelled->attempt });
+        } else if (const auto* check = std::get_if<effect::CheckEngine>(&effect)) {
+            at(2 * NetworkDelay, [this, instance, engine = check->engine] {
+                post(instance, event::EngineChecked { engine, true });
+            });
+        } else if (const auto* refused = std::get_if<effect::Refuse>(&effect)) {
+            finishCall(instance, refused->call, false);
+        } else if (const auto* broken = std::get_if<effect::BreakAnswer>(&effect)) {
+            finishCall(instance, broken->call, false);
+        }
+    }
+}
+
+void LimitFleet::finishCall(std::size_t instance, RequestId call, bool isCompleted)
+{
+    const auto found = m_instances[instance].openCalls.extract(call);
+    if (found.empty())
+        return;
+    ++(isCompleted ? m_completed : m_failed);
+    if (!isCompleted)
+        m_longestWaitForRefusal = std::max(m_longestWaitForRefusal, m_now - found.mapped());
+}
+
+void LimitFleet::start(std::size_t instance, const effect::StartAttempt& started)
+{
+    const AttemptKey key { instance, started.attempt };
+    RunningAttempt attempt;
+    attempt.call = started.call;
+    attempt.nextEventId = started.resumeAfter.value_or(0) + 1;
+    attempt.breaksOff = random() < m_options.breakRate;
+    attempt.lastEventId = attempt.breaksOff ? attempt.nextEventId + EventsPerStream / 2 : EventsPerStream;
+    m_attempts[key] = attempt;
+    at(NetworkDelay, [this, key, server = started.server] {
+        if (!m_attempts.count(key))
+            return;
+        Server& receiver = m_servers.at(server);
+        const auto told = receiver.toldAt.find(key.first);
+        receiver.arrivals.push_back({ m_now, told != receiver.toldAt.end() && told->second + ToldDelay <= m_now });
+        at(TimeToBegin, [this, key, server] { beginAnswer(key, server); });
+    });
+}
+
+void LimitFleet::beginAnswer(const AttemptKey& key, const BackendId& server)
+{
+    if (!m_attempts.count(key))
+        return;
+    const auto [instance, attempt] = key;
+    Server& sender = m_servers.at(server);
+    if (sender.limit)
+        sender.toldAt.try_emplace(instance, m_now);
+    else
+        sender.toldAt.clear();
+    post(instance, event::AttemptSent { attempt });
+    post(instance, event::ServerLimitSeen { attempt, sender.limit });
+    if (random() < m_options.rejectionRate) {
+        m_attempts.erase(key);
+        post(instance, event::AttemptEnded { attempt, AttemptResult::NotRun, 503, "" });
+        return;
+    }
+    post(instance, event::AnswerBegun { attempt });
+    at(EventInterval, [this, key = key] { sendEvent(key); });
+}
+
+void LimitFleet::sendEvent(const AttemptKey& key)
+{
+    const auto found = m_attempts.find(key);
+    if (found == m_attempts.end())
+        return;
+    const auto [instance, attempt] = key;
+    const RunningAttempt running = found->second;
+    if (running.nextEventId <= running.lastEventId && m_options.path == "/draft/1") {
+        ++found->second.nextEventId;
+        post(instance, event::EventDelivered { attempt, running.nextEventId });
+        at(EventInterval, [this, key = key] { sendEvent(key); });
+        return;
+    }
+    m_attempts.erase(found);
+    if (!running.breaksOff)
+        finishCall(instance, running.call, true);
+    const AttemptResult result = running.breaksOff ? AttemptResult::Broken : AttemptResult::Completed;
+    post(instance, event::AttemptEnded { attempt, result, 200, "" });
+}
+
+std::size_t LimitFleet::peakArrivals(const std::string& server, TimePoint from, Duration span) const
+{
+    std::vector<TimePoint> times;
+    for (const Arrival& arrival : m_servers.at(BackendId(server)).arrivals) {
+        if (arrival.wasTold && arrival.at >= from)
+            times.push_back(arrival.at);
+    }
+    std::size_t peak = 0;
+    for (std::size_t first = 0, last = 0; last < times.size(); ++last) {
+        while (times[last] - times[first] >= span)
+            ++first;
+        peak = std::max(peak, last - first + 1);
+    }
+    return peak;
+}
+
+std::size_t LimitFleet::arrivalsSince(const std::string& server, TimePoint from) const
+{
+    const auto& arrivals = m_servers.at(BackendId(server)).arrivals;
+    return static_cast<std::size_t>(
+        std::count_if(arrivals.begin(), arrivals.end(), [&](const Arrival& each) { return each.at >= from; }));
+}
+
+} // namespace crocusmount::relay
