Keep all instances together within the limit that a server names

Callers saw: nothing themselves; a server in need that named a limit got 2.6 to 3.9 times what it takes, and went on like that.

It is of the class of quotas that several instances share: an instance that keeps to the limit alone would still break it as soon as two know of it.

Ruled out: a share for each instance. Equal shares waste the limit where callers come to few instances; buckets that start full spend N of 57 at once; shares by reported demand are as late as the reports.

Change: for each limited server one instance, chosen by rendezvous hashing, grants permits from a token bucket. Every attempt at the server takes a permit in startAttempt, the only place where attempts begin, so first attempts, retries, second attempts, resumed and moved answers take from one share. A permit lives 0.5 s; an issuer that has just begun grants half of the rate for 2 s, as long as some instances may still ask the previous one; only the instance that considers itself the coordinator answers; entries that end at once (an outage of the store) count for 3 s more. Limits are ordered by the time of the attempt that showed them. Denied instances ask again so late that all together make two requests for each permit. Where every server at which a call can begin names a limit, a call that no permit can reach in time is refused at once (limit_reached).

--- a/include/crocusmount/Reason.h
+++ b/include/crocusmount/Reason.h
@@ -29,6 +29,7 @@
     UnknownKey, ///< the API key is not known
     CrashesServers, ///< backend servers crashed whenever the request ran; it is not sent to any more
     NoCapacity, ///< all suitable backend servers are full
+    LimitReached, ///< all suitable backend servers name limits that leave no request for the call
     TimedOut,
     ServerFailure, ///< a backend server answered with an error
     // Attempts that failed; the request is retried or fails.
--- a/programs/crocusmount-entry.cpp
+++ b/programs/crocusmount-entry.cpp
@@ -158,6 +158,7 @@
             gauges.peerBytesSent = m_peerLink->traffic().sentBytes;
             gauges.peerDatagramsReceived = m_peerLink->traffic().received;
             gauges.peerDatagramsMalformed = m_peerLink->traffic().malformed;
+            gauges.misdirectedPermitRequests = m_peerLink->traffic().misdirectedPermitRequests;
             gauges.copiesTaken = m_peerLink->copyTraffic().taken;
             gauges.copiesGiven = m_peerLink->copyTraffic().given;
             gauges.copiesFailed = m_peerLink->copyTraffic().failed;
--- a/src/edge/PeerDatagram.h
+++ b/src/edge/PeerDatagram.h
@@ -3,6 +3,8 @@
 #include "edge/StoreMirror.h"
 #include "relay/CrashReport.h"
 #include "relay/LoadReport.h"
+#include "relay/PermitAnswer.h"
+#include "relay/PermitRequest.h"
 
 #include <absl/status/statusor.h>
 #include <optional>
@@ -11,6 +13,12 @@
 
 namespace crocusmount {
 
+/// What an instance tells the others of the limit of a server.
+struct ServerLimitReport {
+    std::uint64_t server = 0; ///< key of one start of the server, see relay::engineKey
+    relay::ServerLimit limit;
+};
+
 /// Content of a datagram between entry instances. Each part is optional.
 struct PeerDatagram {
     std::optional<relay::LoadReport> loads;
@@ -24,12 +32,18 @@
     /// no forwarding.
     std::string forwardUntil {};
     std::vector<relay::RequestIdentity> soundRequests {}; ///< suspect requests that the sender saw run without a crash
+    std::optional<relay::PermitRequest> permitRequest {};
+    std::optional<relay::PermitAnswer> permitAnswer {};
+    std::optional<ServerLimitReport> serverLimit {}; ///< the limit has begun or ended
 };
 
+/// The clocks of instances differ, so the times of server limits are transferred as the time that has passed since.
+/// @param now  time of the sender's clock; needed only with server limits
 /// @return the datagram in Thrift's compact protocol (RelayDatagram in src/idl/peer.thrift)
-std::string encode(const PeerDatagram&);
+std::string encode(const PeerDatagram&, TimePoint now = {});
 
+/// @param now  time of the receiver's clock; needed only with server limits
 /// @return the datagram, or InvalidArgument if the bytes are not a valid one
-absl::StatusOr<PeerDatagram> decodePeerDatagram(const std::string& bytes);
+absl::StatusOr<PeerDatagram> decodePeerDatagram(const std::string& bytes, TimePoint now = {});
 
 } // namespace crocusmount
--- a/src/edge/PeerDatagramCodec.cpp
+++ b/src/edge/PeerDatagramCodec.cpp
@@ -3,6 +3,7 @@
 #include "shell/ThriftBytes.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace crocusmount {
@@ -115,6 +116,73 @@
         return relay::CrashReport { { *std::move(request), sign }, static_cast<std::uint64_t>(in.server) };
     }
 
+    wire::ServerLimit toWire(std::uint64_t server, const relay::ServerLimit& limit, TimePoint now)
+    {
+        wire::ServerLimit out;
+        out.server = static_cast<std::int64_t>(server);
+        if (limit.perSecond)
+            out.__set_perSecond(*limit.perSecond);
+        if (limit.askedAt != TimePoint())
+            out.__set_ageMicros((now - limit.askedAt).count());
+        return out;
+    }
+
+    absl::StatusOr<relay::ServerLimit> fromWire(const wire::ServerLimit& in, TimePoint now)
+    {
+        if (in.__isset.perSecond && !(std::isfinite(in.perSecond) && in.perSecond >= 0))
+            return absl::InvalidArgumentError("limit of a server out of range");
+        if (in.__isset.ageMicros && in.ageMicros < 0)
+            return absl::InvalidArgumentError("negative age of a server limit");
+        relay::ServerLimit limit;
+        if (in.__isset.perSecond)
+            limit.perSecond = in.perSecond;
+        if (in.__isset.ageMicros)
+            limit.askedAt = now - std::min(Duration(in.ageMicros), now.time_since_epoch());
+        return limit;
+    }
+
+    wire::PermitRequest toWire(const relay::PermitRequest& request, TimePoint now)
+    {
+        wire::PermitRequest out;
+        out.sender = request.sender.value();
+        out.number = static_cast<std::int64_t>(request.number);
+        out.count = static_cast<std::int32_t>(request.count);
+        out.limit = toWire(request.server, request.limit, now);
+        return out;
+    }
+
+    absl::StatusOr<relay::PermitRequest> fromWire(const wire::PermitRequest& in, TimePoint now)
+    {
+        auto limit = fromWire(in.limit, now);
+        if (!limit.ok())
+            return limit.status();
+        if (in.count < 0)
+            return absl::InvalidArgumentError("negative number of permits");
+        return relay::PermitRequest { InstanceId(in.sender), static_cast<std::uint64_t>(in.limit.server),
+            static_cast<std::uint64_t>(in.number), static_cast<std::uint32_t>(in.count), *std::move(limit) };
+    }
+
+    wire::PermitAnswer toWire(const relay::PermitAnswer& answer, TimePoint now)
+    {
+        wire::PermitAnswer out;
+        out.number = static_cast<std::int64_t>(answer.number);
+        out.granted = static_cast<std::int32_t>(answer.granted);
+        out.retryAfterMicros = answer.retryAfter.count();
+        out.limit = toWire(answer.server, answer.limit, now);
+        return out;
+    }
+
+    absl::StatusOr<relay::PermitAnswer> fromWire(const wire::PermitAnswer& in, TimePoint now)
+    {
+        auto limit = fromWire(in.limit, now);
+        if (!limit.ok())
+            return limit.status();
+        if (in.granted < 0 || in.retryAfterMicros < 0)
+            return absl::InvalidArgumentError("negative number in an answer about permits");
+        return relay::PermitAnswer { static_cast<std::uint64_t>(in.limit.server), static_cast<std::uint64_t>(in.number),
+            static_cast<std::uint32_t>(in.granted), Duration(in.retryAfterMicros), *std::move(limit) };
+    }
+
     /// Decodes a list.
     /// @return the error of the first invalid entry
     template <typename To, typename From>
@@ -131,7 +199,7 @@
 
 } // namespace
 
-std::string encode(const PeerDatagram& datagram)
+std::string encode(const PeerDatagram& datagram, TimePoint now)
 {
     wire::RelayDatagram out;
     if (datagram.loads)
@@ -163,10 +231,16 @@
     }
     if (!datagram.forwardUntil.empty())
         out.__set_forwardUntil(datagram.forwardUntil);
+    if (datagram.permitRequest)
+        out.__set_permitRequest(toWire(*datagram.permitRequest, now));
+    if (datagram.permitAnswer)
+        out.__set_permitAnswer(toWire(*datagram.permitAnswer, now));
+    if (datagram.serverLimit)
+        out.__set_serverLimit(toWire(datagram.serverLimit->server, datagram.serverLimit->limit, now));
     return toThriftBytes(out);
 }
 
-absl::StatusOr<PeerDatagram> decodePeerDatagram(const std::string& bytes)
+absl::StatusOr<PeerDatagram> decodePeerDatagram(const std::string& bytes, TimePoint now)
 {
     const auto in = fromThriftBytes<wire::RelayDatagram>(bytes);
     if (!in.ok())
@@ -199,6 +273,24 @@
         return status;
     if (const absl::Status status = decodeAll(in->soundRequests, datagram.soundRequests); !status.ok())
         return status;
+    if (in->__isset.permitRequest) {
+        auto request = fromWire(in->permitRequest, now);
+        if (!request.ok())
+            return request.status();
+        datagram.permitRequest = *std::move(request);
+    }
+    if (in->__isset.permitAnswer) {
+        auto answer = fromWire(in->permitAnswer, now);
+        if (!answer.ok())
+            return answer.status();
+        datagram.permitAnswer = *std::move(answer);
+    }
+    if (in->__isset.serverLimit) {
+        const auto limit = fromWire(in->serverLimit, now);
+        if (!limit.ok())
+            return limit.status();
+        datagram.serverLimit = ServerLimitReport { static_cast<std::uint64_t>(in->serverLimit.server), *limit };
+    }
     return datagram;
 }
 
--- a/src/edge/PeerLink.cpp
+++ b/src/edge/PeerLink.cpp
@@ -111,7 +111,7 @@
 void PeerLink::receive(const std::string& bytes)
 {
     ++m_traffic.received;
-    const auto datagram = decodePeerDatagram(bytes);
+    const auto datagram = decodePeerDatagram(bytes, m_node.now());
     if (!datagram.ok()) {
         ++m_traffic.malformed;
         return;
@@ -128,6 +128,12 @@
         m_node.post(relay::event::CrashesReported { datagram->crashes });
     if (!datagram->soundRequests.empty())
         m_node.post(relay::event::HarmlessRequestsReported { datagram->soundRequests });
+    if (datagram->permitRequest)
+        receivePermitRequest(*datagram->permitRequest);
+    if (datagram->permitAnswer)
+        m_node.post(relay::event::PermitsAnswered { *datagram->permitAnswer });
+    if (datagram->serverLimit)
+        m_node.post(relay::event::ServerLimitReported { datagram->serverLimit->server, datagram->serverLimit->limit });
     if (datagram->storeChanges && !datagram->forwardUntil.empty())
         forward(*datagram, m_registry.self().id, datagram->forwardUntil);
     // The first instance of a data centre ignores its peers' copies while it can reach the store. If two instances
@@ -237,6 +243,68 @@
     sendRepeatedly(encode(datagram));
 }
 
+/// Instances that do not receive this learn of the limit from answers of the server.
+void PeerLink::onShareServerLimit(const relay::effect::ShareServerLimit& share)
+{
+    PeerDatagram datagram;
+    datagram.serverLimit = ServerLimitReport { share.server, share.limit };
+    sendToAll(encode(datagram, m_node.now()));
+}
+
+void PeerLink::onRequestPermits(const relay::effect::RequestPermits& effect)
+{
+    const auto coordinator = m_coordinators.coordinatorOf(effect.request.server);
+    if (!coordinator)
+        return;
+    PeerDatagram datagram;
+    datagram.permitRequest = effect.request;
+    datagram.permitRequest->sender = InstanceId(m_registry.self().id);
+    if (*coordinator == datagram.permitRequest->sender)
+        m_node.post(relay::event::PermitsRequested { *datagram.permitRequest });
+    else if (const auto address = m_addresses.find(*coordinator); address != m_addresses.end())
+        send(address->second, encode(datagram, m_node.now()));
+}
+
+/// Two instances that both grant permits for one server would exceed its limit, so only the one that considers itself
+/// the coordinator answers.
+void PeerLink::receivePermitRequest(const relay::PermitRequest& request)
+{
+    if (m_coordinators.coordinatorOf(request.server) != InstanceId(m_registry.self().id)) {
+        ++m_traffic.misdirectedPermitRequests;
+        return;
+    }
+    m_node.post(relay::event::PermitsRequested { request });
+}
+
+void PeerLink::onAnswerPermits(const relay::effect::AnswerPermits& effect)
+{
+    if (effect.requester == InstanceId(m_registry.self().id)) {
+        m_node.post(relay::event::PermitsAnswered { effect.answer });
+        return;
+    }
+    const auto address = m_addresses.find(effect.requester);
+    if (address == m_addresses.end())
+        return;
+    PeerDatagram datagram;
+    datagram.permitAnswer = effect.answer;
+    send(address->second, encode(datagram, m_node.now()));
+}
+
+void PeerLink::updateCoordinators()
+{
+    m_addresses.clear();
+    std::vector<relay::LimitCoordinators::Candidate> candidates;
+    const InstanceRegistry::Entry& self = m_registry.self();
+    candidates.push_back({ InstanceId(self.id), self.peerAddress, !m_registry.isWithdrawn() });
+    for (const InstanceRegistry::Entry& entry : m_registry.others()) {
+        if (entry.peerAddress.empty())
+            continue;
+        m_addresses[InstanceId(entry.id)] = entry.peerAddress;
+        candidates.push_back({ InstanceId(entry.id), entry.peerAddress, !m_registry.isSilentOrLeaving(entry) });
+    }
+    m_coordinators.update(candidates, m_node.now());
+}
+
 /// Sends a datagram to all other instances now and in the next rounds, so that it reaches them despite packet loss.
 void PeerLink::sendRepeatedly(std::string bytes)
 {
@@ -279,6 +347,7 @@
             others.push_back(peerOf(entry));
     }
     m_exchange.setPeers(std::move(others));
+    updateCoordinators();
     m_mirror.setWatchRank(m_registry.rankInDataCentre());
     if (distributesStoreChanges() != std::exchange(m_distributedStoreChanges, distributesStoreChanges()))
         relay::DecisionLog::state(
--- a/src/edge/PeerLink.h
+++ b/src/edge/PeerLink.h
@@ -3,10 +3,12 @@
 #include "edge/PeerCopies.h"
 #include "edge/PeerSink.h"
 #include "edge/StoreMirror.h"
+#include "relay/LimitCoordinators.h"
 #include "relay/LoadExchange.h"
 #include "shell/Net.h"
 
 #include <absl/status/statusor.h>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -24,7 +26,7 @@
 /// - Load reports of the LoadExchange, whose sums are posted to the relay.
 /// - Changes of the platform's store. Few instances watch the store; a distributor in each data centre passes its
 ///   changes on to the others there.
-/// - Findings of the relay, see PeerSink.
+/// - Findings of the relay, and permits for servers that name a limit, see PeerSink.
 ///
 /// Serves whole copies of the store over TCP, on the port of the same number, see PeerCopies.
 class PeerLink final : public PeerSink {
@@ -35,6 +37,7 @@
         std::uint64_t sendErrors = 0; ///< datagrams
         std::uint64_t received = 0; ///< datagrams, including malformed ones
         std::uint64_t malformed = 0; ///< datagrams
+        std::uint64_t misdirectedPermitRequests = 0; ///< for servers that another instance coordinates
     };
 
     /// Binds to the peer address of the registry's own entry and starts to exchange data.
@@ -60,6 +63,11 @@
     void onShareFinding(const relay::effect::ReportEngineState&) override;
     void onShareCrashes(const relay::effect::ShareCrashes&) override;
     void onShareHarmlessRequest(const relay::effect::ShareHarmlessRequest&) override;
+    void onShareServerLimit(const relay::effect::ShareServerLimit&) override;
+    void onRequestPermits(const relay::effect::RequestPermits&) override;
+    void onAnswerPermits(const relay::effect::AnswerPermits&) override;
+    void receivePermitRequest(const relay::PermitRequest&);
+    void updateCoordinators();
     void sendRepeatedly(std::string bytes);
     void sendRepeats();
     void reportStoreCopy();
@@ -73,6 +81,8 @@
     InstanceRegistry& m_registry;
     StoreMirror& m_mirror;
     relay::LoadExchange m_exchange;
+    relay::LimitCoordinators m_coordinators;
+    std::map<InstanceId, std::string> m_addresses; ///< of the other listed instances, as of the last round
     Udp::socket m_socket;
     PeerCopies m_copies;
     std::size_t m_changeSendBytes; ///< limit on the bytes sent for one datagram of store changes; 0: no limit
--- a/src/edge/PeerSink.h
+++ b/src/edge/PeerSink.h
@@ -4,7 +4,7 @@
 
 namespace crocusmount {
 
-/// Receives the findings of the relay that the other instances must learn of without delay.
+/// Receives what the relay has to tell other instances without delay.
 class PeerSink {
 public:
     virtual ~PeerSink() = default;
@@ -13,10 +13,18 @@
     void shareCrashes(const relay::effect::ShareCrashes& crashes) { onShareCrashes(crashes); }
     void shareHarmlessRequest(const relay::effect::ShareHarmlessRequest& harmless) { onShareHarmlessRequest(harmless); }
 
+    void shareServerLimit(const relay::effect::ShareServerLimit& limit) { onShareServerLimit(limit); }
+    /// Sends a request for permits to the instance that coordinates the server's limit. There may be no answer.
+    void requestPermits(const relay::effect::RequestPermits& request) { onRequestPermits(request); }
+    void answerPermits(const relay::effect::AnswerPermits& answer) { onAnswerPermits(answer); }
+
 private:
     virtual void onShareFinding(const relay::effect::ReportEngineState&) = 0;
     virtual void onShareCrashes(const relay::effect::ShareCrashes&) = 0;
     virtual void onShareHarmlessRequest(const relay::effect::ShareHarmlessRequest&) = 0;
+    virtual void onShareServerLimit(const relay::effect::ShareServerLimit&) = 0;
+    virtual void onRequestPermits(const relay::effect::RequestPermits&) = 0;
+    virtual void onAnswerPermits(const relay::effect::AnswerPermits&) = 0;
 };
 
 } // namespace crocusmount
--- a/src/edge/RelayMetrics.cpp
+++ b/src/edge/RelayMetrics.cpp
@@ -46,6 +46,14 @@
         "crocusmount_quarantined_requests", "Requests that are sent to no server", double(gauges.quarantined));
     families.addCounter("crocusmount_server_limits_seen_total", "Answers that named a limit of their server",
         double(counters.limitsSeen));
+    families.addCounter("crocusmount_permit_requests_total", "Requests for permits to send to limited servers",
+        double(counters.permitRequests));
+    families.addCounter("crocusmount_permits_total", "Permits asked of this instance as a coordinator",
+        double(counters.permitsGranted), { { "outcome", "granted" } });
+    families.addCounter("crocusmount_permits_total", "Permits asked of this instance as a coordinator",
+        double(counters.permitsDenied), { { "outcome", "denied" } });
+    families.addCounter("crocusmount_permit_requests_misdirected_total",
+        "Requests for permits that another instance has to answer", double(gauges.misdirectedPermitRequests));
     families.addGauge(
         "crocusmount_limited_servers", "Backend servers that name a limit", double(gauges.limitedServers));
     families.addCounter(
--- a/src/edge/RelayNode.cpp
+++ b/src/edge/RelayNode.cpp
@@ -382,6 +382,35 @@
     DecisionLog::state("server_limit", fields);
 }
 
+void RelayNode::on(const effect::LogPermits& note)
+{
+    DecisionLog::state("permits",
+        { { "server", note.server.value() }, { "granted", note.granted },
+            { "retry_after_ms", toMs(note.retryAfter) } });
+}
+
+void RelayNode::on(const effect::RequestPermits& request)
+{
+    if (m_peers)
+        m_peers->requestPermits(request);
+    else
+        post(event::PermitsRequested { request.request });
+}
+
+void RelayNode::on(const effect::AnswerPermits& answer)
+{
+    if (m_peers)
+        m_peers->answerPermits(answer);
+    else
+        post(event::PermitsAnswered { answer.answer });
+}
+
+void RelayNode::on(const effect::ShareServerLimit& limit)
+{
+    if (m_peers)
+        m_peers->shareServerLimit(limit);
+}
+
 void RelayNode::on(const effect::RerouteAttempt& order)
 {
     const auto found = m_openCalls.find(order.call);
--- a/src/edge/RelayNode.h
+++ b/src/edge/RelayNode.h
@@ -119,6 +119,10 @@
     void on(const effect::ReportEngineState&);
     void on(const effect::LogServerState&);
     void on(const effect::LogServerLimit&);
+    void on(const effect::LogPermits&);
+    void on(const effect::RequestPermits&);
+    void on(const effect::AnswerPermits&);
+    void on(const effect::ShareServerLimit&);
     void on(const effect::RerouteAttempt&);
     void on(const effect::Refuse&);
     void on(const effect::DeliverServerFailure&);
--- a/src/idl/peer.thrift
+++ b/src/idl/peer.thrift
@@ -110,6 +110,30 @@
   3: bool justBegun
 }
 
+// The rate of requests that a server accepts from all instances, and when that was seen.
+struct ServerLimit {
+  1: i64 server
+  // Requests a second; missing: the server names no limit.
+  2: optional double perSecond
+  // Time since the attempt whose answer showed it; missing: never seen.
+  3: optional i64 ageMicros
+}
+
+// Asks for permits to send requests to a server; count 0 only reports the limit.
+struct PermitRequest {
+  1: string sender
+  2: i64 number
+  3: i32 count
+  4: ServerLimit limit
+}
+
+struct PermitAnswer {
+  1: i64 number
+  2: i32 granted
+  3: i64 retryAfterMicros
+  4: ServerLimit limit
+}
+
 // One datagram between entry instances on the platform.
 struct RelayDatagram {
   1: optional LoadReport loads
@@ -128,4 +152,9 @@
   // The receiver forwards storeChanges to the listed instances of its data centre with ids after its own, up to and
   // including this id.
   9: optional string forwardUntil
+  // To the instance that coordinates a server's limit, and its answer.
+  10: optional PermitRequest permitRequest
+  11: optional PermitAnswer permitAnswer
+  // The limit of a server has begun or ended.
+  12: optional ServerLimit serverLimit
 }
--- a/src/relay/CallPlacer.cpp
+++ b/src/relay/CallPlacer.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace crocusmount::relay {
 
@@ -139,8 +140,9 @@
         if (cost.fill() > m_options.memoryOvercommit && server.ownTokenLayers > 0)
             continue;
         const double keptFactor = running && running->chain.contains(id) ? KeptStageCostFactor : 1;
-        const double firstStagePenaltyMs
-            = m_options.without.has(Mechanism::EntryPrice) ? 0 : entryPenaltyMs(load.calls, entry.slots);
+        const double firstStagePenaltyMs = server.isLimited(now) ? std::numeric_limits<double>::infinity()
+            : m_options.without.has(Mechanism::EntryPrice)       ? 0
+                                                                 : entryPenaltyMs(load.calls, entry.slots);
         const double jitter = 1 + CostJitter * uniformFraction(entropy, ++jitterIndex);
         // A stage processes a new event only after its current pass, which runs all of its layers.
         const double stagePenaltyMs = keptFactor * PassWaitFraction * cost.passMs() + penaltyMs(call, server, now);
@@ -157,7 +159,7 @@
     std::uint64_t jitterIndex = 0;
     for (const auto& [id, server] : m_fleet.servers()) {
         const RegisteredServer& entry = server.entry;
-        if (entry.service != call.service || entry.leaving)
+        if (entry.service != call.service || entry.leaving || server.isLimited(now))
             continue;
         if (server.ownCalls >= std::max(1.0, SlotOvercommit * entry.slots / m_instances) + 1)
             continue;
--- a/src/relay/ChainFinder.h
+++ b/src/relay/ChainFinder.h
@@ -15,7 +15,7 @@
     std::uint32_t dataCentre = 0; ///< index of the data centre; small, because it sizes a table
     double msPerLayer = 0; ///< time of one event in one layer, including load and slowness
     double penaltyMs = 0; ///< added once if the chain uses this engine
-    double entryPenaltyMs = 0; ///< added once if this engine is the first stage
+    double entryPenaltyMs = 0; ///< added once if this engine is the first stage; infinite if it must not be
 };
 
 /// Costs of passing events between stages, as added time per event.
--- /dev/null
+++ b/src/relay/PermitIssuer.cpp
@@ -0,0 +1,84 @@
+#include "relay/PermitIssuer.h"
+
+#include "relay/Spread.h"
+
+#include <algorithm>
+
+namespace crocusmount::relay {
+
+namespace {
+
+    /// An issuer that has just begun grants a part of the rate, because for this time some instances may still ask the
+    /// previous one.
+    constexpr Duration HandoverSpan = std::chrono::seconds(2);
+    constexpr double HandoverShare = 0.5;
+    /// A bucket that was not asked for this long begins again, since another instance may have coordinated the server.
+    constexpr Duration IdleSpan = std::chrono::seconds(5);
+    /// Unused permits are kept for this long.
+    constexpr double BucketSeconds = 0.25;
+    constexpr Duration MaxRetryAfter = std::chrono::seconds(4);
+    /// Requests to expect for each permit that becomes available.
+    constexpr double RequestsPerPermit = 2;
+
+    double inSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+    double bucketSize(double perSecond) { return perSecond > 0 ? std::max(1.0, BucketSeconds * perSecond) : 0; }
+
+} // namespace
+
+PermitAnswer PermitIssuer::answer(const PermitRequest& request, TimePoint now, std::uint64_t entropy)
+{
+    std::erase_if(m_buckets, [&](const auto& each) { return now - each.second.refilledAt > IdleSpan; });
+    const auto [position, isNew] = m_buckets.try_emplace(request.server);
+    Bucket& bucket = position->second;
+    if (isNew)
+        bucket.startedAt = bucket.refilledAt = now;
+    if (request.limit.askedAt >= bucket.limit.askedAt)
+        bucket.limit = request.limit;
+    refill(bucket, now);
+    PermitAnswer answer { request.server, request.number, 0, {}, bucket.limit };
+    if (!request.count || !bucket.limit.isNamed())
+        return answer;
+    bucket.requesters[request.sender] = now;
+    answer.granted = std::min(request.count, static_cast<std::uint32_t>(bucket.permits));
+    bucket.permits -= answer.granted;
+    if (answer.granted < request.count)
+        answer.retryAfter = retryAfter(bucket, now, entropy);
+    return answer;
+}
+
+bool PermitIssuer::shouldAnnounce(std::uint64_t server)
+{
+    const auto found = m_buckets.find(server);
+    if (found == m_buckets.end())
+        return false;
+    const bool isNamed = found->second.limit.isNamed();
+    return std::exchange(found->second.isAnnounced, isNamed) != isNamed;
+}
+
+void PermitIssuer::refill(Bucket& bucket, TimePoint now)
+{
+    const double limit = bucket.limit.perSecond.value_or(0);
+    const double share = now - bucket.startedAt < HandoverSpan ? HandoverShare : 1;
+    const double added = share * limit * inSeconds(now - bucket.refilledAt);
+    bucket.permits = std::min(bucketSize(limit), bucket.permits + added);
+    bucket.refilledAt = now;
+    std::erase_if(bucket.requesters, [&](const auto& each) { return now - each.second > MaxRetryAfter; });
+}
+
+/// If all instances asked again as soon as a permit is available, their requests would grow with the number of
+/// instances. They ask again so late that all of them together make RequestsPerPermit requests for each permit.
+Duration PermitIssuer::retryAfter(const Bucket& bucket, TimePoint now, std::uint64_t entropy) const
+{
+    const double limit = bucket.limit.perSecond.value_or(0);
+    if (limit <= 0)
+        return MaxRetryAfter;
+    const double untilNextPermit = std::max(0.0, 1 - bucket.permits) / limit;
+    const double turn = static_cast<double>(bucket.requesters.size()) / (RequestsPerPermit * limit);
+    const double spread
+        = 0.75 + 0.5 * uniformFraction(entropy, static_cast<std::uint64_t>(now.time_since_epoch().count()));
+    const double seconds = std::min(inSeconds(MaxRetryAfter), std::max(untilNextPermit, turn) * spread);
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+} // namespace crocusmount::relay
--- a/src/relay/RelayCounters.h
+++ b/src/relay/RelayCounters.h
@@ -29,6 +29,9 @@
     std::uint64_t requestsCleared = 0; ///< requests of which all evidence was dropped
     std::uint64_t held = 0; ///< calls that waited until the cause of a server's end was known
     std::uint64_t limitsSeen = 0; ///< answers that named a limit of their server
+    std::uint64_t permitRequests = 0; ///< requests for permits to send to a limited server
+    std::uint64_t permitsGranted = 0; ///< permits that this instance granted as a coordinator
+    std::uint64_t permitsDenied = 0; ///< permits that this instance did not grant as a coordinator
     std::uint64_t callersLeft = 0; ///< callers that closed their connection before the end of the answer
     std::uint64_t configurationsAccepted = 0;
     std::array<std::uint64_t, ReasonCount> refused {}; ///< final answers given by the relay itself, by reason
--- a/src/relay/RelayEffect.h
+++ b/src/relay/RelayEffect.h
@@ -8,6 +8,8 @@
 #include "relay/AttemptPurpose.h"
 #include "relay/CancelCause.h"
 #include "relay/CrashReport.h"
+#include "relay/PermitAnswer.h"
+#include "relay/PermitRequest.h"
 #include "relay/RetryLimit.h"
 
 #include <cstdint>
@@ -139,6 +141,31 @@
         std::optional<double> perSecond; ///< requests a second; nothing if the limit has ended
     };
 
+    /// Log that permits for a server were granted or denied.
+    struct LogPermits {
+        BackendId server;
+        std::uint32_t granted = 0;
+        Duration retryAfter {}; ///< when to ask for those that were not granted
+    };
+
+    /// Ask the coordinator of a server that names a limit for permits. The shell finds the coordinator and sets the
+    /// sender.
+    struct RequestPermits {
+        PermitRequest request;
+    };
+
+    /// Answer an instance that asked for permits.
+    struct AnswerPermits {
+        InstanceId requester;
+        PermitAnswer answer;
+    };
+
+    /// Report to the other instances that the limit of a server has begun or ended.
+    struct ShareServerLimit {
+        std::uint64_t server = 0; ///< key of one start of the server, see engineKey
+        ServerLimit limit;
+    };
+
     /// Order the first stage to continue a running stream over another chain that has the same first stage. Stages that
     /// are part of both chains keep their KV cache.
     struct RerouteAttempt {
@@ -174,7 +201,8 @@
 using RelayEffect = std::variant<effect::StartAttempt, effect::CancelAttempt, effect::HoldAnswer,
     effect::ContinueAnswer, effect::AskStalledStage, effect::CheckEngine, effect::ProbeServer, effect::ShareCrashes,
     effect::ShareHarmlessRequest, effect::LogCrash, effect::QuarantineRequest, effect::ClearRequest,
-    effect::ReportEngineState, effect::LogServerState, effect::LogServerLimit, effect::RerouteAttempt, effect::Refuse,
+    effect::ReportEngineState, effect::LogServerState, effect::LogServerLimit, effect::LogPermits,
+    effect::RequestPermits, effect::AnswerPermits, effect::ShareServerLimit, effect::RerouteAttempt, effect::Refuse,
     effect::DeliverServerFailure, effect::BreakAnswer>;
 using RelayEffects = std::vector<RelayEffect>;
 
--- a/src/relay/RelayEvent.h
+++ b/src/relay/RelayEvent.h
@@ -4,6 +4,8 @@
 #include "relay/CallSpec.h"
 #include "relay/CrashReport.h"
 #include "relay/LoadReport.h"
+#include "relay/PermitAnswer.h"
+#include "relay/PermitRequest.h"
 #include "relay/RegisteredServer.h"
 
 #include <memory>
@@ -82,6 +84,23 @@
         std::optional<double> perSecond; ///< requests a second from all instances; nothing if the answer names no limit
     };
 
+    /// Another instance, or this one, asked this instance for permits as the coordinator of a server that names a
+    /// limit.
+    struct PermitsRequested {
+        PermitRequest request;
+    };
+
+    /// The coordinator answered effect::RequestPermits.
+    struct PermitsAnswered {
+        PermitAnswer answer;
+    };
+
+    /// Another instance reported that the limit of a server has begun or ended.
+    struct ServerLimitReported {
+        std::uint64_t server = 0; ///< key of one start of the server, see engineKey
+        ServerLimit limit;
+    };
+
     /// The header of a successful answer arrived, so the server has begun to run the call.
     struct AnswerBegun {
         AttemptId attempt;
@@ -185,11 +204,11 @@
 
 using RelayEventBody = std::variant<event::ConfigurationAccepted, event::ServerRegistered, event::ServerUnregistered,
     event::InstancesCounted, event::StoreCopyChecked, event::LoadsReported, event::CallArrived, event::CallerLeft,
-    event::AttemptSent, event::ServerLimitSeen, event::AnswerBegun, event::EventDelivered, event::AttemptEnded,
-    event::RerouteAnswered, event::StalledStageReported, event::EngineChecked, event::ServerProbed,
-    event::CrashesReported, event::HarmlessRequestsReported, event::QuarantineListed, event::QuarantineLifted,
-    event::EngineStartSeen, event::EnginesReportedDead, event::EnginesReportedClosed, event::DrainRequested,
-    event::Tick>;
+    event::AttemptSent, event::ServerLimitSeen, event::PermitsRequested, event::PermitsAnswered,
+    event::ServerLimitReported, event::AnswerBegun, event::EventDelivered, event::AttemptEnded, event::RerouteAnswered,
+    event::StalledStageReported, event::EngineChecked, event::ServerProbed, event::CrashesReported,
+    event::HarmlessRequestsReported, event::QuarantineListed, event::QuarantineLifted, event::EngineStartSeen,
+    event::EnginesReportedDead, event::EnginesReportedClosed, event::DrainRequested, event::Tick>;
 
 /// An event, with the only time and randomness that the reducer may use to handle it.
 struct RelayEvent {
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -190,6 +190,10 @@
     FairQueue& waiting = queueOf(stored).waiting();
     if (waiting.empty() && place(stored, context))
         return;
+    if (isBeyondLimits(stored, waiting.size(), context)) {
+        finishUnanswered(stored, Reason::LimitReached, context);
+        return;
+    }
     if (context.now + queueOf(stored).expectedWait() > stored.waitUntil) {
         finishUnanswered(stored, Reason::NoCapacity, context);
         return;
@@ -417,8 +421,9 @@
         context.effects.emplace_back(effect::BreakAnswer { call.id, reason, limit });
     } else {
         const RunState run = call.mayHaveRun ? RunState::MayHaveRun : RunState::NotRun;
-        const Duration retryAfter = reason == Reason::NoCapacity ? retryAfterShortage(queueOf(call), context)
-                                                                 : retryAfterFor(reason, context);
+        const bool isShortage = reason == Reason::NoCapacity || reason == Reason::LimitReached;
+        const Duration retryAfter
+            = isShortage ? retryAfterShortage(queueOf(call), context) : retryAfterFor(reason, context);
         context.effects.emplace_back(effect::Refuse { call.id, reason, run, retryAfter, limit });
     }
     remove(call.id);
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -6,6 +6,7 @@
 #include "relay/CrashEvidence.h"
 #include "relay/EngineCheckBudget.h"
 #include "relay/HarmlessRequests.h"
+#include "relay/PermitIssuer.h"
 #include "relay/RelayCounters.h"
 #include "relay/RelayEffect.h"
 #include "relay/RelayEvent.h"
@@ -78,6 +79,9 @@
     void on(const event::CallerLeft&, Context&);
     void on(const event::AttemptSent&, Context&);
     void on(const event::ServerLimitSeen&, Context&);
+    void on(const event::ServerLimitReported&, Context&);
+    void on(const event::PermitsRequested&, Context&);
+    void on(const event::PermitsAnswered&, Context&);
     void on(const event::AnswerBegun&, Context&);
     void on(const event::EventDelivered&, Context&);
     void on(const event::AttemptEnded&, Context&);
@@ -191,6 +195,17 @@
     void requeue(Call&, Context&);
     bool isStalled(const Call&, TimePoint now) const;
     std::vector<BackendId> stalledStages(const Call&) const;
+    /// What the limits of a service's servers let through if every server at which its calls can begin names one.
+    struct LimitedCapacity {
+        TimePoint availableAt; ///< earliest time at which a permit may be available
+        Duration interval {}; ///< expected time between two permits
+    };
+    std::optional<LimitedCapacity> limitedCapacity(const ServiceId&, TimePoint now) const;
+    bool learnLimit(FleetServer&, const ServerLimit&, Context&);
+    void sendPermitRequest(FleetServer&, std::uint32_t count, Context&);
+    void requestPermits(const Call&, Context&);
+    bool isBeyondLimits(const Call&, std::size_t ahead, const Context&) const;
+    void refuseBeyondLimits(Context&);
     Duration retryAfterFor(Reason, const Context&) const;
     Duration retryAfterShortage(ServiceQueue&, const Context&) const;
     void remove(RequestId);
@@ -218,6 +233,8 @@
     CrashEvidence m_crashEvidence;
     RequestQuarantine m_quarantine;
     HarmlessRequests m_harmlessRequests;
+    PermitIssuer m_permitIssuer; ///< used for the servers that this instance coordinates
+    std::uint64_t m_nextPermitRequest = 1;
     EngineCheckBudget m_checkBudget;
     std::uint64_t m_nextAttempt = 1;
     std::optional<TimePoint> m_startedAt; ///< time of the first event
--- a/src/relay/RelayReducerPlacing.cpp
+++ b/src/relay/RelayReducerPlacing.cpp
@@ -71,6 +71,7 @@
 /// @return the attempt, or nothing if no server has capacity or a stage is being checked
 std::optional<Attempt> RelayReducer::startAttempt(Call& call, AttemptPurpose purpose, Context& context)
 {
+    requestPermits(call, context);
     auto placement = m_placer.place(call, context.now, context.entropy);
     if (!placement || awaitsCheck(placement->chain, context) || isKnownFull(call, placement->chain, context.now))
         return std::nullopt;
@@ -81,6 +82,8 @@
     attempt.startedAt = context.now;
     m_attempts[attempt.id] = call.id;
     queueOf(call).started();
+    if (FleetServer* server = m_fleet.find(attempt.server); server->limit.isNamed())
+        server->permits.take();
     if (attempt.chain.hops().empty())
         ++m_fleet.find(attempt.server)->ownCalls;
     else
@@ -103,7 +106,7 @@
     return attempt;
 }
 
-/// @return when the caller should retry after a refusal for a reason other than NoCapacity; zero if a retry is useless
+/// @return when the caller should retry after a refusal that is not due to a shortage; zero if a retry is useless
 Duration RelayReducer::retryAfterFor(Reason reason, const Context& context) const
 {
     const auto between = [&](std::int64_t minMs, std::int64_t maxMs) {
--- a/src/relay/ServerFleet.cpp
+++ b/src/relay/ServerFleet.cpp
@@ -117,6 +117,13 @@
     return m_checkCandidates;
 }
 
+FleetServer* ServerFleet::findByKey(std::uint64_t key)
+{
+    const auto found = std::find_if(
+        m_servers.begin(), m_servers.end(), [&](const auto& each) { return each.second.othersLoad.engine == key; });
+    return found == m_servers.end() ? nullptr : &found->second;
+}
+
 FleetServer* ServerFleet::findByAddress(const std::string& address)
 {
     const auto found = std::find_if(
--- a/src/relay/ServerFleet.h
+++ b/src/relay/ServerFleet.h
@@ -5,6 +5,7 @@
 #include "relay/LoadReport.h"
 #include "relay/RegisteredServer.h"
 #include "relay/ServerLimit.h"
+#include "relay/ServerPermits.h"
 #include "relay/ServerStartTracker.h"
 
 #include <map>
@@ -42,6 +43,7 @@
     bool refusedCheck = false; ///< the last health check was refused: no process listens there, so the server is dead
 
     ServerLimit limit; ///< rate of requests that this server accepts from all instances
+    ServerPermits permits; ///< of this instance to send requests to this server while it names a limit
 
     TimePoint lastRejectedAt; ///< when this server last rejected a call of this instance
     TimePoint lastAcceptedAt; ///< when a new call through this server last had its first event
@@ -52,6 +54,8 @@
     bool isEngine() const { return !entry.accelerator.empty(); }
     bool isDead(TimePoint now) const { return now < deadUntil; }
     bool isClosed(TimePoint now) const { return now < closedUntil; }
+    /// @return whether the server's limit keeps this instance from sending it a request now
+    bool isLimited(TimePoint now) const { return limit.isNamed() && !permits.areAvailable(now); }
 
     /// @return the load report of this instance about this server
     EngineLoad ownLoad(TimePoint now) const;
@@ -87,6 +91,8 @@
     /// @return number of servers that name a limit
     std::size_t limitedCount() const;
     FleetServer* find(const BackendId&);
+    /// @param key  of one start of the server, see engineKey
+    FleetServer* findByKey(std::uint64_t key);
     FleetServer* findByAddress(const std::string& address);
 
     /// Adds a call's estimated KV cache to each stage of its chain, and the call to the first stage.
--- a/tests/LimitFleet.cpp
+++ b/tests/LimitFleet.cpp
@@ -18,6 +18,9 @@
     constexpr Duration EventInterval = milliseconds(40);
     constexpr std::uint64_t EventsPerStream = 20;
     constexpr std::uint32_t SlotsPerServer = 192;
+    /// A member that has not reported for this long is assumed to be dead.
+    constexpr Duration MaxMemberSilence = milliseconds(1800);
+    constexpr Duration RoundInterval = milliseconds(150);
     /// An instance counts as told this long after it received the limit.
     constexpr Duration ToldDelay = milliseconds(500);
 
@@ -37,9 +40,102 @@
         startInstance(i);
         at(TickInterval * i / m_options.instances, [this, i] { tick(i); });
     }
+    for (std::size_t i = 0; i < m_options.instances; ++i)
+        readInstances(i);
     at(Duration(0), [this] { sendCall(); });
 }
 
+InstanceId LimitFleet::instanceId(std::size_t instance) const
+{
+    return InstanceId(std::to_string(instance) + "-" + std::to_string(m_instances[instance].starts));
+}
+
+std::optional<std::size_t> LimitFleet::findInstance(const InstanceId& id) const
+{
+    const std::size_t instance = std::stoul(id.value());
+    const bool isSameStart = id == instanceId(instance) && m_instances[instance].reducer;
+    return isSameStart ? std::optional(instance) : std::nullopt;
+}
+
+void LimitFleet::publishInstances()
+{
+    for (std::size_t i = 0; i < m_instances.size(); ++i)
+        at(milliseconds(static_cast<std::int64_t>(300 * random())), [this, i] { readInstances(i); });
+}
+
+void LimitFleet::readInstances(std::size_t reader)
+{
+    std::vector<LimitCoordinators::Candidate> candidates;
+    for (std::size_t i = 0; i < m_instances.size(); ++i) {
+        if (m_instances[i].isListed || i == reader)
+            candidates.push_back({ instanceId(i), std::to_string(i), !m_instances[i].isSilent });
+    }
+    m_instances[reader].coordinators.update(candidates, m_now);
+}
+
+void LimitFleet::restartInstance(std::size_t instance, Duration downtime)
+{
+    m_instances[instance].reducer.reset();
+    std::erase_if(m_attempts, [&](const auto& each) { return each.first.first == instance; });
+    m_instances[instance].openCalls.clear();
+    at(MaxMemberSilence, [this, instance] {
+        m_instances[instance].isSilent = !m_instances[instance].reducer;
+        publishInstances();
+    });
+    at(downtime, [this, instance] {
+        startInstance(instance);
+        publishInstances();
+    });
+}
+
+void LimitFleet::loseInstanceList(Duration span)
+{
+    for (std::size_t i = 0; i < m_instances.size(); ++i) {
+        m_instances[i].isListed = false;
+        const auto registeredAfter = Duration(static_cast<std::int64_t>(static_cast<double>(span.count()) * random()));
+        at(registeredAfter, [this, i] { m_instances[i].isListed = true; });
+    }
+    // Instances read the list in each round.
+    for (Duration after {}; after <= span + RoundInterval; after += RoundInterval)
+        at(after, [this] { publishInstances(); });
+}
+
+std::size_t LimitFleet::coordinatorOf(const std::string& server)
+{
+    const RegisteredServer& entry = m_servers.at(BackendId(server)).entry;
+    return std::stoul(m_instances[0].coordinators.coordinatorOf(engineKey(entry.id, entry.startedAt))->value());
+}
+
+Duration LimitFleet::meanWaitForRefusal() const
+{
+    return m_totalWaitForRefusal / static_cast<std::int64_t>(std::max<std::size_t>(1, m_failed));
+}
+
+std::uint64_t LimitFleet::permitRequests() const
+{
+    std::uint64_t requests = 0;
+    for (const Instance& instance : m_instances)
+        requests += instance.reducer ? instance.reducer->counters().permitRequests : 0;
+    return requests;
+}
+
+void LimitFleet::restartServer(const std::string& id)
+{
+    Server& server = m_servers.at(BackendId(id));
+    server.limit.reset();
+    server.toldAt.clear();
+    server.entry.startedAt = StartTime(++server.starts);
+    for (std::size_t i = 0; i < m_instances.size(); ++i)
+        registerServers(i);
+}
+
+void LimitFleet::sendMessage(std::size_t to, RelayEventBody body)
+{
+    if (random() < m_options.messageLossRate)
+        return;
+    at(NetworkDelay, [this, to, body = std::move(body)] { post(to, body); });
+}
+
 void LimitFleet::addServer(const RegisteredServer& entry)
 {
     Server& server = m_servers[entry.id];
@@ -52,9 +148,20 @@
 {
     RelayOptions options;
     options.dataCentre = DataCentreId("z");
-    m_instances[instance].reducer = std::make_unique<RelayReducer>(options);
+    Instance& started = m_instances[instance];
+    started.reducer = std::make_unique<RelayReducer>(options);
+    ++started.starts;
+    started.isListed = true;
+    started.isSilent = false;
+    for (auto& [id, server] : m_servers)
+        server.toldAt.erase(instance);
     post(instance, event::ConfigurationAccepted { RouteTable::make(RelayHarness::configuration()) });
     post(instance, event::InstancesCounted { static_cast<std::uint32_t>(m_instances.size()) });
+    registerServers(instance);
+}
+
+void LimitFleet::registerServers(std::size_t instance)
+{
     for (const auto& [id, server] : m_servers)
         post(instance, event::ServerRegistered { server.entry });
 }
@@ -106,14 +213,18 @@
     spec.maxAnswerTokens = 50;
     const std::uint64_t number = id.value();
     std::memcpy(spec.content.bytes.data(), &number, sizeof(number));
-    m_instances[instance].openCalls[id] = m_now;
-    post(instance, event::CallArrived { id, spec });
+    if (m_instances[instance].reducer) {
+        m_instances[instance].openCalls[id] = m_now;
+        post(instance, event::CallArrived { id, spec });
+    }
     // The time between two calls varies, so that the calls do not fall into step with the ticks.
     at(Duration(static_cast<std::int64_t>(2e6 * random() / m_options.callsPerSecond)), [this] { sendCall(); });
 }
 
 void LimitFleet::post(std::size_t instance, RelayEventBody body)
 {
+    if (!m_instances[instance].reducer)
+        return;
     RelayEffects effects;
     const auto entropy = static_cast<std::uint64_t>(random() * 1e18);
     m_instances[instance].reducer->reduce({ m_now, entropy, std::move(body) }, effects);
@@ -131,6 +242,21 @@
             at(2 * NetworkDelay, [this, instance, engine = check->engine] {
                 post(instance, event::EngineChecked { engine, true });
             });
+        } else if (const auto* wanted = std::get_if<effect::RequestPermits>(&effect)) {
+            PermitRequest request = wanted->request;
+            request.sender = instanceId(instance);
+            const auto coordinator = m_instances[instance].coordinators.coordinatorOf(request.server);
+            const auto receiver = coordinator ? findInstance(*coordinator) : std::nullopt;
+            if (receiver && m_instances[*receiver].coordinators.coordinatorOf(request.server) == coordinator)
+                sendMessage(*receiver, event::PermitsRequested { request });
+        } else if (const auto* answer = std::get_if<effect::AnswerPermits>(&effect)) {
+            if (const auto receiver = findInstance(answer->requester))
+                sendMessage(*receiver, event::PermitsAnswered { answer->answer });
+        } else if (const auto* share = std::get_if<effect::ShareServerLimit>(&effect)) {
+            for (std::size_t other = 0; other < m_instances.size(); ++other) {
+                if (other != instance)
+                    sendMessage(other, event::ServerLimitReported { share->server, share->limit });
+            }
         } else if (const auto* refused = std::get_if<effect::Refuse>(&effect)) {
             finishCall(instance, refused->call, false);
         } else if (const auto* broken = std::get_if<effect::BreakAnswer>(&effect)) {
@@ -145,6 +271,8 @@
     if (found.empty())
         return;
     ++(isCompleted ? m_completed : m_failed);
+    if (!isCompleted)
+        m_totalWaitForRefusal += m_now - found.mapped();
     if (!isCompleted)
         m_longestWaitForRefusal = std::max(m_longestWaitForRefusal, m_now - found.mapped());
 }
--- a/tests/LimitFleet.h
+++ b/tests/LimitFleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "relay/LimitCoordinators.h"
 #include "relay/RelayReducer.h"
 #include "tests/RelayHarness.h"
 
@@ -34,18 +35,30 @@
     void run(Duration);
     /// Lets a server name a limit from now on, or none.
     void setLimit(const std::string& server, std::optional<double> perSecond);
+    /// Ends a server, and starts it again under its id without a limit.
+    void restartServer(const std::string& server);
+    /// Ends an instance without notice. Its peers notice it after MaxMemberSilence, at slightly different times.
+    /// @param downtime  time until it starts again under another id
+    void restartInstance(std::size_t instance, Duration downtime);
+    /// Ends the entries of all instances in the store at once, until each has registered again.
+    void loseInstanceList(Duration span);
+    /// @return the instance that coordinates the limit of a server
+    std::size_t coordinatorOf(const std::string& server);
 
     /// @return the most requests that a server received within any `span` that begins at `from` or later, from the
     ///         instances that had received an answer naming its limit half a second before or earlier
     std::size_t peakArrivals(const std::string& server, TimePoint from, Duration span) const;
     /// @return the requests that a server received from `from` on
     std::size_t arrivalsSince(const std::string& server, TimePoint from) const;
+    /// @return permits that instances requested so far
+    std::uint64_t permitRequests() const;
     /// @return calls that were answered completely
     std::size_t completed() const { return m_completed; }
     /// @return calls that were refused or broken off
     std::size_t failed() const { return m_failed; }
-    /// @return the longest time that a call waited for its refusal
+    /// @return the longest and the mean time that calls waited for their refusal
     Duration longestWaitForRefusal() const { return m_longestWaitForRefusal; }
+    Duration meanWaitForRefusal() const;
     TimePoint now() const { return m_now; }
 
 private:
@@ -56,11 +69,16 @@
     struct Server {
         RegisteredServer entry;
         std::optional<double> limit;
+        int starts = 1;
         std::vector<Arrival> arrivals;
         std::map<std::size_t, TimePoint> toldAt; ///< when each instance first received the limit
     };
     struct Instance {
-        std::unique_ptr<RelayReducer> reducer;
+        std::unique_ptr<RelayReducer> reducer; ///< null while the instance is down
+        LimitCoordinators coordinators; ///< by its own copy of the list
+        int starts = 0;
+        bool isListed = false;
+        bool isSilent = false; ///< the other instances have noticed that it is down
         std::map<RequestId, TimePoint> openCalls; ///< time of arrival
     };
     /// An attempt that a server runs.
@@ -73,7 +91,14 @@
     using AttemptKey = std::pair<std::size_t, AttemptId>; ///< instance and attempt
 
     void addServer(const RegisteredServer&);
+    InstanceId instanceId(std::size_t instance) const;
+    /// @return the instance with an id, or nothing if that start of it has ended
+    std::optional<std::size_t> findInstance(const InstanceId&) const;
     void startInstance(std::size_t instance);
+    void registerServers(std::size_t instance);
+    /// Lets all instances read the list of instances within the next rounds.
+    void publishInstances();
+    void readInstances(std::size_t reader);
     void at(Duration delay, std::function<void()> action);
     void post(std::size_t instance, RelayEventBody);
     void apply(std::size_t instance, const RelayEffects&);
@@ -81,6 +106,8 @@
     void beginAnswer(const AttemptKey&, const BackendId& server);
     void sendEvent(const AttemptKey&);
     void finishCall(std::size_t instance, RequestId, bool isCompleted);
+    /// Delivers an event to another instance, or loses it.
+    void sendMessage(std::size_t to, RelayEventBody);
     void sendCall();
     void tick(std::size_t instance);
     double random();
@@ -96,6 +123,7 @@
     std::size_t m_completed = 0;
     std::size_t m_failed = 0;
     Duration m_longestWaitForRefusal {};
+    Duration m_totalWaitForRefusal {};
 };
 
 } // namespace crocusmount::relay
