Let only signed answers end the limit of a server

Cause: any answer without the header ended the limit, also a rejection, which may come from a stage behind the server. A full server rejects many calls, and each rejection would have lifted the limit for all instances until the next success.

Change: an answer shows that its server names no limit only if it bears the server's seal. A limit that a rejection does name counts.

Figures: OnlyASignedAnswerEndsALimit fails without the change ("a rejection": the limit had ended) and passes with it.

Conclusion: rejections no longer end a limit.

--- a/src/edge/UpstreamAttempt.cpp
+++ b/src/edge/UpstreamAttempt.cpp
@@ -179,7 +179,11 @@
     }
     const auto& head = parser->get().base();
     const unsigned status = head.result_int();
-    m_postEvent(event::ServerLimitSeen { m_order.attempt, parseLimit(head[m_headerNames.serverLimit]) });
+    // A rejection may come from a stage behind the server, or before the server states its limit. Only answers that the
+    // server has signed show that it names none.
+    const auto limit = parseLimit(head[m_headerNames.serverLimit]);
+    if (limit || head.count(m_headerNames.seal))
+        m_postEvent(event::ServerLimitSeen { m_order.attempt, limit });
     const bool isSuccess = status >= 200 && status < 300;
     if (!isSuccess && (head.count(m_headerNames.notRun) || status == MisdirectedRequest))
         co_return makeEnded(AttemptResult::NotRun, status, std::string(head[m_headerNames.culprit]));
--- a/tests/RelayLoopbackTest.cpp
+++ b/tests/RelayLoopbackTest.cpp
@@ -206,6 +206,27 @@
     }
 }
 
+// A rejection without the header, in between answers that name the limit, must not end it.
+TEST(RelayLoopback, OnlyASignedAnswerEndsALimit)
+{
+    const std::string limited = answerHead("500 Oops") + "Server-Limit: 1000\r\nContent-Length: 0\r\n\r\n";
+    const struct {
+        const char* name;
+        std::string second; ///< answer to the second attempt
+        std::optional<double> limit;
+    } cases[] = {
+        { "a success", answerHead("200 OK") + "Content-Length: 0\r\n\r\n", std::nullopt },
+        { "a failure", answerHead("500 Oops") + "Content-Length: 0\r\n\r\n", std::nullopt },
+        { "a rejection", "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", 1000 },
+        { "another server's answer", "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n", 1000 },
+    };
+    for (const auto& each : cases) {
+        const CallOutcome result = runCall(requestTo("/look/1"), { limited, each.second });
+        CHECK_TRUE_TEXT(result.requests >= 2, each.name);
+        CHECK_TRUE_TEXT(result.limit == each.limit, each.name);
+    }
+}
+
 TEST(RelayLoopback, StreamsAreForwardedByWholeEventsAndIncompleteStreamsLookIncomplete)
 {
     const std::string streamHead
