Read the list of coordinators only while a server names a limit

Callers saw: nothing.

Cause: each instance copied the whole list of instances a second time in each round of 150 ms, for limits that are rare.

Ruled out: reading it on demand only; entries that end at once must be known from before.

Change: rounds read it while a server names a limit; a request for permits reads it if the last reading is a round old.

Conclusion: no cost without limits.

--- a/src/edge/PeerLink.cpp
+++ b/src/edge/PeerLink.cpp
@@ -253,7 +253,7 @@
 
 void PeerLink::onRequestPermits(const relay::effect::RequestPermits& effect)
 {
-    const auto coordinator = m_coordinators.coordinatorOf(effect.request.server);
+    const auto coordinator = coordinatorOf(effect.request.server);
     if (!coordinator)
         return;
     PeerDatagram datagram;
@@ -269,7 +269,7 @@
 /// the coordinator answers.
 void PeerLink::receivePermitRequest(const relay::PermitRequest& request)
 {
-    if (m_coordinators.coordinatorOf(request.server) != InstanceId(m_registry.self().id)) {
+    if (coordinatorOf(request.server) != InstanceId(m_registry.self().id)) {
         ++m_traffic.misdirectedPermitRequests;
         return;
     }
@@ -290,8 +290,16 @@
     send(address->second, encode(datagram, m_node.now()));
 }
 
+std::optional<InstanceId> PeerLink::coordinatorOf(std::uint64_t server)
+{
+    if (m_node.now() >= m_coordinatorsUpdatedAt + RoundInterval)
+        updateCoordinators();
+    return m_coordinators.coordinatorOf(server);
+}
+
 void PeerLink::updateCoordinators()
 {
+    m_coordinatorsUpdatedAt = m_node.now();
     m_addresses.clear();
     std::vector<relay::LimitCoordinators::Candidate> candidates;
     const InstanceRegistry::Entry& self = m_registry.self();
@@ -347,7 +355,9 @@
             others.push_back(peerOf(entry));
     }
     m_exchange.setPeers(std::move(others));
-    updateCoordinators();
+    // The list can be long, so it is read only while a server names a limit.
+    if (m_node.reducer().fleet().limitedCount())
+        updateCoordinators();
     m_mirror.setWatchRank(m_registry.rankInDataCentre());
     if (distributesStoreChanges() != std::exchange(m_distributedStoreChanges, distributesStoreChanges()))
         relay::DecisionLog::state(
--- a/src/edge/PeerLink.h
+++ b/src/edge/PeerLink.h
@@ -67,6 +67,9 @@
     void onRequestPermits(const relay::effect::RequestPermits&) override;
     void onAnswerPermits(const relay::effect::AnswerPermits&) override;
     void receivePermitRequest(const relay::PermitRequest&);
+    /// @param server  key of the server, see relay::engineKey
+    /// @return the instance that grants permits for a server, or nothing if none is available
+    std::optional<InstanceId> coordinatorOf(std::uint64_t server);
     void updateCoordinators();
     void sendRepeatedly(std::string bytes);
     void sendRepeats();
@@ -82,7 +85,8 @@
     StoreMirror& m_mirror;
     relay::LoadExchange m_exchange;
     relay::LimitCoordinators m_coordinators;
-    std::map<InstanceId, std::string> m_addresses; ///< of the other listed instances, as of the last round
+    std::map<InstanceId, std::string> m_addresses; ///< of the other listed instances, as of m_coordinatorsUpdatedAt
+    TimePoint m_coordinatorsUpdatedAt;
     Udp::socket m_socket;
     PeerCopies m_copies;
     std::size_t m_changeSendBytes; ///< limit on the bytes sent for one datagram of store changes; 0: no limit
