Share the retry slack among more instances than half of the retries

Callers saw: nothing yet; found by looking for the cause of unread-server-limit elsewhere: a quota that all instances share.

Cause: an instance's share of the retries beyond the ratio was at least two, so 985 instances could make 1,970 retries at once of the 1,040 that are allowed.

Change: the share is at least one, the least with which a retry can be made. Up to as many instances as retries are allowed, the sum now holds.

Conclusion: holds up to as many instances as retries; beyond that it does not.

--- a/src/relay/RelayReducerPlacing.cpp
+++ b/src/relay/RelayReducerPlacing.cpp
@@ -139,7 +139,7 @@
 }
 
 /// @return this instance's share of the retries that all instances may make beyond the retry ratio
-double RelayReducer::retryBurst() const { return std::max(2.0, m_options.retrySlack / m_placer.instances()); }
+double RelayReducer::retryBurst() const { return std::max(1.0, m_options.retrySlack / m_placer.instances()); }
 
 /// @return the share of the retry burst, from 0 to 1, that is granted at the present age of the process
 double RelayReducer::retryBurstShare() const
--- a/tests/AdmissionTest.cpp
+++ b/tests/AdmissionTest.cpp
@@ -79,3 +79,30 @@
         CHECK_TRUE(limit.value() <= each.maxLimit);
     }
 }
+
+// With a share of at least two, 985 instances could make 1,970 retries of the 1,040 that all together may make.
+TEST(Admission, AllInstancesTogetherMakeNoMoreRetriesThanAreAllowed)
+{
+    const struct {
+        std::uint32_t instances;
+        double retrySlack;
+    } cases[] = { { 9, 202 }, { 60, 314 }, { 295, 774 }, { 700, 774 }, { 985, 1040 } };
+    for (const auto& each : cases) {
+        RelayOptions options;
+        options.retrySlack = each.retrySlack;
+        options.retryRatio = 0;
+        RelayHarness harness(options);
+        harness.send(relay::event::InstancesCounted { each.instances });
+        double retries = 0;
+        for (int call = 0; call < 300; ++call) {
+            const auto start = harness.running("/look/1");
+            harness.send(relay::event::AttemptEnded { start.attempt, AttemptResult::Broken, 0, "" });
+            if (const auto retry = harness.last<relay::effect::StartAttempt>()) {
+                ++retries;
+                harness.send(relay::event::AttemptEnded { retry->attempt, AttemptResult::Completed, 200, "" });
+            }
+        }
+        CHECK_TRUE(retries * each.instances <= each.retrySlack);
+        CHECK_TRUE(retries >= 1);
+    }
+}
