Let servers of the soak name limits that come, change and end

Callers saw: nothing; the soak did not know the rule that broke.

Cause: its servers never named a limit, so no run of real processes could show that instances ignore it.

Limits have a generator of their own.

Change: stand-in servers name a limit in every answer while one is set, also in rejections; it changes once or twice and ends, also with the server. After the run the requests that servers received are compared with the users' rule, for the instances that they had told and that had no fault within 3 s.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -29,6 +29,10 @@
 STABLE_S = 3
 # Promises with a bound in time. They may fail on a busy host, so CI leaves them out.
 TIMED = {"deadline", "config", "recovery", "leaving", "grace", "quarantine"}
+# A server that names a limit gets at most 1.5 times as much, and five requests, within LIMIT_WINDOW_S. That holds for
+# instances that passed on an answer naming it TOLD_S before or earlier.
+LIMIT_WINDOW_S = 4
+TOLD_S = 0.5
 KEY = "soak-key"
 
 
@@ -247,6 +251,73 @@
             await asyncio.sleep(draws.random() * 1.5)
         await asyncio.gather(*running)
 
+    async def limits(self):
+        """Lets one server after the other name a limit, which changes and ends.
+
+        It has a generator of its own, so that the schedule of a seed's other faults does not depend on it.
+        """
+        draws = random.Random(f"limits {self.seed}")
+        end = time.monotonic() + self.seconds
+        while time.monotonic() < end:
+            await asyncio.sleep(draws.random())
+            # Calls begin at plain servers and at engines that hold the first layer.
+            limitable = [each for each in self.fleet.servers.values()
+                         if each.alive and (not each.kind or (each.layers[1] and not each.layers[0]))]
+            if not limitable:
+                continue
+            server = draws.choice(limitable)
+            incarnation = server.id, server.born_ms
+            for _ in range(draws.randint(1, 3)):
+                server.set_limit(round(0.5 + draws.random() * 4, 1))
+                await asyncio.sleep(2 + draws.random() * 5)
+                if not server.alive or incarnation != (server.id, server.born_ms):
+                    break
+            server.set_limit(None)
+
+    def judge_limits(self):
+        """Checks that servers with a limit got no more than it allows from the instances that they had told."""
+        for server in self.fleet.servers.values():
+            for begin, end, limits in self.limit_spans(server):
+                told = {}
+                for at, attempt in server.named:
+                    if begin <= at < end and attempt in self.instance_of:
+                        told.setdefault(self.instance_of[attempt], at)
+                arrivals = []
+                for at, attempt in server.arrivals:
+                    instance = self.instance_of.get(attempt)
+                    knows = instance in told and told[instance] + TOLD_S <= at
+                    if begin + STABLE_S <= at < end and knows and instance.calm(STABLE_S, at):
+                        arrivals.append(at)
+                self.judge_arrivals(server, arrivals, limits)
+
+    def limit_spans(self, server):
+        """Returns (begin, end, changes) of each time during which the server named a limit without a break."""
+        spans = []
+        for at, limit in server.limits + [(time.monotonic(), None)]:
+            if spans and spans[-1][1] is None:
+                if limit is not None:
+                    spans[-1][2].append((at, limit))
+                else:
+                    spans[-1][1] = at
+            elif limit is not None:
+                spans.append([at, None, [(at, limit)]])
+        return spans
+
+    def judge_arrivals(self, server, arrivals, limits):
+        for first in arrivals:
+            if any(start < first + LIMIT_WINDOW_S and first < end + 1 for start, end in server.link_faults):
+                continue  # A link holds requests back and then delivers them together.
+            count = sum(first <= each < first + LIMIT_WINDOW_S for each in arrivals)
+            # A limit that was lowered counts from TOLD_S after the answers that name it.
+            ends = [at for at, _ in limits[1:]] + [float("inf")]
+            named = [limit for (at, limit), until in zip(limits, ends)
+                     if at < first + LIMIT_WINDOW_S and until > first - 2 * TOLD_S]
+            allowed = 1.5 * max(named) * LIMIT_WINDOW_S + 5
+            if count > allowed or self.mutate == "limits":
+                self.report("limit", f"{server.id} named {max(named)} a second and got {count} requests in "
+                            f"{LIMIT_WINDOW_S} s, allowed {allowed:.0f}")
+                return
+
     async def restart(self, instance):
         await instance.process.wait()
         await asyncio.sleep(0.2)
@@ -346,11 +417,13 @@
 
     async def link_fault(self, draws):
         server = draws.choice(list(self.fleet.servers.values()))
-        self.backend_calm = time.monotonic() + 60
+        started = time.monotonic()
+        self.backend_calm = started + 60
         server.link.set_mode(draws.choice(["delay", "reset", "silent", "mute"]))
         await asyncio.sleep(draws.random() * 3)
         server.link.set_mode("ok")
         self.backend_calm = time.monotonic()
+        server.link_faults.append((started, self.backend_calm))
 
     async def crashing(self, draws):
         """Sends a request that crashes each server that begins it, repeatedly and to random instances."""
@@ -399,7 +472,7 @@
         for instance in self.instances:
             instance.started_calm = time.monotonic()
         callers = [asyncio.create_task(self.caller()) for _ in range(24)]
-        await self.faults()
+        await asyncio.gather(self.faults(), self.limits())
         await asyncio.sleep(6)
         before = self.served()
         await asyncio.sleep(2)
@@ -412,6 +485,7 @@
             await instance.process.wait()
         self.judge_runs()
         self.judge_crashing()
+        self.judge_limits()
         self.close()
         return self.broken
 
@@ -468,7 +542,7 @@
     parser.add_argument("--program", default="build/crocusmount-entry")
     parser.add_argument("--block", type=int, default=1, help="second number of the loopback addresses, 1 to 254")
     parser.add_argument("--untimed", action="store_true", help="leave out promises with a bound in time")
-    parser.add_argument("--mutate", default="", help="breaks one promise on purpose: body, config, runs, leaving")
+    parser.add_argument("--mutate", default="", help="breaks one promise on purpose: body, config, crashes, leaving, limits, runs")
     arguments = parser.parse_args()
     if "-" in arguments.seeds:
         first, last = arguments.seeds.split("-")
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -210,6 +210,10 @@
         self.incarnation, self.state, self.layers, self.alive, self.left_at = 0, "ready", (0, 0), False, None
         self.listener, self.connections, self.lapse = None, set(), None
         self.born_ms, self.orders = 0, 0
+        # The requests a second that it takes from all instances, None without a limit, and (time, limit) of each change.
+        self.limit, self.limits = None, []
+        # (time, attempt) of each request, and of each answer that named the limit. Times of link faults: (start, end).
+        self.arrivals, self.named, self.link_faults = [], [], []
 
     @property
     def id(self):
@@ -224,6 +228,7 @@
         self.incarnation += 0 if keeps_id else 1
         self.born_ms = max(self.born_ms + 1, int(time.time() * 1000))
         self.state, self.layers, self.alive, self.left_at, self.orders = "ready", (0, 0), True, None, 0
+        self.set_limit(None)
         self.listener = await serve(self.behind, self._handle)
         self.fleet.servers[self.name] = self
         self.register()
@@ -235,6 +240,17 @@
             entry |= {"route_type": self.kind, "layers": self.held()}
         self.fleet.store.put(f"servers/{self.id}", json.dumps(entry))
 
+    def set_limit(self, limit):
+        self.limit = limit
+        self.limits.append((time.monotonic(), limit))
+
+    def limit_header(self, attempt):
+        """Returns the header that names the limit, if there is one, and notes that the instance was told."""
+        if self.limit is None:
+            return {}
+        self.named.append((time.monotonic(), attempt))
+        return {"Server-Limit": f"{self.limit:g}"}
+
     def held(self):
         return {"from": self.layers[0], "target": self.layers[1]}
 
@@ -270,8 +286,10 @@
             writer.write(response(200 if self.state == "ready" else 503, headers={"X-Instance-Id": self.id}))
             return True
         attempt = message.headers.get("x-attempt-id", "")
+        self.arrivals.append((time.monotonic(), attempt))
         if message.headers.get("x-expect-instance", self.id) != self.id:
-            writer.write(response(421, headers={"X-Not-Executed": "1", "X-Attempt-Id": attempt}))
+            writer.write(response(421, headers={"X-Not-Executed": "1", "X-Attempt-Id": attempt}
+                                  | self.limit_header(attempt)))
             return True
         self._check_leaving(attempt)
         crashes = message.body.startswith(CRASHES)
@@ -284,7 +302,8 @@
         self.fleet.ran(attempt)
         await asyncio.sleep(0.01)
         body = f"plain {message.headers['x-key']}".encode()
-        writer.write(response(200, body, {"X-Attempt-Id": attempt, "X-Server-Seal": self.id}))
+        writer.write(response(200, body, {"X-Attempt-Id": attempt, "X-Server-Seal": self.id}
+                              | self.limit_header(attempt)))
         return True
 
     async def _crash_under(self, body):
@@ -325,12 +344,14 @@
     async def _stream(self, message, writer, attempt, crashes):
         status, culprit = self._check_chain(message.headers.get("x-hop-count", ""))
         if status != 200:
-            writer.write(response(status, headers={"X-Not-Executed": "1", "X-Attempt-Id": attempt, "At-Server": culprit}))
+            writer.write(response(status, headers={"X-Not-Executed": "1", "X-Attempt-Id": attempt, "At-Server": culprit}
+                                  | self.limit_header(attempt)))
             return True
         self.fleet.ran(attempt)
         first = int(message.headers.get("last-event-id", "0")) + 1
+        limit = "".join(f"{name}: {value}\r\n" for name, value in self.limit_header(attempt).items())
         writer.write((f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
-                      f"X-Attempt-Id: {attempt}\r\nX-Server-Seal: {self.id}\r\n\r\n").encode())
+                      f"X-Attempt-Id: {attempt}\r\nX-Server-Seal: {self.id}\r\n{limit}\r\n").encode())
         if crashes:
             await writer.drain()
             return await self._crash_under(message.body)
