--- a/tests/LimitFleet.cpp
+++ b/tests/LimitFleet.cpp
@@ -21,6 +21,8 @@
     /// A member that has not reported for this long is assumed to be dead.
     constexpr Duration MaxMemberSilence = milliseconds(1800);
     constexpr Duration RoundInterval = milliseconds(150);
+    /// Between two readings of the list without a change. Real instances read it in each round.
+    constexpr Duration ListInterval = milliseconds(1000);
     /// An instance counts as told this long after it received the limit.
     constexpr Duration ToldDelay = milliseconds(500);
 
@@ -28,6 +30,7 @@
 
 LimitFleet::LimitFleet(Options options)
     : m_options(std::move(options))
+    , m_randomState(m_options.seed)
 {
     for (std::size_t i = 0; i < m_options.firstStages; ++i) {
         addServer(RelayHarness::engine("e" + std::to_string(i), 0, 4));
@@ -42,6 +45,7 @@
     }
     for (std::size_t i = 0; i < m_options.instances; ++i)
         readInstances(i);
+    readListRegularly();
     at(Duration(0), [this] { sendCall(); });
 }
 
@@ -57,6 +61,12 @@
     return isSameStart ? std::optional(instance) : std::nullopt;
 }
 
+void LimitFleet::readListRegularly()
+{
+    publishInstances();
+    at(ListInterval, [this] { readListRegularly(); });
+}
+
 void LimitFleet::publishInstances()
 {
     for (std::size_t i = 0; i < m_instances.size(); ++i)
@@ -122,7 +132,7 @@
 void LimitFleet::restartServer(const std::string& id)
 {
     Server& server = m_servers.at(BackendId(id));
-    server.limit.reset();
+    setLimit(id, std::nullopt);
     server.toldAt.clear();
     server.entry.startedAt = StartTime(++server.starts);
     for (std::size_t i = 0; i < m_instances.size(); ++i)
@@ -158,6 +168,8 @@
     post(instance, event::ConfigurationAccepted { RouteTable::make(RelayHarness::configuration()) });
     post(instance, event::InstancesCounted { static_cast<std::uint32_t>(m_instances.size()) });
     registerServers(instance);
+    // Without reports an instance assumes that all others use the servers as much as it does.
+    post(instance, event::LoadsReported { EngineLoads() });
 }
 
 void LimitFleet::registerServers(std::size_t instance)
@@ -196,7 +208,9 @@
 
 void LimitFleet::setLimit(const std::string& server, std::optional<double> perSecond)
 {
-    m_servers.at(BackendId(server)).limit = perSecond;
+    Server& changed = m_servers.at(BackendId(server));
+    changed.limit = perSecond;
+    changed.limits.emplace_back(m_now, perSecond);
 }
 
 void LimitFleet::sendCall()
@@ -341,7 +355,7 @@
 {
     std::vector<TimePoint> times;
     for (const Arrival& arrival : m_servers.at(BackendId(server)).arrivals) {
-        if (arrival.wasTold && arrival.at >= from)
+        if (arrival.at >= from)
             times.push_back(arrival.at);
     }
     std::size_t peak = 0;
@@ -353,6 +367,38 @@
     return peak;
 }
 
+double LimitFleet::worstExcess(const std::string& id, Duration settling, Duration span) const
+{
+    const Server& server = m_servers.at(BackendId(id));
+    const double spanSeconds = std::chrono::duration<double>(span).count();
+    double worst = -1e9;
+    for (std::size_t first = 0; first < server.limits.size(); ++first) {
+        if (!server.limits[first].second || (first && server.limits[first - 1].second))
+            continue;
+        std::size_t last = first;
+        while (last + 1 < server.limits.size() && server.limits[last + 1].second)
+            ++last;
+        const TimePoint end = last + 1 < server.limits.size() ? server.limits[last + 1].first : m_now;
+        std::vector<TimePoint> times;
+        for (const Arrival& arrival : server.arrivals) {
+            if (arrival.wasTold && arrival.at >= server.limits[first].first + settling && arrival.at < end)
+                times.push_back(arrival.at);
+        }
+        for (const TimePoint from : times) {
+            double limit = 0;
+            for (std::size_t i = first; i <= last; ++i) {
+                const bool isOver = i < last && server.limits[i + 1].first + 2 * ToldDelay <= from;
+                if (!isOver && server.limits[i].first < from + span)
+                    limit = std::max(limit, *server.limits[i].second);
+            }
+            const auto count = std::count_if(
+                times.begin(), times.end(), [&](TimePoint at) { return at >= from && at < from + span; });
+            worst = std::max(worst, static_cast<double>(count) - (1.5 * limit * spanSeconds + 5));
+        }
+    }
+    return worst;
+}
+
 std::size_t LimitFleet::arrivalsSince(const std::string& server, TimePoint from) const
 {
     const auto& arrivals = m_servers.at(BackendId(server)).arrivals;
--- a/tests/LimitFleet.h
+++ b/tests/LimitFleet.h
@@ -27,6 +27,7 @@
         double breakRate = 0; ///< share of the answers that break off midway, from 0 to 1
         double messageLossRate = 0; ///< share of the messages between instances that is lost, from 0 to 1
         std::string path = "/draft/1"; ///< "/look/1" for the plain service
+        std::uint64_t seed = 11;
     };
 
     explicit LimitFleet(Options);
@@ -42,12 +43,20 @@
     void restartInstance(std::size_t instance, Duration downtime);
     /// Ends the entries of all instances in the store at once, until each has registered again.
     void loseInstanceList(Duration span);
+    /// @return a random number from 0 to 1
+    double random();
     /// @return the instance that coordinates the limit of a server
     std::size_t coordinatorOf(const std::string& server);
 
-    /// @return the most requests that a server received within any `span` that begins at `from` or later, from the
-    ///         instances that had received an answer naming its limit half a second before or earlier
+    /// @return the most requests that a server received, from all instances, within any `span` that begins at `from` or
+    ///         later
     std::size_t peakArrivals(const std::string& server, TimePoint from, Duration span) const;
+    /// Compares the requests that a server received from the instances that it had told of its limit half a second
+    /// before with its limits, wherever it has named one for longer than `settling`. Within `span` it may receive one
+    /// and a half times what its limit allows, and five requests. A limit that is lowered counts from the time at which
+    /// the instances must have been told.
+    /// @return the most requests beyond that; negative if there are none
+    double worstExcess(const std::string& server, Duration settling, Duration span) const;
     /// @return the requests that a server received from `from` on
     std::size_t arrivalsSince(const std::string& server, TimePoint from) const;
     /// @return permits that instances requested so far
@@ -69,6 +78,7 @@
     struct Server {
         RegisteredServer entry;
         std::optional<double> limit;
+        std::vector<std::pair<TimePoint, std::optional<double>>> limits; ///< time and value of each change
         int starts = 1;
         std::vector<Arrival> arrivals;
         std::map<std::size_t, TimePoint> toldAt; ///< when each instance first received the limit
@@ -99,6 +109,7 @@
     /// Lets all instances read the list of instances within the next rounds.
     void publishInstances();
     void readInstances(std::size_t reader);
+    void readListRegularly();
     void at(Duration delay, std::function<void()> action);
     void post(std::size_t instance, RelayEventBody);
     void apply(std::size_t instance, const RelayEffects&);
@@ -110,15 +121,13 @@
     void sendMessage(std::size_t to, RelayEventBody);
     void sendCall();
     void tick(std::size_t instance);
-    double random();
-
     Options m_options;
     std::map<BackendId, Server> m_servers;
     std::vector<Instance> m_instances;
     std::map<AttemptKey, RunningAttempt> m_attempts;
     std::multimap<TimePoint, std::function<void()>> m_actions; ///< by due time
     TimePoint m_now = timePoint(1000000);
-    std::uint64_t m_randomState = 11;
+    std::uint64_t m_randomState;
     std::uint64_t m_nextCall = 1;
     std::size_t m_completed = 0;
     std::size_t m_failed = 0;
--- a/tests/ServerLimitTest.cpp
+++ b/tests/ServerLimitTest.cpp
@@ -353,3 +353,36 @@
         checkPeak(fleet, "e0", each.after, changed, each.name);
     }
 }
+
+// Limits that begin, change and end, servers and instances that restart, lost messages and lost entries, in random
+// order.
+TEST(ServerLimit, TheSumHoldsInRandomSequencesOfChanges)
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        LimitFleet::Options options;
+        options.seed = seed;
+        options.instances = seed % 10 ? 9 : 60;
+        options.callsPerSecond = 150;
+        options.firstStages = 1 + seed % 3;
+        options.rejectionRate = seed % 2 ? 0.2 : 0;
+        options.breakRate = seed % 5 ? 0 : 0.3;
+        options.messageLossRate = seed % 4 ? 0 : 0.15;
+        LimitFleet fleet(options);
+        for (int step = 0; step < 20; ++step) {
+            const double action = fleet.random();
+            if (action < 0.45)
+                fleet.setLimit("e0", 1 + 19 * fleet.random());
+            else if (action < 0.55)
+                fleet.setLimit("e0", std::nullopt);
+            else if (action < 0.6)
+                fleet.restartServer("e0");
+            else if (action < 0.8)
+                fleet.restartInstance(static_cast<std::size_t>(fleet.random() * 9), seconds(1));
+            else if (action < 0.85)
+                fleet.loseInstanceList(milliseconds(1500));
+            fleet.run(milliseconds(static_cast<std::int64_t>(300 + 2500 * fleet.random())));
+        }
+        const double excess = fleet.worstExcess("e0", SettlingTime, Window);
+        CHECK_TRUE_TEXT(excess <= 0, ("seed " + std::to_string(seed) + ": " + std::to_string(excess)).c_str());
+    }
+}
