Do not coordinate limits on an instance without an entry in the store

Cause: an instance always counted itself as a coordinator. The store can reject the calls of some instances while it serves the others; their entries end, the others choose another coordinator, and each such instance would have granted itself the whole limit beside it.

Ruled out: asking only listed instances whose entry is fresh; the list is all that instances share.

A coordinator answers unlisted instances at the address that their request came from. Without any listed instance there are no permits.

Conclusion: one coordinator, as far as lists agree, also while the store turns instances away.

--- a/src/edge/PeerLink.cpp
+++ b/src/edge/PeerLink.cpp
@@ -104,11 +104,11 @@
             co_return;
         if (error)
             continue; // An earlier datagram was refused, for example because the peer is down.
-        receive(buffer.substr(0, count));
+        receive(buffer.substr(0, count), from);
     }
 }
 
-void PeerLink::receive(const std::string& bytes)
+void PeerLink::receive(const std::string& bytes, const Udp::endpoint& from)
 {
     ++m_traffic.received;
     const auto datagram = decodePeerDatagram(bytes, m_node.now());
@@ -129,7 +129,7 @@
     if (!datagram->soundRequests.empty())
         m_node.post(relay::event::HarmlessRequestsReported { datagram->soundRequests });
     if (datagram->permitRequest)
-        receivePermitRequest(*datagram->permitRequest);
+        receivePermitRequest(*datagram->permitRequest, from);
     if (datagram->permitAnswer)
         m_node.post(relay::event::PermitsAnswered { *datagram->permitAnswer });
     if (datagram->serverLimit)
@@ -267,12 +267,14 @@
 
 /// Two instances that both grant permits for one server would exceed its limit, so only the one that considers itself
 /// the coordinator answers.
-void PeerLink::receivePermitRequest(const relay::PermitRequest& request)
+void PeerLink::receivePermitRequest(const relay::PermitRequest& request, const Udp::endpoint& from)
 {
     if (coordinatorOf(request.server) != InstanceId(m_registry.self().id)) {
         ++m_traffic.misdirectedPermitRequests;
         return;
     }
+    // The sender may not be listed: the store may reject its calls while it serves the other instances.
+    m_addresses.try_emplace(request.sender, from.address().to_string() + ":" + std::to_string(from.port()));
     m_node.post(relay::event::PermitsRequested { request });
 }
 
@@ -303,7 +305,10 @@
     m_addresses.clear();
     std::vector<relay::LimitCoordinators::Candidate> candidates;
     const InstanceRegistry::Entry& self = m_registry.self();
-    candidates.push_back({ InstanceId(self.id), self.peerAddress, !m_registry.isWithdrawn() });
+    // An instance whose own entry has ended is no coordinator to the others either. If it asked itself, it would grant
+    // permits beside theirs.
+    if (m_registry.isListed(self.id))
+        candidates.push_back({ InstanceId(self.id), self.peerAddress, !m_registry.isWithdrawn() });
     for (const InstanceRegistry::Entry& entry : m_registry.others()) {
         if (entry.peerAddress.empty())
             continue;
--- a/src/edge/PeerLink.h
+++ b/src/edge/PeerLink.h
@@ -57,7 +57,7 @@
     Awaitable<void> receiveLoop();
     Awaitable<void> roundLoop();
     void makeRound();
-    void receive(const std::string& bytes);
+    void receive(const std::string& bytes, const Udp::endpoint& from);
     void distribute(const StoreMirror::Changes&);
     void forward(PeerDatagram, const std::string& after, const std::string& until);
     void onShareFinding(const relay::effect::ReportEngineState&) override;
@@ -66,7 +66,7 @@
     void onShareServerLimit(const relay::effect::ShareServerLimit&) override;
     void onRequestPermits(const relay::effect::RequestPermits&) override;
     void onAnswerPermits(const relay::effect::AnswerPermits&) override;
-    void receivePermitRequest(const relay::PermitRequest&);
+    void receivePermitRequest(const relay::PermitRequest&, const Udp::endpoint& from);
     /// @param server  key of the server, see relay::engineKey
     /// @return the instance that grants permits for a server, or nothing if none is available
     std::optional<InstanceId> coordinatorOf(std::uint64_t server);
@@ -85,7 +85,8 @@
     StoreMirror& m_mirror;
     relay::LoadExchange m_exchange;
     relay::LimitCoordinators m_coordinators;
-    std::map<InstanceId, std::string> m_addresses; ///< of the other listed instances, as of m_coordinatorsUpdatedAt
+    /// Of the other listed instances, and of unlisted ones that asked for permits, as of m_coordinatorsUpdatedAt.
+    std::map<InstanceId, std::string> m_addresses;
     TimePoint m_coordinatorsUpdatedAt;
     Udp::socket m_socket;
     PeerCopies m_copies;
--- a/tests/PeerLinkTest.cpp
+++ b/tests/PeerLinkTest.cpp
@@ -3,10 +3,12 @@
 #include "edge/RelayNode.h"
 #include "platform/WireNames.h"
 #include "shell/Endpoint.h"
+#include "tests/RelayHarness.h"
 #include "tests/Tests.h"
 #include "tests/fakes/RefusingEngineControl.h"
 
 using namespace crocusmount;
+using namespace crocusmount::relay;
 using std::chrono::milliseconds;
 
 namespace {
@@ -85,6 +87,7 @@
         m_registry.storeChanged({ { "crocusmount/instances/" + entry.id, value, 1 }, false });
     }
 
+    relay::RelayNode& node() { return m_node; }
     SwitchableStore& store() { return m_store; }
     const StoreMirror& mirror() const { return m_mirror; }
     const std::string& configuration() const { return m_configuration; }
@@ -195,3 +198,62 @@
         CHECK_TRUE_TEXT(rejected.configuration() == confirmedConfiguration, each.name);
     }
 }
+
+namespace {
+
+/// @return a server whose limit one instance would coordinate if both were listed
+RegisteredServer serverCoordinatedBy(const std::string& coordinator, const std::string& other)
+{
+    LimitCoordinators coordinators;
+    coordinators.update({ { InstanceId(coordinator), "1", true }, { InstanceId(other), "2", true } }, timePoint(0));
+    std::string name = "x";
+    while (coordinators.coordinatorOf(engineKey(BackendId(name))) != InstanceId(coordinator))
+        name += "x";
+    return RelayHarness::plain(name);
+}
+
+} // namespace
+
+// The store can reject the calls of some instances while it serves the others, so that their entries end. Such an
+// instance must not grant itself permits beside the coordinator of the others.
+TEST(PeerLink, AnInstanceWithoutAnEntryAsksTheCoordinatorOfTheOthers)
+{
+    const struct {
+        const char* name;
+        bool isListed; ///< whether the entry of the instance that asks exists
+        bool isPeerListed;
+        std::uint64_t attempts; ///< that it may start
+        std::uint64_t grantedByPeer;
+    } cases[] = {
+        { "only the peer is listed", false, true, 1, 1 },
+        { "only the instance is listed", true, false, 1, 0 },
+        { "neither is listed", false, false, 0, 0 },
+    };
+    for (const auto& each : cases) {
+        net::io_context context(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE);
+        Instance peer(context, "b", "z");
+        Instance asking(context, "a", "z");
+        for (Instance* reader : { &peer, &asking }) {
+            if (each.isListed)
+                reader->list(asking);
+            if (each.isPeerListed)
+                reader->list(peer);
+        }
+        relay::RelayNode& node = asking.node();
+        const RegisteredServer server = serverCoordinatedBy("a", "b");
+        node.post(relay::event::ConfigurationAccepted { RouteTable::make(RelayHarness::configuration()) });
+        node.post(relay::event::ServerRegistered { server });
+        node.post(relay::event::ServerLimitReported { engineKey(server.id), { 10, node.now() } });
+        CallSpec spec;
+        spec.host = "h.example";
+        spec.path = "/look/1";
+        spec.key = "key";
+        node.post(relay::event::CallArrived { RequestId(1), spec });
+        const auto end = std::chrono::steady_clock::now() + milliseconds(400);
+        while (std::chrono::steady_clock::now() < end && !node.reducer().counters().attempts)
+            context.run_one_for(milliseconds(20));
+        CHECK_EQUAL_TEXT(each.attempts, node.reducer().counters().attempts, each.name);
+        CHECK_EQUAL_TEXT(each.grantedByPeer, peer.node().reducer().counters().permitsGranted, each.name);
+        CHECK_EQUAL_TEXT(each.attempts - each.grantedByPeer, node.reducer().counters().permitsGranted, each.name);
+    }
+}
