--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
 """Fault soak: runs entry instances as processes against stand-ins for the platform, with a seeded schedule of faults.
 
-Usage: soak.py [--seeds FIRST-LAST] [--seconds N] [--program FILE] [--mutate NAME]
+Usage: soak.py [--seeds FIRST-LAST] [--seconds N] [--instances N] [--program FILE] [--mutate NAME]
 
 The seed determines the schedule of faults. The promises are checked from what callers and backend servers observe. A
 broken promise is printed with its seed and the folder of the instances' logs.
@@ -23,7 +23,6 @@
 from standins import CARD_MB, HEALTH_PATH, KV_TOKEN_BYTES, LAYER_MB, LAYERS, Fleet, Link, Server, Store  # noqa: E402
 
 ZONES = ["za", "zb"]
-INSTANCES = 4
 GRACE_S = 8
 # Bounds in time hold this long after the last fault on the store or an instance; set by the platform.
 STABLE_S = 3
@@ -84,14 +83,14 @@
 
 
 class Soak:
-    def __init__(self, seed, seconds, program, folder, mutate, net, untimed):
+    def __init__(self, seed, seconds, program, folder, mutate, net, untimed, instances):
         self.untimed = untimed
         self.seed, self.seconds, self.folder, self.mutate = seed, seconds, folder, mutate
         self.random = random.Random(f"callers {seed}")
         self.store, self.broken, self.answers = Store(), [], {}
         self.net, self.fleet = net, Fleet(self.store)
         self.store_link = Link(store_link(net), f"{net}.90.1:7000")
-        self.instances = [Instance(each, program, folder, net) for each in range(INSTANCES)]
+        self.instances = [Instance(each, program, folder, net) for each in range(instances)]
         self.store_faults, self.instance_of = [], {}
         if mutate == "leaving":
             self.fleet.leaving_bound_s = -5.0
@@ -527,7 +526,7 @@
     folder = tempfile.mkdtemp(prefix=f"soak-{seed}-")
     net = f"127.{arguments.block}"
     soak = Soak(seed, arguments.seconds, os.path.abspath(arguments.program), folder, arguments.mutate, net,
-                arguments.untimed)
+                arguments.untimed, arguments.instances)
     broken = await soak.run()
     print(f"seed {seed}: {soak.attempts} requests, {soak.served()} served, {len(broken)} broken promises", flush=True)
     for promise, text in broken[:10]:
@@ -539,6 +538,7 @@
     parser = argparse.ArgumentParser(description="fault soak of real processes")
     parser.add_argument("--seeds", default="1-1", help="first and last seed, or a list with commas")
     parser.add_argument("--seconds", type=float, default=15, help="how long faults are injected, for each seed")
+    parser.add_argument("--instances", type=int, default=4, help="entry instances, 1 to 200")
     parser.add_argument("--program", default="build/crocusmount-entry")
     parser.add_argument("--block", type=int, default=1, help="second number of the loopback addresses, 1 to 254")
     parser.add_argument("--untimed", action="store_true", help="leave out promises with a bound in time")
