--- a/src/relay/CallPlacer.cpp
+++ b/src/relay/CallPlacer.cpp
@@ -93,6 +93,15 @@
     return (isAvoided ? AvoidedPenaltyMs : 0) + (failedBefore ? FailedBeforePenaltyMs : 0);
 }
 
+/// @param calls  estimated calls of all instances that have this engine as first stage
+/// @return added cost of entering a chain at an engine, in ms; infinite if its limit forbids it now
+double CallPlacer::firstStagePenaltyMs(const FleetServer& server, double calls, TimePoint now) const
+{
+    if (server.isLimited(now))
+        return std::numeric_limits<double>::infinity();
+    return m_options.without.has(Mechanism::EntryPrice) ? 0 : entryPenaltyMs(calls, server.entry.slots);
+}
+
 /// @return the estimated load of all instances' calls on an engine
 EngineLoad CallPlacer::estimatedLoad(const FleetServer& server, TimePoint now) const
 {
@@ -140,14 +149,12 @@
         if (cost.fill() > m_options.memoryOvercommit && server.ownTokenLayers > 0)
             continue;
         const double keptFactor = running && running->chain.contains(id) ? KeptStageCostFactor : 1;
-        const double firstStagePenaltyMs = server.isLimited(now) ? std::numeric_limits<double>::infinity()
-            : m_options.without.has(Mechanism::EntryPrice)       ? 0
-                                                                 : entryPenaltyMs(load.calls, entry.slots);
         const double jitter = 1 + CostJitter * uniformFraction(entropy, ++jitterIndex);
         // A stage processes a new event only after its current pass, which runs all of its layers.
         const double stagePenaltyMs = keptFactor * PassWaitFraction * cost.passMs() + penaltyMs(call, server, now);
         candidates.push_back({ id, entry.address, entry.layers, indexOf(entry.dataCentre),
-            keptFactor * cost.marginalMsPerLayer() * jitter, stagePenaltyMs, firstStagePenaltyMs });
+            keptFactor * cost.marginalMsPerLayer() * jitter, stagePenaltyMs,
+            firstStagePenaltyMs(server, load.calls, now) });
     }
     return ChainFinder::find(model.layers, candidates, startDataCentre, first);
 }
--- a/src/relay/CallPlacer.h
+++ b/src/relay/CallPlacer.h
@@ -41,6 +41,7 @@
         const Call&, const EngineModel&, const Attempt* running, TimePoint now, std::uint64_t entropy) const;
     std::optional<Placement> findServer(const Call&, TimePoint now, std::uint64_t entropy) const;
     EngineLoad estimatedLoad(const FleetServer&, TimePoint now) const;
+    double firstStagePenaltyMs(const FleetServer&, double calls, TimePoint now) const;
     double penaltyMs(const Call&, const FleetServer&, TimePoint now) const;
 
     const RelayOptions& m_options;
--- a/src/relay/PermitIssuer.cpp
+++ b/src/relay/PermitIssuer.cpp
@@ -3,6 +3,7 @@
 #include "relay/Spread.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace crocusmount::relay {
 
@@ -19,6 +20,9 @@
     constexpr Duration MaxRetryAfter = std::chrono::seconds(4);
     /// Requests to expect for each permit that becomes available.
     constexpr double RequestsPerPermit = 2;
+    /// The times at which instances ask again are spread between these multiples of the computed time.
+    constexpr double MinSpread = 0.75;
+    constexpr double MaxSpread = 1.25;
 
     double inSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
@@ -43,7 +47,7 @@
     answer.granted = std::min(request.count, static_cast<std::uint32_t>(bucket.permits));
     bucket.permits -= answer.granted;
     if (answer.granted < request.count)
-        answer.retryAfter = retryAfter(bucket, now, entropy);
+        answer.retryAfter = retryAfter(bucket, entropy);
     return answer;
 }
 
@@ -68,15 +72,14 @@
 
 /// If all instances asked again as soon as a permit is available, their requests would grow with the number of
 /// instances. They ask again so late that all of them together make RequestsPerPermit requests for each permit.
-Duration PermitIssuer::retryAfter(const Bucket& bucket, TimePoint now, std::uint64_t entropy) const
+Duration PermitIssuer::retryAfter(const Bucket& bucket, std::uint64_t entropy)
 {
     const double limit = bucket.limit.perSecond.value_or(0);
     if (limit <= 0)
         return MaxRetryAfter;
     const double untilNextPermit = std::max(0.0, 1 - bucket.permits) / limit;
     const double turn = static_cast<double>(bucket.requesters.size()) / (RequestsPerPermit * limit);
-    const double spread
-        = 0.75 + 0.5 * uniformFraction(entropy, static_cast<std::uint64_t>(now.time_since_epoch().count()));
+    const double spread = MinSpread + (MaxSpread - MinSpread) * uniformFraction(entropy, 0);
     const double seconds = std::min(inSeconds(MaxRetryAfter), std::max(untilNextPermit, turn) * spread);
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
 }
--- a/src/relay/PermitIssuer.h
+++ b/src/relay/PermitIssuer.h
@@ -31,8 +31,9 @@
         bool isAnnounced = false; ///< the other instances were told that the server names a limit
     };
 
-    void refill(Bucket&, TimePoint now);
-    Duration retryAfter(const Bucket&, TimePoint now, std::uint64_t entropy) const;
+    static void refill(Bucket&, TimePoint now);
+    /// @return when an instance whose permits were denied asks again
+    static Duration retryAfter(const Bucket&, std::uint64_t entropy);
 
     std::map<std::uint64_t, Bucket> m_buckets; ///< by key of the server
 };
--- a/src/relay/ServerPermits.cpp
+++ b/src/relay/ServerPermits.cpp
@@ -17,16 +17,15 @@
 
 } // namespace
 
-bool ServerPermits::isUnanswered(TimePoint now) const
-{
-    return m_pendingNumber && now >= m_requestedAt + AnswerTimeout;
-}
+bool ServerPermits::isPending(TimePoint now) const { return m_pendingNumber && now < m_requestedAt + AnswerTimeout; }
 
-bool ServerPermits::shouldRequest(TimePoint now) const
+TimePoint ServerPermits::nextRequestAt() const
 {
-    return !areAvailable(now) && availableAt(now) <= now && (!m_pendingNumber || isUnanswered(now));
+    return m_pendingNumber ? m_requestedAt + UnansweredPause : m_nextRequestAt;
 }
 
+bool ServerPermits::shouldRequest(TimePoint now) const { return !areAvailable(now) && now >= nextRequestAt(); }
+
 void ServerPermits::requested(std::uint64_t number, TimePoint now)
 {
     m_pendingNumber = number;
@@ -46,14 +45,13 @@
 
 Duration ServerPermits::interval(TimePoint now) const
 {
-    return isUnanswered(now) ? std::max(m_interval, UnansweredPause) : m_interval;
+    const bool isUnanswered = m_pendingNumber && !isPending(now);
+    return isUnanswered ? std::max(m_interval, UnansweredPause) : m_interval;
 }
 
 TimePoint ServerPermits::availableAt(TimePoint now) const
 {
-    if (areAvailable(now) || (m_pendingNumber && !isUnanswered(now)))
-        return now;
-    return std::max(now, m_pendingNumber ? m_requestedAt + UnansweredPause : m_nextRequestAt);
+    return areAvailable(now) || isPending(now) ? now : std::max(now, nextRequestAt());
 }
 
 } // namespace crocusmount::relay
--- a/src/relay/ServerPermits.h
+++ b/src/relay/ServerPermits.h
@@ -35,13 +35,15 @@
     Duration interval(TimePoint now) const;
 
 private:
-    bool isUnanswered(TimePoint now) const;
+    /// @return whether the last request may still be answered
+    bool isPending(TimePoint now) const;
+    TimePoint nextRequestAt() const;
 
     std::uint32_t m_available = 0;
     TimePoint m_expiresAt; ///< of the available permits
     std::optional<std::uint64_t> m_pendingNumber; ///< of the request that has not been answered
     TimePoint m_requestedAt; ///< when the last request was made
-    TimePoint m_nextRequestAt; ///< not before this time, once the last request was answered
+    TimePoint m_nextRequestAt; ///< as asked for by the last answer
     Duration m_interval {};
 };
 
--- a/tests/LimitFleet.cpp
+++ b/tests/LimitFleet.cpp
@@ -216,7 +216,8 @@
 void LimitFleet::sendCall()
 {
     const bool isForFirst = random() < m_options.shareOfFirstInstance;
-    const std::size_t instance = isForFirst ? 0 : static_cast<std::size_t>(random() * m_instances.size());
+    const std::size_t instance
+        = isForFirst ? 0 : static_cast<std::size_t>(random() * static_cast<double>(m_instances.size()));
     const RequestId id(m_nextCall++);
     CallSpec spec;
     spec.host = "h.example";
