Log and count what servers state about themselves in their answers

Cause: neither logs nor metrics told whether a rejection asked for a time without requests or whether an answer said that its server leaves, nor what the instance believed then, so the hypotheses could be told apart by counting attempts only.

Ruled out: a further special case beside the limit.

Change: one type (ServerNotice) for what the head of an answer states about its server, one function that reads it, for answers to calls, checks, probes, questions and orders alike, one event, one function that applies it. The limit goes the same way. An instance logs a request for backoff with its end (server_backoff) and a leave that was announced (server_announced_leaving); three counters, one of them for values that cannot be read. No call is sent elsewhere for it.

Conclusion: what a server asked for and what the instance believes can be read from its log.

--- a/src/edge/EngineControl.h
+++ b/src/edge/EngineControl.h
@@ -5,6 +5,7 @@
 #include "edge/EngineReport.h"
 #include "edge/OrderReply.h"
 #include "edge/ServerIdentity.h"
+#include "edge/StalledStage.h"
 #include "shell/Net.h"
 
 #include <string>
@@ -49,8 +50,7 @@
     /// Asks the first stage of a running stream which stage has stalled.
     /// @param address  of the first stage
     /// @param call     the caller's id of the call
-    /// @return address of the stalled stage: the first stage's own if it does not answer, empty if it names none
-    Awaitable<std::string> stalledStage(std::string address, std::string call)
+    Awaitable<StalledStage> stalledStage(std::string address, std::string call)
     {
         return onStalledStage(std::move(address), std::move(call));
     }
@@ -58,7 +58,7 @@
 private:
     virtual Awaitable<EngineReport> onCheck(std::string address) = 0;
     virtual Awaitable<ServerIdentity> onIdentify(std::string address, std::string path) = 0;
-    virtual Awaitable<std::string> onStalledStage(std::string address, std::string call) = 0;
+    virtual Awaitable<StalledStage> onStalledStage(std::string address, std::string call) = 0;
     virtual Awaitable<OrderReply> onReroute(std::string address, std::string call, Chain) = 0;
     virtual Awaitable<OrderReply> onPlaceLayers(std::string address, LayerRange) = 0;
 };
--- a/src/edge/EngineReport.h
+++ b/src/edge/EngineReport.h
@@ -2,6 +2,7 @@
 
 #include "crocusmount/Ids.h"
 #include "crocusmount/LayerRange.h"
+#include "relay/ServerNotice.h"
 
 #include <cstdint>
 #include <optional>
@@ -23,6 +24,7 @@
     std::uint32_t queued = 0; ///< requests that wait in the engine for a slot
     double memoryUsed = 1; ///< fraction of the memory for requests that is in use
     LayerRange layers; ///< layers that are loaded and ready to run; empty if none
+    relay::ServerNotice notice; ///< what the answer states about the engine
 };
 
 } // namespace crocusmount
--- a/src/edge/HeaderNames.h
+++ b/src/edge/HeaderNames.h
@@ -17,6 +17,7 @@
     std::string chain; ///< the chain of stages with their layer ranges, see wireText()
     std::string resumeAfter; ///< id of the last event that the caller has received
     std::string serverLimit; ///< on an answer: requests a second that the server takes from all instances together
+    std::string serverLeaving; ///< on an answer: "1" if the server will exit
     std::string culprit; ///< on an answer: address of the stage that failed
     std::vector<std::string> fromInstancesOnly; ///< headers that are removed from callers' requests
 };
--- a/src/edge/OrderReply.h
+++ b/src/edge/OrderReply.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "crocusmount/Ids.h"
+#include "relay/ServerNotice.h"
 
 #include <string>
 
@@ -20,6 +21,7 @@
     unsigned status = 0; ///< HTTP status of the answer; 0: no answer
     std::string culprit; ///< address of the engine that prevents the order; empty if the answer names none
     StartTime startedAt; ///< start time of the engine process that answered; zero if the answer does not say
+    relay::ServerNotice notice; ///< what the answer states about the engine
 
     bool isAccepted() const { return answer == OrderAnswer::Begun || answer == OrderAnswer::AlreadyInState; }
 };
--- a/src/edge/PlacementDriver.cpp
+++ b/src/edge/PlacementDriver.cpp
@@ -99,6 +99,7 @@
     LayerPlanner::Order order, relay::FleetServer engine, std::chrono::milliseconds expected)
 {
     std::string address = engine.entry.address;
+    const TimePoint askedAt = m_node.now();
     const OrderReply reply = co_await m_engineControl.placeLayers(std::move(address), order.layers);
     relay::DecisionLog::state("order",
         { { "engine", order.engine.value() }, { "from", order.layers.begin }, { "to", order.layers.end },
@@ -108,6 +109,9 @@
             { "answer", static_cast<int>(reply.answer) }, { "status", reply.status },
             { "expected_ms", expected.count() } });
     m_node.post(relay::event::EngineStartSeen { order.engine, reply.startedAt });
+    const StartTime startedAt = reply.startedAt.value() ? reply.startedAt : engine.entry.startedAt;
+    if (reply.notice.hasContent())
+        m_node.post(relay::event::ServerNoticeSeen { order.engine, startedAt, askedAt, reply.notice });
     if (reply.answer == OrderAnswer::Refused) {
         if (const auto outstanding = m_outstandingOrders.find(order.engine); outstanding != m_outstandingOrders.end())
             outstanding->second.expiresAt = std::chrono::steady_clock::now() + RefusedOrderRetryDelay;
--- a/src/edge/RelayMetrics.cpp
+++ b/src/edge/RelayMetrics.cpp
@@ -46,6 +46,13 @@
         "crocusmount_quarantined_requests", "Requests that are sent to no server", double(gauges.quarantined));
     families.addCounter("crocusmount_server_limits_seen_total", "Answers that named a limit of their server",
         double(counters.limitsSeen));
+    families.addCounter("crocusmount_server_backoffs_requested_total",
+        "Rejections whose server asked for a time without requests", double(counters.backoffsRequested));
+    families.addCounter("crocusmount_server_leaves_announced_total",
+        "Backend servers that said in an answer that they exit", double(counters.leavesAnnounced));
+    families.addCounter("crocusmount_server_notices_unreadable_total",
+        "Headers of backend servers about themselves with values that were ignored",
+        double(counters.noticesUnreadable));
     families.addCounter("crocusmount_permit_requests_total", "Requests for permits to send to limited servers",
         double(counters.permitRequests));
     families.addCounter("crocusmount_permits_total", "Permits asked of this instance as a coordinator",
--- a/src/edge/RelayNode.cpp
+++ b/src/edge/RelayNode.cpp
@@ -77,6 +77,8 @@
             return "engine_reported_dead";
         case ServerStateChange::Closed:
             return "engine_closed";
+        case ServerStateChange::AnnouncedLeaving:
+            return "server_announced_leaving";
         case ServerStateChange::ReportedClosed:
             return "engine_reported_closed";
         }
@@ -284,9 +286,12 @@
 {
     std::string address = query.address;
     std::string call = callId;
-    const std::string stage = co_await m_engineControl.stalledStage(std::move(address), std::move(call));
-    DecisionLog::call("stalled", callId, { { "asked", query.address }, { "stage", stage } });
-    post(event::StalledStageReported { query.attempt, stage });
+    const TimePoint askedAt = now();
+    const StartTime startedAt = startOf(query.server);
+    const StalledStage stage = co_await m_engineControl.stalledStage(std::move(address), std::move(call));
+    DecisionLog::call("stalled", callId, { { "asked", query.address }, { "stage", stage.address } });
+    postNotice(query.server, startedAt, askedAt, stage.notice);
+    post(event::StalledStageReported { query.attempt, stage.address });
 }
 
 void RelayNode::on(const effect::CheckEngine& check)
@@ -347,16 +352,19 @@
 {
     std::string address = probe.address;
     std::string path = probe.path;
+    const TimePoint askedAt = now();
     const ServerIdentity identity = co_await m_engineControl.identify(std::move(address), std::move(path));
     const Finding finding = findingOf(identity, probe.server);
     DecisionLog::state("server_probed",
         { { "server", probe.server.value() }, { "finding", toString(finding) }, { "said", identity.id.value() } });
+    postNotice(probe.server, probe.startedAt, askedAt, identity.notice);
     post(event::ServerProbed { probe.server, finding });
 }
 
 Awaitable<void> RelayNode::checkEngine(effect::CheckEngine check)
 {
     std::string address = check.address;
+    const TimePoint askedAt = now();
     const EngineReport report = co_await m_engineControl.check(std::move(address));
     const bool answered = report.answer == CheckAnswer::Alive;
     DecisionLog::state("engine_checked",
@@ -365,6 +373,20 @@
             { "memory_used", report.memoryUsed }, { "started_ms", report.startedAt.value() } });
     post(event::EngineChecked { check.engine, answered, report.slowness, isRefused(report), check.startedAt,
         report.startedAt, report.layers, report.queued, report.memoryUsed });
+    postNotice(check.engine, report.startedAt.value() ? report.startedAt : check.startedAt, askedAt, report.notice);
+}
+
+void RelayNode::postNotice(const BackendId& server, StartTime startedAt, TimePoint askedAt, const ServerNotice& notice)
+{
+    if (notice.hasContent())
+        post(event::ServerNoticeSeen { server, startedAt, askedAt, notice });
+}
+
+StartTime RelayNode::startOf(const BackendId& id) const
+{
+    const auto& servers = m_reducer.fleet().servers();
+    const auto server = servers.find(id);
+    return server == servers.end() ? StartTime() : server->second.entry.startedAt;
 }
 
 void RelayNode::on(const effect::LogServerState& note)
@@ -382,6 +404,13 @@
     DecisionLog::state("server_limit", fields);
 }
 
+void RelayNode::on(const effect::LogServerBackoff& note)
+{
+    DecisionLog::state("server_backoff",
+        { { "server", note.server.value() }, { "retry_after_ms", toMs(note.retryAfter) },
+            { "remaining_ms", toMs(note.remaining) } });
+}
+
 void RelayNode::on(const effect::LogPermits& note)
 {
     DecisionLog::state("permits",
@@ -423,6 +452,9 @@
 {
     std::string address = order.address;
     std::string call = callId;
+    const BackendId first = order.chain.hops().front().backend;
+    const TimePoint askedAt = now();
+    const StartTime startedAt = startOf(first);
     const OrderReply reply = co_await m_engineControl.reroute(std::move(address), std::move(call), order.chain);
     DecisionLog::call("reroute", callId,
         { { "chain", chainText(order.chain) }, { "accepted", reply.isAccepted() }, { "status", reply.status },
@@ -431,7 +463,8 @@
         reply.isAccepted() && running != m_runningAttempts.end())
         running->second.chain = order.chain;
     post(event::RerouteAnswered { order.attempt, reply.isAccepted(), reply.culprit });
-    post(event::EngineStartSeen { order.chain.hops().front().backend, reply.startedAt });
+    post(event::EngineStartSeen { first, reply.startedAt });
+    postNotice(first, reply.startedAt.value() ? reply.startedAt : startedAt, askedAt, reply.notice);
 }
 
 void RelayNode::on(const effect::Refuse& refusal)
--- a/src/edge/RelayNode.h
+++ b/src/edge/RelayNode.h
@@ -96,6 +96,11 @@
     void logCancelled(const RunningAttempt&, CancelCause);
     /// Asks for the stalled stage of a stream and posts StalledStageReported.
     Awaitable<void> askStalledStage(effect::AskStalledStage, std::string callId);
+    /// Posts what the answer to a check or an order states about its server.
+    /// @param startedAt  start of the server that answered, as far as known
+    void postNotice(const BackendId& server, StartTime startedAt, TimePoint askedAt, const ServerNotice&);
+    /// @return the last known start of a server; zero if it is not registered
+    StartTime startOf(const BackendId&) const;
     /// Checks an engine and posts EngineChecked.
     Awaitable<void> checkEngine(effect::CheckEngine);
     /// Probes a plain server and posts ServerProbed.
@@ -119,6 +124,7 @@
     void on(const effect::ReportEngineState&);
     void on(const effect::LogServerState&);
     void on(const effect::LogServerLimit&);
+    void on(const effect::LogServerBackoff&);
     void on(const effect::LogPermits&);
     void on(const effect::RequestPermits&);
     void on(const effect::AnswerPermits&);
--- a/src/edge/UpstreamAttempt.cpp
+++ b/src/edge/UpstreamAttempt.cpp
@@ -2,11 +2,10 @@
 
 #include "edge/ChainText.h"
 #include "edge/HopByHop.h"
+#include "edge/ServerNoticeReader.h"
 #include "shell/Endpoint.h"
 
 #include <absl/strings/match.h>
-#include <absl/strings/numbers.h>
-#include <cmath>
 
 namespace crocusmount::relay {
 
@@ -43,13 +42,13 @@
         return head;
     }
 
-    /// @return the requests a second that a server accepts, or nothing if the text is not a decimal number of at least
-    /// 0
-    std::optional<double> parseLimit(std::string_view text)
+    /// @return what an answer states about the server that sent it
+    ServerNotice noticeOf(const HeaderNames& names, const http::response_header<>& header)
     {
-        double perSecond = 0;
-        const bool isNumber = absl::SimpleAtod(absl::string_view(text.data(), text.size()), &perSecond);
-        return isNumber && std::isfinite(perSecond) && perSecond >= 0 ? std::optional(perSecond) : std::nullopt;
+        return readServerNotice(names, header.result_int(), [&](const std::string& name) {
+            const auto found = header.find(name);
+            return found == header.end() ? std::nullopt : std::optional<std::string_view>(found->value());
+        });
     }
 
 } // namespace
@@ -179,11 +178,8 @@
     }
     const auto& head = parser->get().base();
     const unsigned status = head.result_int();
-    // A rejection may come from a stage behind the server, or before the server states its limit. Only answers that the
-    // server has signed show that it names none.
-    const auto limit = parseLimit(head[m_headerNames.serverLimit]);
-    if (limit || head.count(m_headerNames.seal))
-        m_postEvent(event::ServerLimitSeen { m_order.attempt, limit });
+    if (const ServerNotice notice = noticeOf(m_headerNames, head); notice.hasContent())
+        m_postEvent(event::ServerNoticeSeen { m_order.server, m_order.serverStart, m_order.startedAt, notice });
     const bool isSuccess = status >= 200 && status < 300;
     if (!isSuccess && (head.count(m_headerNames.notRun) || status == MisdirectedRequest))
         co_return makeEnded(AttemptResult::NotRun, status, std::string(head[m_headerNames.culprit]));
--- a/src/relay/RelayEffect.h
+++ b/src/relay/RelayEffect.h
@@ -35,6 +35,8 @@
         std::string route; ///< id of the call's route, for logs
         std::string workspace; ///< empty for an anonymous route
         bool stream = false; ///< whether the answer is a stream of events
+        StartTime serverStart {}; ///< last known start of the server
+        TimePoint startedAt {}; ///< when the attempt was started
         AttemptPurpose purpose = AttemptPurpose::First;
     };
 
@@ -59,6 +61,7 @@
     struct AskStalledStage {
         AttemptId attempt;
         RequestId call;
+        BackendId server; ///< the first stage
         std::string address; ///< of the first stage
     };
 
@@ -74,6 +77,7 @@
         BackendId server;
         std::string address;
         std::string path; ///< path of its service's health endpoint
+        StartTime startedAt {}; ///< last known start
     };
 
     /// Report to the other instances which servers ended while they ran which requests.
@@ -128,6 +132,7 @@
             Reinstated, ///< it was removed, so the server that it had supposedly replaced is used again
             ReportedDead, ///< another instance found it dead, and a stream of this instance through it is silent
             Closed, ///< it rejected a call of this instance despite free capacity, so it accepts no new calls
+            AnnouncedLeaving, ///< its answers say that it will exit
             ReportedClosed, ///< another instance reported that it accepts no new calls despite free capacity
         };
         ServerStateChange belief;
@@ -141,6 +146,13 @@
         std::optional<double> perSecond; ///< requests a second; nothing if the limit has ended
     };
 
+    /// Log that a backend server asked this instance to send it nothing for a time.
+    struct LogServerBackoff {
+        BackendId server;
+        Duration retryAfter {}; ///< as the server asked
+        Duration remaining {}; ///< until this instance may send to the server again
+    };
+
     /// Log that permits for a server were granted or denied.
     struct LogPermits {
         BackendId server;
@@ -201,9 +213,9 @@
 using RelayEffect = std::variant<effect::StartAttempt, effect::CancelAttempt, effect::HoldAnswer,
     effect::ContinueAnswer, effect::AskStalledStage, effect::CheckEngine, effect::ProbeServer, effect::ShareCrashes,
     effect::ShareHarmlessRequest, effect::LogCrash, effect::QuarantineRequest, effect::ClearRequest,
-    effect::ReportEngineState, effect::LogServerState, effect::LogServerLimit, effect::LogPermits,
-    effect::RequestPermits, effect::AnswerPermits, effect::ShareServerLimit, effect::RerouteAttempt, effect::Refuse,
-    effect::DeliverServerFailure, effect::BreakAnswer>;
+    effect::ReportEngineState, effect::LogServerState, effect::LogServerLimit, effect::LogServerBackoff,
+    effect::LogPermits, effect::RequestPermits, effect::AnswerPermits, effect::ShareServerLimit, effect::RerouteAttempt,
+    effect::Refuse, effect::DeliverServerFailure, effect::BreakAnswer>;
 using RelayEffects = std::vector<RelayEffect>;
 
 } // namespace crocusmount::relay
--- a/src/relay/RelayEvent.h
+++ b/src/relay/RelayEvent.h
@@ -7,6 +7,7 @@
 #include "relay/PermitAnswer.h"
 #include "relay/PermitRequest.h"
 #include "relay/RegisteredServer.h"
+#include "relay/ServerNotice.h"
 
 #include <memory>
 #include <optional>
@@ -78,10 +79,12 @@
         AttemptId attempt;
     };
 
-    /// The header of an answer arrived, which names the rate of requests that the server accepts, or no such limit.
-    struct ServerLimitSeen {
-        AttemptId attempt;
-        std::optional<double> perSecond; ///< requests a second from all instances; nothing if the answer names no limit
+    /// The head of an answer to an attempt, a check or an order arrived, which states something about its server.
+    struct ServerNoticeSeen {
+        BackendId server;
+        StartTime startedAt; ///< start of the server that was asked
+        TimePoint askedAt; ///< when the request was made; answers on different connections overtake each other
+        ServerNotice notice;
     };
 
     /// Another instance, or this one, asked this instance for permits as the coordinator of a server that names a
@@ -204,7 +207,7 @@
 
 using RelayEventBody = std::variant<event::ConfigurationAccepted, event::ServerRegistered, event::ServerUnregistered,
     event::InstancesCounted, event::StoreCopyChecked, event::LoadsReported, event::CallArrived, event::CallerLeft,
-    event::AttemptSent, event::ServerLimitSeen, event::PermitsRequested, event::PermitsAnswered,
+    event::AttemptSent, event::ServerNoticeSeen, event::PermitsRequested, event::PermitsAnswered,
     event::ServerLimitReported, event::AnswerBegun, event::EventDelivered, event::AttemptEnded, event::RerouteAnswered,
     event::StalledStageReported, event::EngineChecked, event::ServerProbed, event::CrashesReported,
     event::HarmlessRequestsReported, event::QuarantineListed, event::QuarantineLifted, event::EngineStartSeen,
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -36,6 +36,7 @@
 /// - RelayReducerChecks.cpp: health checks of engines
 /// - RelayReducerServers.cpp: servers that register, restart or end
 /// - RelayReducerMoves.cpp: answers that move off leaving servers or resume after a lost one
+/// - RelayReducerNotices.cpp: what servers state about themselves in their answers
 /// - RelayReducerLimits.cpp: limits that servers name
 /// - RelayReducerCrashes.cpp: requests that crash servers, and their quarantine
 class RelayReducer {
@@ -78,7 +79,7 @@
     void on(const event::CallArrived&, Context&);
     void on(const event::CallerLeft&, Context&);
     void on(const event::AttemptSent&, Context&);
-    void on(const event::ServerLimitSeen&, Context&);
+    void on(const event::ServerNoticeSeen&, Context&);
     void on(const event::ServerLimitReported&, Context&);
     void on(const event::PermitsRequested&, Context&);
     void on(const event::PermitsAnswered&, Context&);
@@ -201,6 +202,8 @@
         Duration interval {}; ///< expected time between two permits
     };
     std::optional<LimitedCapacity> limitedCapacity(const ServiceId&, TimePoint now) const;
+    void applyBackoff(FleetServer&, const ServerNotice&, Context&);
+    void applyLeaving(FleetServer&, Context&);
     bool learnLimit(FleetServer&, const ServerLimit&, Context&);
     void sendPermitRequest(FleetServer&, std::uint32_t count, Context&);
     void requestPermits(const Call&, Context&);
--- a/src/relay/RelayReducerCrashes.cpp
+++ b/src/relay/RelayReducerCrashes.cpp
@@ -94,7 +94,8 @@
         return;
     server.beingChecked = true;
     server.lastCheckAt = context.now;
-    context.effects.emplace_back(effect::ProbeServer { server.entry.id, server.entry.address, service->healthPath });
+    context.effects.emplace_back(
+        effect::ProbeServer { server.entry.id, server.entry.address, service->healthPath, server.entry.startedAt });
 }
 
 void RelayReducer::on(const event::ServerProbed& probed, Context& context)
--- a/src/relay/RelayReducerLimits.cpp
+++ b/src/relay/RelayReducerLimits.cpp
@@ -26,19 +26,6 @@
 
 } // namespace
 
-void RelayReducer::on(const event::ServerLimitSeen& seen, Context& context)
-{
-    Call* call = findByAttempt(seen.attempt);
-    if (!call)
-        return;
-    if (seen.perSecond)
-        ++m_counters.limitsSeen;
-    const Attempt& attempt = call->attempt(seen.attempt);
-    FleetServer* server = m_fleet.find(attempt.server);
-    if (server && learnLimit(*server, { seen.perSecond, attempt.startedAt }, context))
-        sendPermitRequest(*server, 0, context);
-}
-
 void RelayReducer::on(const event::ServerLimitReported& reported, Context& context)
 {
     if (FleetServer* server = m_fleet.findByKey(reported.server))
--- a/src/relay/RelayReducerPlacing.cpp
+++ b/src/relay/RelayReducerPlacing.cpp
@@ -102,6 +102,8 @@
     start.workspace = call.workspace.value();
     start.stream = isStream(call.route->kind);
     start.purpose = purpose;
+    start.serverStart = m_fleet.find(attempt.server)->entry.startedAt;
+    start.startedAt = context.now;
     context.effects.emplace_back(std::move(start));
     return attempt;
 }
--- a/src/relay/RelayReducerTime.cpp
+++ b/src/relay/RelayReducerTime.cpp
@@ -138,7 +138,8 @@
     ++attempt.stallQueries;
     attempt.lastStallQueryAt = context.now;
     ++m_counters.stallQuestions;
-    context.effects.emplace_back(effect::AskStalledStage { attempt.id, call.id, attempt.chain.hops().front().address });
+    context.effects.emplace_back(
+        effect::AskStalledStage { attempt.id, call.id, attempt.server, attempt.chain.hops().front().address });
 }
 
 void RelayReducer::on(const event::StalledStageReported& named, Context& context)
--- a/src/relay/ServerFleet.h
+++ b/src/relay/ServerFleet.h
@@ -43,6 +43,8 @@
     bool refusedCheck = false; ///< the last health check was refused: no process listens there, so the server is dead
 
     ServerLimit limit; ///< rate of requests that this server accepts from all instances
+    TimePoint backoffUntil; ///< until then, the server wants no requests from this instance
+    bool hasAnnouncedLeaving = false; ///< whether its answers said that it will exit
     ServerPermits permits; ///< of this instance to send requests to this server while it names a limit
 
     TimePoint lastRejectedAt; ///< when this server last rejected a call of this instance
--- a/tests/LimitFleet.cpp
+++ b/tests/LimitFleet.cpp
@@ -297,6 +297,8 @@
     const AttemptKey key { instance, started.attempt };
     RunningAttempt attempt;
     attempt.call = started.call;
+    attempt.serverStart = started.serverStart;
+    attempt.startedAt = started.startedAt;
     attempt.nextEventId = started.resumeAfter.value_or(0) + 1;
     attempt.breaksOff = random() < m_options.breakRate;
     attempt.lastEventId = attempt.breaksOff ? attempt.nextEventId + EventsPerStream / 2 : EventsPerStream;
@@ -313,7 +315,8 @@
 
 void LimitFleet::beginAnswer(const AttemptKey& key, const BackendId& server)
 {
-    if (!m_attempts.count(key))
+    const auto running = m_attempts.find(key);
+    if (running == m_attempts.end())
         return;
     const auto [instance, attempt] = key;
     Server& sender = m_servers.at(server);
@@ -322,7 +325,8 @@
     else
         sender.toldAt.clear();
     post(instance, event::AttemptSent { attempt });
-    post(instance, event::ServerLimitSeen { attempt, sender.limit });
+    const ServerNotice notice { sender.limit, std::nullopt, false, true };
+    post(instance, event::ServerNoticeSeen { server, running->second.serverStart, running->second.startedAt, notice });
     if (random() < m_options.rejectionRate) {
         m_attempts.erase(key);
         post(instance, event::AttemptEnded { attempt, AttemptResult::NotRun, 503, "" });
--- a/tests/LimitFleet.h
+++ b/tests/LimitFleet.h
@@ -94,6 +94,8 @@
     /// An attempt that a server runs.
     struct RunningAttempt {
         RequestId call;
+        StartTime serverStart;
+        TimePoint startedAt;
         std::uint64_t nextEventId = 1;
         std::uint64_t lastEventId = 0; ///< the answer ends, or breaks off, after this event
         bool breaksOff = false;
--- a/tests/RelayHarness.cpp
+++ b/tests/RelayHarness.cpp
@@ -113,6 +113,11 @@
     return *start;
 }
 
+void RelayHarness::notice(const effect::StartAttempt& start, const ServerNotice& notice)
+{
+    send(event::ServerNoticeSeen { start.server, start.serverStart, start.startedAt, notice });
+}
+
 void RelayHarness::events(AttemptId attempt, std::uint64_t first, std::uint64_t last, Duration gap)
 {
     for (std::uint64_t id = first; id <= last; ++id) {
--- a/tests/RelayHarness.h
+++ b/tests/RelayHarness.h
@@ -36,6 +36,8 @@
     /// @param events  number of events, which get the ids 1, 2, ...
     /// @return the attempt
     effect::StartAttempt running(const std::string& path, std::uint64_t events = 0);
+    /// Sends what an answer to an attempt states about its server.
+    void notice(const effect::StartAttempt&, const ServerNotice&);
     /// Delivers events with the ids first to last.
     /// @param gap  time that the clock advances before each event
     void events(AttemptId, std::uint64_t first, std::uint64_t last, Duration gap = std::chrono::milliseconds(20));
--- a/tests/RelayLoopbackTest.cpp
+++ b/tests/RelayLoopbackTest.cpp
@@ -89,6 +89,9 @@
     std::string answer; ///< bytes that the caller received
     std::size_t requests = 0; ///< requests that reached the backend server
     std::optional<double> limit {}; ///< requests a second that the backend server is known to accept
+    Duration backoff {}; ///< time for which the backend server is known to want no requests
+    bool isLeaving = false; ///< whether the backend server is known to exit
+    std::uint64_t unreadable = 0; ///< headers of the backend server about itself that were ignored
 };
 
 /// Runs one call through FrontServer, RelayNode and UpstreamAttempt, with one scripted server for all services.
@@ -125,7 +128,11 @@
     net::co_spawn(context.get_executor(), sendToFrontServer(context, address, request, result.answer), net::detached);
     context.run();
     result.requests = server.requests();
-    result.limit = node.reducer().fleet().servers().at(plain.id).limit.perSecond;
+    const FleetServer& known = node.reducer().fleet().servers().at(plain.id);
+    result.limit = known.limit.perSecond;
+    result.backoff = std::max(Duration(0), known.backoffUntil - node.now());
+    result.isLeaving = known.hasAnnouncedLeaving;
+    result.unreadable = node.reducer().counters().noticesUnreadable;
     return result;
 }
 
@@ -227,6 +234,62 @@
     }
 }
 
+// Instances ignored what servers asked of them in rejections.
+TEST(RelayLoopback, TheTimeForWhichAServerWantsNoRequestsIsRead)
+{
+    const std::string rejection = "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n";
+    const struct {
+        const char* name;
+        std::string head; ///< of the answer
+        double seconds;
+        std::uint64_t unreadable;
+    } cases[] = {
+        { "a rejection", rejection + "Retry-After: 3600\r\n", 3600, 0 },
+        { "another case of letters", rejection + "retry-after: 3600\r\n", 3600, 0 },
+        { "a fraction", rejection + "Retry-After: 3600.5\r\n", 3600.5, 0 },
+        { "a signed rejection", answerHead("503 Full") + "X-Not-Executed: 1\r\nRetry-After: 3600\r\n", 3600, 0 },
+        { "a failure", answerHead("503 Oops") + "Retry-After: 3600\r\n", 3600, 0 },
+        { "no time", rejection + "Retry-After: 0\r\n", 0, 0 },
+        { "a huge time", rejection + "Retry-After: 1e300\r\n", 86400, 0 },
+        { "a negative number", rejection + "Retry-After: -3\r\n", 0, 1 },
+        { "infinite", rejection + "Retry-After: inf\r\n", 0, 1 },
+        { "not a number", rejection + "Retry-After: nan\r\n", 0, 1 },
+        { "a date", rejection + "Retry-After: Fri, 31 Dec 2100 23:59:59 GMT\r\n", 0, 1 },
+        { "a text", rejection + "Retry-After: soon\r\n", 0, 1 },
+        { "not there", rejection, 0, 0 },
+        { "a success", answerHead("200 OK") + "Retry-After: 3600\r\n", 0, 0 },
+        { "another rejection", answerHead("429 Slow") + "X-Not-Executed: 1\r\nRetry-After: 3600\r\n", 0, 0 },
+    };
+    for (const auto& each : cases) {
+        const std::string second = answerHead("500 Oops") + "Content-Length: 0\r\n\r\n";
+        const CallOutcome result = runCall(requestTo("/book/1"), { each.head + "Content-Length: 0\r\n\r\n", second });
+        const double seconds = std::chrono::duration<double>(result.backoff).count();
+        // Real time passes between the answer and the check.
+        CHECK_TRUE_TEXT(seconds <= each.seconds && seconds >= each.seconds - 10, each.name);
+        CHECK_EQUAL_TEXT(each.unreadable, std::min<std::uint64_t>(1, result.unreadable), each.name);
+    }
+}
+
+TEST(RelayLoopback, AnAnswerThatSaysThatItsServerLeavesIsRead)
+{
+    const struct {
+        const char* name;
+        std::string head; ///< of the answer
+        bool isLeaving;
+    } cases[] = {
+        { "a success", answerHead("200 OK") + "Server-Leaving: 1\r\n", true },
+        { "another case of letters", answerHead("200 OK") + "server-leaving: 1\r\n", true },
+        { "a failure", answerHead("500 Oops") + "Server-Leaving: 1\r\n", true },
+        { "a rejection", "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nServer-Leaving: 1\r\n", true },
+        { "not leaving", answerHead("200 OK") + "Server-Leaving: 0\r\n", false },
+        { "not there", answerHead("200 OK"), false },
+    };
+    for (const auto& each : cases) {
+        const CallOutcome result = runCall(requestTo("/book/1"), { each.head + "Content-Length: 0\r\n\r\n" });
+        CHECK_TRUE_TEXT(result.isLeaving == each.isLeaving, each.name);
+    }
+}
+
 TEST(RelayLoopback, StreamsAreForwardedByWholeEventsAndIncompleteStreamsLookIncomplete)
 {
     const std::string streamHead
--- a/tests/ServerLimitTest.cpp
+++ b/tests/ServerLimitTest.cpp
@@ -302,8 +302,8 @@
         const auto early = harness.running("/draft/1");
         harness.tick(milliseconds(20));
         const auto late = harness.running("/draft/2");
-        harness.send(relay::event::ServerLimitSeen { late.attempt, each.late });
-        harness.send(relay::event::ServerLimitSeen { early.attempt, each.early });
+        harness.notice(late, { each.late, std::nullopt, false, true });
+        harness.notice(early, { each.early, std::nullopt, false, true });
         CHECK_TRUE_TEXT(harness.reducer().fleet().servers().at(early.server).limit.perSecond == each.late, each.name);
     }
 }
