--- a/tests/LimitFleet.cpp
+++ b/tests/LimitFleet.cpp
@@ -213,6 +213,27 @@
     changed.limits.emplace_back(m_now, perSecond);
 }
 
+void LimitFleet::setCapacity(const std::string& id, double perSecond, Duration retryAfter)
+{
+    Server& server = m_servers.at(BackendId(id));
+    server.capacity = perSecond;
+    server.tokens = 0;
+    server.tokensAt = m_now;
+    server.retryAfter = retryAfter;
+}
+
+void LimitFleet::announceLeaving(const std::string& server) { m_servers.at(BackendId(server)).isLeaving = true; }
+
+void LimitFleet::rereadEntry(const std::string& id, bool isMissing)
+{
+    const RegisteredServer& entry = m_servers.at(BackendId(id)).entry;
+    for (std::size_t i = 0; i < m_instances.size(); ++i) {
+        if (isMissing)
+            post(i, event::ServerUnregistered { entry.id });
+        post(i, event::ServerRegistered { entry });
+    }
+}
+
 void LimitFleet::sendCall()
 {
     const bool isForFirst = random() < m_options.shareOfFirstInstance;
@@ -303,20 +324,71 @@
     attempt.breaksOff = random() < m_options.breakRate;
     attempt.lastEventId = attempt.breaksOff ? attempt.nextEventId + EventsPerStream / 2 : EventsPerStream;
     m_attempts[key] = attempt;
-    at(NetworkDelay, [this, key, server = started.server] {
+    const Duration connectTime = m_options.maxConnectTime.count()
+        ? Duration(static_cast<std::int64_t>(random() * static_cast<double>(m_options.maxConnectTime.count())))
+        : Duration(0);
+    at(connectTime, [this, key, server = started.server] {
         if (!m_attempts.count(key))
             return;
-        Server& receiver = m_servers.at(server);
-        const auto told = receiver.toldAt.find(key.first);
-        receiver.arrivals.push_back({ m_now, told != receiver.toldAt.end() && told->second + ToldDelay <= m_now });
-        at(TimeToBegin, [this, key, server] { beginAnswer(key, server); });
+        post(key.first, event::AttemptSent { key.second });
+        at(NetworkDelay, [this, key, server] { arrive(key, server); });
     });
 }
 
+void LimitFleet::arrive(const AttemptKey& key, const BackendId& server)
+{
+    if (!m_attempts.count(key))
+        return;
+    Server& receiver = m_servers.at(server);
+    const auto told = receiver.toldAt.find(key.first);
+    const bool wasTold = told != receiver.toldAt.end() && told->second + ToldDelay <= m_now;
+    receiver.arrivals.push_back({ m_now, key.first, wasTold });
+    if (accepts(receiver)) {
+        at(TimeToBegin, [this, key, server] { beginAnswer(key, server); });
+        return;
+    }
+    receiver.rejections.emplace_back(key.first, m_now);
+    at(NetworkDelay, [this, key, server] { reject(key, server); });
+}
+
+bool LimitFleet::accepts(Server& server)
+{
+    if (server.capacity <= 0)
+        return true;
+    const double seconds = std::chrono::duration<double>(m_now - server.tokensAt).count();
+    server.tokens = std::min(std::max(1.0, server.capacity / 4), server.tokens + seconds * server.capacity);
+    server.tokensAt = m_now;
+    if (server.tokens < 1)
+        return false;
+    server.tokens -= 1;
+    return true;
+}
+
+ServerNotice LimitFleet::noticeOf(const Server& server, bool isRejection)
+{
+    const bool asksForBackoff = isRejection && server.retryAfter.count();
+    return { server.limit, asksForBackoff ? std::optional(server.retryAfter) : std::nullopt, server.isLeaving,
+        !isRejection };
+}
+
+void LimitFleet::postNotice(const AttemptKey& key, const BackendId& server, const ServerNotice& notice)
+{
+    const RunningAttempt& attempt = m_attempts.at(key);
+    post(key.first, event::ServerNoticeSeen { server, attempt.serverStart, attempt.startedAt, notice });
+}
+
+void LimitFleet::reject(const AttemptKey& key, const BackendId& server)
+{
+    if (!m_attempts.count(key))
+        return;
+    postNotice(key, server, noticeOf(m_servers.at(server), true));
+    m_attempts.erase(key);
+    post(key.first, event::AttemptEnded { key.second, AttemptResult::NotRun, 503, "" });
+}
+
 void LimitFleet::beginAnswer(const AttemptKey& key, const BackendId& server)
 {
-    const auto running = m_attempts.find(key);
-    if (running == m_attempts.end())
+    if (!m_attempts.count(key))
         return;
     const auto [instance, attempt] = key;
     Server& sender = m_servers.at(server);
@@ -324,9 +396,9 @@
         sender.toldAt.try_emplace(instance, m_now);
     else
         sender.toldAt.clear();
-    post(instance, event::AttemptSent { attempt });
-    const ServerNotice notice { sender.limit, std::nullopt, false, true };
-    post(instance, event::ServerNoticeSeen { server, running->second.serverStart, running->second.startedAt, notice });
+    if (sender.isLeaving)
+        sender.toldOfLeavingAt.try_emplace(instance, m_now);
+    postNotice(key, server, noticeOf(sender, false));
     if (random() < m_options.rejectionRate) {
         m_attempts.erase(key);
         post(instance, event::AttemptEnded { attempt, AttemptResult::NotRun, 503, "" });
@@ -404,6 +476,44 @@
     return worst;
 }
 
+std::size_t LimitFleet::mostDuringBackoff(const std::string& id) const
+{
+    const Server& server = m_servers.at(BackendId(id));
+    std::size_t most = 0;
+    for (const auto& [instance, rejectedAt] : server.rejections) {
+        const TimePoint begin = rejectedAt + ToldDelay;
+        const TimePoint end = rejectedAt + server.retryAfter;
+        const auto count
+            = std::count_if(server.arrivals.begin(), server.arrivals.end(), [&, from = instance](const Arrival& each) {
+                  return each.instance == from && each.at > begin && each.at < end;
+              });
+        most = std::max(most, static_cast<std::size_t>(count));
+    }
+    return most;
+}
+
+std::size_t LimitFleet::arrivalsAfterLeaving(const std::string& id, Duration grace) const
+{
+    const Server& server = m_servers.at(BackendId(id));
+    return static_cast<std::size_t>(
+        std::count_if(server.arrivals.begin(), server.arrivals.end(), [&](const Arrival& each) {
+            const auto told = server.toldOfLeavingAt.find(each.instance);
+            return told != server.toldOfLeavingAt.end() && each.at > told->second + grace;
+        }));
+}
+
+std::size_t LimitFleet::rejectedSince(const std::string& server, TimePoint from) const
+{
+    const auto& rejections = m_servers.at(BackendId(server)).rejections;
+    return static_cast<std::size_t>(
+        std::count_if(rejections.begin(), rejections.end(), [&](const auto& each) { return each.second >= from; }));
+}
+
+std::size_t LimitFleet::acceptedSince(const std::string& server, TimePoint from) const
+{
+    return arrivalsSince(server, from) - rejectedSince(server, from);
+}
+
 std::size_t LimitFleet::arrivalsSince(const std::string& server, TimePoint from) const
 {
     const auto& arrivals = m_servers.at(BackendId(server)).arrivals;
--- a/tests/LimitFleet.h
+++ b/tests/LimitFleet.h
@@ -12,9 +12,9 @@
 
 namespace crocusmount::relay {
 
-/// Simulates several instances, each with its own relay reducer, in front of backend servers that can name a limit in
-/// their answers, on a virtual clock. "e0", "e1", ... hold the first half of the layers, and "f0", "f1", ... the second
-/// half. "p0", "p1", ... serve the plain service.
+/// Simulates several instances, each with its own relay reducer, in front of backend servers that can state in their
+/// answers that they accept a limited rate of requests, want none for a time, or leave, on a virtual clock. "e0", "e1",
+/// ... hold the first half of the layers, and "f0", "f1", ... the second half. "p0", "p1", ... serve the plain service.
 class LimitFleet {
 public:
     struct Options {
@@ -26,6 +26,7 @@
         double rejectionRate = 0; ///< share of the attempts that their server rejects, from 0 to 1
         double breakRate = 0; ///< share of the answers that break off midway, from 0 to 1
         double messageLossRate = 0; ///< share of the messages between instances that is lost, from 0 to 1
+        Duration maxConnectTime {}; ///< connections take up to this time
         std::string path = "/draft/1"; ///< "/look/1" for the plain service
         std::uint64_t seed = 11;
     };
@@ -36,6 +37,14 @@
     void run(Duration);
     /// Lets a server name a limit from now on, or none.
     void setLimit(const std::string& server, std::optional<double> perSecond);
+    /// Lets a server reject what it receives beyond a rate, and ask each instance whose call it rejects to send it
+    /// nothing for a time.
+    void setCapacity(const std::string& server, double perSecond, Duration retryAfter);
+    /// Lets a server state in all its answers that it leaves. Its entry does not show it.
+    void announceLeaving(const std::string& server);
+    /// Lets all instances read the entry of a server again, as after an outage of the store.
+    /// @param isMissing  whether the entry is missing in between
+    void rereadEntry(const std::string& server, bool isMissing);
     /// Ends a server, and starts it again under its id without a limit.
     void restartServer(const std::string& server);
     /// Ends an instance without notice. Its peers notice it after MaxMemberSilence, at slightly different times.
@@ -59,6 +68,16 @@
     double worstExcess(const std::string& server, Duration settling, Duration span) const;
     /// @return the requests that a server received from `from` on
     std::size_t arrivalsSince(const std::string& server, TimePoint from) const;
+    /// @return the most requests that a server received from one instance between half a second after it rejected a
+    /// call
+    ///         and the end of the time that it asked for
+    std::size_t mostDuringBackoff(const std::string& server) const;
+    /// @return the requests that a server received from instances more than `grace` after they had passed on an answer
+    ///         that said that it leaves
+    std::size_t arrivalsAfterLeaving(const std::string& server, Duration grace) const;
+    /// @return the requests that a server accepted, and rejected, from `from` on
+    std::size_t acceptedSince(const std::string& server, TimePoint from) const;
+    std::size_t rejectedSince(const std::string& server, TimePoint from) const;
     /// @return permits that instances requested so far
     std::uint64_t permitRequests() const;
     /// @return calls that were answered completely
@@ -73,6 +92,7 @@
 private:
     struct Arrival {
         TimePoint at;
+        std::size_t instance = 0;
         bool wasTold = false; ///< whether its instance had been told of the server's limit half a second before
     };
     struct Server {
@@ -82,6 +102,13 @@
         int starts = 1;
         std::vector<Arrival> arrivals;
         std::map<std::size_t, TimePoint> toldAt; ///< when each instance first received the limit
+        double capacity = 0; ///< requests a second that it accepts; 0: all
+        double tokens = 0; ///< requests that it accepts at once
+        TimePoint tokensAt; ///< when `tokens` was updated
+        Duration retryAfter {}; ///< that it asks for with each rejection
+        std::vector<std::pair<std::size_t, TimePoint>> rejections; ///< instance and time of each
+        bool isLeaving = false;
+        std::map<std::size_t, TimePoint> toldOfLeavingAt; ///< when each instance passed on an answer that says so
     };
     struct Instance {
         std::unique_ptr<RelayReducer> reducer; ///< null while the instance is down
@@ -116,6 +143,13 @@
     void post(std::size_t instance, RelayEventBody);
     void apply(std::size_t instance, const RelayEffects&);
     void start(std::size_t instance, const effect::StartAttempt&);
+    void arrive(const AttemptKey&, const BackendId& server);
+    /// @return whether a server accepts one more request now
+    bool accepts(Server&);
+    void reject(const AttemptKey&, const BackendId& server);
+    /// @return what an answer of a server states about it
+    static ServerNotice noticeOf(const Server&, bool isRejection);
+    void postNotice(const AttemptKey&, const BackendId& server, const ServerNotice&);
     void beginAnswer(const AttemptKey&, const BackendId& server);
     void sendEvent(const AttemptKey&);
     void finishCall(std::size_t instance, RequestId, bool isCompleted);
