Send servers nothing for the time that they ask for in a rejection

Callers saw: nothing where another server took the call. A server that had asked an instance for 3 s without requests got 3 from it in that time.

Cause: no instance read the Retry-After of a rejection. Its own avoidance after a rejection, 0.25 to 2 s, is a cost, not a prohibition: where the others are dear or few, the server is asked again.

Evidence: the gaps between the requests in the incident are those of the avoidance.

Ruled out: a longer avoidance. It stays a cost. Telling other instances: the server asks each instance for itself.

Change: ServerBackoff, without I/O, holds the end and how calls return after it. Whether a server may receive a call is one predicate now (mayReceiveCall), which chains, plain services and limits ask. Attempts that are still connecting when the backoff begins are withdrawn and start elsewhere, at no cost to the retry budget: decided when they began to connect, they would arrive up to 0.4 s later. The end is delayed by a random share of the time, and calls return slowly.

Why it works: all attempts begin in one function, whatever their purpose, and the predicate is a condition there.

--- a/programs/crocusmount-entry.cpp
+++ b/programs/crocusmount-entry.cpp
@@ -151,6 +151,7 @@
         gauges.storeCalls = m_store.calls();
         gauges.logLinesDropped = relay::DecisionLog::dropped();
         gauges.quarantined = reducer.quarantine().quarantinedCount(m_node.now());
+        gauges.serversInBackoff = reducer.fleet().backoffCount(m_node.now());
         gauges.limitedServers = reducer.fleet().limitedCount();
         gauges.fedByPeer = m_mirror.isFed();
         gauges.unreadableValues = m_follower.unreadable() + m_registry.unreadable() + m_quarantine.unreadable();
--- a/src/admission/RetryBudget.h
+++ b/src/admission/RetryBudget.h
@@ -53,6 +53,9 @@
         return true;
     }
 
+    /// Gives a consumed token back, because the retry was not sent.
+    void refund() { m_tokens = std::min(m_capacity, m_tokens + 1); }
+
 private:
     double m_tokensPerRequest;
     double m_capacity; ///< in tokens
--- a/src/edge/RelayMetrics.cpp
+++ b/src/edge/RelayMetrics.cpp
@@ -48,6 +48,11 @@
         double(counters.limitsSeen));
     families.addCounter("crocusmount_server_backoffs_requested_total",
         "Rejections whose server asked for a time without requests", double(counters.backoffsRequested));
+    families.addCounter("crocusmount_attempts_withdrawn_total",
+        "Attempts cancelled before they were sent, as their server wants no requests",
+        double(counters.attemptsWithdrawn));
+    families.addGauge("crocusmount_servers_in_backoff", "Backend servers that want no requests from this instance",
+        double(gauges.serversInBackoff));
     families.addCounter("crocusmount_server_leaves_announced_total",
         "Backend servers that said in an answer that they exit", double(counters.leavesAnnounced));
     families.addCounter("crocusmount_server_notices_unreadable_total",
--- a/src/edge/RelayMetrics.h
+++ b/src/edge/RelayMetrics.h
@@ -31,6 +31,7 @@
     std::uint64_t unreadableValues = 0; ///< values in the store that could not be parsed
     std::size_t quarantined = 0; ///< requests that are not sent to any server
     std::uint64_t misdirectedPermitRequests = 0; ///< requests for permits that another instance has to answer
+    std::size_t serversInBackoff = 0; ///< backend servers that want no requests from this instance
     std::size_t limitedServers = 0; ///< backend servers that name a limit
     bool fedByPeer = false; ///< another instance forwards the changes of the store to this one
 };
--- a/src/relay/CallPlacer.cpp
+++ b/src/relay/CallPlacer.cpp
@@ -94,10 +94,10 @@
 }
 
 /// @param calls  estimated calls of all instances that have this engine as first stage
-/// @return added cost of entering a chain at an engine, in ms; infinite if its limit forbids it now
+/// @return added cost of entering a chain at an engine, in ms; infinite if the engine may be sent no call now
 double CallPlacer::firstStagePenaltyMs(const FleetServer& server, double calls, TimePoint now) const
 {
-    if (server.isLimited(now))
+    if (!server.mayReceiveCall(now))
         return std::numeric_limits<double>::infinity();
     return m_options.without.has(Mechanism::EntryPrice) ? 0 : entryPenaltyMs(calls, server.entry.slots);
 }
@@ -134,10 +134,10 @@
             continue;
         }
         const AcceleratorKind* accelerator = model.kind(entry.accelerator);
-        if (entry.service != call.service || entry.leaving || !entry.layers.size() || !accelerator)
+        if (entry.service != call.service || !entry.layers.size() || !accelerator)
             continue;
         // An attempt at a dead stage would waste a retry. If no other chain is left, the call waits for one.
-        if (server.refusedCheck)
+        if (!server.isAvailable())
             continue;
         // A closed engine rejects new calls, but continues with streams that already run there.
         if (server.isClosed(now) && !(running && running->chain.contains(id)))
@@ -166,7 +166,7 @@
     std::uint64_t jitterIndex = 0;
     for (const auto& [id, server] : m_fleet.servers()) {
         const RegisteredServer& entry = server.entry;
-        if (entry.service != call.service || entry.leaving || server.isLimited(now))
+        if (entry.service != call.service || !server.mayReceiveCall(now))
             continue;
         if (server.ownCalls >= std::max(1.0, SlotOvercommit * entry.slots / m_instances) + 1)
             continue;
--- a/src/relay/CancelCause.cpp
+++ b/src/relay/CancelCause.cpp
@@ -7,6 +7,8 @@
     switch (cause) {
     case CancelCause::Superseded:
         return "superseded";
+    case CancelCause::Backoff:
+        return "backoff";
     case CancelCause::LostStage:
         return "lost_stage";
     case CancelCause::CallEnded:
--- a/src/relay/RelayCounters.h
+++ b/src/relay/RelayCounters.h
@@ -30,6 +30,7 @@
     std::uint64_t held = 0; ///< calls that waited until the cause of a server's end was known
     std::uint64_t limitsSeen = 0; ///< answers that named a limit of their server
     std::uint64_t backoffsRequested = 0; ///< rejections whose server asked for a time without requests
+    std::uint64_t attemptsWithdrawn = 0; ///< attempts cancelled before they were sent, as their server wants none
     std::uint64_t leavesAnnounced = 0; ///< servers that said in an answer that they will exit
     std::uint64_t noticesUnreadable = 0; ///< headers of servers about themselves with values that were ignored
     std::uint64_t permitRequests = 0; ///< requests for permits to send to a limited server
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -202,7 +202,8 @@
         Duration interval {}; ///< expected time between two permits
     };
     std::optional<LimitedCapacity> limitedCapacity(const ServiceId&, TimePoint now) const;
-    void applyBackoff(FleetServer&, const ServerNotice&, Context&);
+    void applyBackoff(FleetServer&, const event::ServerNoticeSeen&, Context&);
+    void withdrawUnsentAttempts(const BackendId&, Context&);
     void applyLeaving(FleetServer&, Context&);
     bool learnLimit(FleetServer&, const ServerLimit&, Context&);
     void sendPermitRequest(FleetServer&, std::uint32_t count, Context&);
--- a/src/relay/RelayReducerLimits.cpp
+++ b/src/relay/RelayReducerLimits.cpp
@@ -19,7 +19,7 @@
     bool canBeginAt(const FleetServer& server, const ServiceId& service)
     {
         const RegisteredServer& entry = server.entry;
-        if (entry.service != service || entry.leaving || server.refusedCheck)
+        if (entry.service != service || !server.isAvailable())
             return false;
         return !server.isEngine() || (entry.layers.size() && !entry.layers.begin);
     }
--- a/src/relay/RelayReducerPlacing.cpp
+++ b/src/relay/RelayReducerPlacing.cpp
@@ -82,10 +82,12 @@
     attempt.startedAt = context.now;
     m_attempts[attempt.id] = call.id;
     queueOf(call).started();
-    if (FleetServer* server = m_fleet.find(attempt.server); server->limit.isNamed())
-        server->permits.take();
+    FleetServer& server = *m_fleet.find(attempt.server);
+    server.backoff.attemptStarted(context.now);
+    if (server.limit.isNamed())
+        server.permits.take();
     if (attempt.chain.hops().empty())
-        ++m_fleet.find(attempt.server)->ownCalls;
+        ++server.ownCalls;
     else
         m_fleet.book(attempt.chain, call.tokens);
     ++m_counters.attempts;
@@ -102,7 +104,7 @@
     start.workspace = call.workspace.value();
     start.stream = isStream(call.route->kind);
     start.purpose = purpose;
-    start.serverStart = m_fleet.find(attempt.server)->entry.startedAt;
+    start.serverStart = server.entry.startedAt;
     start.startedAt = context.now;
     context.effects.emplace_back(std::move(start));
     return attempt;
--- a/src/relay/ServerFleet.cpp
+++ b/src/relay/ServerFleet.cpp
@@ -96,6 +96,12 @@
     return true;
 }
 
+std::size_t ServerFleet::backoffCount(TimePoint now) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        m_servers.begin(), m_servers.end(), [&](const auto& each) { return each.second.backoff.isActive(now); }));
+}
+
 std::size_t ServerFleet::limitedCount() const
 {
     return static_cast<std::size_t>(std::count_if(
--- a/src/relay/ServerFleet.h
+++ b/src/relay/ServerFleet.h
@@ -4,6 +4,7 @@
 #include "crocusmount/Time.h"
 #include "relay/LoadReport.h"
 #include "relay/RegisteredServer.h"
+#include "relay/ServerBackoff.h"
 #include "relay/ServerLimit.h"
 #include "relay/ServerPermits.h"
 #include "relay/ServerStartTracker.h"
@@ -43,7 +44,7 @@
     bool refusedCheck = false; ///< the last health check was refused: no process listens there, so the server is dead
 
     ServerLimit limit; ///< rate of requests that this server accepts from all instances
-    TimePoint backoffUntil; ///< until then, the server wants no requests from this instance
+    ServerBackoff backoff; ///< while the server wants no requests from this instance
     bool hasAnnouncedLeaving = false; ///< whether its answers said that it will exit
     ServerPermits permits; ///< of this instance to send requests to this server while it names a limit
 
@@ -56,6 +57,10 @@
     bool isEngine() const { return !entry.accelerator.empty(); }
     bool isDead(TimePoint now) const { return now < deadUntil; }
     bool isClosed(TimePoint now) const { return now < closedUntil; }
+    /// @return whether the server may be a stage of new chains, or run new calls
+    bool isAvailable() const { return !entry.leaving && !refusedCheck; }
+    /// @return whether this instance may send the server a new call now
+    bool mayReceiveCall(TimePoint now) const { return isAvailable() && backoff.allowsAttempt(now) && !isLimited(now); }
     /// @return whether the server's limit keeps this instance from sending it a request now
     bool isLimited(TimePoint now) const { return limit.isNamed() && !permits.areAvailable(now); }
 
@@ -90,6 +95,8 @@
     /// Returns the servers that may need a health check. Removes those that no longer do from the index.
     /// @return ids of servers that are dead, slow, or have closedCheckDue set
     const std::set<BackendId>& checkCandidates(TimePoint now);
+    /// @return number of servers that want no requests from this instance
+    std::size_t backoffCount(TimePoint now) const;
     /// @return number of servers that name a limit
     std::size_t limitedCount() const;
     FleetServer* find(const BackendId&);
