Send no new calls to a server that says in an answer that it leaves

Callers saw: nothing in the users' record; a leaving server whose entry does not show it yet, or cannot while the store is away, rejects calls, and each rejection costs a retry.

Cause: no instance read Server-Leaving. That a server leaves was known from its entry alone.

Ruled out: a flag beside the entry that each user asks, as the limit and the backoff have it. The entry's own mark is what placing, moving streams, the planner and crash evidence ask already.

Change: the entry of a start that said so counts as leaving, whatever the store says of that start later. Servers whose entries are removed are remembered for 10 minutes, so an entry that returns, after an outage of the store or a change of the configuration, does not take it back, and answers that arrive meanwhile are applied. A later start begins without it; so does one that a check finds.

Why it works: an answer is the word of the start that was asked (X-Expect-Instance), and nothing older can overrule it.

--- a/src/relay/RelayReducerLimits.cpp
+++ b/src/relay/RelayReducerLimits.cpp
@@ -36,7 +36,7 @@
 /// @return whether the limit began, changed or ended
 bool RelayReducer::learnLimit(FleetServer& server, const ServerLimit& limit, Context& context)
 {
-    if (!m_fleet.recordLimit(server.entry.id, limit))
+    if (!server.recordLimit(limit))
         return false;
     context.effects.emplace_back(effect::LogServerLimit { server.entry.id, limit.perSecond });
     return true;
--- a/src/relay/RelayReducerNotices.cpp
+++ b/src/relay/RelayReducerNotices.cpp
@@ -13,9 +13,9 @@
     m_counters.noticesUnreadable += notice.unreadable;
     m_counters.limitsSeen += notice.limitPerSecond ? 1 : 0;
     m_counters.backoffsRequested += notice.retryAfter ? 1 : 0;
-    FleetServer* server = m_fleet.find(seen.server);
-    if (!server || server->entry.startedAt != seen.startedAt)
-        return; // The start that was asked has ended or is not registered.
+    FleetServer* server = m_fleet.findStart(seen.server, seen.startedAt);
+    if (!server)
+        return; // The start that was asked has ended.
     // A rejection may come before the server states its limit, so only signed answers show that it names none.
     const bool showsLimit = notice.limitPerSecond || notice.isSigned;
     if (showsLimit && learnLimit(*server, { notice.limitPerSecond, seen.askedAt }, context))
@@ -77,6 +77,8 @@
     ++m_counters.leavesAnnounced;
     context.effects.emplace_back(effect::LogServerState {
         effect::LogServerState::ServerStateChange::AnnouncedLeaving, server.entry.id, server.entry.startedAt });
+    if (&server == m_fleet.find(server.entry.id))
+        registerServer(RegisteredServer(server.entry), context);
 }
 
 } // namespace crocusmount::relay
--- a/src/relay/RelayReducerServers.cpp
+++ b/src/relay/RelayReducerServers.cpp
@@ -53,7 +53,7 @@
     // An engine that gives up layers waits for the streams through them before it loads others.
     if (movesLayers && registration.ended.empty())
         m_moveOffAt[server.id] = context.now;
-    if (server.leaving)
+    if (m_fleet.find(server.id)->entry.leaving)
         m_moveOffAt.try_emplace(server.id, context.now + m_options.rerouteDelay);
     if (registration.changed)
         dispatchAll(context);
@@ -115,6 +115,7 @@
     RegisteredServer entry = server->entry;
     entry.startedAt = startedAt;
     entry.layers = layers;
+    entry.leaving = false; // That it leaves was said of the start before.
     registerServer(entry, context);
     return true;
 }
--- a/src/relay/ServerFleet.cpp
+++ b/src/relay/ServerFleet.cpp
@@ -26,11 +26,22 @@
     constexpr Duration ClosedPause = std::chrono::milliseconds(2000);
     /// How long servers that left are remembered. Calls are shorter than this.
     constexpr Duration LeftServerRetention = std::chrono::minutes(1);
+    /// How long removed servers are remembered in case their entries return.
+    constexpr Duration RemovedServerRetention = std::chrono::minutes(10);
     /// Limit of doublings of an avoidance. The longest one, 4 s, is about the time that a dead server stays registered.
     constexpr std::uint32_t MaxDoublings = 3;
 
 } // namespace
 
+bool FleetServer::recordLimit(const ServerLimit& named)
+{
+    if (named.askedAt < limit.askedAt)
+        return false;
+    const bool isChanged = limit.perSecond != named.perSecond;
+    limit = named;
+    return isChanged;
+}
+
 EngineLoad FleetServer::ownLoad(TimePoint now) const
 {
     return { othersLoad.engine, ownTokenLayers, static_cast<double>(ownCalls), now < unhealthyUntil ? 1.0 : 0.0 };
@@ -62,16 +73,31 @@
         m_servers.erase(known);
     }
     const auto [position, added] = m_servers.try_emplace(entry.id);
-    result.changed = added || !(position->second.entry == entry);
-    if (position->second.entry.layers != entry.layers)
-        position->second.closedUntil = {};
+    FleetServer& server = position->second;
+    const std::uint64_t key = engineKey(entry.id, entry.startedAt);
+    if (const auto removed = m_removed.find(key); added && removed != m_removed.end()) {
+        server.hasAnnouncedLeaving = removed->second.first.hasAnnouncedLeaving;
+        m_removed.erase(removed);
+    }
+    RegisteredServer current = entry;
+    current.leaving = entry.leaving || server.hasAnnouncedLeaving;
+    result.changed = added || !(server.entry == current);
+    if (server.entry.layers != current.layers)
+        server.closedUntil = {};
     if (result.changed)
-        position->second.listedAt = now;
-    position->second.entry = entry;
-    position->second.othersLoad.engine = engineKey(entry.id, entry.startedAt);
+        server.listedAt = now;
+    server.entry = current;
+    server.othersLoad.engine = key;
     return result;
 }
 
+void ServerFleet::retain(FleetServer&& server, TimePoint now)
+{
+    std::erase_if(m_removed, [&](const auto& each) { return now > each.second.second + RemovedServerRetention; });
+    const std::uint64_t key = server.othersLoad.engine;
+    m_removed.insert_or_assign(key, std::make_pair(std::move(server), now));
+}
+
 bool ServerFleet::remove(const BackendId& id, TimePoint now)
 {
     m_outdatedEntries.erase(id);
@@ -79,6 +105,7 @@
     if (gone == m_servers.end())
         return false;
     const RegisteredServer last = gone->second.entry;
+    retain(std::move(gone->second), now);
     m_servers.erase(gone);
     std::erase_if(m_leftAt, [&](const auto& each) { return now > each.second + LeftServerRetention; });
     if (last.leaving)
@@ -114,6 +141,14 @@
     return found == m_servers.end() ? nullptr : &found->second;
 }
 
+FleetServer* ServerFleet::findStart(const BackendId& id, StartTime startedAt)
+{
+    if (FleetServer* server = find(id); server && server->entry.startedAt == startedAt)
+        return server;
+    const auto removed = m_removed.find(engineKey(id, startedAt));
+    return removed == m_removed.end() ? nullptr : &removed->second.first;
+}
+
 const std::set<BackendId>& ServerFleet::checkCandidates(TimePoint now)
 {
     std::erase_if(m_checkCandidates, [&](const BackendId& id) {
@@ -217,16 +252,6 @@
     ++server->consecutiveFailures;
 }
 
-bool ServerFleet::recordLimit(const BackendId& id, const ServerLimit& limit)
-{
-    FleetServer* server = find(id);
-    if (!server || limit.askedAt < server->limit.askedAt)
-        return false;
-    const bool isChanged = server->limit.perSecond != limit.perSecond;
-    server->limit = limit;
-    return isChanged;
-}
-
 void ServerFleet::recordSuccess(const BackendId& id)
 {
     FleetServer* server = find(id);
--- a/src/relay/ServerFleet.h
+++ b/src/relay/ServerFleet.h
@@ -18,7 +18,7 @@
 
 /// One backend server: its registry entry, and what this instance has observed about it.
 struct FleetServer {
-    RegisteredServer entry;
+    RegisteredServer entry; ///< it also shows as leaving if the server said so in an answer
     std::uint32_t ownCalls = 0; ///< running calls of this instance with this server as first stage or only server
     double ownTokenLayers = 0; ///< estimated KV cache of this instance's calls on this server, in tokens times layers
     EngineLoad
@@ -64,6 +64,9 @@
     /// @return whether the server's limit keeps this instance from sending it a request now
     bool isLimited(TimePoint now) const { return limit.isNamed() && !permits.areAvailable(now); }
 
+    /// Records the limit that the server named, or that it names none. Ignores what is older than the known limit.
+    /// @return whether the limit began, changed or ended
+    bool recordLimit(const ServerLimit&);
     /// @return the load report of this instance about this server
     EngineLoad ownLoad(TimePoint now) const;
 };
@@ -100,6 +103,8 @@
     /// @return number of servers that name a limit
     std::size_t limitedCount() const;
     FleetServer* find(const BackendId&);
+    /// @return a start of a server, also if its entry was removed recently; null if it has ended or is not known
+    FleetServer* findStart(const BackendId&, StartTime);
     /// @param key  of one start of the server, see engineKey
     FleetServer* findByKey(std::uint64_t key);
     FleetServer* findByAddress(const std::string& address);
@@ -122,9 +127,6 @@
 
     /// Records a failed attempt. The server is avoided for a time that doubles with each consecutive failure.
     void recordFailure(const BackendId&, TimePoint now);
-    /// Records the limit that a server named, or that it names none. Ignores what is older than the known limit.
-    /// @return whether the limit began, changed or ended
-    bool recordLimit(const BackendId&, const ServerLimit&);
     /// Records a successful attempt.
     void recordSuccess(const BackendId&);
     /// Records that a server rejected a call. The server is avoided for a short time, since a full server has free
@@ -149,10 +151,15 @@
     void recordReportedDead(const BackendId&, TimePoint now);
 
 private:
+    void retain(FleetServer&&, TimePoint now);
+
     std::map<BackendId, FleetServer> m_servers;
     std::set<BackendId> m_checkCandidates; ///< index that avoids a scan of all servers on each tick
     std::map<BackendId, RegisteredServer> m_outdatedEntries; ///< listed entries of ended starts
     std::map<BackendId, TimePoint> m_leftAt; ///< removal times of servers that left recently
+    /// Removed servers by their keys, with the times of removal. Their entries may return, as after an outage of the
+    /// store, and what they stated about themselves still holds then.
+    std::map<std::uint64_t, std::pair<FleetServer, TimePoint>> m_removed;
     ServerStartTracker m_starts;
     bool m_knowsOthersLoad = false;
 };
