Keep limits and backoffs of servers whose entries are missing for a moment

Callers saw: nothing; a server got requests beyond its limit, or during its backoff, after its entry had been missing.

Cause: what an instance knows of a server ended with its entry. Entries end while the store is away or the configuration changes, and return for the same start.

Evidence: ALimitAndABackoffOutliveAMissingEntry; an attempt started in its first case, a limit of 0, before the change.

Ruled out: keeping the whole state. Failures and load of a server that was away say little; what it asked for still holds.

--- a/src/relay/ServerFleet.cpp
+++ b/src/relay/ServerFleet.cpp
@@ -76,7 +76,10 @@
     FleetServer& server = position->second;
     const std::uint64_t key = engineKey(entry.id, entry.startedAt);
     if (const auto removed = m_removed.find(key); added && removed != m_removed.end()) {
-        server.hasAnnouncedLeaving = removed->second.first.hasAnnouncedLeaving;
+        const FleetServer& known = removed->second.first;
+        server.limit = known.limit;
+        server.backoff = known.backoff;
+        server.hasAnnouncedLeaving = known.hasAnnouncedLeaving;
         m_removed.erase(removed);
     }
     RegisteredServer current = entry;
