Send no checks, questions or orders to servers during their backoff

Callers saw: nothing; a server that wanted no requests got health checks, probes, questions for stalled stages and orders.

Cause: only attempts asked whether the server wants requests.

Ruled out: an exception for checks of silent streams. A stalled stream is still moved by a second attempt once its stall limit is over, without the server.

Change: checks, probes, questions, reroutes (to the first stage) and the orders of the planner wait for the end of the backoff. An engine that had refused a check was checked again only while it counted as dead; it is until it answers now, since a backoff can outlast that time.

--- a/src/edge/PlacementDriver.cpp
+++ b/src/edge/PlacementDriver.cpp
@@ -87,6 +87,8 @@
     if (!m_planTimings[service.id].isDue(std::move(listed), anyHoldsLayers, m_node.now()))
         return;
     for (const LayerPlanner::Order& order : LayerPlanner::plan(*service.engine, engines, disabled)) {
+        if (servers.at(order.engine).backoff.isActive(m_node.now()))
+            continue; // The order is planned again once the engine takes requests.
         const double loadMs = 1000.0 * service.engine->loadSeconds * order.layers.size() / service.engine->layers;
         const auto expected
             = std::chrono::milliseconds(static_cast<std::int64_t>(loadMs * LoadTimeFactor)) + ReportDelay;
--- a/src/relay/RelayReducerChecks.cpp
+++ b/src/relay/RelayReducerChecks.cpp
@@ -94,10 +94,11 @@
         sendCheck(server, context);
 }
 
-/// @return whether the server is an engine without a check under way, and checks are enabled
+/// @return whether the server is an engine without a check under way that takes requests, and checks are enabled
 bool RelayReducer::mayCheck(const FleetServer& server) const
 {
-    return server.isEngine() && !server.beingChecked && !m_options.without.has(Mechanism::EngineChecks);
+    return server.isEngine() && !server.beingChecked && !server.backoff.isActive(m_now)
+        && !m_options.without.has(Mechanism::EngineChecks);
 }
 
 void RelayReducer::sendCheck(FleetServer& server, Context& context)
@@ -112,7 +113,8 @@
 {
     for (const BackendId& id : m_fleet.checkCandidates(context.now)) {
         FleetServer& server = *m_fleet.find(id);
-        const bool isDeadCheckDue = server.isDead(context.now) && context.now + DeadRecheckLead >= server.deadUntil;
+        const bool seemsDead = server.isDead(context.now) || server.refusedCheck;
+        const bool isDeadCheckDue = seemsDead && context.now + DeadRecheckLead >= server.deadUntil;
         const bool isSlowCheckDue
             = server.slowness > SlownessRecheckThreshold && context.now >= server.lastCheckAt + SlowEngineCheckInterval;
         if (isDeadCheckDue || isSlowCheckDue)
--- a/src/relay/RelayReducerCrashes.cpp
+++ b/src/relay/RelayReducerCrashes.cpp
@@ -90,7 +90,8 @@
 void RelayReducer::probe(FleetServer& server, Context& context)
 {
     const Service* service = m_routes ? m_routes->service(server.entry.service) : nullptr;
-    if (server.beingChecked || !service || service->healthPath.empty() || !m_checkBudget.spendUrgent())
+    if (server.beingChecked || server.backoff.isActive(context.now) || !service || service->healthPath.empty()
+        || !m_checkBudget.spendUrgent())
         return;
     server.beingChecked = true;
     server.lastCheckAt = context.now;
--- a/src/relay/RelayReducerTime.cpp
+++ b/src/relay/RelayReducerTime.cpp
@@ -131,6 +131,9 @@
 void RelayReducer::askStalledStage(Call& call, Context& context)
 {
     Attempt& attempt = call.main;
+    const FleetServer* first = m_fleet.find(attempt.server);
+    if (first && first->backoff.isActive(context.now))
+        return;
     if (m_options.without.has(Mechanism::StallQuestions) || attempt.chain.hops().empty()
         || attempt.stallQueries >= m_options.maxStallQueries
         || context.now < attempt.lastStallQueryAt + m_options.stallQueryInterval)
@@ -198,7 +201,7 @@
     if (!attempt.pendingReroute.hops().empty())
         return MoveResult::Pending;
     const FleetServer* first = m_fleet.find(attempt.server);
-    const bool acceptsReroutes = !first || !first->refusedCheck;
+    const bool acceptsReroutes = !first || !(first->refusedCheck || first->backoff.isActive(context.now));
     if (m_options.without.has(Mechanism::Reroutes) || awaitsCrashVerdict(call) || leavesFirstStage || !acceptsReroutes
         || attempt.rerouteCount >= m_options.maxReroutes)
         return MoveResult::Impossible;
--- a/src/relay/ServerFleet.cpp
+++ b/src/relay/ServerFleet.cpp
@@ -156,7 +156,8 @@
 {
     std::erase_if(m_checkCandidates, [&](const BackendId& id) {
         const FleetServer* server = find(id);
-        return !server || !(server->isDead(now) || server->slowness > 1 || server->closedCheckDue);
+        return !server
+            || !(server->isDead(now) || server->refusedCheck || server->slowness > 1 || server->closedCheckDue);
     });
     return m_checkCandidates;
 }
