Refuse calls at once that no server will take in time after its backoff

Callers saw: calls for servers that all want no requests waited half of their objective before they were refused, with a Retry-After that knows nothing of the servers' times. Each rejection took a token of the retry budget, though no other server was there for the retry.

Cause: only limits were asked for what they let through.

Evidence: WhatNoServerWillTakeInTimeIsRefusedAtOnce and AWaitingCallIsRefusedWhenTheLastServerWantsNone failed before the change. ARejectionThatNoOtherServerCanAnswerUsesNoRetry was added with it and was not run before.

Ruled out: sending "because nothing else is left"; the server would reject it.

Change: limits and backoffs are one restriction on where calls can begin. What it leaves no room for in time is refused on arrival, in the queue and as a retry, the latter before the budget is asked (servers_in_backoff). The Retry-After is the time to the earliest end, up to one and a half times it.

--- a/include/crocusmount/Reason.h
+++ b/include/crocusmount/Reason.h
@@ -30,6 +30,7 @@
     CrashesServers, ///< backend servers crashed whenever the request ran; it is not sent to any more
     NoCapacity, ///< all suitable backend servers are full
     LimitReached, ///< all suitable backend servers name limits that leave no request for the call
+    ServersInBackoff, ///< all suitable backend servers asked to be sent nothing for longer than the call can wait
     TimedOut,
     ServerFailure, ///< a backend server answered with an error
     // Attempts that failed; the request is retried or fails.
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -190,8 +190,8 @@
     FairQueue& waiting = queueOf(stored).waiting();
     if (waiting.empty() && place(stored, context))
         return;
-    if (isBeyondLimits(stored, waiting.size(), context)) {
-        finishUnanswered(stored, Reason::LimitReached, context);
+    if (const auto reason = restrictionOn(stored, waiting.size(), context)) {
+        finishUnanswered(stored, *reason, context);
         return;
     }
     if (context.now + queueOf(stored).expectedWait() > stored.waitUntil) {
@@ -382,6 +382,12 @@
         interrupt(call, reason, context);
         return;
     }
+    // A retry that no server will take in time must not use up the budget.
+    call.waitUntil = std::min(call.deadline, context.now + MaxRetryWait);
+    if (const auto restriction = limit ? std::nullopt : restrictionOn(call, 0, context)) {
+        limit = RetryLimit::NoServer;
+        reason = call.mayHaveRun ? reason : *restriction;
+    }
     if (!limit && (isRetryReserved(call.service) || !budgetOf(call.service).spend()))
         limit = RetryLimit::Budget;
     if (!limit) {
@@ -422,8 +428,9 @@
     } else {
         const RunState run = call.mayHaveRun ? RunState::MayHaveRun : RunState::NotRun;
         const bool isShortage = reason == Reason::NoCapacity || reason == Reason::LimitReached;
-        const Duration retryAfter
-            = isShortage ? retryAfterShortage(queueOf(call), context) : retryAfterFor(reason, context);
+        const Duration retryAfter = reason == Reason::ServersInBackoff ? retryAfterBackoff(call.service, context)
+            : isShortage                                               ? retryAfterShortage(queueOf(call), context)
+                                                                       : retryAfterFor(reason, context);
         context.effects.emplace_back(effect::Refuse { call.id, reason, run, retryAfter, limit });
     }
     remove(call.id);
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -196,20 +196,22 @@
     void requeue(Call&, Context&);
     bool isStalled(const Call&, TimePoint now) const;
     std::vector<BackendId> stalledStages(const Call&) const;
-    /// What the limits of a service's servers let through if every server at which its calls can begin names one.
-    struct LimitedCapacity {
-        TimePoint availableAt; ///< earliest time at which a permit may be available
-        Duration interval {}; ///< expected time between two permits
+    /// What a service's servers let through if each at which its calls can begin names a limit or wants no requests.
+    struct RestrictedCapacity {
+        TimePoint availableAt; ///< earliest time at which a call may start
+        Duration interval {}; ///< expected time between two permits; nearly zero where no limit applies
+        Reason reason = Reason::LimitReached; ///< why the server of this time cannot take a call before
     };
-    std::optional<LimitedCapacity> limitedCapacity(const ServiceId&, TimePoint now) const;
+    std::optional<RestrictedCapacity> restrictedCapacity(const ServiceId&, TimePoint now) const;
     void applyBackoff(FleetServer&, const event::ServerNoticeSeen&, Context&);
     void withdrawUnsentAttempts(const BackendId&, Context&);
     void applyLeaving(FleetServer&, Context&);
     bool learnLimit(FleetServer&, const ServerLimit&, Context&);
     void sendPermitRequest(FleetServer&, std::uint32_t count, Context&);
     void requestPermits(const Call&, Context&);
-    bool isBeyondLimits(const Call&, std::size_t ahead, const Context&) const;
-    void refuseBeyondLimits(Context&);
+    std::optional<Reason> restrictionOn(const Call&, std::size_t ahead, const Context&) const;
+    void refuseBeyondRestrictions(Context&);
+    Duration retryAfterBackoff(const ServiceId&, const Context&) const;
     Duration retryAfterFor(Reason, const Context&) const;
     Duration retryAfterShortage(ServiceQueue&, const Context&) const;
     void remove(RequestId);
--- a/src/relay/RelayReducerLimits.cpp
+++ b/src/relay/RelayReducerLimits.cpp
@@ -1,4 +1,5 @@
-// How RelayReducer keeps to the limits that backend servers name.
+// How RelayReducer keeps to the limits that backend servers name, and refuses what limits and backoffs leave no room
+// for.
 //
 // One instance coordinates each limited server and grants permits for it to the others. Every attempt at the server
 // takes one permit, whatever its purpose. A call that no unlimited server can take waits for a permit, or is refused at
@@ -92,45 +93,54 @@
     context.effects.emplace_back(
         effect::LogPermits { server->entry.id, answered.answer.granted, answered.answer.retryAfter });
     dispatchAll(context);
-    refuseBeyondLimits(context);
+    refuseBeyondRestrictions(context);
 }
 
-/// @return what the limits of a service's servers let through, or nothing if a call can begin at a server without one
-std::optional<RelayReducer::LimitedCapacity> RelayReducer::limitedCapacity(
+/// @return what a service's servers let through, or nothing if a call can begin at a server without a restriction
+std::optional<RelayReducer::RestrictedCapacity> RelayReducer::restrictedCapacity(
     const ServiceId& service, TimePoint now) const
 {
-    std::optional<LimitedCapacity> capacity;
+    std::optional<RestrictedCapacity> capacity;
     double permitsPerSecond = 0;
     for (const auto& [id, server] : m_fleet.servers()) {
         if (!canBeginAt(server, service))
             continue;
-        if (!server.limit.isNamed())
+        const bool isInBackoff = server.backoff.isActive(now);
+        const bool isLimited = server.limit.isNamed();
+        if (!isLimited && !isInBackoff)
             return std::nullopt;
-        const TimePoint availableAt = server.permits.availableAt(now);
-        if (!capacity)
-            capacity = LimitedCapacity { availableAt };
-        capacity->availableAt = std::min(capacity->availableAt, availableAt);
-        permitsPerSecond += 1e6 / std::max<double>(1, static_cast<double>(server.permits.interval(now).count()));
+        const TimePoint permitAt = isLimited ? server.permits.availableAt(now) : now;
+        const TimePoint availableAt = std::max(permitAt, server.backoff.endsAt());
+        if (!capacity || availableAt < capacity->availableAt) {
+            const bool isBackoffLater = isInBackoff && server.backoff.endsAt() >= permitAt;
+            capacity = RestrictedCapacity { availableAt, {},
+                isBackoffLater ? Reason::ServersInBackoff : Reason::LimitReached };
+        }
+        const Duration interval = isLimited ? server.permits.interval(now) : Duration(0);
+        permitsPerSecond += 1e6 / std::max<double>(1, static_cast<double>(interval.count()));
     }
     if (capacity)
         capacity->interval = Duration(static_cast<std::int64_t>(1e6 / permitsPerSecond));
     return capacity;
 }
 
-/// @param ahead  calls of the service that get their permits before this one
-/// @return whether the limits of the servers keep a waiting call from being placed in time
-bool RelayReducer::isBeyondLimits(const Call& call, std::size_t ahead, const Context& context) const
+/// @param ahead  calls of the service that are placed before this one
+/// @return what keeps a waiting call from being placed in time: limits or backoffs of the servers; nothing if neither
+/// does
+std::optional<Reason> RelayReducer::restrictionOn(const Call& call, std::size_t ahead, const Context& context) const
 {
-    const auto capacity = limitedCapacity(call.service, context.now);
-    return capacity && capacity->availableAt + capacity->interval * static_cast<std::int64_t>(ahead) >= call.waitUntil;
+    const auto capacity = restrictedCapacity(call.service, context.now);
+    if (!capacity || capacity->availableAt + capacity->interval * static_cast<std::int64_t>(ahead) < call.waitUntil)
+        return std::nullopt;
+    return capacity->reason;
 }
 
-/// Refuses queued calls that cannot get a permit in time. The most urgent ones, and of these the oldest, keep their
+/// Refuses queued calls that no server will take in time. The most urgent ones, and of these the oldest, keep their
 /// places.
-void RelayReducer::refuseBeyondLimits(Context& context)
+void RelayReducer::refuseBeyondRestrictions(Context& context)
 {
     for (auto& [service, queue] : m_services) {
-        const auto capacity = queue.waiting().empty() ? std::nullopt : limitedCapacity(service, context.now);
+        const auto capacity = queue.waiting().empty() ? std::nullopt : restrictedCapacity(service, context.now);
         if (!capacity)
             continue;
         std::vector<const Call*> waiting;
@@ -150,7 +160,7 @@
                 ++kept;
         }
         for (const RequestId& id : refused)
-            finishUnanswered(m_calls.at(id), Reason::LimitReached, context, waitLimit(m_calls.at(id), context));
+            finishUnanswered(m_calls.at(id), capacity->reason, context, waitLimit(m_calls.at(id), context));
     }
 }
 
--- a/src/relay/RelayReducerPlacing.cpp
+++ b/src/relay/RelayReducerPlacing.cpp
@@ -18,6 +18,9 @@
     /// Retry-After times are spread between these multiples of the expected rest of a shortage.
     constexpr double MinRetryAfterFactor = 0.5;
     constexpr double MaxRetryAfterFactor = 1.5;
+    /// Retry-After times after a backoff are spread up to this share of its rest.
+    constexpr double MaxBackoffSpread = 0.5;
+    constexpr Duration MinRetryAfterBackoff = std::chrono::milliseconds(200);
     /// Longest time for which a partly delivered answer avoids a stage that rejected it.
     constexpr Duration MaxAnswerRetryPause = std::chrono::milliseconds(500);
 
@@ -142,6 +145,16 @@
     return scaled(expected, MinRetryAfterFactor + fraction * (MaxRetryAfterFactor - MinRetryAfterFactor));
 }
 
+/// @return when callers should retry that were refused because their servers want no requests: after the earliest end,
+///         spread so that the callers do not return all at once
+Duration RelayReducer::retryAfterBackoff(const ServiceId& service, const Context& context) const
+{
+    const auto capacity = restrictedCapacity(service, context.now);
+    const Duration remaining = capacity ? capacity->availableAt - context.now : Duration(0);
+    const double fraction = uniformFraction(context.entropy, static_cast<std::uint64_t>(Reason::ServersInBackoff));
+    return scaled(std::max(remaining, MinRetryAfterBackoff), 1 + fraction * MaxBackoffSpread);
+}
+
 /// @return this instance's share of the retries that all instances may make beyond the retry ratio
 double RelayReducer::retryBurst() const { return std::max(1.0, m_options.retrySlack / m_placer.instances()); }
 
--- a/src/relay/RelayReducerTime.cpp
+++ b/src/relay/RelayReducerTime.cpp
@@ -28,7 +28,7 @@
     m_checkBudget.refill(m_fleet.servers().size(), m_placer.instances(), context.now);
     admitEarlyCalls(context);
     refuseOverdue(context);
-    refuseBeyondLimits(context);
+    refuseBeyondRestrictions(context);
     recheckDeadAndSlowEngines(context);
     checkClosedEngines(context);
     moveOffLeaving(context);
--- a/tests/ServerNoticeTest.cpp
+++ b/tests/ServerNoticeTest.cpp
@@ -179,7 +179,8 @@
         }
         harness.notice(start, Leaving);
         each.afterwards(harness, start);
-        CHECK_EQUAL_TEXT(0U, attemptsAt(harness, start.server, milliseconds(1500)), each.name);
+        const std::size_t attempts = attemptsAt(harness, start.server, milliseconds(1500));
+        CHECK_EQUAL_TEXT(0U, attempts, each.name);
     }
 }
 
@@ -234,3 +235,216 @@
     CHECK_TRUE(order.has_value());
     CHECK_FALSE(order->chain.contains(last));
 }
+
+// What a server had asked for was forgotten when its entry was missing for a moment.
+TEST(ServerNotice, ALimitAndABackoffOutliveAMissingEntry)
+{
+    const struct {
+        const char* name;
+        ServerNotice notice;
+    } cases[] = {
+        { "a limit", { 0, std::nullopt, false, true } },
+        { "a backoff", { std::nullopt, seconds(60) } },
+    };
+    for (const auto& each : cases) {
+        RelayHarness harness;
+        harness.send(relay::event::ServerUnregistered { BackendId("y") });
+        const auto start = harness.running("/look/1");
+        harness.notice(start, each.notice);
+        harness.send(relay::event::ServerUnregistered { start.server });
+        harness.send(relay::event::ServerRegistered { entryOf(start.server) });
+        harness.call("/look/2");
+        const std::size_t attempts = attemptsAt(harness, start.server, milliseconds(1500));
+        CHECK_EQUAL_TEXT(0U, attempts, each.name);
+    }
+}
+
+// Calls waited for half of their objective for servers that would not take them in that time.
+TEST(ServerNotice, WhatNoServerWillTakeInTimeIsRefusedAtOnce)
+{
+    const struct {
+        const char* name;
+        const char* path;
+        Duration first; ///< backoff of one server
+        Duration second; ///< of the other one at which calls can begin
+        bool isRefused;
+    } cases[] = {
+        { "a plain service", "/look/1", seconds(3), seconds(5), true },
+        { "engines", "/draft/1", seconds(5), seconds(3), true },
+        { "one ends in time", "/draft/1", milliseconds(100), seconds(3), false },
+        { "one server takes calls", "/look/1", {}, seconds(3), false },
+    };
+    for (const auto& each : cases) {
+        RelayHarness harness;
+        const bool isPlain = std::string(each.path) == "/look/1";
+        const BackendId ids[] = { BackendId(isPlain ? "x" : "a"), BackendId(isPlain ? "y" : "c") };
+        for (const auto& [id, backoff] : { std::pair(ids[0], each.first), std::pair(ids[1], each.second) }) {
+            harness.send(relay::event::ServerNoticeSeen { id, {}, harness.now(), { std::nullopt, backoff } });
+        }
+        harness.call(each.path);
+        const auto refusal = harness.last<relay::effect::Refuse>();
+        CHECK_TRUE_TEXT(refusal.has_value() == each.isRefused, each.name);
+        if (!refusal)
+            continue;
+        CHECK_TRUE_TEXT(refusal->reason == Reason::ServersInBackoff && refusal->run == RunState::NotRun, each.name);
+        const Duration earliest = std::min(each.first, each.second);
+        CHECK_TRUE_TEXT(refusal->retryAfter >= earliest && refusal->retryAfter <= 2.5 * earliest, each.name);
+    }
+}
+
+// A waiting call is refused when the last server at which it could begin asks for a backoff.
+TEST(ServerNotice, AWaitingCallIsRefusedWhenTheLastServerWantsNone)
+{
+    RelayHarness harness;
+    const auto first = harness.running("/draft/1");
+    harness.notice(first, { std::nullopt, seconds(3) });
+    harness.send(relay::event::AttemptEnded { first.attempt, AttemptResult::NotRun, 503, "" });
+    const auto second = harness.last<relay::effect::StartAttempt>();
+    CHECK_TRUE(second && second->server != first.server);
+    harness.notice(*second, { std::nullopt, seconds(3) });
+    harness.send(relay::event::AttemptEnded { second->attempt, AttemptResult::NotRun, 503, "" });
+    harness.tick(milliseconds(20));
+    const auto refusal = harness.last<relay::effect::Refuse>();
+    CHECK_TRUE(refusal && refusal->reason == Reason::ServersInBackoff);
+}
+
+// Checks, probes and questions reached servers that wanted no requests.
+TEST(ServerNotice, NothingElseIsSentToAServerDuringItsBackoff)
+{
+    using Start = relay::effect::StartAttempt;
+    const struct {
+        const char* name;
+        const char* path;
+        std::uint64_t events;
+        std::function<void(RelayHarness&, const Start&)> trouble;
+    } cases[] = {
+        { "a silent stream", "/draft/1", 5, [](RelayHarness&, const Start&) {} },
+        { "a silent call", "/draft/1", 0, [](RelayHarness&, const Start&) {} },
+        { "a failed connection", "/draft/1", 0,
+            [](RelayHarness& harness, const Start& start) {
+                harness.send(relay::event::AttemptEnded { start.attempt, AttemptResult::ConnectFailed, 0, "" });
+            } },
+        { "a rejection", "/draft/1", 0,
+            [](RelayHarness& harness, const Start& start) {
+                harness.send(relay::event::AttemptEnded { start.attempt, AttemptResult::NotRun, 503, "" });
+            } },
+        { "an answer that breaks off", "/look/1", 0,
+            [](RelayHarness& harness, const Start& start) {
+                harness.send(relay::event::AttemptEnded { start.attempt, AttemptResult::Broken, 200, "" });
+            } },
+        { "a report that it is dead", "/draft/1", 0,
+            [](RelayHarness& harness, const Start& start) {
+                harness.send(relay::event::EnginesReportedDead { { engineKey(start.server) } });
+            } },
+    };
+    for (const auto& each : cases) {
+        RelayHarness harness;
+        const Start start = harness.running(each.path, each.events);
+        harness.notice(start, { std::nullopt, seconds(10) });
+        each.trouble(harness, start);
+        for (int i = 0; i < 150; ++i) {
+            for (const RelayEffect& effect : harness.effects()) {
+                const auto* check = std::get_if<relay::effect::CheckEngine>(&effect);
+                const auto* probe = std::get_if<relay::effect::ProbeServer>(&effect);
+                const auto* question = std::get_if<relay::effect::AskStalledStage>(&effect);
+                const auto* order = std::get_if<relay::effect::RerouteAttempt>(&effect);
+                CHECK_FALSE_TEXT(check && check->engine == start.server, each.name);
+                CHECK_FALSE_TEXT(probe && probe->server == start.server, each.name);
+                CHECK_FALSE_TEXT(question && question->server == start.server, each.name);
+                CHECK_FALSE_TEXT(order && order->chain.hops().front().backend == start.server, each.name);
+            }
+            harness.tick(milliseconds(20));
+        }
+    }
+}
+
+// A refused check keeps calls from an engine until it answers one, so a backoff must not end the checks.
+TEST(ServerNotice, AnEngineThatRefusedACheckIsCheckedAfterItsBackoff)
+{
+    RelayHarness harness;
+    const BackendId engine("a");
+    harness.send(relay::event::EngineChecked { engine, false, 1, true });
+    harness.send(relay::event::ServerNoticeSeen { engine, {}, harness.now(), { std::nullopt, seconds(2) } });
+    std::size_t checks = 0;
+    for (int i = 0; i < 250; ++i) {
+        harness.tick(milliseconds(20));
+        const auto check = harness.last<relay::effect::CheckEngine>();
+        checks += check && check->engine == engine ? 1 : 0;
+    }
+    CHECK_TRUE(checks > 0);
+}
+
+// Instances that were rejected in the same moment came back in the same moment.
+TEST(ServerNotice, CallsReturnToAServerWithoutARush)
+{
+    const struct {
+        const char* name;
+        std::size_t instances;
+        double callsPerSecond;
+        double capacity; ///< of the only server, in requests a second
+        const char* path;
+        const char* server;
+    } cases[] = {
+        { "9 instances", 9, 60, 40, "/draft/1", "e0" },
+        { "9 instances, a plain service", 9, 60, 40, "/look/1", "p0" },
+        { "60 instances", 60, 200, 130, "/draft/1", "e0" },
+        { "295 instances", 295, 500, 330, "/draft/1", "e0" },
+        { "295 instances, a plain service", 295, 500, 330, "/look/1", "p0" },
+    };
+    for (const auto& each : cases) {
+        LimitFleet::Options options;
+        options.instances = each.instances;
+        options.callsPerSecond = each.callsPerSecond;
+        options.firstStages = 1;
+        options.plainServers = 1;
+        options.path = each.path;
+        LimitFleet fleet(options);
+        fleet.run(seconds(1));
+        // The server rejects everything for a second, then it is as it was.
+        fleet.setCapacity(each.server, 0.001, seconds(3));
+        fleet.run(seconds(1));
+        fleet.setCapacity(each.server, 0, seconds(3));
+        const TimePoint healthy = fleet.now();
+        fleet.run(seconds(12));
+        const double demand = each.callsPerSecond / 10;
+        const std::size_t peak = fleet.peakArrivals(each.server, healthy, milliseconds(100));
+        checkAtMost(static_cast<std::size_t>(3 * demand), peak, each.name);
+        const auto returned = static_cast<double>(fleet.arrivalsSince(each.server, healthy + seconds(6))) / 6;
+        CHECK_TRUE_TEXT(returned >= 0.8 * each.callsPerSecond, each.name);
+        // A server that takes less than the callers want.
+        LimitFleet overloaded(options);
+        overloaded.run(seconds(1));
+        overloaded.setCapacity(each.server, each.capacity, seconds(1));
+        overloaded.run(seconds(5));
+        const TimePoint settled = overloaded.now();
+        overloaded.run(seconds(20));
+        const auto accepted = static_cast<double>(overloaded.acceptedSince(each.server, settled)) / 20;
+        CHECK_TRUE_TEXT(accepted >= 0.8 * each.capacity, each.name);
+        checkAtMost(AllowedDuringBackoff, overloaded.mostDuringBackoff(each.server), each.name);
+        CHECK_TRUE_TEXT(overloaded.meanWaitForRefusal() < milliseconds(60), each.name);
+    }
+}
+
+// Servers that reject everything and ask for a backoff used up the retries of all callers.
+TEST(ServerNotice, ARejectionThatNoOtherServerCanAnswerUsesNoRetry)
+{
+    const struct {
+        const char* name;
+        const char* path;
+    } cases[] = { { "a stream", "/draft/1" }, { "a plain service", "/look/1" } };
+    for (const auto& each : cases) {
+        RelayHarness harness;
+        for (const char* other : { "c", "y" })
+            harness.send(relay::event::ServerUnregistered { BackendId(other) });
+        const auto start = harness.running(each.path);
+        harness.notice(start, { std::nullopt, seconds(3) });
+        harness.send(relay::event::AttemptEnded { start.attempt, AttemptResult::NotRun, 503, "" });
+        const auto refusal = harness.last<relay::effect::Refuse>();
+        CHECK_TRUE_TEXT(refusal && refusal->reason == Reason::ServersInBackoff, each.name);
+        CHECK_TRUE_TEXT(refusal->run == RunState::NotRun && refusal->retryAfter >= seconds(3), each.name);
+        std::uint64_t retries = 0;
+        for (const std::uint64_t count : harness.reducer().counters().retried)
+            retries += count;
+        CHECK_EQUAL_TEXT(0U, retries, each.name);
+    }
+}
