Count the headers of servers' answers that the relay does not know

Callers saw: nothing.

Cause: Server-Limit, Retry-After and Server-Leaving were in servers' answers before any code read them, and nothing showed that they were there.

Ruled out: a log line for each answer. One at the first sight of a name and a counter by name tell the same.

--- a/programs/crocusmount-entry.cpp
+++ b/programs/crocusmount-entry.cpp
@@ -151,6 +151,7 @@
         gauges.storeCalls = m_store.calls();
         gauges.logLinesDropped = relay::DecisionLog::dropped();
         gauges.quarantined = reducer.quarantine().quarantinedCount(m_node.now());
+        gauges.unknownHeaders = m_node.unknownHeaders().counts();
         gauges.serversInBackoff = reducer.fleet().backoffCount(m_node.now());
         gauges.limitedServers = reducer.fleet().limitedCount();
         gauges.fedByPeer = m_mirror.isFed();
--- a/src/edge/RelayMetrics.cpp
+++ b/src/edge/RelayMetrics.cpp
@@ -48,6 +48,11 @@
         double(counters.limitsSeen));
     families.addCounter("crocusmount_server_backoffs_requested_total",
         "Rejections whose server asked for a time without requests", double(counters.backoffsRequested));
+    for (const auto& [name, count] : gauges.unknownHeaders) {
+        families.addCounter("crocusmount_unknown_answer_headers_total",
+            "Headers of backend servers' answers that this instance does not know", double(count),
+            { { "name", name } });
+    }
     families.addCounter("crocusmount_attempts_withdrawn_total",
         "Attempts cancelled before they were sent, as their server wants no requests",
         double(counters.attemptsWithdrawn));
--- a/src/edge/RelayMetrics.h
+++ b/src/edge/RelayMetrics.h
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <cstdint>
+#include <map>
 #include <string>
 
 namespace crocusmount::relay {
@@ -31,6 +32,7 @@
     std::uint64_t unreadableValues = 0; ///< values in the store that could not be parsed
     std::size_t quarantined = 0; ///< requests that are not sent to any server
     std::uint64_t misdirectedPermitRequests = 0; ///< requests for permits that another instance has to answer
+    std::map<std::string, std::uint64_t> unknownHeaders; ///< headers of answers that the relay does not know, by name
     std::size_t serversInBackoff = 0; ///< backend servers that want no requests from this instance
     std::size_t limitedServers = 0; ///< backend servers that name a limit
     bool fedByPeer = false; ///< another instance forwards the changes of the store to this one
--- a/src/edge/RelayNode.cpp
+++ b/src/edge/RelayNode.cpp
@@ -98,6 +98,7 @@
 RelayNode::RelayNode(net::io_context& context, RelayOptions options, HeaderNames names, EngineControl& control)
     : m_context(context)
     , m_headerNames(std::move(names))
+    , m_unknownHeaders(m_headerNames)
     , m_engineControl(control)
     , m_reducer(std::move(options))
     , m_random(std::random_device {}())
@@ -237,8 +238,8 @@
             { "chain", chainText(start.chain) }, { "remaining_ms", toMs(start.remaining) },
             { "resume_after", start.resumeAfter.value_or(0) },
             { "waited_ms", toMs(now() - found->second.arrivedAt) } });
-    auto attempt = std::make_shared<UpstreamAttempt>(m_context, m_headerNames, start, found->second.request,
-        found->second.pipe, [this](RelayEventBody body) { post(std::move(body)); });
+    auto attempt = std::make_shared<UpstreamAttempt>(m_context, m_headerNames, m_unknownHeaders, start,
+        found->second.request, found->second.pipe, [this](RelayEventBody body) { post(std::move(body)); });
     m_runningAttempts[start.attempt] = { start.call, attempt, start.server, start.chain, now(), std::nullopt };
     attempt->start();
 }
--- a/src/edge/RelayNode.h
+++ b/src/edge/RelayNode.h
@@ -4,6 +4,7 @@
 #include "edge/EngineControl.h"
 #include "edge/HeaderNames.h"
 #include "edge/RelayMetrics.h"
+#include "edge/UnknownHeaders.h"
 #include "edge/UpstreamAttempt.h"
 #include "relay/RelayReducer.h"
 #include "shell/Net.h"
@@ -55,6 +56,7 @@
 
     const RelayReducer& reducer() const { return m_reducer; }
     const RelayLatencies& latencies() const { return m_latencies; }
+    const UnknownHeaders& unknownHeaders() const { return m_unknownHeaders; }
     const HeaderNames& headerNames() const { return m_headerNames; }
     /// @return the limits of the configuration in force, or the defaults before the first configuration
     CallLimits limits() const;
@@ -140,6 +142,7 @@
 
     net::io_context& m_context;
     HeaderNames m_headerNames;
+    UnknownHeaders m_unknownHeaders;
     EngineControl& m_engineControl;
     PeerSink* m_peers = nullptr; ///< null: nothing is shared with other instances
     QuarantineSink* m_quarantine = nullptr; ///< null: nothing is stored, and verdicts end with this process
--- a/src/edge/UpstreamAttempt.cpp
+++ b/src/edge/UpstreamAttempt.cpp
@@ -3,6 +3,7 @@
 #include "edge/ChainText.h"
 #include "edge/HopByHop.h"
 #include "edge/ServerNoticeReader.h"
+#include "edge/UnknownHeaders.h"
 #include "shell/Endpoint.h"
 
 #include <absl/strings/match.h>
@@ -42,20 +43,13 @@
         return head;
     }
 
-    /// @return what an answer states about the server that sent it
-    ServerNotice noticeOf(const HeaderNames& names, const http::response_header<>& header)
-    {
-        return readServerNotice(names, header.result_int(), [&](const std::string& name) {
-            const auto found = header.find(name);
-            return found == header.end() ? std::nullopt : std::optional<std::string_view>(found->value());
-        });
-    }
-
 } // namespace
 
-UpstreamAttempt::UpstreamAttempt(net::io_context& context, const HeaderNames& names, effect::StartAttempt order,
-    std::shared_ptr<const CallerRequest> request, std::shared_ptr<AnswerPipe> pipe, PostEvent postEvent)
+UpstreamAttempt::UpstreamAttempt(net::io_context& context, const HeaderNames& names, UnknownHeaders& unknown,
+    effect::StartAttempt order, std::shared_ptr<const CallerRequest> request, std::shared_ptr<AnswerPipe> pipe,
+    PostEvent postEvent)
     : m_headerNames(names)
+    , m_unknownHeaders(unknown)
     , m_order(std::move(order))
     , m_request(std::move(request))
     , m_pipe(std::move(pipe))
@@ -178,8 +172,7 @@
     }
     const auto& head = parser->get().base();
     const unsigned status = head.result_int();
-    if (const ServerNotice notice = noticeOf(m_headerNames, head); notice.hasContent())
-        m_postEvent(event::ServerNoticeSeen { m_order.server, m_order.serverStart, m_order.startedAt, notice });
+    postNotice(head);
     const bool isSuccess = status >= 200 && status < 300;
     if (!isSuccess && (head.count(m_headerNames.notRun) || status == MisdirectedRequest))
         co_return makeEnded(AttemptResult::NotRun, status, std::string(head[m_headerNames.culprit]));
@@ -193,6 +186,18 @@
     co_return co_await relayWholeAnswer(*parser, isSuccess);
 }
 
+void UpstreamAttempt::postNotice(const http::response_header<>& head)
+{
+    for (const auto& field : head)
+        m_unknownHeaders.add(field.name_string());
+    const ServerNotice notice = readServerNotice(m_headerNames, head.result_int(), [&](const std::string& name) {
+        const auto found = head.find(name);
+        return found == head.end() ? std::nullopt : std::optional<std::string_view>(found->value());
+    });
+    if (notice.hasContent())
+        m_postEvent(event::ServerNoticeSeen { m_order.server, m_order.serverStart, m_order.startedAt, notice });
+}
+
 bool UpstreamAttempt::isOwnAnswer(const Parser& parser) const
 {
     const auto& head = parser.get();
--- a/src/edge/UpstreamAttempt.h
+++ b/src/edge/UpstreamAttempt.h
@@ -11,6 +11,8 @@
 
 namespace crocusmount::relay {
 
+class UnknownHeaders;
+
 using CallerRequest = http::request<http::string_body>;
 
 /// One attempt to have a call answered by a backend server: sends the request, checks the answer and passes the answer
@@ -21,10 +23,11 @@
     using PostEvent = std::function<void(RelayEventBody)>;
 
     /// @param names    must outlive the attempt
+    /// @param unknown  counts the headers of the answer that are not known; must outlive the attempt
     /// @param order    the server to call, with deadline, chain and resume point
     /// @param request  as the caller sent it
     /// @param pipe     receives the answer
-    UpstreamAttempt(net::io_context&, const HeaderNames& names, effect::StartAttempt order,
+    UpstreamAttempt(net::io_context&, const HeaderNames& names, UnknownHeaders& unknown, effect::StartAttempt order,
         std::shared_ptr<const CallerRequest> request, std::shared_ptr<AnswerPipe> pipe, PostEvent);
 
     /// Runs the attempt in the background. Its end is posted as AttemptEnded, unless the attempt is cancelled.
@@ -69,11 +72,14 @@
     Awaitable<bool> deliverEvents(EventSplitter&, const AnswerHead&);
     /// Waits while hold() is in effect.
     Awaitable<void> waitUntilReleased();
+    /// Posts what the head of the answer states about its server.
+    void postNotice(const http::response_header<>&);
     /// @return whether an answer belongs to this call
     bool isOwnAnswer(const Parser&) const;
     event::AttemptEnded makeEnded(AttemptResult, unsigned status = 0, std::string culprit = {}) const;
 
     const HeaderNames& m_headerNames;
+    UnknownHeaders& m_unknownHeaders;
     effect::StartAttempt m_order; ///< the server to call, with deadline, chain and resume point
     std::shared_ptr<const CallerRequest> m_request;
     std::shared_ptr<AnswerPipe> m_pipe;
--- a/tests/RelayLoopbackTest.cpp
+++ b/tests/RelayLoopbackTest.cpp
@@ -423,8 +423,9 @@
     bool completed = false;
     std::shared_ptr<UpstreamAttempt> attempt;
     const HeaderNames names = platform::headerNames();
+    UnknownHeaders unknown(names);
     attempt = std::make_shared<UpstreamAttempt>(
-        context, names, order, request, std::make_shared<AnswerPipe>(context), [&](RelayEventBody body) {
+        context, names, unknown, order, request, std::make_shared<AnswerPipe>(context), [&](RelayEventBody body) {
             if (const auto* event = std::get_if<relay::event::EventDelivered>(&body)) {
                 delivered.push_back(event->eventId);
                 attempt->hold();
