Request no permits for servers during their backoff

Callers saw: nothing; permits that were granted for such a server expired unused and were missing at the other instances.

Cause: a request for permits asked only whether a call can begin at the server.

Evidence: NoPermitsAreRequestedForAServerDuringItsBackoff, written with the change; not run before it.

Change: an instance requests permits once the server takes requests again.

Conclusion: fixed.

--- a/src/relay/RelayReducerLimits.cpp
+++ b/src/relay/RelayReducerLimits.cpp
@@ -58,7 +58,8 @@
 {
     const std::size_t wanted = std::min(MaxPermitsPerRequest, 1 + queueOf(call).waiting().size());
     for (const auto& [id, known] : m_fleet.servers()) {
-        if (!known.limit.isNamed() || !canBeginAt(known, call.service) || !known.permits.shouldRequest(context.now))
+        const bool isWanted = known.limit.isNamed() && !known.backoff.isActive(context.now);
+        if (!isWanted || !canBeginAt(known, call.service) || !known.permits.shouldRequest(context.now))
             continue;
         ++m_counters.permitRequests;
         sendPermitRequest(*m_fleet.find(id), static_cast<std::uint32_t>(wanted), context);
--- a/tests/ServerNoticeTest.cpp
+++ b/tests/ServerNoticeTest.cpp
@@ -448,3 +448,22 @@
         CHECK_EQUAL_TEXT(0U, retries, each.name);
     }
 }
+
+// Permits that expire unused would be missing at the other instances.
+TEST(ServerNotice, NoPermitsAreRequestedForAServerDuringItsBackoff)
+{
+    const struct {
+        const char* name;
+        std::optional<Duration> backoff;
+        bool requests;
+    } cases[] = { { "a limit", std::nullopt, true }, { "a limit and a backoff", seconds(3), false } };
+    for (const auto& each : cases) {
+        RelayHarness harness;
+        harness.send(relay::event::ServerUnregistered { BackendId("c") });
+        harness.send(
+            relay::event::ServerNoticeSeen { BackendId("a"), {}, harness.now(), { 5, each.backoff, false, true } });
+        harness.call("/draft/1");
+        const auto request = harness.last<relay::effect::RequestPermits>();
+        CHECK_EQUAL_TEXT(each.requests, request && request->request.count > 0, each.name);
+    }
+}
