Let servers of the soak ask for backoffs and leave by their answers alone

Change: one server after the other rejects all calls and asks for 1 to 4 s without requests, or says in all answers, also to checks, that it leaves while its entry says ready, and ends 3.5 to 5.5 s later. Two mutations, each reported.

Conclusion: the soak plays both rules and can fail.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -32,6 +32,11 @@
 # instances that passed on an answer naming it TOLD_S before or earlier.
 LIMIT_WINDOW_S = 4
 TOLD_S = 0.5
+# A server that asked an instance for a time without requests gets at most so many from TOLD_S after that on.
+MAX_DURING_BACKOFF = 2
+# A call that was sent later than this after its instance had passed on an answer that says that a server leaves must not
+# reach that server.
+ANNOUNCED_S = 2
 KEY = "soak-key"
 
 
@@ -91,7 +96,7 @@
         self.net, self.fleet = net, Fleet(self.store)
         self.store_link = Link(store_link(net), f"{net}.90.1:7000")
         self.instances = [Instance(each, program, folder, net) for each in range(instances)]
-        self.store_faults, self.instance_of = [], {}
+        self.store_faults, self.instance_of, self.sent_at = [], {}, {}
         if mutate == "leaving":
             self.fleet.leaving_bound_s = -5.0
         # store_calm, backend_calm: monotonic time of the latest fault on the store or a server. Some kinds of faults set
@@ -180,7 +185,7 @@
         attempt = f"{self.attempts:016x}"
         route = self.random.choice(["look", "book", "draft", "draft", "once", "extra", "gone"])
         events, sent = self.random.randint(3, 60), time.monotonic()
-        self.instance_of[attempt] = instance
+        self.instance_of[attempt], self.sent_at[attempt] = instance, sent
         writer.write((f"POST /{route}/x HTTP/1.1\r\nHost: soak.example\r\nX-Attempt-Id: {attempt}\r\n"
                       f"Authorization: Bearer {KEY}\r\nX-Deadline-Ms: 6000\r\nX-Key: k{attempt}\r\n"
                       f"X-Events: {events}\r\nX-Token-Usage: 100,{events}\r\nContent-Length: 0\r\n\r\n").encode())
@@ -273,6 +278,73 @@
                     break
             server.set_limit(None)
 
+    async def notices(self):
+        """Lets one server after the other ask for times without requests, or say in its answers that it leaves.
+
+        It has a generator of its own, like limits().
+        """
+        draws = random.Random(f"notices {self.seed}")
+        end = time.monotonic() + self.seconds
+        leaving = []
+        while time.monotonic() < end:
+            await asyncio.sleep(draws.random())
+            servers = [each for each in self.fleet.servers.values() if each.alive and each.state == "ready"]
+            if not servers:
+                continue
+            server, asks, retry_after = draws.choice(servers), draws.random() < 0.6, round(1 + draws.random() * 3, 1)
+            if not asks:
+                server.announce_leaving()
+                leaving.append(asyncio.create_task(self.leave_as_announced(server, 3.5 + draws.random() * 2)))
+                continue
+            server.retry_after_s = retry_after
+            await asyncio.sleep(0.3 + draws.random() * 3)
+            server.retry_after_s = 0
+        await asyncio.gather(*leaving)
+
+    async def leave_as_announced(self, server, after):
+        incarnation = server.id, server.born_ms
+        self.backend_calm = time.monotonic() + 60
+        await asyncio.sleep(after)
+        if server.alive and incarnation == (server.id, server.born_ms):
+            await server.crash(0)
+            await server.start()
+        self.backend_calm = time.monotonic()
+
+    def judge_backoffs(self):
+        """Checks that servers got next to nothing from an instance in the time for which they had asked it."""
+        bound = -1 if self.mutate == "backoff" else MAX_DURING_BACKOFF
+        for server in self.fleet.servers.values():
+            for rejected_at, attempt, seconds in server.rejections:
+                instance, end = self.instance_of.get(attempt), rejected_at + seconds
+                harmed = any(start < end and until > rejected_at for start, until in server.link_faults)
+                if instance is None or harmed or not instance.calm(seconds + TOLD_S, end):
+                    continue
+                count = sum(rejected_at + TOLD_S < at < end and self.instance_of.get(each) is instance
+                            for at, each in server.arrivals)
+                if count > bound:
+                    self.report("backoff", f"{server.id} had asked {instance.ip} for {seconds} s without requests, and "
+                                f"got {count} from it in that time")
+                    return
+
+    def judge_leaves(self):
+        """Checks that servers that said that they leave got no further calls from instances that had passed that on."""
+        bound = -ANNOUNCED_S if self.mutate == "announced" else ANNOUNCED_S
+        for server in self.fleet.servers.values():
+            for begin, end in server.leaves:
+                end, told = end or time.monotonic(), {}
+                for at, attempt in server.leaving_answers:
+                    if begin <= at < end and attempt in self.instance_of:
+                        told.setdefault(self.instance_of[attempt], at)
+                for at, attempt in server.arrivals:
+                    instance = self.instance_of.get(attempt)
+                    told_at = told.get(instance)
+                    if told_at is None or not begin <= at < end:
+                        continue
+                    if self.sent_at.get(attempt, 0) > told_at + bound and instance.calm(at - told_at, at):
+                        self.report("announced", f"{attempt} reached {server.id} {at - told_at:.1f} s after {instance.ip} "
+                                    "had passed on that it leaves")
+                        return
+
     def judge_limits(self):
         """Checks that servers with a limit got no more than it allows from the instances that they had told."""
         for server in self.fleet.servers.values():
@@ -471,7 +543,7 @@
         for instance in self.instances:
             instance.started_calm = time.monotonic()
         callers = [asyncio.create_task(self.caller()) for _ in range(24)]
-        await asyncio.gather(self.faults(), self.limits())
+        await asyncio.gather(self.faults(), self.limits(), self.notices())
         await asyncio.sleep(6)
         before = self.served()
         await asyncio.sleep(2)
@@ -485,6 +557,8 @@
         self.judge_runs()
         self.judge_crashing()
         self.judge_limits()
+        self.judge_backoffs()
+        self.judge_leaves()
         self.close()
         return self.broken
 
@@ -542,7 +616,7 @@
     parser.add_argument("--program", default="build/crocusmount-entry")
     parser.add_argument("--block", type=int, default=1, help="second number of the loopback addresses, 1 to 254")
     parser.add_argument("--untimed", action="store_true", help="leave out promises with a bound in time")
-    parser.add_argument("--mutate", default="", help="breaks one promise on purpose: body, config, crashes, leaving, limits, runs")
+    parser.add_argument("--mutate", default="", help="breaks one promise on purpose: announced, backoff, body, config, crashes, leaving, limits, runs")
     arguments = parser.parse_args()
     if "-" in arguments.seeds:
         first, last = arguments.seeds.split("-")
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -214,6 +214,12 @@
         self.limit, self.limits = None, []
         # (time, attempt) of each request, and of each answer that named the limit. Times of link faults: (start, end).
         self.arrivals, self.named, self.link_faults = [], [], []
+        # While not 0, it rejects all calls and asks for this time without requests, in seconds. (time, attempt, seconds)
+        # of each rejection.
+        self.retry_after_s, self.rejections = 0, []
+        # [begin, end] of each time in which its answers say that it leaves, while its entry does not; end is None while
+        # it lasts. (time, attempt) of each success that says so.
+        self.leaves, self.leaving_answers = [], []
 
     @property
     def id(self):
@@ -229,13 +235,16 @@
         self.born_ms = max(self.born_ms + 1, int(time.time() * 1000))
         self.state, self.layers, self.alive, self.left_at, self.orders = "ready", (0, 0), True, None, 0
         self.set_limit(None)
+        self.retry_after_s = 0
+        if self.leaves:
+            self.leaves[-1][1] = self.leaves[-1][1] or time.monotonic()
         self.listener = await serve(self.behind, self._handle)
         self.fleet.servers[self.name] = self
         self.register()
 
     def register(self):
         entry = {"backend": self.service, "address": self.address, "zone": self.zone, "version": "v1", "slots": 32,
-                 "state": self.state, "cold_remaining_ms": 0, "seq": self.orders, "born": self.born_ms}
+                 "state": "ready" if self.state == "announced" else self.state, "cold_remaining_ms": 0, "seq": self.orders, "born": self.born_ms}
         if self.kind:
             entry |= {"route_type": self.kind, "layers": self.held()}
         self.fleet.store.put(f"servers/{self.id}", json.dumps(entry))
@@ -244,12 +253,22 @@
         self.limit = limit
         self.limits.append((time.monotonic(), limit))
 
-    def limit_header(self, attempt):
-        """Returns the header that names the limit, if there is one, and notes that the instance was told."""
-        if self.limit is None:
-            return {}
-        self.named.append((time.monotonic(), attempt))
-        return {"Server-Limit": f"{self.limit:g}"}
+    def announce_leaving(self):
+        """Says in all answers from now on that it leaves. Its entry does not show it."""
+        self.state = "announced"
+        self.leaves.append([time.monotonic(), None])
+
+    def notices(self, attempt, is_success=False):
+        """Returns the headers that state something about the server, and notes that the instance was told."""
+        headers = {}
+        if self.limit is not None:
+            self.named.append((time.monotonic(), attempt))
+            headers["Server-Limit"] = f"{self.limit:g}"
+        if self.state == "announced":
+            headers["Server-Leaving"] = "1"
+            if is_success:
+                self.leaving_answers.append((time.monotonic(), attempt))
+        return headers
 
     def held(self):
         return {"from": self.layers[0], "target": self.layers[1]}
@@ -278,23 +297,26 @@
         target = message.start.split(" ")[1]
         if target == "/crocusmount/report":
             said = {"stalled": [], "born": self.born_ms, "layers": self.held(), "seq": self.orders}
-            writer.write(response(200, json.dumps(said).encode()))
+            writer.write(response(200, json.dumps(said).encode(), self.notices("")))
             return True
         if target == "/crocusmount/order":
             return self._order(json.loads(message.body), writer)
         if target == HEALTH_PATH:
-            writer.write(response(200 if self.state == "ready" else 503, headers={"X-Instance-Id": self.id}))
+            writer.write(response(200 if self.state == "ready" else 503,
+                                  headers={"X-Instance-Id": self.id} | self.notices("")))
             return True
         attempt = message.headers.get("x-attempt-id", "")
         self.arrivals.append((time.monotonic(), attempt))
         if message.headers.get("x-expect-instance", self.id) != self.id:
             writer.write(response(421, headers={"X-Not-Executed": "1", "X-Attempt-Id": attempt}
-                                  | self.limit_header(attempt)))
+                                  | self.notices(attempt)))
             return True
         self._check_leaving(attempt)
         crashes = message.body.startswith(CRASHES)
         if crashes:
             self.fleet.reached.setdefault(message.body, []).append((time.monotonic(), attempt))
+        if self.retry_after_s:
+            return self._reject(writer, attempt)
         if self.kind:
             return await self._stream(message, writer, attempt, crashes)
         if crashes:
@@ -303,7 +325,13 @@
         await asyncio.sleep(0.01)
         body = f"plain {message.headers['x-key']}".encode()
         writer.write(response(200, body, {"X-Attempt-Id": attempt, "X-Server-Seal": self.id}
-                              | self.limit_header(attempt)))
+                              | self.notices(attempt, is_success=True)))
+        return True
+
+    def _reject(self, writer, attempt):
+        self.rejections.append((time.monotonic(), attempt, self.retry_after_s))
+        writer.write(response(503, headers={"X-Not-Executed": "1", "X-Attempt-Id": attempt,
+                                            "Retry-After": f"{self.retry_after_s:g}"} | self.notices(attempt)))
         return True
 
     async def _crash_under(self, body):
@@ -345,13 +373,13 @@
         status, culprit = self._check_chain(message.headers.get("x-hop-count", ""))
         if status != 200:
             writer.write(response(status, headers={"X-Not-Executed": "1", "X-Attempt-Id": attempt, "At-Server": culprit}
-                                  | self.limit_header(attempt)))
+                                  | self.notices(attempt)))
             return True
         self.fleet.ran(attempt)
         first = int(message.headers.get("last-event-id", "0")) + 1
-        limit = "".join(f"{name}: {value}\r\n" for name, value in self.limit_header(attempt).items())
+        notices = "".join(f"{name}: {value}\r\n" for name, value in self.notices(attempt, is_success=True).items())
         writer.write((f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
-                      f"X-Attempt-Id: {attempt}\r\nX-Server-Seal: {self.id}\r\n{limit}\r\n").encode())
+                      f"X-Attempt-Id: {attempt}\r\nX-Server-Seal: {self.id}\r\n{notices}\r\n").encode())
         if crashes:
             await writer.drain()
             return await self._crash_under(message.body)
@@ -374,7 +402,7 @@
                 self.fleet.wrong.append(("layers", time.monotonic(), f"chain {text}"))
                 return 400, self.address
             at = end
-            if stage is None or not stage.alive or stage.state != "ready":
+            if stage is None or not stage.alive or stage.state == "draining":
                 return 503, address
             if not (stage.layers[0] <= begin and end <= stage.layers[1]):
                 return 421, address
