Test backoffs and leaves in random sequences, and attempts that are connecting

Ruled out: a fault of the product; with the withdrawal in place all cases hold.

Change: a case with slow connections to a plain service, a test of the withdrawal itself, and 40 random sequences of backoffs, leaves, limits, entries that are read again or missing, restarts of servers and instances, slow connections and lost messages. The test of a waiting call now has one that waits in the queue; it had tested a retry, which another test does.

--- a/tests/LimitFleet.cpp
+++ b/tests/LimitFleet.cpp
@@ -134,6 +134,9 @@
     Server& server = m_servers.at(BackendId(id));
     setLimit(id, std::nullopt);
     server.toldAt.clear();
+    server.capacity = 0;
+    server.isLeaving = false;
+    server.toldOfLeavingAt.clear();
     server.entry.startedAt = StartTime(++server.starts);
     for (std::size_t i = 0; i < m_instances.size(); ++i)
         registerServers(i);
@@ -163,8 +166,10 @@
     ++started.starts;
     started.isListed = true;
     started.isSilent = false;
-    for (auto& [id, server] : m_servers)
+    for (auto& [id, server] : m_servers) {
         server.toldAt.erase(instance);
+        server.toldOfLeavingAt.erase(instance);
+    }
     post(instance, event::ConfigurationAccepted { RouteTable::make(RelayHarness::configuration()) });
     post(instance, event::InstancesCounted { static_cast<std::uint32_t>(m_instances.size()) });
     registerServers(instance);
@@ -342,15 +347,20 @@
     Server& receiver = m_servers.at(server);
     const auto told = receiver.toldAt.find(key.first);
     const bool wasTold = told != receiver.toldAt.end() && told->second + ToldDelay <= m_now;
-    receiver.arrivals.push_back({ m_now, key.first, wasTold });
+    receiver.arrivals.push_back({ m_now, key.first, startsOf(key.first, receiver), wasTold });
     if (accepts(receiver)) {
         at(TimeToBegin, [this, key, server] { beginAnswer(key, server); });
         return;
     }
-    receiver.rejections.emplace_back(key.first, m_now);
+    receiver.rejections.push_back({ m_now, receiver.retryAfter, key.first, startsOf(key.first, receiver) });
     at(NetworkDelay, [this, key, server] { reject(key, server); });
 }
 
+std::pair<int, int> LimitFleet::startsOf(std::size_t instance, const Server& server) const
+{
+    return { m_instances[instance].starts, server.starts };
+}
+
 bool LimitFleet::accepts(Server& server)
 {
     if (server.capacity <= 0)
@@ -480,13 +490,13 @@
 {
     const Server& server = m_servers.at(BackendId(id));
     std::size_t most = 0;
-    for (const auto& [instance, rejectedAt] : server.rejections) {
-        const TimePoint begin = rejectedAt + ToldDelay;
-        const TimePoint end = rejectedAt + server.retryAfter;
-        const auto count
-            = std::count_if(server.arrivals.begin(), server.arrivals.end(), [&, from = instance](const Arrival& each) {
-                  return each.instance == from && each.at > begin && each.at < end;
-              });
+    for (const Rejection& rejection : server.rejections) {
+        const TimePoint begin = rejection.at + ToldDelay;
+        const TimePoint end = rejection.at + rejection.retryAfter;
+        const auto count = std::count_if(server.arrivals.begin(), server.arrivals.end(), [&](const Arrival& each) {
+            return each.instance == rejection.instance && each.starts == rejection.starts && each.at > begin
+                && each.at < end;
+        });
         most = std::max(most, static_cast<std::size_t>(count));
     }
     return most;
@@ -506,7 +516,7 @@
 {
     const auto& rejections = m_servers.at(BackendId(server)).rejections;
     return static_cast<std::size_t>(
-        std::count_if(rejections.begin(), rejections.end(), [&](const auto& each) { return each.second >= from; }));
+        std::count_if(rejections.begin(), rejections.end(), [&](const auto& each) { return each.at >= from; }));
 }
 
 std::size_t LimitFleet::acceptedSince(const std::string& server, TimePoint from) const
--- a/tests/LimitFleet.h
+++ b/tests/LimitFleet.h
@@ -40,7 +40,7 @@
     /// Lets a server reject what it receives beyond a rate, and ask each instance whose call it rejects to send it
     /// nothing for a time.
     void setCapacity(const std::string& server, double perSecond, Duration retryAfter);
-    /// Lets a server state in all its answers that it leaves. Its entry does not show it.
+    /// Lets a server state in all its answers that it leaves, until it restarts. Its entry does not show it.
     void announceLeaving(const std::string& server);
     /// Lets all instances read the entry of a server again, as after an outage of the store.
     /// @param isMissing  whether the entry is missing in between
@@ -75,6 +75,11 @@
     /// @return the requests that a server received from instances more than `grace` after they had passed on an answer
     ///         that said that it leaves
     std::size_t arrivalsAfterLeaving(const std::string& server, Duration grace) const;
+    /// @return instances to which a server has said that it leaves, in an answer that they passed on
+    std::size_t toldOfLeaving(const std::string& server) const
+    {
+        return m_servers.at(BackendId(server)).toldOfLeavingAt.size();
+    }
     /// @return the requests that a server accepted, and rejected, from `from` on
     std::size_t acceptedSince(const std::string& server, TimePoint from) const;
     std::size_t rejectedSince(const std::string& server, TimePoint from) const;
@@ -93,8 +98,15 @@
     struct Arrival {
         TimePoint at;
         std::size_t instance = 0;
+        std::pair<int, int> starts; ///< of the instance and of the server
         bool wasTold = false; ///< whether its instance had been told of the server's limit half a second before
     };
+    struct Rejection {
+        TimePoint at;
+        Duration retryAfter {}; ///< that the server asked for
+        std::size_t instance = 0;
+        std::pair<int, int> starts; ///< of the instance and of the server
+    };
     struct Server {
         RegisteredServer entry;
         std::optional<double> limit;
@@ -106,7 +118,7 @@
         double tokens = 0; ///< requests that it accepts at once
         TimePoint tokensAt; ///< when `tokens` was updated
         Duration retryAfter {}; ///< that it asks for with each rejection
-        std::vector<std::pair<std::size_t, TimePoint>> rejections; ///< instance and time of each
+        std::vector<Rejection> rejections;
         bool isLeaving = false;
         std::map<std::size_t, TimePoint> toldOfLeavingAt; ///< when each instance passed on an answer that says so
     };
@@ -143,6 +155,8 @@
     void post(std::size_t instance, RelayEventBody);
     void apply(std::size_t instance, const RelayEffects&);
     void start(std::size_t instance, const effect::StartAttempt&);
+    /// @return the number of the present start of an instance and of a server
+    std::pair<int, int> startsOf(std::size_t instance, const Server&) const;
     void arrive(const AttemptKey&, const BackendId& server);
     /// @return whether a server accepts one more request now
     bool accepts(Server&);
--- a/tests/ServerNoticeTest.cpp
+++ b/tests/ServerNoticeTest.cpp
@@ -69,6 +69,7 @@
         { "9 instances, no other server", 9, 60, 0, {}, 1, "/draft/1", "e0" },
         { "9 instances, a plain service", 9, 60, 0, {}, 2, "/look/1", "p0" },
         { "9 instances, a plain service without another server", 9, 60, 0, {}, 1, "/look/1", "p0" },
+        { "9 instances, a plain service, slow connections", 9, 60, 1, milliseconds(1000), 2, "/look/1", "p0" },
         { "60 instances", 60, 200, 0, {}, 2, "/draft/1", "e0" },
         { "60 instances, no other server", 60, 200, 0, {}, 1, "/draft/1", "e0" },
         { "295 instances", 295, 500, 0, {}, 2, "/draft/1", "e0" },
@@ -292,20 +293,20 @@
     }
 }
 
-// A waiting call is refused when the last server at which it could begin asks for a backoff.
+// A waiting call is refused when the last server at which it could begin asks for a longer backoff.
 TEST(ServerNotice, AWaitingCallIsRefusedWhenTheLastServerWantsNone)
 {
     RelayHarness harness;
+    harness.send(relay::event::ServerUnregistered { BackendId("c") });
     const auto first = harness.running("/draft/1");
+    harness.notice(first, { std::nullopt, milliseconds(100) });
+    harness.call("/draft/2");
+    CHECK_EQUAL(1U, harness.reducer().waitingCalls());
     harness.notice(first, { std::nullopt, seconds(3) });
-    harness.send(relay::event::AttemptEnded { first.attempt, AttemptResult::NotRun, 503, "" });
-    const auto second = harness.last<relay::effect::StartAttempt>();
-    CHECK_TRUE(second && second->server != first.server);
-    harness.notice(*second, { std::nullopt, seconds(3) });
-    harness.send(relay::event::AttemptEnded { second->attempt, AttemptResult::NotRun, 503, "" });
     harness.tick(milliseconds(20));
     const auto refusal = harness.last<relay::effect::Refuse>();
     CHECK_TRUE(refusal && refusal->reason == Reason::ServersInBackoff);
+    CHECK_EQUAL(0U, harness.reducer().waitingCalls());
 }
 
 // Checks, probes and questions reached servers that wanted no requests.
@@ -467,3 +468,88 @@
         CHECK_EQUAL_TEXT(each.requests, request && request->request.count > 0, each.name);
     }
 }
+
+// Backoffs and leaves that begin at any time, entries that are read again or missing, servers and instances that
+// restart, slow connections and lost messages, in random sequences.
+TEST(ServerNotice, ServersAreLeftAloneInRandomSequencesOfChanges)
+{
+    const char* const servers[] = { "e0", "e1", "p0", "p1" };
+    std::size_t rejections = 0;
+    std::size_t toldOfLeaving = 0;
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        LimitFleet::Options options;
+        options.seed = seed;
+        options.instances = seed % 10 ? 9 : 60;
+        options.callsPerSecond = 100;
+        options.path = seed % 2 ? "/draft/1" : "/look/1";
+        options.rejectionRate = seed % 3 ? 0 : 0.2;
+        options.breakRate = seed % 5 ? 0 : 0.3;
+        options.messageLossRate = seed % 4 ? 0 : 0.15;
+        options.maxConnectTime = seed % 3 ? Duration(0) : milliseconds(400);
+        LimitFleet fleet(options);
+        for (int step = 0; step < 25; ++step) {
+            const std::string server = servers[static_cast<std::size_t>(4 * fleet.random())];
+            const double action = fleet.random();
+            if (action < 0.35)
+                fleet.setCapacity(server, 0.001 + 12 * fleet.random(),
+                    milliseconds(200 + static_cast<std::int64_t>(4000 * fleet.random())));
+            else if (action < 0.45)
+                fleet.setLimit(server, 1 + 10 * fleet.random());
+            else if (action < 0.6)
+                fleet.announceLeaving(server);
+            else if (action < 0.75)
+                fleet.rereadEntry(server, fleet.random() < 0.7);
+            else if (action < 0.85)
+                fleet.restartServer(server);
+            else
+                fleet.restartInstance(static_cast<std::size_t>(fleet.random() * 9), seconds(1));
+            fleet.run(milliseconds(static_cast<std::int64_t>(100 + 1500 * fleet.random())));
+        }
+        for (const char* server : servers) {
+            const std::string name = "seed " + std::to_string(seed) + ", " + server;
+            rejections += fleet.rejectedSince(server, {});
+            toldOfLeaving += fleet.toldOfLeaving(server);
+            checkAtMost(AllowedDuringBackoff, fleet.mostDuringBackoff(server), name.c_str());
+            checkAtMost(0, fleet.arrivalsAfterLeaving(server, LeavingBound), name.c_str());
+        }
+    }
+    CHECK_TRUE(rejections > 1000);
+    CHECK_TRUE(toldOfLeaving > 20);
+}
+
+// Attempts that were still connecting reached a server after it had asked for a backoff.
+TEST(ServerNotice, AttemptsThatAreStillConnectingStartElsewhere)
+{
+    const struct {
+        const char* name;
+        const char* path;
+        bool isSent; ///< whether the second attempt has been sent
+        bool hasOther; ///< whether another server takes calls
+    } cases[] = {
+        { "a stream", "/draft/1", false, true },
+        { "a call that must not run twice", "/book/1", false, true },
+        { "a stream without another server", "/draft/1", false, false },
+        { "a stream that was sent", "/draft/1", true, true },
+    };
+    for (const auto& each : cases) {
+        RelayHarness harness;
+        const bool isPlain = std::string(each.path) == "/book/1";
+        const BackendId other(isPlain ? "y" : "c");
+        harness.send(relay::event::ServerUnregistered { other });
+        const auto first = harness.running(each.path);
+        harness.call(each.path);
+        const auto connecting = harness.last<relay::effect::StartAttempt>();
+        CHECK_TRUE_TEXT(connecting && connecting->server == first.server, each.name);
+        if (each.isSent)
+            harness.send(relay::event::AttemptSent { connecting->attempt });
+        if (each.hasOther)
+            harness.send(relay::event::ServerRegistered { isPlain ? RelayHarness::plain("y") : entryOf(other) });
+        harness.notice(first, { std::nullopt, seconds(3) });
+        const auto cancelled = harness.last<relay::effect::CancelAttempt>();
+        const auto next = harness.last<relay::effect::StartAttempt>();
+        CHECK_EQUAL_TEXT(!each.isSent, cancelled && cancelled->attempt == connecting->attempt, each.name);
+        CHECK_EQUAL_TEXT(!each.isSent && each.hasOther, next && next->server == other, each.name);
+        CHECK_EQUAL_TEXT(each.isSent ? 0U : 1U, harness.reducer().counters().attemptsWithdrawn, each.name);
+        CHECK_EQUAL_TEXT(2U, harness.reducer().openCalls(), each.name);
+    }
+}
