Keep what a server asked for while another one is taken for its successor

Callers saw: nothing; a server got requests beyond its limit or during its backoff after an entry at its address had come and gone.

Cause: a start that a successor seems to have ended was dropped with its limit and backoff. When the successor's entry ends first, it is used again, without them. Its leave was kept, as its entry holds it.

Change: such starts are remembered like those whose entries are removed. The log of a backoff of 0 s shows 0 as its rest.

Conclusion: fixed.

--- a/src/relay/RelayReducerNotices.cpp
+++ b/src/relay/RelayReducerNotices.cpp
@@ -33,8 +33,8 @@
 {
     const Duration retryAfter = *seen.notice.retryAfter;
     server.backoff.requested(retryAfter, seen.askedAt, context.now, context.entropy);
-    context.effects.emplace_back(
-        effect::LogServerBackoff { server.entry.id, retryAfter, server.backoff.endsAt() - context.now });
+    const Duration remaining = std::max(Duration(0), server.backoff.endsAt() - context.now);
+    context.effects.emplace_back(effect::LogServerBackoff { server.entry.id, retryAfter, remaining });
     withdrawUnsentAttempts(server.entry.id, context);
 }
 
--- a/src/relay/ServerFleet.cpp
+++ b/src/relay/ServerFleet.cpp
@@ -63,6 +63,7 @@
         const auto previous = m_servers.find(previousId);
         if (previous != m_servers.end() && previous->second.entry.address == entry.address) {
             m_outdatedEntries[previousId] = previous->second.entry;
+            retain(FleetServer(previous->second), now);
             result.ended.push_back(std::move(previous->second));
             m_servers.erase(previous);
         }
--- a/tests/ServerNoticeTest.cpp
+++ b/tests/ServerNoticeTest.cpp
@@ -161,6 +161,14 @@
                 harness.send(relay::event::ServerRegistered { entryOf(start.server) });
                 harness.call("/draft/2");
             } },
+        { "another server takes its address for a moment", "/draft/1", 1,
+            [](RelayHarness& harness, const Start& start) {
+                RegisteredServer successor = entryOf(start.server);
+                successor.id = BackendId("e");
+                harness.send(relay::event::ServerRegistered { successor });
+                harness.send(relay::event::ServerUnregistered { successor.id });
+                harness.call("/draft/2");
+            } },
         { "the configuration lacks the service for a moment", "/look/1", 0,
             [](RelayHarness& harness, const Start& start) {
                 RegisteredServer unusable = entryOf(start.server);
@@ -237,23 +245,34 @@
     CHECK_FALSE(order->chain.contains(last));
 }
 
-// What a server had asked for was forgotten when its entry was missing for a moment.
+// What a server had asked for was forgotten when its entry was missing for a moment, or another one took its address.
 TEST(ServerNotice, ALimitAndABackoffOutliveAMissingEntry)
 {
     const struct {
         const char* name;
         ServerNotice notice;
+        bool hasSuccessor; ///< whether another server takes the address meanwhile
     } cases[] = {
-        { "a limit", { 0, std::nullopt, false, true } },
-        { "a backoff", { std::nullopt, seconds(60) } },
+        { "a limit", { 0, std::nullopt, false, true }, false },
+        { "a backoff", { std::nullopt, seconds(60) }, false },
+        { "a limit, and a successor", { 0, std::nullopt, false, true }, true },
+        { "a backoff, and a successor", { std::nullopt, seconds(60) }, true },
     };
     for (const auto& each : cases) {
         RelayHarness harness;
         harness.send(relay::event::ServerUnregistered { BackendId("y") });
         const auto start = harness.running("/look/1");
         harness.notice(start, each.notice);
-        harness.send(relay::event::ServerUnregistered { start.server });
-        harness.send(relay::event::ServerRegistered { entryOf(start.server) });
+        if (each.hasSuccessor) {
+            RegisteredServer successor = entryOf(start.server);
+            successor.id = BackendId("z");
+            harness.send(relay::event::ServerRegistered { successor });
+            harness.send(relay::event::ServerUnregistered { successor.id });
+        } else {
+            harness.send(relay::event::ServerUnregistered { start.server });
+            harness.send(relay::event::ServerRegistered { entryOf(start.server) });
+        }
+        CHECK_EQUAL_TEXT(1U, harness.reducer().fleet().servers().count(start.server), each.name);
         harness.call("/look/2");
         const std::size_t attempts = attemptsAt(harness, start.server, milliseconds(1500));
         CHECK_EQUAL_TEXT(0U, attempts, each.name);
