--- a/src/edge/ServerNoticeReader.cpp
+++ b/src/edge/ServerNoticeReader.cpp
@@ -12,7 +12,7 @@
 
     constexpr unsigned ServiceUnavailable = 503;
     constexpr const char* RetryAfterHeader = "Retry-After";
-    /// Longer times are cut to this one, which is longer than any server runs that needs it.
+    /// Longer times are cut, so that times computed from them do not overflow.
     constexpr double MaxRetryAfterSeconds = 24.0 * 3600;
 
     /// @return the decimal number of at least 0 that a text contains, or nothing
--- a/src/relay/RelayReducerServers.cpp
+++ b/src/relay/RelayReducerServers.cpp
@@ -115,7 +115,7 @@
     RegisteredServer entry = server->entry;
     entry.startedAt = startedAt;
     entry.layers = layers;
-    entry.leaving = false; // That it leaves was said of the start before.
+    entry.leaving = false; // Only the start before is known to leave.
     registerServer(entry, context);
     return true;
 }
--- a/src/relay/ServerFleet.h
+++ b/src/relay/ServerFleet.h
@@ -157,8 +157,8 @@
     std::set<BackendId> m_checkCandidates; ///< index that avoids a scan of all servers on each tick
     std::map<BackendId, RegisteredServer> m_outdatedEntries; ///< listed entries of ended starts
     std::map<BackendId, TimePoint> m_leftAt; ///< removal times of servers that left recently
-    /// Removed servers by their keys, with the times of removal. Their entries may return, as after an outage of the
-    /// store, and what they stated about themselves still holds then.
+    /// Servers whose entries were removed or replaced, by their keys, with the time of that. An entry may return, for
+    /// example after an outage of the store, and what its server stated about itself still holds then.
     std::map<std::uint64_t, std::pair<FleetServer, TimePoint>> m_removed;
     ServerStartTracker m_starts;
     bool m_knowsOthersLoad = false;
