Log and count how the answers of backend servers end

Each end of an answer that was read now has its framing, what ended the reading, whether an event is unfinished, and the events of this attempt: in the log lines answer and attempt_failed, and in two counters. No decision changed.

--- a/src/edge/EventSplitter.cpp
+++ b/src/edge/EventSplitter.cpp
@@ -55,6 +55,18 @@
     return Event { bytes, eventId(bytes) };
 }
 
+bool EventSplitter::isInsideEvent() const
+{
+    std::string_view unread = rest();
+    while (!unread.empty()) {
+        const auto end = unread.find_first_of("\r\n");
+        if (end == std::string_view::npos || (end > 0 && unread.front() != ':'))
+            return true;
+        unread.remove_prefix(end + 1);
+    }
+    return false;
+}
+
 std::string_view EventSplitter::rest() const { return std::string_view(m_buffer).substr(m_consumed); }
 
 } // namespace crocusmount::relay
--- a/src/edge/EventSplitter.h
+++ b/src/edge/EventSplitter.h
@@ -21,6 +21,8 @@
     std::optional<Event> next();
     /// @return the bytes that next() has not returned; valid until the next feed()
     std::string_view rest() const;
+    /// @return whether rest() holds a part of an event. Blank lines and whole comment lines are not part of one.
+    bool isInsideEvent() const;
 
 private:
     std::string m_buffer;
--- a/src/edge/RelayMetrics.cpp
+++ b/src/edge/RelayMetrics.cpp
@@ -73,6 +73,17 @@
         "Requests for permits that another instance has to answer", double(gauges.misdirectedPermitRequests));
     families.addGauge(
         "crocusmount_limited_servers", "Backend servers that name a limit", double(gauges.limitedServers));
+    for (std::size_t framing = 0; framing < AnswerFramingCount; ++framing) {
+        for (std::size_t stop = 0; stop < AnswerStopCount; ++stop) {
+            families.addCounter("crocusmount_answer_endings_total",
+                "Answers of backend servers, by what marks the end of the body and what ended the reading",
+                double(counters.answerEndings.at(framing).at(stop)),
+                { { "framing", toString(static_cast<AnswerFraming>(framing)) },
+                    { "stop", toString(static_cast<AnswerStop>(stop)) } });
+        }
+    }
+    families.addCounter(
+        "crocusmount_events_cut_off_total", "Streams that ended inside an event", double(counters.eventsCutOff));
     families.addCounter(
         "crocusmount_callers_left_total", "Callers gone before the answer", double(counters.callersLeft));
     families.addByReason("crocusmount_refused_total", "Final answers of this instance's own", counters.refused);
--- a/src/edge/RelayNode.cpp
+++ b/src/edge/RelayNode.cpp
@@ -30,6 +30,15 @@
         return text;
     }
 
+    /// @return fields of a log line on how an answer ended; none if no body was read
+    boost::json::object endingFields(const std::optional<AnswerEnding>& ending)
+    {
+        if (!ending)
+            return {};
+        return { { "framing", toString(ending->framing) }, { "stop", toString(ending->stop) },
+            { "inside_event", ending->isInsideEvent }, { "events_of_attempt", ending->events } };
+    }
+
     const char* limitText(const std::optional<RetryLimit>& limit) { return limit ? toString(*limit) : "none"; }
 
     using Finding = event::ServerProbed::Finding;
@@ -210,15 +219,20 @@
     if (open == m_openCalls.end())
         return;
     if (ended.result == AttemptResult::Completed) {
-        recordAnswer(open->second, "completed", { { "status", ended.status } });
+        boost::json::object fields = endingFields(ended.ending);
+        fields["status"] = ended.status;
+        fields["server"] = attempt.server.value();
+        recordAnswer(open->second, "completed", std::move(fields));
         m_openCalls.erase(open);
         return;
     }
-    DecisionLog::call("attempt_failed", open->second.callId,
-        { { "result", toString(ended.result) }, { "status", ended.status }, { "culprit", ended.culprit },
-            { "server", attempt.server.value() }, { "chain", chainText(attempt.chain) },
-            { "request", open->second.digest }, { "sent_ms", toMs(now() - attempt.startedAt) },
-            { "begun_ms", attempt.begunAt ? toMs(now() - *attempt.begunAt) : NotBegunMs } });
+    boost::json::object fields { { "result", toString(ended.result) }, { "status", ended.status },
+        { "culprit", ended.culprit }, { "server", attempt.server.value() }, { "chain", chainText(attempt.chain) },
+        { "request", open->second.digest }, { "sent_ms", toMs(now() - attempt.startedAt) },
+        { "begun_ms", attempt.begunAt ? toMs(now() - *attempt.begunAt) : NotBegunMs } };
+    for (const auto& field : endingFields(ended.ending))
+        fields.insert(field);
+    DecisionLog::call("attempt_failed", open->second.callId, fields);
 }
 
 void RelayNode::apply(const RelayEffects& effects)
--- a/src/edge/UpstreamAttempt.cpp
+++ b/src/edge/UpstreamAttempt.cpp
@@ -210,6 +210,24 @@
     return head.count(m_headerNames.notRun) || head.result_int() == MisdirectedRequest;
 }
 
+AnswerFraming UpstreamAttempt::framingOf(const Parser& parser)
+{
+    if (parser.chunked())
+        return AnswerFraming::Chunks;
+    return parser.need_eof() ? AnswerFraming::Connection : AnswerFraming::Length;
+}
+
+AnswerStop UpstreamAttempt::stopOf(const Parser& parser) const
+{
+    const bool isClosed = m_readError == http::error::partial_message || m_readError == http::error::end_of_stream
+        || m_readError == net::error::eof;
+    if (isClosed)
+        return AnswerStop::Closed;
+    if (m_readError || !parser.is_done())
+        return AnswerStop::Aborted;
+    return parser.need_eof() ? AnswerStop::Closed : AnswerStop::EndOfMessage;
+}
+
 Awaitable<bool> UpstreamAttempt::readHead(std::unique_ptr<Parser>& parser)
 {
     parser = std::make_unique<Parser>();
@@ -225,6 +243,7 @@
     auto [error, count] = co_await http::async_read_some(m_stream, m_readAhead, parser, asTuple);
     if (error == http::error::need_buffer)
         error = {};
+    m_readError = error;
     bytes = std::string_view(m_bodyChunk.data(), m_bodyChunk.size() - parser.get().body().size);
     co_return !error && !m_isCancelled;
 }
@@ -245,39 +264,56 @@
 {
     WholeAnswer answer;
     answer.head = forwardedHead(parser.get().base());
+    AnswerEnding ending { framingOf(parser), AnswerStop::Aborted, false, false, 0 };
+    event::AttemptEnded ended = makeEnded(AttemptResult::Broken, answer.head.status);
     std::string_view bytes;
     while (!parser.is_done()) {
-        if (!co_await readBodyChunk(parser, bytes) || answer.body.size() + bytes.size() > MaxWholeAnswerBytes)
-            co_return makeEnded(AttemptResult::Broken, answer.head.status);
+        if (!co_await readBodyChunk(parser, bytes) || answer.body.size() + bytes.size() > MaxWholeAnswerBytes) {
+            ending.stop = stopOf(parser);
+            ended.ending = ending;
+            co_return ended;
+        }
         answer.body.append(bytes);
     }
-    const unsigned status = answer.head.status;
     if (isSuccess)
         m_pipe->deliver(std::move(answer));
     else
         m_pipe->keepFailure(std::move(answer));
-    co_return makeEnded(isSuccess ? AttemptResult::Completed : AttemptResult::ServerFailure, status);
+    ending.stop = stopOf(parser);
+    ended.ending = ending;
+    ended.result = isSuccess ? AttemptResult::Completed : AttemptResult::ServerFailure;
+    co_return ended;
 }
 
 Awaitable<event::AttemptEnded> UpstreamAttempt::relayStream(Parser& parser)
 {
     const AnswerHead head = forwardedHead(parser.get().base());
     EventSplitter splitter;
+    AnswerEnding ending { framingOf(parser), AnswerStop::Aborted, true, false, 0 };
+    event::AttemptEnded ended = makeEnded(AttemptResult::Broken, head.status);
     std::string_view bytes;
     while (!parser.is_done()) {
         const bool readSucceeded = co_await readBodyChunk(parser, bytes);
         splitter.feed(bytes);
-        if (m_isCancelled || !co_await deliverEvents(splitter, head) || !readSucceeded)
-            co_return makeEnded(AttemptResult::Broken, head.status);
+        if (m_isCancelled || !co_await deliverEvents(splitter, head, ending.events) || !readSucceeded) {
+            ending.stop = readSucceeded ? AnswerStop::Aborted : stopOf(parser);
+            ending.isInsideEvent = splitter.isInsideEvent();
+            ended.ending = ending;
+            co_return ended;
+        }
     }
+    ending.stop = stopOf(parser);
+    ending.isInsideEvent = splitter.isInsideEvent();
+    ended.ending = ending;
     if (!m_hasDeliveredHead)
         m_pipe->begin(head);
     m_pipe->append(splitter.rest());
     m_pipe->end();
-    co_return makeEnded(AttemptResult::Completed, head.status);
+    ended.result = AttemptResult::Completed;
+    co_return ended;
 }
 
-Awaitable<bool> UpstreamAttempt::deliverEvents(EventSplitter& splitter, const AnswerHead& head)
+Awaitable<bool> UpstreamAttempt::deliverEvents(EventSplitter& splitter, const AnswerHead& head, std::uint32_t& events)
 {
     while (const auto event = splitter.next()) {
         co_await waitUntilReleased();
@@ -292,6 +328,7 @@
             m_pipe->begin(head);
         }
         m_pipe->append(event->bytes);
+        ++events;
         if (event->id)
             m_lastEventId = *event->id;
         m_postEvent(event::EventDelivered { m_order.attempt, m_lastEventId });
--- a/src/edge/UpstreamAttempt.h
+++ b/src/edge/UpstreamAttempt.h
@@ -68,14 +68,19 @@
     /// Delivers a server-sent event stream, one whole event at a time.
     Awaitable<event::AttemptEnded> relayStream(Parser&);
     /// Delivers the whole events that the splitter contains.
+    /// @param events  increased by the number of events delivered
     /// @return whether the attempt may go on
-    Awaitable<bool> deliverEvents(EventSplitter&, const AnswerHead&);
+    Awaitable<bool> deliverEvents(EventSplitter&, const AnswerHead&, std::uint32_t& events);
     /// Waits while hold() is in effect.
     Awaitable<void> waitUntilReleased();
     /// Posts what the head of the answer states about its server.
     void postNotice(const http::response_header<>&);
     /// @return whether an answer belongs to this call
     bool isOwnAnswer(const Parser&) const;
+    /// @return what marks the end of the answer's body
+    static AnswerFraming framingOf(const Parser&);
+    /// @return what ended the reading of the answer's body
+    AnswerStop stopOf(const Parser&) const;
     event::AttemptEnded makeEnded(AttemptResult, unsigned status = 0, std::string culprit = {}) const;
 
     const HeaderNames& m_headerNames;
@@ -86,6 +91,7 @@
     PostEvent m_postEvent;
     TcpStream m_stream;
     beast::flat_buffer m_readAhead; ///< bytes received and not yet parsed
+    boost::system::error_code m_readError; ///< of the latest read of a body
     std::array<char, 8192> m_bodyChunk {}; ///< filled by each read of a body
     std::uint64_t m_lastEventId = 0; ///< id of the last event that the caller has; 0: none
     bool m_hasDeliveredHead = false; ///< the head of a stream was delivered to the caller
--- /dev/null
+++ b/src/relay/AnswerEnding.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+
+namespace crocusmount::relay {
+
+/// How a server marks the end of an answer's body.
+enum class AnswerFraming {
+    Length, ///< by a length in the head
+    Chunks, ///< by a last chunk
+    Connection, ///< only by the end of the connection
+};
+inline constexpr std::size_t AnswerFramingCount = 3;
+
+/// What ended the reading of an answer's body.
+enum class AnswerStop {
+    EndOfMessage, ///< the length was reached, or the last chunk arrived
+    Closed, ///< the server's side closed the connection in order, as it also does for a process that dies
+    Aborted, ///< the connection was reset, timed out or cancelled, or the bytes were malformed
+};
+inline constexpr std::size_t AnswerStopCount = 3;
+
+/// How an answer that had begun ended.
+struct AnswerEnding {
+    AnswerFraming framing = AnswerFraming::Length;
+    AnswerStop stop = AnswerStop::Aborted;
+    bool isStream = false; ///< a stream of events, as opposed to an answer that is delivered at once
+    bool isInsideEvent = false; ///< bytes of an unfinished event were left
+    std::uint32_t events = 0; ///< events of this answer that the caller received
+};
+
+/// @return the snake_case name for logs and metrics
+const char* toString(AnswerFraming);
+/// @return the snake_case name for logs and metrics
+const char* toString(AnswerStop);
+
+} // namespace crocusmount::relay
--- a/src/relay/RelayCounters.h
+++ b/src/relay/RelayCounters.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "crocusmount/Reason.h"
+#include "relay/AnswerEnding.h"
 #include "relay/RetryLimit.h"
 
 #include <array>
@@ -36,6 +37,9 @@
     std::uint64_t permitRequests = 0; ///< requests for permits to send to a limited server
     std::uint64_t permitsGranted = 0; ///< permits that this instance granted as a coordinator
     std::uint64_t permitsDenied = 0; ///< permits that this instance did not grant as a coordinator
+    /// Answers whose body was read, by framing and by what ended the reading.
+    std::array<std::array<std::uint64_t, AnswerStopCount>, AnswerFramingCount> answerEndings {};
+    std::uint64_t eventsCutOff = 0; ///< streams that ended inside an event
     std::uint64_t callersLeft = 0; ///< callers that closed their connection before the end of the answer
     std::uint64_t configurationsAccepted = 0;
     std::array<std::uint64_t, ReasonCount> refused {}; ///< final answers given by the relay itself, by reason
--- a/src/relay/RelayEvent.h
+++ b/src/relay/RelayEvent.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "crocusmount/Ids.h"
+#include "relay/AnswerEnding.h"
 #include "relay/CallSpec.h"
 #include "relay/CrashReport.h"
 #include "relay/LoadReport.h"
@@ -121,6 +122,7 @@
         AttemptResult result = AttemptResult::Broken;
         unsigned status = 0; ///< HTTP status of the server's answer; zero if none
         std::string culprit; ///< address of the stage that the server blames; empty if none
+        std::optional<AnswerEnding> ending {}; ///< how the body ended; nothing if none was read
     };
 
     /// The first stage answered effect::RerouteAttempt.
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -260,6 +260,8 @@
 
 void RelayReducer::on(const event::AttemptEnded& ended, Context& context)
 {
+    if (ended.ending)
+        countEnding(*ended.ending);
     Call* found = findByAttempt(ended.attempt);
     if (!found)
         return;
@@ -296,6 +298,13 @@
     dispatchAll(context);
 }
 
+void RelayReducer::countEnding(const AnswerEnding& ending)
+{
+    auto& stops = m_counters.answerEndings.at(static_cast<std::size_t>(ending.framing));
+    ++stops.at(static_cast<std::size_t>(ending.stop));
+    m_counters.eventsCutOff += ending.isInsideEvent ? 1 : 0;
+}
+
 /// @return the stage that the answer names as the cause of the failure, else the server of the attempt
 BackendId RelayReducer::blamedServer(const Attempt& attempt, const event::AttemptEnded& ended)
 {
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -117,6 +117,7 @@
     void cancel(Call&, const Attempt&, CancelCause, Context&);
     void release(Call&, const Attempt&, Context&);
     void keepOnly(Call&, AttemptId, Context&);
+    void countEnding(const AnswerEnding&);
     BackendId blamedServer(const Attempt&, const event::AttemptEnded&);
     bool mayBeDead(const BackendId&, TimePoint now);
     void recordFailedAttempt(const Attempt&, const Call&, const event::AttemptEnded&, Context&);
