Test that streams cut inside an event do not look complete; known to fail

Over loopback, on each framing (no length, HTTP/1.0, chunks, length): a stream that ends inside an event, inside its first event, and on a resumable route.

The loopback fixture moves from RelayLoopbackTest.cpp to files of its own, so that both test files can use it; its engine's answer to checks is now a parameter. The tests are listed in KNOWN-RED.txt until the fix.

--- /dev/null
+++ b/tests/RelayLoopback.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "edge/EngineReport.h"
+#include "relay/RequestIdentity.h"
+#include "shell/Net.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace crocusmount::relay {
+
+/// What one call led to.
+struct CallOutcome {
+    std::string answer; ///< bytes that the caller received
+    std::size_t requests = 0; ///< requests that reached the backend server
+    std::optional<double> limit {}; ///< requests a second that the backend server is known to accept
+    Duration backoff {}; ///< time for which the backend server is known to want no requests
+    bool isLeaving = false; ///< whether the backend server is known to exit
+    std::uint64_t unreadable = 0; ///< headers of the backend server about itself that were ignored
+};
+
+/// Runs one call through FrontServer, RelayNode and UpstreamAttempt, with one scripted server for all services.
+/// @param request      bytes that the caller sends
+/// @param answers      see ScriptedServer
+/// @param quarantined  request that the store lists as quarantined, if any
+/// @param checkAnswer  how the engine answers each health check
+CallOutcome runCall(const std::string& request, std::vector<std::string> answers,
+    const std::optional<RequestIdentity>& quarantined = std::nullopt, CheckAnswer checkAnswer = CheckAnswer::Alive);
+
+/// @return a request of the caller "me" for a path, the last one on its connection
+std::string requestTo(const char* path);
+
+/// @return the beginning of the head of a server's answer
+/// @param status  status code and reason
+/// @param id      the call that the answer belongs to
+std::string answerHead(const char* status, const char* id = "me");
+
+bool hasText(const std::string& text, const std::string& part);
+
+} // namespace crocusmount::relay
--- a/tests/RelayLoopbackTest.cpp
+++ b/tests/RelayLoopbackTest.cpp
@@ -1,13 +1,10 @@
-#include "edge/FrontServer.h"
-#include "edge/RelayNode.h"
+#include "tests/RelayLoopback.h"
 #include "edge/RequestDigest.h"
-#include "platform/PlatformCallReader.h"
+#include "edge/UnknownHeaders.h"
+#include "edge/UpstreamAttempt.h"
 #include "platform/WireNames.h"
-#include "relay/RouteTable.h"
-#include "shell/Endpoint.h"
-#include "tests/RelayHarness.h"
 #include "tests/Tests.h"
-#include "tests/fakes/RefusingEngineControl.h"
+#include "tests/fakes/ScriptedServer.h"
 
 #include <cstring>
 #include <optional>
@@ -15,143 +12,6 @@
 using namespace crocusmount;
 using namespace crocusmount::relay;
 
-namespace {
-
-constexpr auto asTuple = net::as_tuple(useAwaitable);
-
-/// Answers the request of each connection with the next one of a list of byte sequences, then closes the connection.
-/// The last sequence is repeated. An empty sequence means that the request is never answered. Listens at two addresses,
-/// because the plain server and the engine must not share one.
-class ScriptedServer {
-public:
-    ScriptedServer(net::io_context& context, std::vector<std::string> answers)
-        : m_plain(context.get_executor(), *parseEndpoint<Tcp>("127.0.0.1:0"))
-        , m_engine(context.get_executor(), *parseEndpoint<Tcp>("127.0.0.1:0"))
-        , m_answers(std::move(answers))
-    {
-        net::co_spawn(context.get_executor(), run(m_plain), net::detached);
-        net::co_spawn(context.get_executor(), run(m_engine), net::detached);
-    }
-
-    std::string plainAddress() const { return "127.0.0.1:" + std::to_string(m_plain.local_endpoint().port()); }
-    std::string engineAddress() const { return "127.0.0.1:" + std::to_string(m_engine.local_endpoint().port()); }
-    std::size_t requests() const { return m_requestCount; }
-
-private:
-    using Acceptor = net::basic_socket_acceptor<Tcp, Executor>;
-
-    Awaitable<void> run(Acceptor& acceptor)
-    {
-        while (true) {
-            TcpStream stream(acceptor.get_executor());
-            const auto [error] = co_await acceptor.async_accept(stream.socket(), asTuple);
-            if (error)
-                co_return;
-            beast::flat_buffer buffer;
-            http::request<http::string_body> request;
-            co_await http::async_read(stream, buffer, request, asTuple);
-            const std::string answer = m_answers.at(std::min(m_requestCount, m_answers.size() - 1));
-            ++m_requestCount;
-            if (answer.empty()) {
-                m_unanswered.push_back(std::move(stream));
-                continue;
-            }
-            co_await net::async_write(stream, net::buffer(answer), asTuple);
-            boost::system::error_code ignored;
-            stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
-        }
-    }
-
-    Acceptor m_plain;
-    Acceptor m_engine;
-    std::vector<std::string> m_answers;
-    std::vector<TcpStream> m_unanswered; ///< connections that are kept open without an answer
-    std::size_t m_requestCount = 0; ///< index of the next answer; the number of requests so far
-};
-
-/// Sends one request to the FrontServer, reads until the connection closes, but not longer than five seconds, and
-/// stops the context.
-/// @param answer  set to the bytes read
-Awaitable<void> sendToFrontServer(
-    net::io_context& context, std::string address, std::string request, std::string& answer)
-{
-    TcpStream stream(context.get_executor());
-    stream.expires_after(std::chrono::seconds(5));
-    const auto endpoint = parseEndpoint<Tcp>(address);
-    co_await stream.async_connect(*endpoint, asTuple);
-    co_await net::async_write(stream, net::buffer(request), asTuple);
-    co_await net::async_read(stream, net::dynamic_buffer(answer), asTuple);
-    context.stop();
-}
-
-/// What one call led to.
-struct CallOutcome {
-    std::string answer; ///< bytes that the caller received
-    std::size_t requests = 0; ///< requests that reached the backend server
-    std::optional<double> limit {}; ///< requests a second that the backend server is known to accept
-    Duration backoff {}; ///< time for which the backend server is known to want no requests
-    bool isLeaving = false; ///< whether the backend server is known to exit
-    std::uint64_t unreadable = 0; ///< headers of the backend server about itself that were ignored
-};
-
-/// Runs one call through FrontServer, RelayNode and UpstreamAttempt, with one scripted server for all services.
-/// @param request      bytes that the caller sends
-/// @param answers      see ScriptedServer
-/// @param quarantined  request that the store lists as quarantined, if any
-CallOutcome runCall(const std::string& request, std::vector<std::string> answers,
-    const std::optional<RequestIdentity>& quarantined = std::nullopt)
-{
-    net::io_context context(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE);
-    RefusingEngineControl control;
-    RelayOptions options;
-    options.dataCentre = DataCentreId("z");
-    RelayNode node(context, options, platform::headerNames(), control);
-    ScriptedServer server(context, std::move(answers));
-    RegisteredServer plain = RelayHarness::plain("x");
-    plain.address = server.plainAddress();
-    RegisteredServer engine = RelayHarness::engine("e", 0, 8);
-    engine.address = server.engineAddress();
-    node.post(relay::event::ConfigurationAccepted { RouteTable::make(RelayHarness::configuration()) });
-    node.post(relay::event::ServerRegistered { plain });
-    node.post(relay::event::ServerRegistered { engine });
-    if (quarantined)
-        node.post(relay::event::QuarantineListed { *quarantined });
-    const platform::PlatformCallReader reader;
-    // The system chooses a free port for a temporary socket, and the server reuses that port.
-    net::basic_socket_acceptor<Tcp, Executor> temporarySocket(
-        context.get_executor(), *parseEndpoint<Tcp>("127.0.0.1:0"));
-    const std::string address = "127.0.0.1:" + std::to_string(temporarySocket.local_endpoint().port());
-    temporarySocket.close();
-    const auto frontServer = FrontServer::make(context, address, node, reader);
-    CHECK_TRUE(frontServer.ok());
-    CallOutcome result;
-    net::co_spawn(context.get_executor(), sendToFrontServer(context, address, request, result.answer), net::detached);
-    context.run();
-    result.requests = server.requests();
-    const FleetServer& known = node.reducer().fleet().servers().at(plain.id);
-    result.limit = known.limit.perSecond;
-    result.backoff = std::max(Duration(0), known.backoff.endsAt() - node.now());
-    result.isLeaving = known.hasAnnouncedLeaving;
-    result.unreadable = node.reducer().counters().noticesUnreadable;
-    return result;
-}
-
-std::string requestTo(const char* path)
-{
-    return std::string("POST ") + path
-        + " HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: me\r\nAuthorization: Bearer key\r\nConnection: close\r\n"
-          "Content-Length: 2\r\n\r\nhi";
-}
-
-std::string answerHead(const char* status, const char* id = "me")
-{
-    return std::string("HTTP/1.1 ") + status + "\r\nX-Attempt-Id: " + id + "\r\nX-Server-Seal: s\r\n";
-}
-
-bool hasText(const std::string& text, const std::string& part) { return text.find(part) != std::string::npos; }
-
-} // namespace
-
 TEST_GROUP(RelayLoopback) {};
 
 TEST(RelayLoopback, ServerAnswersAreDeliveredCompletelyOrNotAtAll)
