Take streams that end inside an event for broken off

Cause: relayStream() took the end of the message for the end of the answer. An answer without length ends with its connection, and the connection of a process that dies is closed in order, too. What was left after the last whole event was appended, and the last chunk written.

Ruled out: a framing that only some engines use (the committed tests fail alike with chunks, a length, HTTP/1.0 and neither), and a lost read error (a reset was reported as Broken before).

Change: AnswerEnding holds framing, stop, and whether an event is unfinished; completenessOf() is the one function from it to complete, unproven or broken off, and both readers use it. EventSplitter says whether bytes belong to an unfinished event, and knows lines that end with CR. Bytes of a cut event reach no caller.

A stream of three events cut at each byte, on four framings, is complete at most at the end of an event. A table covers the ends of lines and comments, another one all endings.

--- a/src/edge/EventSplitter.cpp
+++ b/src/edge/EventSplitter.cpp
@@ -8,15 +8,30 @@
 
 namespace {
 
+    bool isLineBreak(char byte) { return byte == '\r' || byte == '\n'; }
+
+    /// Lines end with CRLF, LF or CR.
+    /// @return the offset of the first byte after the line that starts at `begin`, or npos
+    std::size_t endOfLine(std::string_view text, std::size_t begin)
+    {
+        const auto end = text.find_first_of("\r\n", begin);
+        if (end == std::string_view::npos || text[end] == '\n')
+            return end == std::string_view::npos ? end : end + 1;
+        if (end + 1 < text.size())
+            return text[end + 1] == '\n' ? end + 2 : end + 1;
+        // A CR at the end may be the first half of a CRLF, unless the line before it ended with a CR alone.
+        const bool followsCr = end == begin && begin > 0 && text[begin - 1] == '\r';
+        return followsCr ? end + 1 : std::string_view::npos;
+    }
+
     /// @return the offset of the first byte after the blank line that ends the first event, or npos
     std::size_t endOfEvent(std::string_view text)
     {
-        for (auto line = text.find('\n'); line != std::string_view::npos; line = text.find('\n', line + 1)) {
-            const std::string_view after = text.substr(line + 1);
-            if (!after.empty() && after.front() == '\n')
-                return line + 2;
-            if (after.size() > 1 && after[0] == '\r' && after[1] == '\n')
-                return line + 3;
+        for (auto line = endOfLine(text, 0); line != std::string_view::npos;) {
+            const auto next = endOfLine(text, line);
+            if (next != std::string_view::npos && isLineBreak(text[line]))
+                return next;
+            line = next;
         }
         return std::string_view::npos;
     }
--- a/src/edge/UpstreamAttempt.cpp
+++ b/src/edge/UpstreamAttempt.cpp
@@ -264,23 +264,24 @@
 {
     WholeAnswer answer;
     answer.head = forwardedHead(parser.get().base());
-    AnswerEnding ending { framingOf(parser), AnswerStop::Aborted, false, false, 0 };
+    AnswerEnding ending;
+    ending.framing = framingOf(parser);
     event::AttemptEnded ended = makeEnded(AttemptResult::Broken, answer.head.status);
+    bool canContinue = true;
     std::string_view bytes;
-    while (!parser.is_done()) {
-        if (!co_await readBodyChunk(parser, bytes) || answer.body.size() + bytes.size() > MaxWholeAnswerBytes) {
-            ending.stop = stopOf(parser);
-            ended.ending = ending;
-            co_return ended;
-        }
+    while (canContinue && !parser.is_done()) {
+        canContinue = co_await readBodyChunk(parser, bytes) && answer.body.size() + bytes.size() <= MaxWholeAnswerBytes;
         answer.body.append(bytes);
     }
+    if (canContinue || m_readError)
+        ending.stop = stopOf(parser);
+    ended.ending = ending;
+    if (!canContinue || completenessOf(ending) == Completeness::BrokenOff)
+        co_return ended;
     if (isSuccess)
         m_pipe->deliver(std::move(answer));
     else
         m_pipe->keepFailure(std::move(answer));
-    ending.stop = stopOf(parser);
-    ended.ending = ending;
     ended.result = isSuccess ? AttemptResult::Completed : AttemptResult::ServerFailure;
     co_return ended;
 }
@@ -289,22 +290,24 @@
 {
     const AnswerHead head = forwardedHead(parser.get().base());
     EventSplitter splitter;
-    AnswerEnding ending { framingOf(parser), AnswerStop::Aborted, true, false, 0 };
+    AnswerEnding ending;
+    ending.framing = framingOf(parser);
+    ending.isStream = true;
+    ending.isContinuation = m_lastEventId > 0;
     event::AttemptEnded ended = makeEnded(AttemptResult::Broken, head.status);
     std::string_view bytes;
-    while (!parser.is_done()) {
+    bool canContinue = true;
+    while (canContinue && !parser.is_done()) {
         const bool readSucceeded = co_await readBodyChunk(parser, bytes);
         splitter.feed(bytes);
-        if (m_isCancelled || !co_await deliverEvents(splitter, head, ending.events) || !readSucceeded) {
-            ending.stop = readSucceeded ? AnswerStop::Aborted : stopOf(parser);
-            ending.isInsideEvent = splitter.isInsideEvent();
-            ended.ending = ending;
-            co_return ended;
-        }
+        canContinue = !m_isCancelled && co_await deliverEvents(splitter, head, ending.events) && readSucceeded;
     }
-    ending.stop = stopOf(parser);
+    if (canContinue || m_readError)
+        ending.stop = stopOf(parser);
     ending.isInsideEvent = splitter.isInsideEvent();
     ended.ending = ending;
+    if (!canContinue || completenessOf(ending) == Completeness::BrokenOff)
+        co_return ended;
     if (!m_hasDeliveredHead)
         m_pipe->begin(head);
     m_pipe->append(splitter.rest());
--- a/src/relay/AnswerEnding.cpp
+++ b/src/relay/AnswerEnding.cpp
@@ -2,6 +2,20 @@
 
 namespace crocusmount::relay {
 
+Completeness completenessOf(const AnswerEnding& ending)
+{
+    if (ending.stop == AnswerStop::Aborted || ending.isInsideEvent)
+        return Completeness::BrokenOff;
+    if (ending.stop == AnswerStop::EndOfMessage)
+        return Completeness::Complete;
+    if (ending.framing != AnswerFraming::Connection)
+        return Completeness::BrokenOff;
+    // The orderly end of the connection is all that such an answer has to mark its end, see docs/questions.md.
+    if (!ending.isStream)
+        return Completeness::Complete;
+    return ending.events || ending.isContinuation ? Completeness::Unproven : Completeness::BrokenOff;
+}
+
 const char* toString(AnswerFraming framing)
 {
     switch (framing) {
--- a/src/relay/AnswerEnding.h
+++ b/src/relay/AnswerEnding.h
@@ -26,10 +26,21 @@
     AnswerFraming framing = AnswerFraming::Length;
     AnswerStop stop = AnswerStop::Aborted;
     bool isStream = false; ///< a stream of events, as opposed to an answer that is delivered at once
+    bool isContinuation = false; ///< continues a stream of which the caller already has events
     bool isInsideEvent = false; ///< bytes of an unfinished event were left
     std::uint32_t events = 0; ///< events of this answer that the caller received
 };
 
+/// What the end of an answer shows.
+enum class Completeness {
+    Complete,
+    Unproven, ///< complete, or its server died between two events
+    BrokenOff,
+};
+
+/// Decides whether an answer is complete. Every reader of answers uses this.
+Completeness completenessOf(const AnswerEnding&);
+
 /// @return the snake_case name for logs and metrics
 const char* toString(AnswerFraming);
 /// @return the snake_case name for logs and metrics
--- a/tests/AnswerEndingTest.cpp
+++ b/tests/AnswerEndingTest.cpp
@@ -1,3 +1,5 @@
+#include "relay/AnswerEnding.h"
+#include "edge/EventSplitter.h"
 #include "tests/RelayLoopback.h"
 #include "tests/Tests.h"
 
@@ -100,3 +102,86 @@
         CHECK_TRUE_TEXT(result.answer.find("id: 2", first + 1) == std::string::npos, text.c_str());
     }
 }
+
+// A connection that a crash closes ends like one that a server closes after its answer.
+TEST(AnswerEnding, AnEndThatACrashAlsoMakesIsNoProof)
+{
+    using enum AnswerFraming;
+    using enum AnswerStop;
+    const struct {
+        const char* name;
+        AnswerEnding ending;
+        Completeness completeness;
+    } cases[] = {
+        { "last chunk", { Chunks, EndOfMessage, true, false, false, 3 }, Completeness::Complete },
+        { "length reached", { Length, EndOfMessage, true, false, false, 3 }, Completeness::Complete },
+        { "last chunk without events", { Chunks, EndOfMessage, true, false, false, 0 }, Completeness::Complete },
+        { "closed after an event", { Connection, Closed, true, false, false, 3 }, Completeness::Unproven },
+        { "closed without events", { Connection, Closed, true, false, false, 0 }, Completeness::BrokenOff },
+        { "continuation closed without events", { Connection, Closed, true, true, false, 0 }, Completeness::Unproven },
+        { "closed inside an event", { Connection, Closed, true, false, true, 3 }, Completeness::BrokenOff },
+        { "last chunk inside an event", { Chunks, EndOfMessage, true, false, true, 3 }, Completeness::BrokenOff },
+        { "length reached inside an event", { Length, EndOfMessage, true, false, true, 3 }, Completeness::BrokenOff },
+        { "closed before the last chunk", { Chunks, Closed, true, false, false, 3 }, Completeness::BrokenOff },
+        { "closed before the length", { Length, Closed, true, false, false, 3 }, Completeness::BrokenOff },
+        { "reset after an event", { Connection, Aborted, true, false, false, 3 }, Completeness::BrokenOff },
+        { "whole answer, closed", { Connection, Closed, false, false, false, 0 }, Completeness::Complete },
+        { "whole answer, reset", { Connection, Aborted, false, false, false, 0 }, Completeness::BrokenOff },
+        { "whole answer, closed before the length", { Length, Closed, false, false, false, 0 },
+            Completeness::BrokenOff },
+    };
+    for (const auto& each : cases)
+        CHECK_TRUE_TEXT(completenessOf(each.ending) == each.completeness, each.name);
+}
+
+TEST(AnswerEnding, BytesAreInsideAnEventUntilItsBlankLineIsWhole)
+{
+    const struct {
+        const char* bytes;
+        unsigned events;
+        bool isInside;
+    } cases[] = {
+        { "", 0, false },
+        { "d", 0, true },
+        { "data: a", 0, true },
+        { "data: a\n", 0, true },
+        { "data: a\n\n", 1, false },
+        { "data: a\r\n", 0, true },
+        { "data: a\r\n\r", 0, true },
+        { "data: a\r\n\r\n", 1, false },
+        { "data: a\r", 0, true },
+        { "data: a\r\r", 1, false },
+        { "data: a\r\rdata: b\r\r", 2, false },
+        { "data: a\n\r\n", 1, false },
+        { "data: a\n\n\n", 1, false },
+        { "data: a\r\n\r\n\r", 1, false },
+        { "data: a\n\n: keep-alive\n", 1, false },
+        { "data: a\n\n: keep-ali", 1, true },
+        { "data: a\n\nid", 1, true },
+        { "data: a\n\n:x\nid: 2\n", 1, true },
+    };
+    for (const auto& each : cases) {
+        EventSplitter splitter;
+        splitter.feed(each.bytes);
+        unsigned events = 0;
+        while (splitter.next())
+            ++events;
+        CHECK_EQUAL_TEXT(each.events, events, each.bytes);
+        CHECK_EQUAL_TEXT(each.isInside, splitter.isInsideEvent(), each.bytes);
+    }
+}
+
+TEST(AnswerEnding, AStreamCutAtAnyByteIsCompleteAtMostAtTheEndOfAnEvent)
+{
+    const std::string eventWithCrLf = "id: 2\r\ndata: b\r\n\r\n";
+    const std::string stream = FirstEvent + eventWithCrLf + "id: 3\ndata: c\n\n";
+    for (const Framing framing : AllFramings) {
+        for (std::size_t cut = 0; cut < stream.size(); ++cut) {
+            const bool isAtEnd = cut == FirstEvent.size() || cut == FirstEvent.size() + eventWithCrLf.size();
+            if (isAtEnd || (cut == 0 && framing != Framing::Connection && framing != Framing::Http10))
+                continue;
+            const CallOutcome result = runCall(requestTo("/once/1"), { streamOf(framing, stream.substr(0, cut)) });
+            CHECK_FALSE_TEXT(isComplete(result.answer), (nameOf(framing) + (": " + result.answer)).c_str());
+        }
+    }
+}
