Complete a stream without length only if its server is shown to be alive

Callers of a stream without length whose engine died between two events got the last chunk, so the answer looked complete; a resumable one was not resumed, and the engine counted as having succeeded.

Cause: such a stream ends with its connection, and the system closes the connections of a process that dies in order. At the end of an event, that end says nothing about whether the answer is complete.

Change: the relay reports such an end as Unproven. The caller has all events by then, so only the last chunk waits for an urgent check of the first stage, and of all stages if the end came after a pause: a first stage cuts streams off that waited too long for a stage that died. Alive: complete. Refused, silent, or another start: the attempt counts as broken, so a resumable call continues after its last event elsewhere, and one that may not run again is broken off. A leaving server that refuses connections still ends its answers, so for it a refusal proves nothing. If no server can be checked, and nothing shows that one died, the answer is taken for complete and counted as unverified.

Evidence: over loopback, with the engine's check refused or silent, the stream was complete before (AStreamWithoutLengthWhoseServerDiedBetweenTwoEvents... fails on: "refused: expected false, was true") and is not now. The cost is one check for each stream without length that ends after a whole event.

--- a/src/edge/RelayMetrics.cpp
+++ b/src/edge/RelayMetrics.cpp
@@ -82,6 +82,11 @@
                     { "stop", toString(static_cast<AnswerStop>(stop)) } });
         }
     }
+    for (std::size_t verdict = 0; verdict < EndVerdictCount; ++verdict) {
+        families.addCounter("crocusmount_unproven_ends_total",
+            "Streams without length that ended between two events, by what was found out",
+            double(counters.unprovenEnds.at(verdict)), { { "verdict", toString(static_cast<EndVerdict>(verdict)) } });
+    }
     families.addCounter(
         "crocusmount_events_cut_off_total", "Streams that ended inside an event", double(counters.eventsCutOff));
     families.addCounter(
--- a/src/edge/RelayNode.cpp
+++ b/src/edge/RelayNode.cpp
@@ -232,7 +232,8 @@
         { "begun_ms", attempt.begunAt ? toMs(now() - *attempt.begunAt) : NotBegunMs } };
     for (const auto& field : endingFields(ended.ending))
         fields.insert(field);
-    DecisionLog::call("attempt_failed", open->second.callId, fields);
+    const bool isUnproven = ended.result == AttemptResult::Unproven;
+    DecisionLog::call(isUnproven ? "answer_end_unproven" : "attempt_failed", open->second.callId, fields);
 }
 
 void RelayNode::apply(const RelayEffects& effects)
@@ -504,6 +505,16 @@
     m_openCalls.erase(found);
 }
 
+void RelayNode::on(const effect::CompleteAnswer& complete)
+{
+    const auto found = m_openCalls.find(complete.call);
+    if (found == m_openCalls.end())
+        return;
+    recordAnswer(found->second, "completed", { { "end", toString(complete.verdict) } });
+    found->second.pipe->end();
+    m_openCalls.erase(found);
+}
+
 void RelayNode::on(const effect::BreakAnswer& broken)
 {
     const auto found = m_openCalls.find(broken.call);
--- a/src/edge/RelayNode.h
+++ b/src/edge/RelayNode.h
@@ -93,7 +93,7 @@
     Awaitable<void> tickLoop();
     void recordAnswerBegun(const event::AnswerBegun&);
     void recordEvent(const event::EventDelivered&);
-    /// Removes the attempt. Ends its call if the answer is complete, and logs the failure otherwise.
+    /// Removes the attempt. Ends its call if the answer is complete, and logs any other end.
     void recordAttemptEnd(const event::AttemptEnded&);
     void logCancelled(const RunningAttempt&, CancelCause);
     /// Asks for the stalled stage of a stream and posts StalledStageReported.
@@ -134,6 +134,7 @@
     void on(const effect::RerouteAttempt&);
     void on(const effect::Refuse&);
     void on(const effect::DeliverServerFailure&);
+    void on(const effect::CompleteAnswer&);
     void on(const effect::BreakAnswer&);
     /// Logs the end of a call and adds its times to the latencies.
     /// @param outcome  "completed" counts as a success, every other value as a refusal
--- a/src/edge/UpstreamAttempt.cpp
+++ b/src/edge/UpstreamAttempt.cpp
@@ -311,6 +311,10 @@
     if (!m_hasDeliveredHead)
         m_pipe->begin(head);
     m_pipe->append(splitter.rest());
+    if (completenessOf(ending) == Completeness::Unproven) {
+        ended.result = AttemptResult::Unproven;
+        co_return ended;
+    }
     m_pipe->end();
     ended.result = AttemptResult::Completed;
     co_return ended;
--- a/src/relay/AnswerEnding.cpp
+++ b/src/relay/AnswerEnding.cpp
@@ -16,6 +16,19 @@
     return ending.events || ending.isContinuation ? Completeness::Unproven : Completeness::BrokenOff;
 }
 
+const char* toString(EndVerdict verdict)
+{
+    switch (verdict) {
+    case EndVerdict::Verified:
+        return "verified";
+    case EndVerdict::Unverified:
+        return "unverified";
+    case EndVerdict::ServerDied:
+        return "server_died";
+    }
+    return "verdict";
+}
+
 const char* toString(AnswerFraming framing)
 {
     switch (framing) {
--- a/src/relay/AnswerEnding.h
+++ b/src/relay/AnswerEnding.h
@@ -41,6 +41,16 @@
 /// Decides whether an answer is complete. Every reader of answers uses this.
 Completeness completenessOf(const AnswerEnding&);
 
+/// What was found out about an unproven end.
+enum class EndVerdict {
+    Verified, ///< complete: the servers that the answer depended on are alive
+    Unverified, ///< taken for complete: no server could be checked, and nothing shows that one died
+    ServerDied, ///< broken off
+};
+inline constexpr std::size_t EndVerdictCount = 3;
+
+/// @return the snake_case name for logs and metrics
+const char* toString(EndVerdict);
 /// @return the snake_case name for logs and metrics
 const char* toString(AnswerFraming);
 /// @return the snake_case name for logs and metrics
--- a/src/relay/Call.h
+++ b/src/relay/Call.h
@@ -17,6 +17,13 @@
     Running, ///< has at least one attempt in flight
 };
 
+/// The end of a stream that does not show whether the answer is complete.
+struct UnprovenEnd {
+    TimePoint endedAt;
+    TimePoint decideBy; ///< latest time until which the end of the answer waits for checks
+    std::vector<BackendId> unverified; ///< servers that are not known to be alive since endedAt
+};
+
 /// One attempt to run a call at a backend server.
 struct Attempt {
     AttemptId id;
@@ -35,6 +42,7 @@
     TimePoint nextReplacementAt; ///< earliest time of the next search for a replacement of the lost stage
     TimePoint nextMoveAt; ///< earliest time of the next search for a way off a leaving stage
     std::optional<TimePoint> answerHeldUntil; ///< latest time until which events are held back for the second attempt
+    std::optional<UnprovenEnd> unprovenEnd; ///< set once the attempt has ended that way
     TimePoint startedAt;
 
     /// @return whether the server is the attempt's server or one of its stages
--- a/src/relay/RelayCounters.h
+++ b/src/relay/RelayCounters.h
@@ -39,6 +39,7 @@
     std::uint64_t permitsDenied = 0; ///< permits that this instance did not grant as a coordinator
     /// Answers whose body was read, by framing and by what ended the reading.
     std::array<std::array<std::uint64_t, AnswerStopCount>, AnswerFramingCount> answerEndings {};
+    std::array<std::uint64_t, EndVerdictCount> unprovenEnds {}; ///< unproven ends of streams, by what was found out
     std::uint64_t eventsCutOff = 0; ///< streams that ended inside an event
     std::uint64_t callersLeft = 0; ///< callers that closed their connection before the end of the answer
     std::uint64_t configurationsAccepted = 0;
--- a/src/relay/RelayEffect.h
+++ b/src/relay/RelayEffect.h
@@ -5,6 +5,7 @@
 #include "crocusmount/Reason.h"
 #include "crocusmount/RunState.h"
 #include "crocusmount/Time.h"
+#include "relay/AnswerEnding.h"
 #include "relay/AttemptPurpose.h"
 #include "relay/CancelCause.h"
 #include "relay/CrashReport.h"
@@ -201,6 +202,12 @@
         RequestId call;
     };
 
+    /// End a stream as complete whose last attempt ended as Unproven.
+    struct CompleteAnswer {
+        RequestId call;
+        EndVerdict verdict = EndVerdict::Verified;
+    };
+
     /// End a partly delivered answer in a way that the caller cannot mistake for its complete end.
     struct BreakAnswer {
         RequestId call;
@@ -215,7 +222,7 @@
     effect::ShareHarmlessRequest, effect::LogCrash, effect::QuarantineRequest, effect::ClearRequest,
     effect::ReportEngineState, effect::LogServerState, effect::LogServerLimit, effect::LogServerBackoff,
     effect::LogPermits, effect::RequestPermits, effect::AnswerPermits, effect::ShareServerLimit, effect::RerouteAttempt,
-    effect::Refuse, effect::DeliverServerFailure, effect::BreakAnswer>;
+    effect::Refuse, effect::DeliverServerFailure, effect::CompleteAnswer, effect::BreakAnswer>;
 using RelayEffects = std::vector<RelayEffect>;
 
 } // namespace crocusmount::relay
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -44,6 +44,8 @@
         return "not_run";
     case AttemptResult::ConnectFailed:
         return "connect_failed";
+    case AttemptResult::Unproven:
+        return "unproven";
     case AttemptResult::Broken:
         return "broken";
     }
@@ -268,12 +270,12 @@
     Call& call = *found;
     if (ended.result == AttemptResult::Completed) {
         keepOnly(call, ended.attempt, context);
-        m_fleet.recordSuccess(call.main.server);
-        recordHarmlessRequest(call, context);
-        release(call, call.main, context);
-        ++m_counters.completed;
-        remove(call.id);
-        dispatchAll(context);
+        completeCall(call, context);
+        return;
+    }
+    // A running attempt beside it may still complete the answer, whatever this end means.
+    if (ended.result == AttemptResult::Unproven && !call.second) {
+        awaitEndProof(call, context);
         return;
     }
     const bool wasSecond = call.second && call.second->id == ended.attempt;
@@ -298,6 +300,17 @@
     dispatchAll(context);
 }
 
+/// Forgets a call whose main attempt has answered it completely.
+void RelayReducer::completeCall(Call& call, Context& context)
+{
+    m_fleet.recordSuccess(call.main.server);
+    recordHarmlessRequest(call, context);
+    release(call, call.main, context);
+    ++m_counters.completed;
+    remove(call.id);
+    dispatchAll(context);
+}
+
 void RelayReducer::countEnding(const AnswerEnding& ending)
 {
     auto& stops = m_counters.answerEndings.at(static_cast<std::size_t>(ending.framing));
@@ -339,9 +352,10 @@
         m_fleet.recordRejection(blamed, context.now);
         return;
     case AttemptResult::ConnectFailed:
+    case AttemptResult::Unproven:
     case AttemptResult::Broken:
         m_fleet.recordFailure(blamed, context.now);
-        if (ended.result == AttemptResult::Broken)
+        if (ended.result != AttemptResult::ConnectFailed)
             recordLostAttempt(call, attempt, context);
         // If the process has ended, the check is refused too, and the result is shared with all instances.
         if (FleetServer* server = m_fleet.find(blamed); server && ended.result == AttemptResult::ConnectFailed)
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -118,6 +118,13 @@
     void release(Call&, const Attempt&, Context&);
     void keepOnly(Call&, AttemptId, Context&);
     void countEnding(const AnswerEnding&);
+    void completeCall(Call&, Context&);
+    void awaitEndProof(Call&, Context&);
+    void checkUnverified(const UnprovenEnd&, Context&);
+    void settleUnprovenEnds(const BackendId&, bool isAlive, Context&);
+    bool isCheckable(const BackendId&);
+    void settleOverdueEnds(Context&);
+    void settleEnd(RequestId, EndVerdict, Context&);
     BackendId blamedServer(const Attempt&, const event::AttemptEnded&);
     bool mayBeDead(const BackendId&, TimePoint now);
     void recordFailedAttempt(const Attempt&, const Call&, const event::AttemptEnded&, Context&);
@@ -195,6 +202,7 @@
     void holdCall(Call&, Context&);
     void releaseHeldCalls(Context&);
     void requeue(Call&, Context&);
+    static bool isSilent(const Call&, TimePoint now);
     bool isStalled(const Call&, TimePoint now) const;
     std::vector<BackendId> stalledStages(const Call&) const;
     /// What a service's servers let through if each at which its calls can begin names a limit or wants no requests.
--- a/src/relay/RelayReducerChecks.cpp
+++ b/src/relay/RelayReducerChecks.cpp
@@ -45,19 +45,19 @@
     /// A dead engine is checked this long before calls would be sent to it again.
     constexpr Duration DeadRecheckLead = std::chrono::milliseconds(200);
 
-    /// @return whether a stream has been without an event long enough for its stages to be checked
-    bool isSilent(const Call& call, TimePoint now)
-    {
-        if (call.main.answerHeldUntil)
-            return false;
-        const Duration sinceProgress = now - call.lastProgress;
-        if (!call.main.eventsDelivered)
-            return sinceProgress > scaled(call.route->objective, FirstEventSilenceShare);
-        return sinceProgress > std::max(MinSilence, scaled(call.meanEventGap, SilentGapFactor));
-    }
-
 } // namespace
 
+/// @return whether a stream has been without an event long enough for its stages to be checked
+bool RelayReducer::isSilent(const Call& call, TimePoint now)
+{
+    if (call.main.answerHeldUntil || call.main.unprovenEnd)
+        return false;
+    const Duration sinceProgress = now - call.lastProgress;
+    if (!call.main.eventsDelivered)
+        return sinceProgress > scaled(call.route->objective, FirstEventSilenceShare);
+    return sinceProgress > std::max(MinSilence, scaled(call.meanEventGap, SilentGapFactor));
+}
+
 /// Abandons the dead stages of a silent stream, or checks its stalled stages if none is known to be dead.
 void RelayReducer::checkSilentStages(Call& call, Context& context)
 {
@@ -156,6 +156,7 @@
         m_crashEvidence.noteAlive(server->othersLoad.engine);
         m_fleet.recordAnsweredCheck(checked.engine, checked.slowness);
         recordClosed(checked, context);
+        settleUnprovenEnds(checked.engine, true, context);
         dispatchAll(context);
         return;
     }
@@ -170,6 +171,7 @@
         context.effects.emplace_back(effect::ReportEngineState { checked.engine, server->entry.startedAt });
     if (server && server->unansweredChecks == 1)
         checkEnginesAfterFailure(checked.refused, context);
+    settleUnprovenEnds(checked.engine, false, context);
     // Streams through an ended process hold memory at all other stages until their callers time out.
     if (checked.refused)
         abandonEndedServer(checked.engine, context);
--- a/src/relay/RelayReducerMoves.cpp
+++ b/src/relay/RelayReducerMoves.cpp
@@ -60,7 +60,7 @@
         return;
     std::set<BackendId> used;
     for (auto& [id, call] : m_calls) {
-        if (call.state != CallState::Running)
+        if (call.state != CallState::Running || call.main.unprovenEnd)
             continue;
         const std::vector<BackendId> stages = stagesToLeave(call, context.now);
         used.insert(stages.begin(), stages.end());
--- a/src/relay/RelayReducerServers.cpp
+++ b/src/relay/RelayReducerServers.cpp
@@ -169,6 +169,13 @@
 /// another attempt, or ends the call with the actual cause.
 void RelayReducer::handleLostStage(Call& call, const BackendId& lost, Context& context)
 {
+    if (call.main.unprovenEnd) {
+        const auto& unverified = call.main.unprovenEnd->unverified;
+        const bool isUnverified = std::find(unverified.begin(), unverified.end(), lost) != unverified.end();
+        if (isUnverified && !mayFinishCalls(lost))
+            settleEnd(call.id, EndVerdict::ServerDied, context);
+        return;
+    }
     if (call.second && call.second->usesServer(lost)) {
         cancelLostAttempt(call, *call.second, context);
         endSecondAttempt(call, context);
--- a/src/relay/RelayReducerTime.cpp
+++ b/src/relay/RelayReducerTime.cpp
@@ -28,6 +28,7 @@
     m_checkBudget.refill(m_fleet.servers().size(), m_placer.instances(), context.now);
     admitEarlyCalls(context);
     refuseOverdue(context);
+    settleOverdueEnds(context);
     refuseBeyondRestrictions(context);
     recheckDeadAndSlowEngines(context);
     checkClosedEngines(context);
@@ -103,7 +104,8 @@
 /// Looks for stalled stages of a running call, and moves the call off them or starts a second attempt.
 void RelayReducer::checkRunning(Call& call, Context& context)
 {
-    if (!isRepeatable(call.route->kind) || call.second || !call.main.pendingReroute.hops().empty())
+    if (!isRepeatable(call.route->kind) || call.main.unprovenEnd || call.second
+        || !call.main.pendingReroute.hops().empty())
         return;
     if (call.main.hasLostStage)
         return; // Handled by retryLostStages.
--- a/tests/AnswerEndingTest.cpp
+++ b/tests/AnswerEndingTest.cpp
@@ -185,3 +185,26 @@
         }
     }
 }
+
+TEST(AnswerEnding, AStreamWithoutLengthWhoseServerDiedBetweenTwoEventsIsNotDeliveredAsComplete)
+{
+    const std::string cut = streamOf(Framing::Connection, FirstEvent);
+    const struct {
+        const char* name;
+        CheckAnswer check;
+        bool isComplete;
+    } cases[] = {
+        { "alive", CheckAnswer::Alive, true },
+        { "refused", CheckAnswer::Refused, false },
+        { "silent", CheckAnswer::Silent, false },
+    };
+    for (const auto& each : cases) {
+        const CallOutcome result = runCall(requestTo("/once/1"), { cut }, std::nullopt, each.check);
+        const std::string text = each.name + (": " + result.answer);
+        CHECK_TRUE_TEXT(hasText(result.answer, FirstEvent), text.c_str());
+        CHECK_EQUAL_TEXT(each.isComplete, isComplete(result.answer), text.c_str());
+    }
+    const CallOutcome resumed = runCall(
+        requestTo("/draft/1"), { cut, streamOf(Framing::Chunks, SecondEvent) }, std::nullopt, CheckAnswer::Silent);
+    CHECK_TRUE_TEXT(isComplete(resumed.answer) && hasText(resumed.answer, SecondEvent), resumed.answer.c_str());
+}
--- /dev/null
+++ b/tests/UnprovenEndTest.cpp
@@ -0,0 +1,195 @@
+#include "tests/RelayHarness.h"
+#include "tests/Tests.h"
+
+#include <algorithm>
+
+using namespace crocusmount;
+using namespace crocusmount::relay;
+
+namespace {
+
+/// What a call has led to.
+enum class Outcome { Open, Complete, BrokenOff, Resumed };
+
+/// Runs one stream that ends without a proof, and the checks that follow.
+class UnprovenStream {
+public:
+    /// @param path  of the call
+    explicit UnprovenStream(const char* path)
+        : m_start(m_harness.running(path, 3))
+    {
+    }
+
+    RelayHarness& harness() { return m_harness; }
+    const BackendId& firstStage() const { return m_start.server; }
+    const BackendId& lastStage() const { return m_start.chain.hops().back().backend; }
+    Outcome outcome() const { return m_outcome; }
+    std::size_t checks() const { return m_checked.size(); }
+    bool hasChecked(const BackendId& id) const
+    {
+        return std::find(m_checked.begin(), m_checked.end(), id) != m_checked.end();
+    }
+
+    void end()
+    {
+        m_harness.send(relay::event::AttemptEnded { m_start.attempt, AttemptResult::Unproven, 200, "" });
+        note();
+    }
+    /// Answers a check.
+    void answer(const BackendId& engine, bool isAnswered, bool isRefused)
+    {
+        relay::event::EngineChecked checked;
+        checked.engine = engine;
+        checked.answered = isAnswered;
+        checked.refused = isRefused;
+        m_harness.send(checked);
+        note();
+    }
+    /// After a failure a call may wait for checks of other stages, and for what ended its server.
+    void waitForOutcome()
+    {
+        for (int waited = 0; waited < 2000 && m_outcome == Outcome::Open; waited += 20)
+            tick(20);
+    }
+    void tick(int milliseconds)
+    {
+        m_harness.tick(std::chrono::milliseconds(milliseconds));
+        note();
+    }
+
+private:
+    void note()
+    {
+        for (const RelayEffect& each : m_harness.effects()) {
+            if (const auto* check = std::get_if<relay::effect::CheckEngine>(&each))
+                m_checked.push_back(check->engine);
+            if (std::holds_alternative<relay::effect::CompleteAnswer>(each))
+                m_outcome = Outcome::Complete;
+            if (std::holds_alternative<relay::effect::BreakAnswer>(each))
+                m_outcome = Outcome::BrokenOff;
+            if (std::holds_alternative<relay::effect::StartAttempt>(each))
+                m_outcome = Outcome::Resumed;
+        }
+    }
+
+    RelayHarness m_harness;
+    relay::effect::StartAttempt m_start;
+    Outcome m_outcome = Outcome::Open;
+    std::vector<BackendId> m_checked;
+};
+
+} // namespace
+
+TEST_GROUP(UnprovenEnd) {};
+
+TEST(UnprovenEnd, AStreamWhoseServerDiedBetweenTwoEventsIsNotComplete)
+{
+    const struct {
+        const char* name;
+        const char* path;
+        bool isAnswered;
+        bool isRefused;
+        Outcome outcome;
+    } cases[] = {
+        { "alive", "/once/1", true, false, Outcome::Complete },
+        { "refused", "/once/1", false, true, Outcome::BrokenOff },
+        { "silent", "/once/1", false, false, Outcome::BrokenOff },
+        { "resumable, alive", "/draft/1", true, false, Outcome::Complete },
+        { "resumable, refused", "/draft/1", false, true, Outcome::Resumed },
+        { "resumable, silent", "/draft/1", false, false, Outcome::Resumed },
+    };
+    for (const auto& each : cases) {
+        UnprovenStream stream(each.path);
+        stream.end();
+        CHECK_TRUE_TEXT(stream.outcome() == Outcome::Open, each.name);
+        CHECK_TRUE_TEXT(stream.hasChecked(stream.firstStage()), each.name);
+        CHECK_EQUAL_TEXT(1U, stream.checks(), each.name);
+        stream.answer(stream.firstStage(), each.isAnswered, each.isRefused);
+        stream.waitForOutcome();
+        CHECK_TRUE_TEXT(stream.outcome() == each.outcome, each.name);
+        CHECK_EQUAL_TEXT(each.outcome == Outcome::Resumed ? 1U : 0U, stream.harness().reducer().openCalls(), each.name);
+    }
+}
+
+TEST(UnprovenEnd, AResumedStreamContinuesAfterTheLastEventOfTheDeadServer)
+{
+    UnprovenStream stream("/draft/1");
+    stream.end();
+    stream.answer(stream.firstStage(), false, true);
+    stream.waitForOutcome();
+    const auto resumed = stream.harness().last<relay::effect::StartAttempt>();
+    CHECK_TRUE(resumed.has_value());
+    CHECK_EQUAL(3U, resumed->resumeAfter.value_or(0));
+    CHECK_FALSE(resumed->server == stream.firstStage());
+}
+
+// A first stage cuts a stream off that has waited too long for a stage that died, and is alive itself.
+TEST(UnprovenEnd, AStreamThatEndsAfterAPauseIsCompleteOnlyIfAllStagesAreAlive)
+{
+    for (const bool isLastStageAlive : { true, false }) {
+        UnprovenStream stream("/once/1");
+        stream.tick(300);
+        stream.end();
+        CHECK_TRUE(stream.hasChecked(stream.firstStage()) && stream.hasChecked(stream.lastStage()));
+        stream.answer(stream.firstStage(), true, false);
+        CHECK_TRUE(stream.outcome() == Outcome::Open);
+        stream.answer(stream.lastStage(), isLastStageAlive, !isLastStageAlive);
+        CHECK_TRUE(stream.outcome() == (isLastStageAlive ? Outcome::Complete : Outcome::BrokenOff));
+    }
+}
+
+TEST(UnprovenEnd, ACheckThatWasSentBeforeTheEndProvesNothing)
+{
+    UnprovenStream stream("/once/1");
+    relay::event::EnginesReportedDead reported;
+    reported.engines.push_back(engineKey(stream.firstStage(), {}));
+    stream.harness().send(reported);
+    CHECK_TRUE(stream.harness().last<relay::effect::CheckEngine>().has_value());
+    stream.harness().tick(std::chrono::milliseconds(5));
+    stream.end();
+    stream.answer(stream.firstStage(), true, false);
+    CHECK_TRUE(stream.outcome() == Outcome::Open);
+    stream.tick(200);
+    CHECK_TRUE(stream.hasChecked(stream.firstStage()));
+    stream.answer(stream.firstStage(), true, false);
+    CHECK_TRUE(stream.outcome() == Outcome::Complete);
+}
+
+// A leaving server stops listening before its answers have ended.
+TEST(UnprovenEnd, AnAnswerOfALeavingServerThatRefusesConnectionsIsNotLost)
+{
+    UnprovenStream stream("/once/1");
+    RegisteredServer leaving = RelayHarness::engine(stream.firstStage().value(), 0, 4);
+    leaving.leaving = true;
+    stream.harness().send(relay::event::ServerRegistered { leaving });
+    stream.end();
+    stream.answer(stream.firstStage(), false, true);
+    CHECK_TRUE(stream.outcome() == Outcome::Complete);
+}
+
+TEST(UnprovenEnd, TheEndOfAnAnswerDoesNotWaitForeverForACheck)
+{
+    UnprovenStream unanswered("/once/1");
+    unanswered.end();
+    for (int waited = 0; waited < 600; waited += 20)
+        unanswered.tick(20);
+    CHECK_TRUE(unanswered.outcome() == Outcome::BrokenOff);
+
+    // Without checks nothing shows that the server died.
+    RelayOptions options;
+    options.without = *DisabledMechanisms::make("engine-checks");
+    RelayHarness unchecked(options);
+    const relay::effect::StartAttempt start = unchecked.running("/once/1", 3);
+    unchecked.send(relay::event::AttemptEnded { start.attempt, AttemptResult::Unproven, 200, "" });
+    CHECK_TRUE(unchecked.last<relay::effect::CompleteAnswer>().has_value());
+}
+
+TEST(UnprovenEnd, ACallerThatLeavesWhileTheEndIsCheckedEndsTheCall)
+{
+    UnprovenStream stream("/draft/1");
+    stream.end();
+    stream.harness().send(relay::event::CallerLeft { RequestId(1) });
+    CHECK_EQUAL(0U, stream.harness().reducer().openCalls());
+    stream.answer(stream.firstStage(), false, true);
+    CHECK_TRUE(stream.outcome() == Outcome::Open);
+}
