--- a/tests/KvStoreClientTest.cpp
+++ b/tests/KvStoreClientTest.cpp
@@ -111,6 +111,20 @@
     CHECK_TRUE(empty.range->entries.empty());
 }
 
+TEST(KvStoreClient, PageThatDoesNotAdvanceDoesNotCompleteList)
+{
+    const std::string emptyPage = R"({"current_rev":9,"entries":[],"more_pages":true})";
+    for (const auto& answers :
+        { std::vector { emptyPage }, std::vector { FirstPage, emptyPage }, std::vector { FirstPage, FirstPage } }) {
+        std::vector<std::string> script;
+        for (const std::string& body : answers)
+            script.push_back(answerWithoutLength(body));
+        const CallResults results = runCall(script, readRange);
+        CHECK_TRUE(absl::IsUnavailable(results.range.status()));
+        CHECK_EQUAL(answers.size(), results.requests);
+    }
+}
+
 TEST(KvStoreClient, WriteIsNotCommittedByCutAnswer)
 {
     const std::string body = R"({"revision":9})";
