Count a cut report as no answer to a check

What is guarded: checks of engines. A report without a length that was cut off, as when the engine's process ends while it writes, was read as the report of a live engine at its usual speed with nothing queued. It also cleared the first stage of a stalled stream: no stage was named, although the first stage itself had just failed.

A report with status 200 that is no JSON object now counts as silence, as a report that ends before its length already did. An answer with another status still shows a live engine: its body is no report.

Before, with the report cut at each byte: CutReportDoesNotCountAsAnsweredCheck failed at the first cut (Alive), and CutReportDoesNotClearFirstStageOfStall got an empty address.

--- a/src/edge/EngineReport.h
+++ b/src/edge/EngineReport.h
@@ -12,7 +12,7 @@
 /// How a backend server answered a check.
 enum class CheckAnswer {
     Alive, ///< an answer arrived, whatever its status
-    Silent, ///< no answer in time: the server is dead, unreachable or overloaded
+    Silent, ///< no whole answer in time: the server is dead, unreachable or overloaded
     Refused, ///< the connection was refused: no process listens at the address
 };
 
--- a/src/edge/StalledStage.h
+++ b/src/edge/StalledStage.h
@@ -8,7 +8,7 @@
 
 /// A first stage's answer to the question which stage of a stream has stalled.
 struct StalledStage {
-    std::string address; ///< the first stage's own if it does not answer; empty if it names none
+    std::string address; ///< the first stage's own if its answer is missing or cut off; empty if it names none
     relay::ServerNotice notice; ///< what the answer states about the first stage
 };
 
--- a/tests/EngineControlTest.cpp
+++ b/tests/EngineControlTest.cpp
@@ -1,6 +1,7 @@
 #include "platform/PlatformEngineControl.h"
 #include "shell/Endpoint.h"
 #include "tests/Tests.h"
+#include "tests/fakes/ScriptedHttpServer.h"
 
 using namespace crocusmount;
 
@@ -30,6 +31,20 @@
     identity = co_await control.identify(std::move(address), std::move(path));
 }
 
+Awaitable<void> check(EngineControl& control, std::string address, EngineReport& report)
+{
+    report = co_await control.check(std::move(address));
+}
+
+Awaitable<void> askStalledStage(EngineControl& control, std::string address, StalledStage& stage)
+{
+    std::string call = "call";
+    stage = co_await control.stalledStage(std::move(address), std::move(call));
+}
+
+/// @return a successful answer that ends with its connection
+std::string answerWithoutLength(const std::string& body) { return "HTTP/1.1 200 OK\r\n\r\n" + body; }
+
 } // namespace
 
 TEST_GROUP(EngineControl) {};
@@ -77,3 +92,45 @@
     context.run_for(std::chrono::seconds(2));
     CHECK_TRUE(identity.answer == CheckAnswer::Refused);
 }
+
+// The connections of a process that crashes are closed in order. What it had sent of a report is no report: read as
+// one, it would state an engine that works at its usual speed and has nothing queued.
+TEST(EngineControl, CutReportDoesNotCountAsAnsweredCheck)
+{
+    const std::string report = R"({"pace":3.5,"queued":4,"kv_used":50,"kv_total":100,"layers":{"from":2,"target":7}})";
+    for (std::size_t size = 0; size <= report.size(); ++size) {
+        const std::string body = report.substr(0, size);
+        net::io_context context(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE);
+        platform::PlatformEngineControl control(context);
+        ScriptedHttpServer server(context, { answerWithoutLength(body) });
+        EngineReport received { CheckAnswer::Refused };
+        net::co_spawn(context.get_executor(), check(control, server.address(), received),
+            [&](const std::exception_ptr&) { context.stop(); });
+        context.run_for(std::chrono::seconds(2));
+        const bool isWhole = size == report.size();
+        CHECK_TRUE_TEXT(received.answer == (isWhole ? CheckAnswer::Alive : CheckAnswer::Silent), body.c_str());
+        if (!isWhole)
+            continue;
+        DOUBLES_EQUAL(3.5, received.slowness, 1e-9);
+        CHECK_EQUAL(4U, received.queued);
+        CHECK_TRUE((received.layers == LayerRange { 2, 7 }));
+    }
+}
+
+// Without a readable report, the first stage itself is the one that may have stalled.
+TEST(EngineControl, CutReportDoesNotClearFirstStageOfStall)
+{
+    const std::string report = R"({"stalled":[{"id":"call","address":"1.2.3.4:5"}]})";
+    for (std::size_t size = 0; size <= report.size(); ++size) {
+        const std::string body = report.substr(0, size);
+        net::io_context context(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE);
+        platform::PlatformEngineControl control(context);
+        ScriptedHttpServer server(context, { answerWithoutLength(body) });
+        StalledStage stage;
+        net::co_spawn(context.get_executor(), askStalledStage(control, server.address(), stage),
+            [&](const std::exception_ptr&) { context.stop(); });
+        context.run_for(std::chrono::seconds(2));
+        const std::string expected = size == report.size() ? "1.2.3.4:5" : server.address();
+        STRCMP_EQUAL_TEXT(expected.c_str(), stage.address.c_str(), body.c_str());
+    }
+}
