Send HTTP/1.0 callers streams without chunks, and reset what is broken off

What callers saw: an HTTP/1.0 caller got the bytes of the chunked transfer coding, which it does not know, in the body of a stream, and a stream that was broken off ended with an orderly close, which is how a complete one ends for it.

Streams to such callers now end with the connection. From the head to the complete end, closing the socket resets the connection, whatever closes it: a broken stream, a write that times out, or the system when this process ends.

--- a/src/edge/FrontServer.cpp
+++ b/src/edge/FrontServer.cpp
@@ -123,7 +123,8 @@
         bool isOpen = true;
         while (isOpen)
             isOpen = co_await serveOne();
-        m_stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+        if (!m_resetsOnClose)
+            m_stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
         m_stream.close();
     }
 
@@ -207,6 +208,8 @@
     Awaitable<bool> answerCall(std::shared_ptr<CallerRequest> request, bool keepAlive)
     {
         const std::string callId((*request)[m_shared->node.headerNames().callId]);
+        constexpr unsigned Http11 = 11;
+        m_acceptsChunks = request->version() >= Http11;
         m_closesAfterAnswer = m_shared->isCloseAnnounced || !keepAlive;
         auto spec = m_shared->reader.read(request->base(), request->target());
         if (!spec.ok()) {
@@ -258,21 +261,44 @@
             if (batch.head && !isHeadWritten) {
                 isHeadWritten = true;
                 appendHead(out, *batch.head);
-                appendConnectionHeader(out);
-                out.append("Transfer-Encoding: chunked\r\n\r\n");
+                beginStreamBody(out);
             }
-            appendChunk(out, batch.bytes);
-            if (batch.hasEnded)
+            if (m_acceptsChunks)
+                appendChunk(out, batch.bytes);
+            else
+                out.append(batch.bytes);
+            if (batch.hasEnded && m_acceptsChunks)
                 out.append("0\r\n\r\n");
             if (!out.empty() && !co_await write(out))
                 co_return false;
             if (batch.isBroken || batch.refusal || batch.wholeAnswer)
                 co_return false;
-            if (batch.hasEnded)
+            if (batch.hasEnded) {
+                setResetOnClose(false);
                 co_return true;
+            }
         }
     }
 
+    /// Appends the end of a stream's head. The connection of a caller that knows no chunks is reset unless the stream
+    /// is complete: closed in order, also by the system if this process ends, it would mark the end of the stream.
+    void beginStreamBody(std::string& out)
+    {
+        m_closesAfterAnswer = m_closesAfterAnswer || !m_acceptsChunks;
+        setResetOnClose(!m_acceptsChunks);
+        appendConnectionHeader(out);
+        out.append(m_acceptsChunks ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n");
+    }
+
+    /// Sets whether the connection is reset, instead of closed in order, when its socket is closed.
+    void setResetOnClose(bool resets)
+    {
+        if (resets == std::exchange(m_resetsOnClose, resets))
+            return;
+        boost::system::error_code ignored;
+        m_stream.socket().set_option(net::socket_base::linger(resets, 0), ignored);
+    }
+
     void appendConnectionHeader(std::string& out) const
     {
         if (m_closesAfterAnswer)
@@ -327,6 +353,8 @@
     beast::flat_buffer m_buffer;
     net::cancellation_signal m_closeWatchCancellation; ///< ends the wait for the caller's close
     bool m_closesAfterAnswer = false; ///< the current answer is the last on this connection, and says so
+    bool m_acceptsChunks = true; ///< the current caller knows the chunked transfer coding, which HTTP/1.0 lacks
+    bool m_resetsOnClose = false; ///< closing the socket resets the connection
 };
 
 FrontServer::FrontServer(std::shared_ptr<Shared> shared)
