Tell callers of HttpClient what proves the end of an answer

What is guarded: readers of answers that end with their connection, which the system also closes in order when the server's process crashes. Nothing told such an answer from one whose length or last chunk had arrived.

HttpAnswer::end now says Framed, ConnectionClosed or Missing, from the parser, for call() and stream(). An answer to a HEAD request is read without a body; before, the client waited for the body that its length announces.

Before: the field did not exist, so the test did not compile; the rows with a HEAD request guard the second part.

--- a/src/shell/HttpClient.cpp
+++ b/src/shell/HttpClient.cpp
@@ -54,6 +54,14 @@
             answer.headers[absl::AsciiStrToLower(std::string(field.name_string()))] = std::string(field.value());
     }
 
+    template <typename Parser>
+    BodyEnd endOf(const Parser& parser)
+    {
+        if (!parser.is_done())
+            return BodyEnd::Missing;
+        return parser.need_eof() ? BodyEnd::ConnectionClosed : BodyEnd::Framed;
+    }
+
 } // namespace
 
 HttpClient::HttpClient(net::io_context& context)
@@ -124,6 +132,7 @@
     beast::flat_buffer buffer;
     http::response_parser<http::string_body> parser;
     parser.body_limit(MaxAnswerBytes);
+    parser.skip(call.verb == http::verb::head);
     if (!error)
         std::tie(error, count) = co_await http::async_read(stream, buffer, parser, asTuple);
     if (error) {
@@ -132,6 +141,7 @@
         co_return answer;
     }
     answer.phase = CallPhase::Answered;
+    answer.end = endOf(parser);
     readStatusAndHeaders(parser.get(), answer);
     answer.body = std::move(parser.get().body());
     if (parser.get().keep_alive())
@@ -164,6 +174,7 @@
     beast::flat_buffer buffer;
     http::response_parser<http::buffer_body> parser;
     parser.body_limit(boost::none);
+    parser.skip(call.verb == http::verb::head);
     restartTimer();
     if (!error)
         std::tie(error, count) = co_await http::async_read_header(stream, buffer, parser, asTuple);
@@ -193,6 +204,7 @@
         co_return answer;
     }
     answer.phase = CallPhase::Answered;
+    answer.end = endOf(parser);
     if (parser.is_done() && parser.get().keep_alive())
         keepIdle(call.address, connected.stream);
     co_return answer;
--- a/src/shell/HttpClient.h
+++ b/src/shell/HttpClient.h
@@ -34,6 +34,15 @@
     bool freshConnection = false; ///< use no idle connection, because the server may have closed it
 };
 
+/// What shows that the body of an answer has ended.
+enum class BodyEnd {
+    Missing, ///< nothing: no whole answer was received
+    Framed, ///< its length, its last chunk, or that such an answer has no body: the server sent all of it
+    /// The orderly end of the connection. The system closes the connections of a process that crashes in order, too, so
+    /// the body may have been cut off.
+    ConnectionClosed,
+};
+
 /// The answer to an HttpCall, or the error.
 struct HttpAnswer {
     CallPhase phase = CallPhase::NotConnected;
@@ -41,6 +50,7 @@
     std::string body;
     std::string contentType;
     std::string error; ///< error message; empty if the phase is Answered
+    BodyEnd end = BodyEnd::Missing; ///< not Missing only if the phase is Answered
     bool refused = false; ///< the host refused the connection, because no process listens at the address
     bool silent = false; ///< after sending, a call() had no answer within the timeout of the call or of TCP
     std::map<std::string, std::string> headers; ///< by name in lower case
