Read no configuration from a cut answer of etcd

What is guarded: the configuration. A list that was cut off at the end of its connection was parsed as an empty object: an empty configuration at revision 0.

A list without the revision in its header, or with an unreadable entry, is now Unavailable.

Before, with the answer cut at each byte: CutListIsNotReadAsEmptyList got an OK list at the first cut.

--- a/src/shell/EtcdStoreClient.cpp
+++ b/src/shell/EtcdStoreClient.cpp
@@ -118,11 +118,17 @@
         co_return absl::UnavailableError(absl::StrCat("range: ", answer.status, " ", answer.error));
     }
     const json::object reply = parseObject(answer.body);
+    // The body of an answer without a length ends with its connection, also if the service's process ends.
     StoreRange range { headerRevision(reply), {} };
-    if (const json::value* entries = reply.if_contains("kvs"); entries && entries->is_array()) {
-        for (const json::value& entry : entries->as_array())
-            range.entries.push_back(parseEntry(entry.as_object()));
+    bool isWhole = range.revision > 0;
+    for (const json::value& each : listOf(reply, "kvs")) {
+        const json::object* entry = each.if_object();
+        isWhole = isWhole && entry;
+        if (entry)
+            range.entries.push_back(parseEntry(*entry));
     }
+    if (!isWhole)
+        co_return absl::UnavailableError("range: the answer is cut off or cannot be read");
     co_return range;
 }
 
