Let crocusmountd end no stream in order that is not complete

What callers saw: an HTTP/1.0 caller of crocusmountd got a stream in chunks, which it does not know, and an orderly end of the connection also where the stream was not ended. To a newer caller, the connection of such a stream stayed open, and the head of the next answer would have continued the stream. An empty part would have been the last chunk; no caller of writeChunk() sends one today.

Streams to HTTP/1.0 callers now end with the connection, which is reset unless the stream was ended. A connection is kept only after a whole response.

Before: StreamToHttp10CallerHasNoChunks got the chunk sizes in the body, UnendedStreamToHttp10CallerEndsWithReset and UnendedStreamEndsItsConnection saw no end within a second. The empty part was added to the test with the change.

--- a/src/shell/HttpServer.cpp
+++ b/src/shell/HttpServer.cpp
@@ -84,6 +84,7 @@
     , m_writeTimeout(writeTimeout)
     , m_watch(std::make_shared<Watch>())
     , m_keepAlive(m_request.keep_alive())
+    , m_acceptsChunks(m_request.version() >= 11)
 {
 }
 
@@ -143,10 +144,10 @@
     response.keep_alive(m_keepAlive);
     response.body() = std::move(reply.body);
     response.prepare_payload();
-    m_answered = true;
     m_stream.expires_after(m_writeTimeout);
     const auto [error, count] = co_await http::async_write(m_stream, response, asTuple);
-    co_return !error;
+    m_isComplete = !error;
+    co_return m_isComplete;
 }
 
 Awaitable<bool> HttpExchange::beginStream(std::string contentType)
@@ -154,9 +155,10 @@
     http::response<http::empty_body> response(http::status::ok, m_request.version());
     setCommonHeaders(response, contentType);
     response.set(http::field::cache_control, "no-store");
+    m_keepAlive = m_keepAlive && m_acceptsChunks;
     response.keep_alive(m_keepAlive);
-    response.chunked(true);
-    m_answered = true;
+    response.chunked(m_acceptsChunks);
+    setResetOnClose(!m_acceptsChunks);
     http::response_serializer<http::empty_body> serializer(response);
     m_stream.expires_after(m_writeTimeout);
     const auto [error, count] = co_await http::async_write_header(m_stream, serializer, asTuple);
@@ -165,16 +167,35 @@
 
 Awaitable<bool> HttpExchange::writeChunk(std::string text)
 {
+    if (text.empty())
+        co_return true; // An empty chunk would end the stream as complete.
     m_stream.expires_after(m_writeTimeout);
+    if (!m_acceptsChunks) {
+        const auto [error, count] = co_await net::async_write(m_stream, net::buffer(text), asTuple);
+        co_return !error;
+    }
     const auto [error, count] = co_await net::async_write(m_stream, http::make_chunk(net::buffer(text)), asTuple);
     co_return !error;
 }
 
 Awaitable<bool> HttpExchange::endStream()
 {
-    m_stream.expires_after(m_writeTimeout);
-    const auto [error, count] = co_await net::async_write(m_stream, http::make_chunk_last(), asTuple);
-    co_return !error;
+    m_isComplete = true;
+    if (m_acceptsChunks) {
+        m_stream.expires_after(m_writeTimeout);
+        const auto [error, count] = co_await net::async_write(m_stream, http::make_chunk_last(), asTuple);
+        m_isComplete = !error;
+    }
+    setResetOnClose(false);
+    co_return m_isComplete;
+}
+
+void HttpExchange::setResetOnClose(bool resets)
+{
+    if (resets == std::exchange(m_resetsOnClose, resets))
+        return;
+    boost::system::error_code ignored;
+    m_stream.socket().set_option(net::socket_base::linger(resets, 0), ignored);
 }
 
 // ---- HttpServer ----------------------------------------------------------------------------------------------------
@@ -249,6 +270,7 @@
     const HttpLimits& limits = state->limits;
     beast::flat_buffer buffer;
     bool keepAlive = true;
+    bool resetsOnClose = false;
     while (keepAlive) {
         if (!buffer.size()) {
             stream->expires_after(limits.idleTimeout);
@@ -286,10 +308,12 @@
         exchange.startWatching();
         co_await state->handler.handle(exchange);
         exchange.stopWatching();
-        keepAlive = exchange.keepAlive() && exchange.answered() && stream->socket().is_open();
+        keepAlive = exchange.keepAlive() && exchange.isComplete() && stream->socket().is_open();
+        resetsOnClose = exchange.resetsOnClose();
     }
     boost::system::error_code ignored;
-    stream->socket().shutdown(Tcp::socket::shutdown_send, ignored);
+    if (!resetsOnClose)
+        stream->socket().shutdown(Tcp::socket::shutdown_send, ignored);
     stream->close();
 }
 
--- a/src/shell/HttpServer.h
+++ b/src/shell/HttpServer.h
@@ -50,19 +50,23 @@
 
     /// Sends a whole response.
     Awaitable<bool> respond(HttpReply);
-    /// Sends status 200 and the headers of a chunked response.
+    /// Sends status 200 and the headers of a stream. It is chunked, except for a caller with HTTP/1.0, for whom it ends
+    /// with the connection. If such a stream is not ended, the connection is reset.
     Awaitable<bool> beginStream(std::string contentType);
-    /// Sends the next part of a chunked response.
+    /// Sends the next part of a stream.
     Awaitable<bool> writeChunk(std::string);
-    /// Sends the last, empty chunk.
+    /// Ends a stream as complete.
     Awaitable<bool> endStream();
 
     /// Sets the function that is called, at most once, if the peer closes its side before the response is complete.
     void setOnPeerClosed(std::function<void()>);
     /// @return whether the connection stays open after the response
     bool keepAlive() const { return m_keepAlive; }
-    /// @return whether respond() or beginStream() was called
-    bool answered() const { return m_answered; }
+    /// @return whether a whole response was sent
+    bool isComplete() const { return m_isComplete; }
+    /// @return whether closing the socket resets the connection, because its orderly end would look like the end of the
+    ///         response
+    bool resetsOnClose() const { return m_resetsOnClose; }
     /// Ends the detection of a close by the peer.
     void stopWatching();
     /// Starts to detect a close by the peer. The detection ends when the peer sends more data, such as its next
@@ -76,13 +80,18 @@
         bool isActive = true;
     };
 
+    /// Sets whether closing the socket resets the connection. The system resets it, too, if this process ends.
+    void setResetOnClose(bool resets);
+
     TcpStream& m_stream;
     Request m_request;
     std::chrono::milliseconds m_writeTimeout;
     std::shared_ptr<Watch> m_watch;
     net::cancellation_signal m_cancelWatch;
     bool m_keepAlive;
-    bool m_answered = false;
+    bool m_isComplete = false;
+    bool m_acceptsChunks; ///< the caller knows the chunked transfer coding, which HTTP/1.0 lacks
+    bool m_resetsOnClose = false;
 };
 
 /// Answers the requests of an HttpServer. The server calls handle() once for each request.
