Let the soak's servers answer without length and end inside events

Callers of the relay got a stream as complete whose engine had ended in its middle. No test played what leads to it: each answer of the soak's servers had a length or chunks, and each crash fell between two events.

Half of the starts of its servers now answer with neither; the answer ends with its connection. The new fault `cut` ends an engine while it writes streams, between two events or after a share of one, by closing its connections in order or by a reset, the listeners before the connections. A transport that asyncio aborts is closed in order, and the loopback proxies turned resets into orderly closes, so faults called resets were none: they now set SO_LINGER, and a proxy passes a reset on. A server that ended also went on to answer on idle connections; they now end with it.

The check that complete answers are whole existed. It now says how many events of how many came, and it also covers requests that end each server that begins them. The soak's own reader takes an answer without length and chunks to last until its connection ends, and a reset to cut it off; it took it for complete and empty. New check: no call that is sent later than 4 s after the last fault ends without an answer or with 502 or 504, so that whole answers without length must still be delivered.

--- a/tests/soak/httpio.py
+++ b/tests/soak/httpio.py
@@ -1,6 +1,8 @@
 """HTTP/1.1 messages over asyncio streams, limited to the features that the soak uses."""
 
 import asyncio
+import socket
+import struct
 from dataclasses import dataclass, field
 
 
@@ -35,7 +37,10 @@
 
 
 async def read_body(reader, message):
-    """Reads the body into the message and returns it; `complete` is False if the body was cut off or malformed."""
+    """Reads the body into the message and returns it; `complete` is False if the body was cut off or malformed.
+
+    An answer with neither a length nor chunks lasts until its connection ends; a reset cuts it off.
+    """
     parts = []
     try:
         if message.headers.get("transfer-encoding", "").lower() == "chunked":
@@ -45,17 +50,20 @@
                 await reader.readexactly(2)
                 if not size:
                     break
-        else:
+        elif "content-length" in message.headers or not message.start.startswith("HTTP/"):
             parts.append(await reader.readexactly(int(message.headers.get("content-length", "0"))))
+        else:
+            while part := await reader.read(65536):
+                parts.append(part)
     except (asyncio.IncompleteReadError, ConnectionError, ValueError, asyncio.LimitOverrunError):
         message.complete = False
     message.body = b"".join(parts)
     return message
 
 
-def response(status, body=b"", headers=None, reason="-"):
-    """Returns the bytes of a response with its body."""
-    lines = [f"HTTP/1.1 {status} {reason}", f"Content-Length: {len(body)}"]
+def response(status, body=b"", headers=None, reason="-", unframed=False):
+    """Returns the bytes of a response with its body; if unframed, the end of the connection ends the body."""
+    lines = [f"HTTP/1.1 {status} {reason}", "Connection: close" if unframed else f"Content-Length: {len(body)}"]
     lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
     return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
 
@@ -68,12 +76,22 @@
         pass
 
 
-async def serve(address, handler):
+def reset(writer):
+    """Resets the connection. Without the option an aborted connection is closed in order."""
+    try:
+        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    except OSError:
+        pass  # It is closed already.
+    writer.transport.abort()
+
+
+async def serve(address, handler, writers):
     """Serves the requests of each connection in order. The handler writes the response and returns whether to keep the
-    connection open.
+    connection open. `writers` holds the open connections.
     """
 
     async def connection(reader, writer):
+        writers.add(writer)
         try:
             while True:
                 message = await read_head(reader)
@@ -85,6 +103,7 @@
         except (ConnectionError, asyncio.CancelledError):
             pass
         finally:
+            writers.discard(writer)
             close(writer)
 
     host, port = address.rsplit(":", 1)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -38,6 +38,7 @@
 # reach that server.
 ANNOUNCED_S = 2
 KEY = "soak-key"
+EVENT_END = b"\n\n"
 
 
 def store_link(net):
@@ -93,7 +94,7 @@
         self.seed, self.seconds, self.folder, self.mutate = seed, seconds, folder, mutate
         self.random = random.Random(f"callers {seed}")
         self.store, self.broken, self.answers = Store(), [], {}
-        self.net, self.fleet = net, Fleet(self.store)
+        self.net, self.fleet = net, Fleet(self.store, seed)
         self.store_link = Link(store_link(net), f"{net}.90.1:7000")
         self.instances = [Instance(each, program, folder, net) for each in range(instances)]
         self.store_faults, self.instance_of, self.sent_at = [], {}, {}
@@ -102,7 +103,7 @@
         # store_calm, backend_calm: monotonic time of the latest fault on the store or a server. Some kinds of faults set
         # it into the future while they last.
         self.version, self.routes, self.store_calm, self.backend_calm = 1, {"look", "book", "draft", "once"}, 0, 0
-        self.changed_at, self.attempts, self.stopping = {}, 0, False
+        self.changed_at, self.attempts, self.stopping, self.faults_over = {}, 0, False, float("inf")
 
     # ---- The platform ---------------------------------------------------------------------------------------------
 
@@ -202,6 +203,8 @@
         return bool(answer) and answer.complete and answer.headers.get("connection", "") != "close"
 
     def judge(self, attempt, route, events, instance, sent, answer):
+        if answer and self.mutate == "cut":
+            answer.complete = True
         status = answer.status if answer and answer.complete else None
         self.answers[attempt] = (route, status)
         if answer and answer.complete and answer.status == 200:
@@ -211,8 +214,13 @@
             if self.mutate == "body":
                 expected += b"?"
             if answer.body != expected or "x-server-seal" not in answer.headers:
-                self.report("whole", f"{attempt} on {route}: wrong body of {len(answer.body)} bytes")
+                rest = " and a part of one" if answer.body.rpartition(EVENT_END)[2] else ""
+                found = f"{answer.body.count(EVENT_END)} of {events} events{rest}"
+                found = found if route in ("draft", "once") else "another body"
+                self.report("whole", f"{attempt} on {route}: complete with {found}, {len(answer.body)} bytes")
         calm = min(time.monotonic() - self.store_calm, time.monotonic() - self.backend_calm)
+        if sent > self.faults_over + 4 and status in (None, 502, 504):
+            self.report("delivered", f"{attempt} on {route}: ended with {status}, 4 s after the last fault")
         if status is None and calm > 4 and self.planned_stop_only(instance, sent):
             self.report("drain", f"{attempt} on {route}: cut by a graceful shutdown of {instance.ip}")
         self.judge_configuration(attempt, route, sent, instance, status)
@@ -249,7 +257,8 @@
         end = time.monotonic() + self.seconds
         running = []
         kinds = [self.kill, self.term, self.term, self.pause, self.crash, self.drain, self.drain, self.drain,
-                 self.drain, self.crashing, self.store_fault, self.link_fault, self.change, self.reborn, self.foreign_entry]
+                 self.drain, self.crashing, self.cut, self.cut, self.cut, self.cut, self.store_fault, self.link_fault,
+                 self.change, self.reborn, self.foreign_entry]
         while time.monotonic() < end:
             running.append(asyncio.create_task(draws.choice(kinds)(random.Random(draws.random()))))
             await asyncio.sleep(draws.random() * 1.5)
@@ -431,6 +440,22 @@
             await server.start()
             self.backend_calm = time.monotonic()
 
+    async def cut(self, draws):
+        """Ends an engine while it writes streams, inside an event or between two, in order or by a reset."""
+        in_order, written = draws.random() < 0.7, draws.choice([0, 0, draws.random(), 0.99])
+        silent_for, down, until = draws.choice([0.5, 3.6]), draws.random() * 3, time.monotonic() + 2
+        while not (writing := [each for each in self.fleet.servers.values() if each.alive and each.streams]):
+            if time.monotonic() > until:
+                return
+            await asyncio.sleep(0.01)
+        server = draws.choice(writing)
+        self.backend_calm = time.monotonic()
+        await server.crash(silent_for, in_order, written)
+        await asyncio.sleep(down)
+        if not server.alive:
+            await server.start()
+        self.backend_calm = time.monotonic()
+
     async def reborn(self, draws):
         """Restarts a server under its id: while it is listed, after its entry expired, or while its link is silent."""
         server = draws.choice(list(self.fleet.servers.values()))
@@ -516,7 +541,10 @@
             writer.write((f"POST /{path}/x HTTP/1.1\r\nHost: soak.example\r\nX-Attempt-Id: {attempt}\r\n"
                           f"Authorization: Bearer {KEY}\r\nX-Deadline-Ms: 6000\r\nX-Key: k\r\nX-Events: 9\r\n"
                           f"X-Token-Usage: 100,9\r\nContent-Length: {len(body)}\r\n\r\n").encode() + body)
-            await asyncio.wait_for(read_head(reader), 9)
+            head = await asyncio.wait_for(read_head(reader), 9)
+            answer = await asyncio.wait_for(read_body(reader, head), 9) if head else None
+            if answer and answer.complete and answer.status == 200:
+                self.report("whole", f"{attempt} on {path}: complete, but each server that began it ended")
             close(writer)
         except (OSError, asyncio.TimeoutError):
             pass
@@ -544,6 +572,7 @@
             instance.started_calm = time.monotonic()
         callers = [asyncio.create_task(self.caller()) for _ in range(24)]
         await asyncio.gather(self.faults(), self.limits(), self.notices())
+        self.faults_over = time.monotonic()
         await asyncio.sleep(6)
         before = self.served()
         await asyncio.sleep(2)
@@ -565,7 +594,7 @@
     def close(self):
         listeners = [self.listener, self.store_link.server]
         for server in self.fleet.servers.values():
-            listeners += [server.listener, server.link.server]
+            listeners += [server.listener] + ([server.link.server] if server.link.server else [])
         for listener in listeners:
             listener.close()
         for instance in self.instances:
@@ -616,7 +645,7 @@
     parser.add_argument("--program", default="build/crocusmount-entry")
     parser.add_argument("--block", type=int, default=1, help="second number of the loopback addresses, 1 to 254")
     parser.add_argument("--untimed", action="store_true", help="leave out promises with a bound in time")
-    parser.add_argument("--mutate", default="", help="breaks one promise on purpose: announced, backoff, body, config, crashes, leaving, limits, runs")
+    parser.add_argument("--mutate", default="", help="breaks one promise on purpose: announced, backoff, body, config, crashes, cut, leaving, limits, runs")
     arguments = parser.parse_args()
     if "-" in arguments.seeds:
         first, last = arguments.seeds.split("-")
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -3,15 +3,17 @@
 import asyncio
 import base64
 import json
+import random
 import time
 from urllib.parse import parse_qs, urlsplit
 
-from httpio import close, response, serve
+from httpio import close, reset, response, serve
 
 LAYERS, LAYER_MB, CARD_MB = 8, 100, 520
 KV_TOKEN_BYTES = 8000  # bytes of the cache of one token, over all layers
 LONGEST_TOKENS = 160  # prompt and answer of the longest request, in tokens
 HEALTH_PATH = "/health"
+UNFRAMED_SHARE = 0.5  # of the starts of servers: answers have neither a length nor chunks and end with their connection
 CRASHES = b"crash"  # a server crashes when it begins to run a request whose body has this prefix
 
 
@@ -24,7 +26,7 @@
 class Link:
     """A loopback proxy in front of one server.
 
-    Modes: ok, delay (0.1 s for each read), reset (connections are aborted), silent (data is held in both directions),
+    Modes: ok, delay (0.1 s for each read), reset (connections are reset), silent (data is held in both directions),
     mute (only answers are held).
     """
 
@@ -39,17 +41,23 @@
         self.mode = mode
         if mode == "reset":
             for writer in list(self.writers):
-                writer.transport.abort()
+                reset(writer)
+
+    def refuse(self):
+        """Refuses connections until the next start(), unless the link is silent."""
+        if self.server and self.mode not in ("silent", "mute"):
+            self.server.close()
+            self.server = None
 
     async def _connection(self, reader, writer):
         if self.mode == "reset":
-            writer.transport.abort()
+            reset(writer)
             return
         try:
             host, port = self.target.rsplit(":", 1)
             back_reader, back_writer = await asyncio.open_connection(host, int(port))
         except OSError:
-            writer.transport.abort()
+            reset(writer)
             return
         self.writers |= {writer, back_writer}
         tasks = [asyncio.create_task(self._copy(reader, back_writer, False)),
@@ -66,7 +74,9 @@
                     await asyncio.sleep(0.02)
                 writer.write(data)
                 await writer.drain()
-        except (ConnectionError, asyncio.CancelledError):
+        except ConnectionError:
+            reset(writer)
+        except asyncio.CancelledError:
             pass
         close(writer)
 
@@ -83,7 +93,7 @@
 
     async def start(self, address):
         self.expiry = asyncio.create_task(self._expire())
-        return await serve(address, self._handle)
+        return await serve(address, self._handle, set())
 
     def put(self, key, value, lease=0):
         self.revision += 1
@@ -188,8 +198,8 @@
 class Fleet:
     """All backend servers, the number of runs of each attempt, and the promises that the servers saw violated."""
 
-    def __init__(self, store):
-        self.store, self.servers, self.runs, self.wrong = store, {}, {}, []
+    def __init__(self, store, seed):
+        self.seed, self.store, self.servers, self.runs, self.wrong = seed, store, {}, {}, []
         # By body of a crashing request: (time, attempt) of each arrival, and the time of each crash.
         self.reached, self.crashed = {}, {}
         self.leaving_bound_s = 2.0  # from the write of the drain to the store until no new request may arrive
@@ -209,6 +219,9 @@
         self.link, self.address, self.behind = Link(address, behind), address, behind
         self.incarnation, self.state, self.layers, self.alive, self.left_at = 0, "ready", (0, 0), False, None
         self.listener, self.connections, self.lapse = None, set(), None
+        # By connection of each running stream: the bytes that it writes next. A generator of its own draws the framing
+        # of each start, and how the server ends under a crashing request.
+        self.streams, self.unframed, self.draws = {}, False, random.Random(f"server {fleet.seed} {name}")
         self.born_ms, self.orders = 0, 0
         # The requests a second that it takes from all instances, None without a limit, and (time, limit) of each change.
         self.limit, self.limits = None, []
@@ -227,8 +240,6 @@
 
     async def start(self, keeps_id=False):
         """Starts without layers, under a new id or the previous one. The start time (`born`) tells the starts apart."""
-        if self.link.server is None:
-            await self.link.start()
         if keeps_id and self.lapse:
             self.lapse.cancel()  # Its heartbeats resume before the entry expires.
         self.incarnation += 0 if keeps_id else 1
@@ -238,7 +249,10 @@
         self.retry_after_s = 0
         if self.leaves:
             self.leaves[-1][1] = self.leaves[-1][1] or time.monotonic()
-        self.listener = await serve(self.behind, self._handle)
+        self.unframed = self.draws.random() < UNFRAMED_SHARE
+        if self.link.server is None:
+            await self.link.start()
+        self.listener = await serve(self.behind, self._answer, self.connections)
         self.fleet.servers[self.name] = self
         self.register()
 
@@ -277,22 +291,25 @@
         self.state, self.left_at = "draining", time.monotonic()
         self.register()
 
-    async def crash(self, silent_for):
-        """Aborts every connection. The entry in the store expires after `silent_for` seconds."""
+    async def crash(self, silent_for, in_order=False, written=0.0):
+        """Ends the server: first its listener, then each connection, by a reset or closed in order.
+
+        Each stream still writes the share `written` of its next event. The entry in the store expires after `silent_for`
+        seconds.
+        """
         self.alive = False
         self.listener.close()
+        self.link.refuse()
         for writer in list(self.connections):
-            writer.transport.abort()
+            part = self.streams.get(writer, b"")
+            writer.write(part[:int(len(part) * written)])
+            if in_order:
+                close(writer)
+            else:
+                reset(writer)
         gone = f"servers/{self.id}"
         self.lapse = asyncio.get_running_loop().call_later(silent_for, self.fleet.store.remove, gone)
 
-    async def _handle(self, message, writer):
-        self.connections.add(writer)
-        try:
-            return await self._answer(message, writer)
-        finally:
-            self.connections.discard(writer)
-
     async def _answer(self, message, writer):
         target = message.start.split(" ")[1]
         if target == "/crocusmount/report":
@@ -325,8 +342,8 @@
         await asyncio.sleep(0.01)
         body = f"plain {message.headers['x-key']}".encode()
         writer.write(response(200, body, {"X-Attempt-Id": attempt, "X-Server-Seal": self.id}
-                              | self.notices(attempt, is_success=True)))
-        return True
+                              | self.notices(attempt, is_success=True), unframed=self.unframed))
+        return not self.unframed
 
     def _reject(self, writer, attempt):
         self.rejections.append((time.monotonic(), attempt, self.retry_after_s))
@@ -339,7 +356,7 @@
         await asyncio.sleep(0.05)
         if self.alive:
             self.fleet.crashed.setdefault(body, []).append(time.monotonic())
-            await self.crash(3.6)
+            await self.crash(3.6, self.draws.random() < 0.5, self.draws.choice([0, self.draws.random()]))
             self.revival = asyncio.create_task(self._start_later())
         return False
 
@@ -378,18 +395,28 @@
         self.fleet.ran(attempt)
         first = int(message.headers.get("last-event-id", "0")) + 1
         notices = "".join(f"{name}: {value}\r\n" for name, value in self.notices(attempt, is_success=True).items())
-        writer.write((f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+        unframed = self.unframed
+        framing = "Connection: close" if unframed else "Transfer-Encoding: chunked"
+        writer.write((f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n{framing}\r\n"
                       f"X-Attempt-Id: {attempt}\r\nX-Server-Seal: {self.id}\r\n{notices}\r\n").encode())
-        if crashes:
-            await writer.drain()
-            return await self._crash_under(message.body)
-        for number in range(first, int(message.headers["x-events"]) + 1):
-            await asyncio.sleep(0.02)
-            event = f"id: {number}\ndata: {message.headers['x-key']} {number}\n\n".encode()
-            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
-            await writer.drain()
-        writer.write(b"0\r\n\r\n")
-        return True
+        await writer.drain()
+        try:
+            for number in range(first, int(message.headers["x-events"]) + 1):
+                event = f"id: {number}\ndata: {message.headers['x-key']} {number}\n\n".encode()
+                part = event if unframed else f"{len(event):x}\r\n".encode() + event + b"\r\n"
+                self.streams[writer] = part
+                if crashes:
+                    return await self._crash_under(message.body)
+                await asyncio.sleep(0.02)
+                if writer.is_closing():
+                    return False
+                writer.write(part)
+                await writer.drain()
+        finally:
+            self.streams.pop(writer, None)
+        if not unframed:
+            writer.write(b"0\r\n\r\n")
+        return not unframed
 
     def _check_chain(self, text):
         """Checks that the stages cover all layers in order and hold them; returns status and the culprit's address."""
