Let no other handler act on an attempt whose end is being checked

Change: reroutes and second attempts are not started for an attempt that has ended; completing a call cancels the attempt beside it; a lost stage, a pause since the last event or an unanswered reroute put all stages in question; a check under way is awaited; a silent server is checked again until the time is over, unless the call can continue elsewhere; an end that could not be checked records neither a success nor a harmless request. An answer that a server begins to a later call proves that it is alive without a check. The verdict is logged.

--- a/src/edge/RelayNode.cpp
+++ b/src/edge/RelayNode.cpp
@@ -510,11 +510,18 @@
     const auto found = m_openCalls.find(complete.call);
     if (found == m_openCalls.end())
         return;
-    recordAnswer(found->second, "completed", { { "end", toString(complete.verdict) } });
+    recordAnswer(found->second, "completed");
     found->second.pipe->end();
     m_openCalls.erase(found);
 }
 
+void RelayNode::on(const effect::LogEndVerdict& note)
+{
+    if (const auto found = m_openCalls.find(note.call); found != m_openCalls.end())
+        DecisionLog::call("answer_end_verdict", found->second.callId,
+            { { "server", note.server.value() }, { "verdict", toString(note.verdict) } });
+}
+
 void RelayNode::on(const effect::BreakAnswer& broken)
 {
     const auto found = m_openCalls.find(broken.call);
--- a/src/edge/RelayNode.h
+++ b/src/edge/RelayNode.h
@@ -135,6 +135,7 @@
     void on(const effect::Refuse&);
     void on(const effect::DeliverServerFailure&);
     void on(const effect::CompleteAnswer&);
+    void on(const effect::LogEndVerdict&);
     void on(const effect::BreakAnswer&);
     /// Logs the end of a call and adds its times to the latencies.
     /// @param outcome  "completed" counts as a success, every other value as a refusal
--- a/src/relay/AnswerEnding.h
+++ b/src/relay/AnswerEnding.h
@@ -49,6 +49,13 @@
 };
 inline constexpr std::size_t EndVerdictCount = 3;
 
+/// What is known of a server that an unproven end depends on.
+enum class LifeSign {
+    Alive, ///< it answered a request that was sent after the end
+    Silent, ///< it did not answer a check that was sent after the end
+    Ended, ///< its port refuses connections
+};
+
 /// @return the snake_case name for logs and metrics
 const char* toString(EndVerdict);
 /// @return the snake_case name for logs and metrics
--- a/src/relay/RelayEffect.h
+++ b/src/relay/RelayEffect.h
@@ -205,6 +205,12 @@
     /// End a stream as complete whose last attempt ended as Unproven.
     struct CompleteAnswer {
         RequestId call;
+    };
+
+    /// Log what was found out about an unproven end.
+    struct LogEndVerdict {
+        RequestId call;
+        BackendId server; ///< of the attempt that ended
         EndVerdict verdict = EndVerdict::Verified;
     };
 
@@ -222,7 +228,7 @@
     effect::ShareHarmlessRequest, effect::LogCrash, effect::QuarantineRequest, effect::ClearRequest,
     effect::ReportEngineState, effect::LogServerState, effect::LogServerLimit, effect::LogServerBackoff,
     effect::LogPermits, effect::RequestPermits, effect::AnswerPermits, effect::ShareServerLimit, effect::RerouteAttempt,
-    effect::Refuse, effect::DeliverServerFailure, effect::CompleteAnswer, effect::BreakAnswer>;
+    effect::Refuse, effect::DeliverServerFailure, effect::CompleteAnswer, effect::LogEndVerdict, effect::BreakAnswer>;
 using RelayEffects = std::vector<RelayEffect>;
 
 } // namespace crocusmount::relay
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -232,6 +232,7 @@
     Attempt& attempt = call->attempt(begun.attempt);
     attempt.answerBegunAt = context.now;
     m_fleet.answerBegun(attempt.server, attempt.chain, context.now);
+    settleUnprovenEnds(attempt.server, attempt.startedAt, LifeSign::Alive, context);
 }
 
 void RelayReducer::on(const event::EventDelivered& delivered, Context& context)
@@ -270,11 +271,11 @@
     Call& call = *found;
     if (ended.result == AttemptResult::Completed) {
         keepOnly(call, ended.attempt, context);
-        completeCall(call, context);
+        recordCompletion(call, context);
+        finishCompleted(call, context);
         return;
     }
-    // A running attempt beside it may still complete the answer, whatever this end means.
-    if (ended.result == AttemptResult::Unproven && !call.second) {
+    if (ended.result == AttemptResult::Unproven && call.main.id == ended.attempt) {
         awaitEndProof(call, context);
         return;
     }
@@ -300,11 +301,16 @@
     dispatchAll(context);
 }
 
-/// Forgets a call whose main attempt has answered it completely.
-void RelayReducer::completeCall(Call& call, Context& context)
+/// Updates what is known of the server and the request of a call whose main attempt has answered it completely.
+void RelayReducer::recordCompletion(Call& call, Context& context)
 {
     m_fleet.recordSuccess(call.main.server);
     recordHarmlessRequest(call, context);
+}
+
+/// Forgets a call whose main attempt, the only one left, has answered it completely.
+void RelayReducer::finishCompleted(Call& call, Context& context)
+{
     release(call, call.main, context);
     ++m_counters.completed;
     remove(call.id);
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -118,11 +118,12 @@
     void release(Call&, const Attempt&, Context&);
     void keepOnly(Call&, AttemptId, Context&);
     void countEnding(const AnswerEnding&);
-    void completeCall(Call&, Context&);
+    void recordCompletion(Call&, Context&);
+    void finishCompleted(Call&, Context&);
     void awaitEndProof(Call&, Context&);
     void checkUnverified(const UnprovenEnd&, Context&);
-    void settleUnprovenEnds(const BackendId&, bool isAlive, Context&);
-    bool isCheckable(const BackendId&);
+    void settleUnprovenEnds(const BackendId&, TimePoint askedAt, LifeSign, Context&);
+    bool isCheckable(const BackendId&, TimePoint now);
     void settleOverdueEnds(Context&);
     void settleEnd(RequestId, EndVerdict, Context&);
     BackendId blamedServer(const Attempt&, const event::AttemptEnded&);
@@ -202,6 +203,7 @@
     void holdCall(Call&, Context&);
     void releaseHeldCalls(Context&);
     void requeue(Call&, Context&);
+    static bool isPause(const Call&, Duration sinceProgress);
     static bool isSilent(const Call&, TimePoint now);
     bool isStalled(const Call&, TimePoint now) const;
     std::vector<BackendId> stalledStages(const Call&) const;
--- a/src/relay/RelayReducerChecks.cpp
+++ b/src/relay/RelayReducerChecks.cpp
@@ -50,9 +50,12 @@
 /// @return whether a stream has been without an event long enough for its stages to be checked
 bool RelayReducer::isSilent(const Call& call, TimePoint now)
 {
-    if (call.main.answerHeldUntil || call.main.unprovenEnd)
-        return false;
-    const Duration sinceProgress = now - call.lastProgress;
+    return !call.main.answerHeldUntil && !call.main.unprovenEnd && isPause(call, now - call.lastProgress);
+}
+
+/// @return whether a stream usually has an event within a shorter time
+bool RelayReducer::isPause(const Call& call, Duration sinceProgress)
+{
     if (!call.main.eventsDelivered)
         return sinceProgress > scaled(call.route->objective, FirstEventSilenceShare);
     return sinceProgress > std::max(MinSilence, scaled(call.meanEventGap, SilentGapFactor));
@@ -156,7 +159,7 @@
         m_crashEvidence.noteAlive(server->othersLoad.engine);
         m_fleet.recordAnsweredCheck(checked.engine, checked.slowness);
         recordClosed(checked, context);
-        settleUnprovenEnds(checked.engine, true, context);
+        settleUnprovenEnds(checked.engine, server->lastCheckAt, LifeSign::Alive, context);
         dispatchAll(context);
         return;
     }
@@ -171,7 +174,10 @@
         context.effects.emplace_back(effect::ReportEngineState { checked.engine, server->entry.startedAt });
     if (server && server->unansweredChecks == 1)
         checkEnginesAfterFailure(checked.refused, context);
-    settleUnprovenEnds(checked.engine, false, context);
+    if (server) {
+        const LifeSign sign = checked.refused ? LifeSign::Ended : LifeSign::Silent;
+        settleUnprovenEnds(checked.engine, server->lastCheckAt, sign, context);
+    }
     // Streams through an ended process hold memory at all other stages until their callers time out.
     if (checked.refused)
         abandonEndedServer(checked.engine, context);
--- a/src/relay/RelayReducerEndings.cpp
+++ b/src/relay/RelayReducerEndings.cpp
@@ -2,7 +2,7 @@
 //
 // A stream without length ends with its connection. If it ends between two events, its server may have finished the
 // answer or died: the connections of a process that dies are closed in order, too. The caller has all events by then,
-// so only the end of the answer waits for a check of the server.
+// so only the end of the answer waits for a sign that the server is alive. A second attempt may run meanwhile.
 
 #include "relay/RelayReducer.h"
 
@@ -12,97 +12,110 @@
 
 namespace {
 
-    /// Longest time that the end of an answer waits for checks. Engines answer within a few milliseconds, and a check
-    /// that is not answered ends earlier.
+    /// An answer that a busy server begins within this time proves that it is alive, so no check is sent before.
+    constexpr Duration CheckDelay = std::chrono::milliseconds(40);
+    /// Longest time that the end of an answer waits for a sign of life.
     constexpr Duration MaxEndWait = std::chrono::milliseconds(500);
+    /// Added for a check that is under way then. Checks end earlier, answered or not.
+    constexpr Duration MaxCheckTime = std::chrono::milliseconds(300);
 
 } // namespace
 
 /// Keeps a call open until it is known whether its main attempt, which has ended, has answered it completely.
 void RelayReducer::awaitEndProof(Call& call, Context& context)
 {
-    UnprovenEnd end { context.now, context.now + MaxEndWait, { call.main.server } };
+    const Attempt& attempt = call.main;
+    UnprovenEnd end { context.now, std::min(context.now + MaxEndWait, call.deadline), { attempt.server } };
     // A first stage cuts streams off that have waited too long for a stage that died.
-    if (isSilent(call, context.now)) {
-        for (const Hop& hop : call.main.chain.hops()) {
-            if (hop.backend != call.main.server)
-                end.unverified.push_back(hop.backend);
-        }
+    const bool wasPaused = isPause(call, context.now - call.lastDeliveredAt) || !attempt.pendingReroute.hops().empty();
+    bool hasDied = attempt.hasLostStage || hasLostServer(attempt);
+    bool canCheck = isCheckable(attempt.server, context.now);
+    for (const Hop& hop : attempt.chain.hops()) {
+        hasDied = hasDied || (isGone(hop.backend) && !mayFinishCalls(hop.backend));
+        if (!wasPaused || hop.backend == attempt.server)
+            continue;
+        end.unverified.push_back(hop.backend);
+        canCheck = canCheck || isCheckable(hop.backend, context.now);
     }
-    const bool hasDied = std::any_of(end.unverified.begin(), end.unverified.end(),
-        [&](const BackendId& id) { return isGone(id) && !mayFinishCalls(id); });
-    const bool canCheck = std::any_of(
-        end.unverified.begin(), end.unverified.end(), [&](const BackendId& id) { return isCheckable(id); });
     call.main.unprovenEnd = std::move(end);
-    if (hasDied || hasLostServer(call.main))
+    if (hasDied)
         settleEnd(call.id, EndVerdict::ServerDied, context);
     else if (!canCheck)
         settleEnd(call.id, EndVerdict::Unverified, context);
-    else
-        checkUnverified(*call.main.unprovenEnd, context);
 }
 
-/// @return whether checks of a server are answered in general
-bool RelayReducer::isCheckable(const BackendId& id)
+/// @return whether a check of a server may be sent and is answered in general
+bool RelayReducer::isCheckable(const BackendId& id, TimePoint now)
 {
     const FleetServer* server = m_fleet.find(id);
-    return server && server->isEngine() && !m_options.without.has(Mechanism::EngineChecks);
+    return server && server->isEngine() && !server->backoff.isActive(now)
+        && !m_options.without.has(Mechanism::EngineChecks);
 }
 
-/// Checks each server that an unproven end depends on. A check that was sent before the end does not count.
+/// Checks each server that an unproven end depends on, again if it did not answer. A check that was sent before the end
+/// does not count.
 void RelayReducer::checkUnverified(const UnprovenEnd& end, Context& context)
 {
+    if (context.now < end.endedAt + CheckDelay)
+        return;
     for (const BackendId& id : end.unverified) {
         FleetServer* server = m_fleet.find(id);
-        if (server && server->lastCheckAt < end.endedAt)
+        if (server && (server->lastCheckAt < end.endedAt || server->unansweredChecks))
             checkUrgently(*server, context);
     }
 }
 
 /// Settles the unproven ends that wait for a server.
-/// @param isAlive  whether the server has answered the latest check
-void RelayReducer::settleUnprovenEnds(const BackendId& id, bool isAlive, Context& context)
+/// @param askedAt  when the server was sent what it has answered now, or has not
+void RelayReducer::settleUnprovenEnds(const BackendId& id, TimePoint askedAt, LifeSign sign, Context& context)
 {
-    const FleetServer* server = m_fleet.find(id);
-    if (!server)
-        return;
-    const bool hasDied = !isAlive && !mayFinishCalls(id);
-    std::vector<RequestId> settled;
+    std::vector<std::pair<RequestId, EndVerdict>> settled;
     for (auto& [call, each] : m_calls) {
         if (each.state != CallState::Running || !each.main.unprovenEnd)
             continue;
         UnprovenEnd& end = *each.main.unprovenEnd;
-        const bool waited = server->lastCheckAt >= end.endedAt && std::erase(end.unverified, id);
-        if (waited && (hasDied || end.unverified.empty()))
-            settled.push_back(call);
+        const auto waiting = std::find(end.unverified.begin(), end.unverified.end(), id);
+        if (askedAt < end.endedAt || waiting == end.unverified.end())
+            continue;
+        // A busy server may miss a check. An answer that cannot be continued elsewhere waits for another one.
+        const bool isSilent = sign == LifeSign::Silent;
+        if (isSilent && !isRepeatable(each.route->kind))
+            continue;
+        if (isSilent || (sign == LifeSign::Ended && !mayFinishCalls(id))) {
+            settled.emplace_back(call, EndVerdict::ServerDied);
+            continue;
+        }
+        end.unverified.erase(waiting);
+        if (end.unverified.empty())
+            settled.emplace_back(call, sign == LifeSign::Alive ? EndVerdict::Verified : EndVerdict::Unverified);
     }
-    const EndVerdict aliveVerdict = isAlive ? EndVerdict::Verified : EndVerdict::Unverified;
-    for (const RequestId& call : settled)
-        settleEnd(call, hasDied ? EndVerdict::ServerDied : aliveVerdict, context);
+    for (const auto& [call, verdict] : settled)
+        settleEnd(call, verdict, context);
 }
 
-/// Settles the unproven ends whose checks took too long, and repeats checks that could not be sent before.
+/// Settles the unproven ends that have waited too long, and sends checks that are due.
 void RelayReducer::settleOverdueEnds(Context& context)
 {
-    std::vector<RequestId> due;
+    std::vector<std::pair<RequestId, EndVerdict>> due;
     for (const auto& [id, call] : m_calls) {
         if (call.state != CallState::Running || !call.main.unprovenEnd)
             continue;
-        checkUnverified(*call.main.unprovenEnd, context);
-        if (context.now >= call.main.unprovenEnd->decideBy)
-            due.push_back(id);
-    }
-    for (const RequestId& id : due) {
-        const auto call = m_calls.find(id);
-        if (call == m_calls.end() || !call->second.main.unprovenEnd)
-            continue;
-        const UnprovenEnd& end = *call->second.main.unprovenEnd;
-        const bool isUnanswered = std::any_of(end.unverified.begin(), end.unverified.end(), [&](const BackendId& each) {
+        const UnprovenEnd& end = *call.main.unprovenEnd;
+        checkUnverified(end, context);
+        bool isCheckUnderWay = false;
+        bool hasDied = false;
+        for (const BackendId& each : end.unverified) {
             const FleetServer* server = m_fleet.find(each);
-            return server && server->lastCheckAt >= end.endedAt;
-        });
-        settleEnd(id, isUnanswered ? EndVerdict::ServerDied : EndVerdict::Unverified, context);
+            isCheckUnderWay = isCheckUnderWay || (server && server->beingChecked);
+            const bool isSilent = server && server->unansweredChecks && server->lastCheckAt >= end.endedAt;
+            hasDied = hasDied || ((isSilent || isGone(each)) && !mayFinishCalls(each));
+        }
+        const TimePoint decideBy = end.decideBy + (isCheckUnderWay ? MaxCheckTime : Duration(0));
+        if (context.now >= std::min(decideBy, call.deadline))
+            due.emplace_back(id, hasDied || isCheckUnderWay ? EndVerdict::ServerDied : EndVerdict::Unverified);
     }
+    for (const auto& [id, verdict] : due)
+        settleEnd(id, verdict, context);
 }
 
 /// Ends a call whose main attempt has ended unproven as complete, or continues it as after any broken attempt.
@@ -114,12 +127,16 @@
     Call& call = found->second;
     ++m_counters.unprovenEnds.at(static_cast<std::size_t>(verdict));
     call.main.unprovenEnd.reset();
+    context.effects.emplace_back(effect::LogEndVerdict { id, call.main.server, verdict });
     if (verdict == EndVerdict::ServerDied) {
         on(event::AttemptEnded { call.main.id, AttemptResult::Broken }, context);
         return;
     }
-    context.effects.emplace_back(effect::CompleteAnswer { call.id, verdict });
-    completeCall(call, context);
+    context.effects.emplace_back(effect::CompleteAnswer { id });
+    keepOnly(call, call.main.id, context);
+    if (verdict == EndVerdict::Verified)
+        recordCompletion(call, context);
+    finishCompleted(call, context);
 }
 
 } // namespace crocusmount::relay
--- a/src/relay/RelayReducerServers.cpp
+++ b/src/relay/RelayReducerServers.cpp
@@ -169,6 +169,10 @@
 /// another attempt, or ends the call with the actual cause.
 void RelayReducer::handleLostStage(Call& call, const BackendId& lost, Context& context)
 {
+    if (call.second && call.second->usesServer(lost)) {
+        cancelLostAttempt(call, *call.second, context);
+        endSecondAttempt(call, context);
+    }
     if (call.main.unprovenEnd) {
         const auto& unverified = call.main.unprovenEnd->unverified;
         const bool isUnverified = std::find(unverified.begin(), unverified.end(), lost) != unverified.end();
@@ -176,10 +180,6 @@
             settleEnd(call.id, EndVerdict::ServerDied, context);
         return;
     }
-    if (call.second && call.second->usesServer(lost)) {
-        cancelLostAttempt(call, *call.second, context);
-        endSecondAttempt(call, context);
-    }
     if (!call.main.usesServer(lost) || (call.main.server == lost && mayFinishCalls(lost)))
         return;
     call.main.hasLostStage = true;
@@ -203,7 +203,8 @@
 {
     std::vector<RequestId> waiting;
     for (const auto& [id, call] : m_calls) {
-        const bool isLost = call.state == CallState::Running && call.main.hasLostStage && !call.second;
+        const bool isLost
+            = call.state == CallState::Running && call.main.hasLostStage && !call.second && !call.main.unprovenEnd;
         if (isLost && call.main.pendingReroute.hops().empty() && context.now >= call.main.nextReplacementAt)
             waiting.push_back(id);
     }
--- a/src/relay/RelayReducerTime.cpp
+++ b/src/relay/RelayReducerTime.cpp
@@ -27,8 +27,8 @@
         budget.raiseBurstShare(retryBurstShare());
     m_checkBudget.refill(m_fleet.servers().size(), m_placer.instances(), context.now);
     admitEarlyCalls(context);
-    refuseOverdue(context);
     settleOverdueEnds(context);
+    refuseOverdue(context);
     refuseBeyondRestrictions(context);
     recheckDeadAndSlowEngines(context);
     checkClosedEngines(context);
@@ -172,7 +172,7 @@
 /// @return whether the attempt was started
 bool RelayReducer::startSecondAttempt(Call& call, AttemptPurpose purpose, Context& context)
 {
-    if (m_options.without.has(Mechanism::SecondAttempts))
+    if (m_options.without.has(Mechanism::SecondAttempts) || call.main.unprovenEnd)
         return false;
     RetryBudget& budget = budgetOf(call.service);
     if (awaitsCrashVerdict(call) || countedAttempts(call) + 1 >= call.route->maxAttempts || retryLimit(call, context)
@@ -204,8 +204,8 @@
         return MoveResult::Pending;
     const FleetServer* first = m_fleet.find(attempt.server);
     const bool acceptsReroutes = !first || !(first->refusedCheck || first->backoff.isActive(context.now));
-    if (m_options.without.has(Mechanism::Reroutes) || awaitsCrashVerdict(call) || leavesFirstStage || !acceptsReroutes
-        || attempt.rerouteCount >= m_options.maxReroutes)
+    if (m_options.without.has(Mechanism::Reroutes) || attempt.unprovenEnd || awaitsCrashVerdict(call)
+        || leavesFirstStage || !acceptsReroutes || attempt.rerouteCount >= m_options.maxReroutes)
         return MoveResult::Impossible;
     auto chain = m_placer.reroute(call, attempt, excluded, context.now, context.entropy);
     if (!chain)
@@ -239,7 +239,7 @@
         attempt.hasLostStage = hasEndedStage(attempt.chain);
     }
     attempt.pendingReroute = Chain();
-    const bool canContinue = answered.accepted || !attempt.hasLostStage || call->second;
+    const bool canContinue = answered.accepted || !attempt.hasLostStage || call->second || call->main.unprovenEnd;
     if (!canContinue)
         replaceOrEndAttempt(*call, context);
 }
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -14,6 +14,7 @@
 LONGEST_TOKENS = 160  # prompt and answer of the longest request, in tokens
 HEALTH_PATH = "/health"
 UNFRAMED_SHARE = 0.5  # of the starts of servers: answers have neither a length nor chunks and end with their connection
+REFUSED_SHARE = 0.5  # of the crashes: the address refuses connections; otherwise they are accepted and then reset
 CRASHES = b"crash"  # a server crashes when it begins to run a request whose body has this prefix
 
 
@@ -299,7 +300,8 @@
         """
         self.alive = False
         self.listener.close()
-        self.link.refuse()
+        if self.draws.random() < REFUSED_SHARE:
+            self.link.refuse()
         for writer in list(self.connections):
             part = self.streams.get(writer, b"")
             writer.write(part[:int(len(part) * written)])
