Let stand-in engines end a stream inside a frame

The first interface ends a stream with a frame of its own, so an end of the connection or of the transfer coding must not end an answer. Guarded is that a caller of crocusmountd gets no complete answer when an engine ends inside a token: `cutFrame` ends the stream there with the last chunk, `dieInToken` ends the process, whose system closes its connections in order.

--- a/standins/EngineStandin.cpp
+++ b/standins/EngineStandin.cpp
@@ -295,7 +295,15 @@
         ++m_tokensComputed;
         if (m_faults.dieAfterTokens && m_tokensComputed >= m_faults.dieAfterTokens)
             std::_Exit(1);
-        if (!co_await exchange.writeChunk(makeTokenFrame(*stream, index, step)))
+        std::string frame = makeTokenFrame(*stream, index, step);
+        const bool dies = m_faults.dieInToken && m_tokensComputed >= m_faults.dieInToken;
+        const bool isCut = dies || consumeCount(m_faults.cutFrame);
+        if (isCut)
+            frame.resize(frame.size() / 2);
+        const bool wasWritten = co_await exchange.writeChunk(std::move(frame));
+        if (dies)
+            std::_Exit(1);
+        if (isCut || !wasWritten)
             co_return;
         if (consumeCount(m_faults.truncate))
             co_return;
@@ -379,6 +387,7 @@
         else {
             const std::map<std::string, std::uint64_t*> counts { { "refuse", &m_faults.refuse },
                 { "wrongTrace", &m_faults.wrongTrace }, { "truncate", &m_faults.truncate },
+                { "cutFrame", &m_faults.cutFrame }, { "dieInToken", &m_faults.dieInToken },
                 { "duplicate", &m_faults.duplicate }, { "cross", &m_faults.cross }, { "gap", &m_faults.gap },
                 { "dieAfterTokens", &m_faults.dieAfterTokens } };
             const auto found = counts.find(name);
--- a/standins/EngineStandin.h
+++ b/standins/EngineStandin.h
@@ -21,8 +21,8 @@
     EngineStandin(net::io_context&, BackendReport, bool checksFence);
 
 private:
-    /// Faults set with POST /fault while the engine runs. Each uint64_t except dieAfterTokens is the number of times
-    /// that the fault still occurs.
+    /// Faults set with POST /fault while the engine runs. Each uint64_t except dieAfterTokens and dieInToken is the
+    /// number of times that the fault still occurs.
     struct Faults {
         double slowFactor = 1; ///< factor on the duration of a step
         std::int64_t linkDelayMs = 0; ///< delay before each call to the next stage
@@ -30,10 +30,12 @@
         std::uint64_t refuse = 0; ///< preparations to refuse as busy
         std::uint64_t wrongTrace = 0; ///< tokens to send with a wrong trace
         std::uint64_t truncate = 0; ///< streams to end without an end frame, after a token
+        std::uint64_t cutFrame = 0; ///< streams to end inside the frame of a token
         std::uint64_t duplicate = 0; ///< tokens to send twice
         std::uint64_t cross = 0; ///< tokens to precede with a frame that names another attempt
         std::uint64_t gap = 0; ///< tokens to leave out
         std::uint64_t dieAfterTokens = 0; ///< the process exits at this total of tokens, 0: never
+        std::uint64_t dieInToken = 0; ///< the process exits inside the frame of this token, counted over all streams
     };
     /// One attempt to answer a prompt.
     struct Stream {
