Recognize streams by their type in any spelling, and answers to HEAD by their head

Callers of a stream whose server spells the type otherwise (Text/Event-Stream), or sends none, got a cut stream as a whole answer with a length. So did callers of a stream on a route of single answers. Events whose lines end with CR lost their ids, so that a resumed stream repeated them. An answer to HEAD waited for a body that never comes.

Cause: the type was compared by its first 17 characters; ids were read from lines that end with LF only; the parser was not told of HEAD.

Change: types are compared as such; an answer without a type on a route of streams is one; a whole answer that is a stream of events must not end inside one; ids are read from lines however they end.

--- a/src/edge/EventSplitter.cpp
+++ b/src/edge/EventSplitter.cpp
@@ -40,7 +40,7 @@
     std::optional<std::uint64_t> eventId(std::string_view event)
     {
         while (!event.empty()) {
-            const auto end = std::min(event.find('\n'), event.size());
+            const auto end = std::min(event.find_first_of("\r\n"), event.size());
             absl::string_view line(event.data(), end);
             event.remove_prefix(std::min(end + 1, event.size()));
             std::uint64_t id = 0;
--- a/src/edge/UpstreamAttempt.cpp
+++ b/src/edge/UpstreamAttempt.cpp
@@ -6,6 +6,7 @@
 #include "edge/UnknownHeaders.h"
 #include "shell/Endpoint.h"
 
+#include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
 
 namespace crocusmount::relay {
@@ -43,6 +44,24 @@
         return head;
     }
 
+    /// @return whether the type of an answer is that of a stream of events; types are case-insensitive
+    bool isEventStream(const http::response_header<>& header)
+    {
+        const std::string_view value = header[http::field::content_type];
+        const std::string_view type = value.substr(0, value.find(';'));
+        return absl::EqualsIgnoreCase(
+            absl::StripAsciiWhitespace(absl::string_view(type.data(), type.size())), "text/event-stream");
+    }
+
+    /// @return whether a stream of events ends inside one
+    bool endsInsideEvent(std::string_view body)
+    {
+        EventSplitter splitter;
+        splitter.feed(body);
+        while (splitter.next()) { }
+        return splitter.isInsideEvent();
+    }
+
 } // namespace
 
 UpstreamAttempt::UpstreamAttempt(net::io_context& context, const HeaderNames& names, UnknownHeaders& unknown,
@@ -180,8 +199,8 @@
         co_return makeEnded(AttemptResult::Broken, status);
     if (isSuccess)
         m_postEvent(event::AnswerBegun { m_order.attempt });
-    const std::string_view type = head[http::field::content_type];
-    if (isSuccess && m_order.stream && type.substr(0, 17) == "text/event-stream")
+    // On a route of streams, an answer without a type is one.
+    if (isSuccess && m_order.stream && (isEventStream(head) || !head.count(http::field::content_type)))
         co_return co_await relayStream(*parser);
     co_return co_await relayWholeAnswer(*parser, isSuccess);
 }
@@ -232,6 +251,7 @@
 {
     parser = std::make_unique<Parser>();
     parser->body_limit(boost::none);
+    parser->skip(m_request->method() == http::verb::head);
     const auto [error, count] = co_await http::async_read_header(m_stream, m_readAhead, *parser, asTuple);
     co_return !error;
 }
@@ -275,6 +295,7 @@
     }
     if (canContinue || m_readError)
         ending.stop = stopOf(parser);
+    ending.isInsideEvent = isEventStream(parser.get().base()) && endsInsideEvent(answer.body);
     ended.ending = ending;
     if (!canContinue || completenessOf(ending) == Completeness::BrokenOff)
         co_return ended;
--- a/tests/AnswerEndingTest.cpp
+++ b/tests/AnswerEndingTest.cpp
@@ -208,3 +208,44 @@
         requestTo("/draft/1"), { cut, streamOf(Framing::Chunks, SecondEvent) }, std::nullopt, CheckAnswer::Silent);
     CHECK_TRUE_TEXT(isComplete(resumed.answer) && hasText(resumed.answer, SecondEvent), resumed.answer.c_str());
 }
+
+TEST(AnswerEnding, TheSpellingOfTheTypeDoesNotMakeACutStreamComplete)
+{
+    const struct {
+        const char* path;
+        const char* type;
+    } cases[] = {
+        { "/once/1", "Content-Type: Text/Event-Stream\r\n" },
+        { "/once/1", "Content-Type: TEXT/EVENT-STREAM; charset=utf-8\r\n" },
+        { "/once/1", "Content-Type: text/event-stream ;charset=utf-8\r\n" },
+        { "/once/1", "" },
+        { "/book/1", "Content-Type: text/event-stream\r\n" },
+    };
+    for (const auto& each : cases) {
+        const std::string head = answerHead("200 OK") + each.type + "\r\n";
+        const CallOutcome cut = runCall(requestTo(each.path), { head + FirstEvent + SecondEvent.substr(0, 9) });
+        CHECK_FALSE_TEXT(hasText(cut.answer, "id: 2"), (each.type + cut.answer).c_str());
+        CHECK_FALSE_TEXT(isComplete(cut.answer), (each.type + cut.answer).c_str());
+        const CallOutcome whole = runCall(requestTo(each.path), { head + FirstEvent + SecondEvent });
+        CHECK_TRUE_TEXT(hasText(whole.answer, SecondEvent), (each.type + whole.answer).c_str());
+    }
+}
+
+TEST(AnswerEnding, EventsWhoseLinesEndWithCrAreNotDeliveredTwice)
+{
+    const std::string first = "id: 1\rdata: a\r\r";
+    const CallOutcome result = runCall(requestTo("/draft/1"),
+        { streamOf(Framing::Connection, first + "id: 2\rda"),
+            streamOf(Framing::Connection, first + "id: 2\rdata: b\r\r") });
+    const std::size_t at = result.answer.find("data: a");
+    CHECK_TRUE_TEXT(
+        at != std::string::npos && result.answer.find("data: a", at + 1) == std::string::npos, result.answer.c_str());
+}
+
+TEST(AnswerEnding, AnAnswerToHeadEndsWithItsHead)
+{
+    std::string request = requestTo("/book/1");
+    request.replace(0, 4, "HEAD");
+    const CallOutcome result = runCall(request, { answerHead("200 OK") + "Content-Length: 100\r\n\r\n" });
+    CHECK_TRUE_TEXT(hasText(result.answer, "HTTP/1.1 200"), result.answer.c_str());
+}
--- a/tests/UnprovenEndTest.cpp
+++ b/tests/UnprovenEndTest.cpp
@@ -23,6 +23,9 @@
     RelayHarness& harness() { return m_harness; }
     const BackendId& firstStage() const { return m_start.server; }
     const BackendId& lastStage() const { return m_start.chain.hops().back().backend; }
+    AttemptId attempt() const { return m_start.attempt; }
+    /// @return the address of the first stage
+    std::string address() const { return m_start.chain.hops().front().address; }
     Outcome outcome() const { return m_outcome; }
     std::size_t checks() const { return m_checked.size(); }
     bool hasChecked(const BackendId& id) const
@@ -95,7 +98,7 @@
     } cases[] = {
         { "alive", "/once/1", true, false, Outcome::Complete },
         { "refused", "/once/1", false, true, Outcome::BrokenOff },
-        { "silent", "/once/1", false, false, Outcome::BrokenOff },
+        { "silent until the end of the wait", "/once/1", false, false, Outcome::BrokenOff },
         { "resumable, alive", "/draft/1", true, false, Outcome::Complete },
         { "resumable, refused", "/draft/1", false, true, Outcome::Resumed },
         { "resumable, silent", "/draft/1", false, false, Outcome::Resumed },
@@ -224,3 +227,74 @@
     stream.answer(stream.firstStage(), true, false);
     CHECK_TRUE(stream.outcome() == Outcome::Complete);
 }
+
+// A second attempt that outlived its call ended the process with its next event.
+TEST(UnprovenEnd, NoAttemptOutlivesACallThatACheckCompletes)
+{
+    UnprovenStream stream("/draft/1");
+    const auto main = stream.attempt();
+    stream.end();
+    stream.harness().send(relay::event::StalledStageReported { main, stream.address() });
+    CHECK_FALSE(stream.harness().last<relay::effect::StartAttempt>().has_value());
+    CHECK_FALSE(stream.harness().last<relay::effect::RerouteAttempt>().has_value());
+    stream.answer(stream.firstStage(), true, false);
+    CHECK_TRUE(stream.outcome() == Outcome::Complete);
+    CHECK_EQUAL(0U, stream.harness().reducer().openCalls());
+    for (const auto& [id, server] : stream.harness().reducer().fleet().servers())
+        DOUBLES_EQUAL(0, server.ownTokenLayers, 1e-6);
+}
+
+TEST(UnprovenEnd, AnEndBesideASecondAttemptIsVerifiedAndCancelsIt)
+{
+    for (const bool isRejectedBefore : { false, true }) {
+        UnprovenStream stream("/draft/1");
+        stream.harness().send(relay::event::StalledStageReported { stream.attempt(), stream.address() });
+        const auto second = stream.harness().last<relay::effect::StartAttempt>();
+        CHECK_TRUE(second.has_value());
+        stream.harness().send(relay::event::AttemptSent { second->attempt });
+        stream.end();
+        if (isRejectedBefore)
+            stream.harness().send(relay::event::AttemptEnded { second->attempt, AttemptResult::NotRun, 503, "" });
+        stream.answer(stream.firstStage(), true, false);
+        for (const BackendId& id : { BackendId("b"), BackendId("d") })
+            stream.answer(id, true, false);
+        CHECK_TRUE(stream.outcome() == Outcome::Complete);
+        CHECK_EQUAL(0U, stream.harness().reducer().openCalls());
+        stream.harness().send(relay::event::EventDelivered { second->attempt, 4 });
+    }
+}
+
+TEST(UnprovenEnd, AStreamThatLostAStageIsNotComplete)
+{
+    UnprovenStream stream("/once/1");
+    stream.answer(stream.lastStage(), false, true);
+    stream.end();
+    stream.answer(stream.firstStage(), true, false);
+    CHECK_TRUE(stream.outcome() == Outcome::BrokenOff);
+}
+
+TEST(UnprovenEnd, AnAnswerThatMayNotRunAgainIsNotLostForOneMissedCheck)
+{
+    UnprovenStream stream("/once/1");
+    stream.end();
+    stream.answer(stream.firstStage(), false, false);
+    CHECK_TRUE(stream.outcome() == Outcome::Open);
+    stream.tick(110);
+    stream.answer(stream.firstStage(), true, false);
+    CHECK_TRUE(stream.outcome() == Outcome::Complete);
+}
+
+TEST(UnprovenEnd, AnEndNearTheDeadlineIsSettledOnce)
+{
+    UnprovenStream stream("/once/1");
+    stream.tick(19800);
+    stream.end();
+    int finalAnswers = 0;
+    for (int waited = 0; waited < 800; waited += 20) {
+        stream.tick(20);
+        finalAnswers += stream.harness().last<relay::effect::CompleteAnswer>().has_value();
+        finalAnswers += stream.harness().last<relay::effect::BreakAnswer>().has_value();
+    }
+    CHECK_EQUAL(1, finalAnswers);
+    CHECK_EQUAL(0U, stream.harness().reducer().openCalls());
+}
