Give no length to a plain service's answer that had none

What callers saw: the answer of a plain service that ended with its connection, which the system also closes in order when the service crashes, came to the caller of crocusmountd with a Content-Length of what had arrived. The caller could not tell a part from the whole.

The caller now gets such an answer as the service sent it: without a length, ending with the connection. It is not taken for a failure, because services that never send a length would then never be served.

--- a/src/shell/CallerApi.cpp
+++ b/src/shell/CallerApi.cpp
@@ -361,6 +361,7 @@
     reply.status = answer.status;
     reply.contentType = answer.contentType;
     reply.body = answer.body;
+    reply.isEndProven = answer.isEndProven;
     co_await exchange.respond(std::move(reply));
 }
 
--- a/src/shell/HttpBackendClient.cpp
+++ b/src/shell/HttpBackendClient.cpp
@@ -173,7 +173,8 @@
     }
     // The chain of a plain service has one hop and no layers, so its trace is known without a report by the server.
     m_post(event::TokenReceived { attempt.attempt, attempt.attempt, 0,
-        toJson(ServiceAnswer { answer.status, answer.contentType, answer.body }), attempt.chain.trace() });
+        toJson(ServiceAnswer { answer.status, answer.contentType, answer.body, answer.end == BodyEnd::Framed }),
+        attempt.chain.trace() });
     m_post(event::AttemptEnded { attempt.attempt, 1 });
 }
 
--- a/src/shell/HttpServer.cpp
+++ b/src/shell/HttpServer.cpp
@@ -141,9 +141,11 @@
     setCommonHeaders(response, reply.contentType);
     for (auto& [name, value] : reply.headers)
         response.set(name, value);
+    m_keepAlive = m_keepAlive && reply.isEndProven;
     response.keep_alive(m_keepAlive);
     response.body() = std::move(reply.body);
-    response.prepare_payload();
+    if (reply.isEndProven)
+        response.prepare_payload();
     m_stream.expires_after(m_writeTimeout);
     const auto [error, count] = co_await http::async_write(m_stream, response, asTuple);
     m_isComplete = !error;
--- a/src/shell/HttpServer.h
+++ b/src/shell/HttpServer.h
@@ -28,6 +28,8 @@
     std::string contentType = "application/json";
     std::string body;
     std::vector<std::pair<std::string, std::string>> headers;
+    /// Whether the body is known to be whole. Otherwise it is sent without a length, and ends with the connection.
+    bool isEndProven = true;
 };
 
 /// One HTTP request and its response, sent either by respond() or as a stream by beginStream(), writeChunk() and
--- a/src/shell/ServiceCall.cpp
+++ b/src/shell/ServiceCall.cpp
@@ -6,7 +6,7 @@
 namespace crocusmount {
 
 BOOST_DESCRIBE_STRUCT(ServiceCall, (), (method, target, contentType, body))
-BOOST_DESCRIBE_STRUCT(ServiceAnswer, (), (status, contentType, body))
+BOOST_DESCRIBE_STRUCT(ServiceAnswer, (), (status, contentType, body, isEndProven))
 
 namespace {
 
--- a/src/shell/ServiceCall.h
+++ b/src/shell/ServiceCall.h
@@ -17,6 +17,9 @@
     unsigned status = 200; ///< HTTP status
     std::string contentType;
     std::string body;
+    /// Whether the service's length or last chunk shows that the body is whole. An answer that ends with its connection
+    /// may have been cut off.
+    bool isEndProven = true;
 };
 
 std::string toJson(const ServiceCall&);
--- a/tests/HttpServerTest.cpp
+++ b/tests/HttpServerTest.cpp
@@ -92,3 +92,31 @@
     CHECK_TEXT("4\r\npart\r\n", received.body());
     CHECK_TRUE(received.end == net::error::eof);
 }
+
+namespace {
+
+/// Answers with a body whose end the server behind it has not proven.
+class UnprovenAnswerHandler final : public HttpHandler {
+private:
+    Awaitable<void> onExchange(HttpExchange& exchange) override
+    {
+        HttpReply reply;
+        reply.body = "body";
+        reply.isEndProven = false;
+        co_await exchange.respond(std::move(reply));
+    }
+};
+
+} // namespace
+
+TEST(HttpServer, AnswerWhoseEndIsNotProvenGetsNoLength)
+{
+    UnprovenAnswerHandler handler;
+    for (const std::string& request : { OldRequest, NewRequest }) {
+        const Received received = send(handler, request);
+        CHECK_TEXT("body", received.body());
+        CHECK_TRUE(received.bytes.find("Content-Length") == std::string::npos);
+        CHECK_TRUE(received.bytes.find("chunked") == std::string::npos);
+        CHECK_TRUE(received.end == net::error::eof);
+    }
+}
