Report a cut answer as an error in the command line

A write whose answer was cut off was reported as failed (exit code 1), though it may have been done.

A success needs a body that is a JSON object, which a part of one is not. A write whose answer is cut off is in doubt (exit code 4).

--- a/programs/crocusmount.cpp
+++ b/programs/crocusmount.cpp
@@ -90,14 +90,19 @@
     return value->is_string() ? std::string(value->as_string()) : json::serialize(*value);
 }
 
-/// Prints the error to stderr unless the call was answered with status 200.
-/// @return whether the status is 200
+/// @return whether the status is 200, but the body is no JSON object, because the answer was cut off
+bool isCutSuccess(const HttpAnswer& answer) { return answer.status == 200 && objectOf(answer).empty(); }
+
+/// Prints the error to stderr unless the call was answered with status 200 and a readable body.
+/// @return whether it was
 bool succeeded(const HttpAnswer& answer)
 {
-    if (answer.status == 200)
-        return true;
     const json::object body = objectOf(answer);
-    if (answer.phase != CallPhase::Answered)
+    if (answer.status == 200 && !body.empty())
+        return true;
+    if (isCutSuccess(answer))
+        std::cerr << "crocusmount: the answer is cut off or cannot be read\n";
+    else if (answer.phase != CallPhase::Answered)
         std::cerr << "crocusmount: no answer: " << answer.error << "\n";
     else
         std::cerr << "crocusmount: " << answer.status << " " << textOf(body, "reason") << ": " << textOf(body, "detail")
@@ -134,7 +139,7 @@
     const std::string result = textOf(body, "result");
     if (result.empty()) {
         succeeded(answer);
-        return answer.phase == CallPhase::Answered ? ExitFailed : ExitUnknownOutcome;
+        return answer.phase == CallPhase::Answered && !isCutSuccess(answer) ? ExitFailed : ExitUnknownOutcome;
     }
     if (client.isJsonOutput) {
         std::cout << answer.body << "\n";
@@ -397,7 +402,7 @@
         headers.emplace_back("X-Crocusmount-Idempotent", "false");
     const HttpAnswer answer = client.call(http::verb::post, "/v1/completions", json::serialize(body), headers);
     if (!succeeded(answer)) {
-        std::cerr << "run: " << textOf(objectOf(answer), "run") << "\n";
+        std::cerr << "run: " << (isCutSuccess(answer) ? "may_have_run" : textOf(objectOf(answer), "run")) << "\n";
         return ExitFailed;
     }
     if (client.isJsonOutput)
