Let the load tool count a cut answer as lost

What is guarded: the figures of the load tool. A stream without its end on a connection that was closed in order counted as wrong and was not asked for again, and a cut answer that is no stream ended the tool with an exception.

Both are lost now, as an answer that ends before its length already was, and the request goes to the next instance. A stream whose last chunk came without its end is still wrong.

--- a/src/load/LoadRun.cpp
+++ b/src/load/LoadRun.cpp
@@ -191,13 +191,15 @@
     };
     HttpClient::Receive onBytes = receive;
     const HttpAnswer answer = co_await m_client.stream(std::move(call), AnswerIdleTimeout, std::move(onBytes), nullptr);
-    if (answer.phase == CallPhase::Answered && answer.status == 200 && error.empty()) {
-        if (!kind.stream) {
-            const json::object reply = parseObject(unstreamedBody);
+    const json::object reply = kind.stream ? json::object() : parseObject(unstreamedBody);
+    hasEnded = hasEnded || !reply.empty();
+    // The end of a connection may have cut the answer off.
+    const bool isCut = !hasEnded && answer.end == BodyEnd::ConnectionClosed;
+    if (answer.phase == CallPhase::Answered && answer.status == 200 && error.empty() && !isCut) {
+        if (!reply.empty()) {
             text = textOf(reply.at("choices").as_array().at(0).as_object(), "text");
             record.tokens = static_cast<std::uint32_t>(reply.at("usage").at("completion_tokens").as_int64());
             record.firstTokenMs = elapsedMs() - record.startMs;
-            hasEnded = true;
         }
         checkAnswer(record, text, hasEnded);
         co_return true;
