Say where a recorded log ends, and fail at lines that cannot be read

What is guarded: the check that the same events give the same effects. crocusmount-replay stopped at a line that it could not read, also in the middle of a log, and exited with 0 as if the whole log had been checked. A log that ended inside an effect counted as a difference, one that ended before an effect as complete.

A line that cannot be read is now a failure. A log may end at any byte, because a killed daemon leaves it so: what is there is compared, and the event inside which the log ends is named.

Before: UnreadableLineInsideLogIsAFailure got exit code 0, CutEndOfLogIsReportedAndIsNoDifference got no such report.

--- a/programs/crocusmount-replay.cpp
+++ b/programs/crocusmount-replay.cpp
@@ -37,25 +37,41 @@
     std::size_t nextEffect = 0;
     std::size_t eventCount = 0;
     std::size_t differentEffects = 0;
+    std::size_t cutEvent = 0; // number of the event inside which the log ends; 0: none
+    bool isUnreadable = false;
     while (std::getline(log, line)) {
-        if (line.compare(0, 2, "  ") == 0) {
-            const bool isSame = nextEffect < effects.size() && "  " + toJsonLine(effects[nextEffect]) == line;
+        // A killed daemon may leave the end of its log incomplete, at any byte.
+        const bool isCutLine = log.eof();
+        if (line.compare(0, 2, "  ") == 0 || line == " ") {
+            const std::string expected = nextEffect < effects.size() ? "  " + toJsonLine(effects[nextEffect]) : "";
+            const bool isSame
+                = isCutLine ? expected.compare(0, line.size(), line) == 0 : !expected.empty() && expected == line;
             differentEffects += isSame ? 0 : 1;
             ++nextEffect;
+            if (isCutLine)
+                cutEvent = eventCount;
             continue;
         }
         differentEffects += nextEffect < effects.size() ? effects.size() - nextEffect : 0;
+        effects.clear();
+        nextEffect = 0;
+        if (isCutLine) {
+            cutEvent = eventCount + 1;
+            break;
+        }
         const auto event = eventFromJsonLine(line);
         if (!event.ok()) {
-            // A killed daemon may leave the last line incomplete.
             std::cerr << "event " << eventCount + 1 << ": " << event.status().message() << "\n";
+            isUnreadable = true;
             break;
         }
-        effects.clear();
-        nextEffect = 0;
         (*reducer)->reduce(*event, effects);
         ++eventCount;
     }
+    if (nextEffect < effects.size())
+        cutEvent = eventCount;
+    if (cutEvent)
+        std::cerr << "the log ends inside event " << cutEvent << "; what is missing was not checked\n";
     std::cout << eventCount << " events, " << differentEffects << " effects differ\n";
-    return differentEffects ? ExitFailed : ExitOk;
+    return differentEffects || isUnreadable ? ExitFailed : ExitOk;
 }
