--- a/tests/AnswerEndingTest.cpp
+++ b/tests/AnswerEndingTest.cpp
@@ -3,6 +3,8 @@
 #include "tests/RelayLoopback.h"
 #include "tests/Tests.h"
 
+#include <absl/strings/str_cat.h>
+
 using namespace crocusmount;
 using namespace crocusmount::relay;
 
@@ -222,11 +224,11 @@
         { "/book/1", "Content-Type: text/event-stream\r\n" },
     };
     for (const auto& each : cases) {
-        const std::string head = answerHead("200 OK") + each.type + "\r\n";
-        const CallOutcome cut = runCall(requestTo(each.path), { head + FirstEvent + SecondEvent.substr(0, 9) });
+        const std::string begin = absl::StrCat(answerHead("200 OK"), each.type, "\r\n", FirstEvent);
+        const CallOutcome cut = runCall(requestTo(each.path), { begin + SecondEvent.substr(0, 9) });
         CHECK_FALSE_TEXT(hasText(cut.answer, "id: 2"), (each.type + cut.answer).c_str());
         CHECK_FALSE_TEXT(isComplete(cut.answer), (each.type + cut.answer).c_str());
-        const CallOutcome whole = runCall(requestTo(each.path), { head + FirstEvent + SecondEvent });
+        const CallOutcome whole = runCall(requestTo(each.path), { begin + SecondEvent });
         CHECK_TRUE_TEXT(hasText(whole.answer, SecondEvent), (each.type + whole.answer).c_str());
     }
 }
--- a/tests/CommandLineTest.cpp
+++ b/tests/CommandLineTest.cpp
@@ -1,3 +1,4 @@
+#include "shell/Net.h"
 #include "tests/Tests.h"
 #include "tests/fakes/ScriptedHttpServer.h"
 
--- a/tests/KvStoreClientTest.cpp
+++ b/tests/KvStoreClientTest.cpp
@@ -117,6 +117,7 @@
     for (const auto& answers :
         { std::vector { emptyPage }, std::vector { FirstPage, emptyPage }, std::vector { FirstPage, FirstPage } }) {
         std::vector<std::string> script;
+        script.reserve(answers.size());
         for (const std::string& body : answers)
             script.push_back(answerWithoutLength(body));
         const CallResults results = runCall(script, readRange);
