--- a/tests/CrashFleet.cpp
+++ b/tests/CrashFleet.cpp
@@ -128,12 +128,25 @@
             postLater(TimeStep, instance, event::RerouteAnswered { reroute->attempt, accepted });
         } else if (const auto* refused = std::get_if<effect::Refuse>(&effect)) {
             recordFailure(instance, refused->call, refused->run == RunState::NotRun && !refused->retryAfter.count());
+        } else if (const auto* complete = std::get_if<effect::CompleteAnswer>(&effect)) {
+            on(instance, *complete);
         } else if (const auto* broken = std::get_if<effect::BreakAnswer>(&effect)) {
             recordFailure(instance, broken->call, false);
         }
     }
 }
 
+void CrashFleet::on(std::size_t instance, const effect::CompleteAnswer& complete)
+{
+    Instance& owner = m_instances[instance];
+    const auto found = owner.openCalls.find(complete.call);
+    if (found == owner.openCalls.end())
+        return;
+    Tally& tally = tallyOf(found->second);
+    ++(owner.wholeStreams.count(complete.call) ? tally.completed : tally.completedTooEarly);
+    owner.openCalls.erase(found);
+}
+
 void CrashFleet::recordFailure(std::size_t instance, RequestId call, bool isRefusedPermanently)
 {
     auto& open = m_instances[instance].openCalls;
@@ -217,6 +230,7 @@
         if (!attempt.chain.contains(engine.entry.id))
             continue;
         const bool isFirst = attempt.chain.hops().front().backend == engine.entry.id;
+        attempt.endsUnproven = m_options.streamsHaveNoLength && attempt.nextEvent > 1;
         if (isFirst && m_options.crashResetsConnections)
             broken.emplace_back(key, attempt);
         else
@@ -225,7 +239,8 @@
     for (const auto& [key, attempt] : broken) {
         m_attempts.erase(key);
         postLater(TimeStep, key.first,
-            event::AttemptEnded { key.second, AttemptResult::Broken, attempt.begunAt ? 200U : 0U, "" });
+            event::AttemptEnded { key.second, attempt.endsUnproven ? AttemptResult::Unproven : AttemptResult::Broken,
+                attempt.begunAt ? 200U : 0U, "" });
     }
 }
 
@@ -303,10 +318,16 @@
         attempt.nextEventAt = m_now + EventInterval;
         const std::uint64_t next = attempt.nextEvent++;
         const RequestId call = attempt.call;
-        post(key.first, event::EventDelivered { key.second, next });
+        if (next <= EventsPerStream)
+            post(key.first, event::EventDelivered { key.second, next });
         if (next < EventsPerStream)
             continue;
         m_attempts.erase(key);
+        if (m_options.streamsHaveNoLength) {
+            m_instances[key.first].wholeStreams.insert(call);
+            post(key.first, event::AttemptEnded { key.second, AttemptResult::Unproven, 200, "" });
+            continue;
+        }
         m_instances[key.first].openCalls.erase(call);
         ++m_harmlessTally.completed;
         post(key.first, event::AttemptEnded { key.second, AttemptResult::Completed, 200, "" });
--- a/tests/CrashFleet.h
+++ b/tests/CrashFleet.h
@@ -23,6 +23,8 @@
         Duration restartDelay = std::chrono::milliseconds(3000); ///< from the crash of an engine to its next start
         /// Whether the connections to a crashed engine are reset. Otherwise callers only see that it stops answering.
         bool crashResetsConnections = true;
+        /// Whether streams end with their connections, in order also when their engine crashes, between two events.
+        bool streamsHaveNoLength = false;
     };
 
     /// Counts the outcomes of one kind of request.
@@ -30,6 +32,7 @@
         std::uint64_t sent = 0;
         std::uint64_t completed = 0;
         std::uint64_t refusedPermanently = 0; ///< refused as not run, without a time to retry after
+        std::uint64_t completedTooEarly = 0; ///< ended as complete before the last event
         std::uint64_t failed = 0; ///< refused otherwise, broken off, or lost with the instance
         std::vector<TimePoint> attemptTimes; ///< when attempts were sent to running engines
         std::vector<TimePoint> crashTimes; ///< when the request crashed an engine
@@ -81,12 +84,14 @@
         std::optional<TimePoint> begunAt;
         std::uint64_t nextEvent = 1; ///< sequence number of the next event of the stream
         TimePoint nextEventAt;
+        bool endsUnproven = false; ///< the stream shows no difference between its end and a crash of the first engine
         bool isSilent = false; ///< an engine of the chain crashed without resetting the connection to the instance
     };
     struct Instance {
         std::unique_ptr<RelayReducer> reducer;
         TimePoint isolatedUntil;
         std::map<RequestId, int> openCalls; ///< crashingNumber of each call
+        std::set<RequestId> wholeStreams; ///< open calls whose last event was delivered
     };
     /// An event to be delivered to an instance.
     struct Message {
@@ -103,6 +108,7 @@
     void broadcast(std::size_t instance, const RelayEventBody&);
     void apply(std::size_t instance, const RelayEffects&);
     void on(std::size_t instance, const effect::StartAttempt&);
+    void on(std::size_t instance, const effect::CompleteAnswer&);
     /// Counts a call that ended without a complete answer.
     void recordFailure(std::size_t instance, RequestId, bool isRefusedPermanently);
     void send(std::size_t instance, int crashingNumber);
--- a/tests/UnprovenEndTest.cpp
+++ b/tests/UnprovenEndTest.cpp
@@ -1,6 +1,8 @@
+#include "tests/CrashFleet.h"
 #include "tests/RelayHarness.h"
 #include "tests/Tests.h"
 
+#include <absl/strings/str_cat.h>
 #include <algorithm>
 
 using namespace crocusmount;
@@ -298,3 +300,40 @@
     CHECK_EQUAL(1, finalAnswers);
     CHECK_EQUAL(0U, stream.harness().reducer().openCalls());
 }
+
+// A fifth of the engines dies at one time under streams without length.
+TEST(UnprovenEnd, NoStreamOfAFleetLooksCompleteBeforeItsLastEvent)
+{
+    for (const std::size_t instances : { 9U, 60U, 295U }) {
+        CrashFleet::Options options;
+        options.instances = instances;
+        options.enginesPerHalf = 20;
+        options.streamsHaveNoLength = true;
+        CrashFleet fleet(options);
+        bool hasCrashed = false;
+        for (int sent = 0; sent < 600; ++sent) {
+            fleet.sendHarmless(fleet.random() % fleet.instances());
+            fleet.runUntil(fleet.elapsed() + std::chrono::milliseconds(5));
+            if (!hasCrashed && fleet.elapsed() > std::chrono::seconds(2)) {
+                hasCrashed = true;
+                fleet.crashEngines(4, true);
+                fleet.crashEngines(4, false);
+            }
+        }
+        fleet.runUntil(std::chrono::seconds(8));
+        const CrashFleet::Tally& tally = fleet.harmlessTally();
+        std::uint64_t checks = 0;
+        std::uint64_t diedUnder = 0;
+        for (std::size_t each = 0; each < instances; ++each) {
+            const RelayCounters& counters = fleet.reducer(each).counters();
+            checks += counters.engineChecks;
+            diedUnder += counters.unprovenEnds.at(static_cast<std::size_t>(EndVerdict::ServerDied));
+        }
+        const std::string figures = absl::StrCat(instances, " instances: sent ", tally.sent, ", completed ",
+            tally.completed, ", too early ", tally.completedTooEarly, ", failed ", tally.failed,
+            ", servers died under ", diedUnder, ", checks ", checks);
+        CHECK_EQUAL_TEXT(0U, tally.completedTooEarly, figures.c_str());
+        CHECK_TRUE_TEXT(diedUnder > 0, figures.c_str());
+        CHECK_EQUAL_TEXT(tally.sent, tally.completed + tally.failed + tally.refusedPermanently, figures.c_str());
+    }
+}
