Take a stream without length for broken off unless there is a sign of life

Change: the absence of evidence completes nothing. Signs of life are the answer to a check or a probe (plain services are probed now), an answer that the server begins to a later call, and an event of another stream that passes it later than 250 ms after the end, by when TCP has repeated what a dead process had sent. Without one in 500 ms the attempt counts as broken: a call that can be resumed continues elsewhere, the other answer is broken off. A leaving server that refuses connections has no sign of life either: when it exits, it cuts off what is left. This replaces the test that asserted the opposite, by one for both kinds of calls, and adds one for each obstacle to a check.

--- a/src/relay/AnswerEnding.cpp
+++ b/src/relay/AnswerEnding.cpp
@@ -21,10 +21,8 @@
     switch (verdict) {
     case EndVerdict::Verified:
         return "verified";
-    case EndVerdict::Unverified:
-        return "unverified";
-    case EndVerdict::ServerDied:
-        return "server_died";
+    case EndVerdict::BrokenOff:
+        return "broken_off";
     }
     return "verdict";
 }
--- a/src/relay/AnswerEnding.h
+++ b/src/relay/AnswerEnding.h
@@ -44,10 +44,9 @@
 /// What was found out about an unproven end.
 enum class EndVerdict {
     Verified, ///< complete: the servers that the answer depended on are alive
-    Unverified, ///< taken for complete: no server could be checked, and nothing shows that one died
-    ServerDied, ///< broken off
+    BrokenOff, ///< a server died, or there was no sign of life
 };
-inline constexpr std::size_t EndVerdictCount = 3;
+inline constexpr std::size_t EndVerdictCount = 2;
 
 /// What is known of a server that an unproven end depends on.
 enum class LifeSign {
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -271,8 +271,7 @@
     Call& call = *found;
     if (ended.result == AttemptResult::Completed) {
         keepOnly(call, ended.attempt, context);
-        recordCompletion(call, context);
-        finishCompleted(call, context);
+        completeCall(call, context);
         return;
     }
     if (ended.result == AttemptResult::Unproven && call.main.id == ended.attempt) {
@@ -301,16 +300,11 @@
     dispatchAll(context);
 }
 
-/// Updates what is known of the server and the request of a call whose main attempt has answered it completely.
-void RelayReducer::recordCompletion(Call& call, Context& context)
+/// Forgets a call whose main attempt, the only one left, has answered it completely.
+void RelayReducer::completeCall(Call& call, Context& context)
 {
     m_fleet.recordSuccess(call.main.server);
     recordHarmlessRequest(call, context);
-}
-
-/// Forgets a call whose main attempt, the only one left, has answered it completely.
-void RelayReducer::finishCompleted(Call& call, Context& context)
-{
     release(call, call.main, context);
     ++m_counters.completed;
     remove(call.id);
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -118,12 +118,10 @@
     void release(Call&, const Attempt&, Context&);
     void keepOnly(Call&, AttemptId, Context&);
     void countEnding(const AnswerEnding&);
-    void recordCompletion(Call&, Context&);
-    void finishCompleted(Call&, Context&);
+    void completeCall(Call&, Context&);
     void awaitEndProof(Call&, Context&);
     void checkUnverified(const UnprovenEnd&, Context&);
     void settleUnprovenEnds(const BackendId&, TimePoint askedAt, LifeSign, Context&);
-    bool isCheckable(const BackendId&, TimePoint now);
     void settleOverdueEnds(Context&);
     void settleEnd(RequestId, EndVerdict, Context&);
     BackendId blamedServer(const Attempt&, const event::AttemptEnded&);
--- a/src/relay/RelayReducerCrashes.cpp
+++ b/src/relay/RelayReducerCrashes.cpp
@@ -113,6 +113,10 @@
         recordServerEnded(*server, context);
     else
         server->nextProbe = context.now + ReprobeInterval;
+    const LifeSign sign = probed.finding == Finding::Alive ? LifeSign::Alive
+        : probed.finding == Finding::Ended                 ? LifeSign::Ended
+                                                           : LifeSign::Silent;
+    settleUnprovenEnds(probed.server, server->lastCheckAt, sign, context);
 }
 
 /// Records that a server's process has ended, with the calls that it was running. A leaving server ends on purpose and
--- a/src/relay/RelayReducerEndings.cpp
+++ b/src/relay/RelayReducerEndings.cpp
@@ -18,6 +18,9 @@
     constexpr Duration MaxEndWait = std::chrono::milliseconds(500);
     /// Added for a check that is under way then. Checks end earlier, answered or not.
     constexpr Duration MaxCheckTime = std::chrono::milliseconds(300);
+    /// Bytes that a process sent before it died may arrive for as long as TCP repeats lost packets. An event later than
+    /// this after the end shows that the process lives.
+    constexpr Duration ProgressMargin = std::chrono::milliseconds(250);
 
 } // namespace
 
@@ -29,27 +32,14 @@
     // A first stage cuts streams off that have waited too long for a stage that died.
     const bool wasPaused = isPause(call, context.now - call.lastDeliveredAt) || !attempt.pendingReroute.hops().empty();
     bool hasDied = attempt.hasLostStage || hasLostServer(attempt);
-    bool canCheck = isCheckable(attempt.server, context.now);
     for (const Hop& hop : attempt.chain.hops()) {
         hasDied = hasDied || (isGone(hop.backend) && !mayFinishCalls(hop.backend));
-        if (!wasPaused || hop.backend == attempt.server)
-            continue;
-        end.unverified.push_back(hop.backend);
-        canCheck = canCheck || isCheckable(hop.backend, context.now);
+        if (wasPaused && hop.backend != attempt.server)
+            end.unverified.push_back(hop.backend);
     }
     call.main.unprovenEnd = std::move(end);
     if (hasDied)
-        settleEnd(call.id, EndVerdict::ServerDied, context);
-    else if (!canCheck)
-        settleEnd(call.id, EndVerdict::Unverified, context);
-}
-
-/// @return whether a check of a server may be sent and is answered in general
-bool RelayReducer::isCheckable(const BackendId& id, TimePoint now)
-{
-    const FleetServer* server = m_fleet.find(id);
-    return server && server->isEngine() && !server->backoff.isActive(now)
-        && !m_options.without.has(Mechanism::EngineChecks);
+        settleEnd(call.id, EndVerdict::BrokenOff, context);
 }
 
 /// Checks each server that an unproven end depends on, again if it did not answer. A check that was sent before the end
@@ -60,8 +50,12 @@
         return;
     for (const BackendId& id : end.unverified) {
         FleetServer* server = m_fleet.find(id);
-        if (server && (server->lastCheckAt < end.endedAt || server->unansweredChecks))
+        if (!server || (server->lastCheckAt >= end.endedAt && !server->unansweredChecks))
+            continue;
+        if (server->isEngine())
             checkUrgently(*server, context);
+        else
+            probe(*server, context);
     }
 }
 
@@ -77,42 +71,43 @@
         const auto waiting = std::find(end.unverified.begin(), end.unverified.end(), id);
         if (askedAt < end.endedAt || waiting == end.unverified.end())
             continue;
-        // A busy server may miss a check. An answer that cannot be continued elsewhere waits for another one.
-        const bool isSilent = sign == LifeSign::Silent;
-        if (isSilent && !isRepeatable(each.route->kind))
-            continue;
-        if (isSilent || (sign == LifeSign::Ended && !mayFinishCalls(id))) {
-            settled.emplace_back(call, EndVerdict::ServerDied);
+        if (sign == LifeSign::Alive) {
+            end.unverified.erase(waiting);
+            if (end.unverified.empty())
+                settled.emplace_back(call, EndVerdict::Verified);
             continue;
         }
-        end.unverified.erase(waiting);
-        if (end.unverified.empty())
-            settled.emplace_back(call, sign == LifeSign::Alive ? EndVerdict::Verified : EndVerdict::Unverified);
+        // A busy server may miss a check, and a leaving one stops listening before its answers have ended. An answer
+        // that cannot be continued elsewhere waits for another sign.
+        const bool mayLive = sign == LifeSign::Silent || mayFinishCalls(id);
+        if (!mayLive || isRepeatable(each.route->kind))
+            settled.emplace_back(call, EndVerdict::BrokenOff);
     }
     for (const auto& [call, verdict] : settled)
         settleEnd(call, verdict, context);
 }
 
-/// Settles the unproven ends that have waited too long, and sends checks that are due.
+/// Settles the unproven ends that have waited too long, or whose servers have sent later events, and sends checks that
+/// are due. Without a sign of life the answer counts as broken off.
 void RelayReducer::settleOverdueEnds(Context& context)
 {
     std::vector<std::pair<RequestId, EndVerdict>> due;
-    for (const auto& [id, call] : m_calls) {
+    for (auto& [id, call] : m_calls) {
         if (call.state != CallState::Running || !call.main.unprovenEnd)
             continue;
-        const UnprovenEnd& end = *call.main.unprovenEnd;
+        UnprovenEnd& end = *call.main.unprovenEnd;
         checkUnverified(end, context);
         bool isCheckUnderWay = false;
-        bool hasDied = false;
-        for (const BackendId& each : end.unverified) {
+        std::erase_if(end.unverified, [&](const BackendId& each) {
             const FleetServer* server = m_fleet.find(each);
             isCheckUnderWay = isCheckUnderWay || (server && server->beingChecked);
-            const bool isSilent = server && server->unansweredChecks && server->lastCheckAt >= end.endedAt;
-            hasDied = hasDied || ((isSilent || isGone(each)) && !mayFinishCalls(each));
-        }
+            return server && server->lastProgress > end.endedAt + ProgressMargin;
+        });
         const TimePoint decideBy = end.decideBy + (isCheckUnderWay ? MaxCheckTime : Duration(0));
-        if (context.now >= std::min(decideBy, call.deadline))
-            due.emplace_back(id, hasDied || isCheckUnderWay ? EndVerdict::ServerDied : EndVerdict::Unverified);
+        if (end.unverified.empty())
+            due.emplace_back(id, EndVerdict::Verified);
+        else if (context.now >= std::min(decideBy, call.deadline))
+            due.emplace_back(id, EndVerdict::BrokenOff);
     }
     for (const auto& [id, verdict] : due)
         settleEnd(id, verdict, context);
@@ -128,15 +123,13 @@
     ++m_counters.unprovenEnds.at(static_cast<std::size_t>(verdict));
     call.main.unprovenEnd.reset();
     context.effects.emplace_back(effect::LogEndVerdict { id, call.main.server, verdict });
-    if (verdict == EndVerdict::ServerDied) {
+    if (verdict == EndVerdict::BrokenOff) {
         on(event::AttemptEnded { call.main.id, AttemptResult::Broken }, context);
         return;
     }
     context.effects.emplace_back(effect::CompleteAnswer { id });
     keepOnly(call, call.main.id, context);
-    if (verdict == EndVerdict::Verified)
-        recordCompletion(call, context);
-    finishCompleted(call, context);
+    completeCall(call, context);
 }
 
 } // namespace crocusmount::relay
--- a/src/relay/RelayReducerServers.cpp
+++ b/src/relay/RelayReducerServers.cpp
@@ -177,7 +177,7 @@
         const auto& unverified = call.main.unprovenEnd->unverified;
         const bool isUnverified = std::find(unverified.begin(), unverified.end(), lost) != unverified.end();
         if (isUnverified && !mayFinishCalls(lost))
-            settleEnd(call.id, EndVerdict::ServerDied, context);
+            settleEnd(call.id, EndVerdict::BrokenOff, context);
         return;
     }
     if (!call.main.usesServer(lost) || (call.main.server == lost && mayFinishCalls(lost)))
--- a/tests/UnprovenEndTest.cpp
+++ b/tests/UnprovenEndTest.cpp
@@ -162,16 +162,58 @@
     CHECK_TRUE(stream.outcome() == Outcome::Complete);
 }
 
-// A leaving server stops listening before its answers have ended.
-TEST(UnprovenEnd, AnAnswerOfALeavingServerThatRefusesConnectionsIsNotLost)
+// A leaving server stops listening before its answers have ended, and cuts off what is left when it exits.
+TEST(UnprovenEnd, TheRefusalOfALeavingServerProvesNothing)
 {
-    UnprovenStream stream("/once/1");
-    RegisteredServer leaving = RelayHarness::engine(stream.firstStage().value(), 0, 4);
-    leaving.leaving = true;
-    stream.harness().send(relay::event::ServerRegistered { leaving });
-    stream.end();
-    stream.answer(stream.firstStage(), false, true);
-    CHECK_TRUE(stream.outcome() == Outcome::Complete);
+    for (const bool isRepeatable : { false, true }) {
+        UnprovenStream stream(isRepeatable ? "/draft/1" : "/once/1");
+        RegisteredServer leaving = RelayHarness::engine(stream.firstStage().value(), 0, 4);
+        leaving.leaving = true;
+        stream.harness().send(relay::event::ServerRegistered { leaving });
+        stream.end();
+        stream.answer(stream.firstStage(), false, true);
+        CHECK_TRUE(isRepeatable || stream.outcome() == Outcome::Open);
+        stream.waitForOutcome();
+        CHECK_TRUE(stream.outcome() == (isRepeatable ? Outcome::Resumed : Outcome::BrokenOff));
+    }
+}
+
+TEST(UnprovenEnd, WithoutASignOfLifeAnAnswerIsNotComplete)
+{
+    enum class Obstacle { Backoff, NoEntry, NoChecks };
+    for (const Obstacle obstacle : { Obstacle::Backoff, Obstacle::NoEntry, Obstacle::NoChecks }) {
+        for (const bool hasLaterEvents : { false, true }) {
+            RelayOptions options;
+            if (obstacle == Obstacle::NoChecks)
+                options.without = *DisabledMechanisms::make("engine-checks");
+            RelayHarness harness(options);
+            const relay::effect::StartAttempt ending = harness.running("/once/1", 3);
+            relay::effect::StartAttempt other = ending;
+            for (int tries = 0; tries < 8 && (!tries || other.server != ending.server); ++tries)
+                other = harness.running("/once/2", 1);
+            ServerNotice notice;
+            notice.retryAfter = std::chrono::seconds(9);
+            if (obstacle == Obstacle::Backoff)
+                harness.notice(ending, notice);
+            if (obstacle == Obstacle::NoEntry)
+                harness.send(relay::event::ServerUnregistered { ending.server });
+            harness.send(relay::event::AttemptEnded { ending.attempt, AttemptResult::Unproven, 200, "" });
+            bool isComplete = false;
+            bool isBrokenOff = false;
+            for (int waited = 0; waited < 900 && !isComplete && !isBrokenOff; waited += 20) {
+                harness.tick(std::chrono::milliseconds(20));
+                isComplete = harness.last<relay::effect::CompleteAnswer>().has_value();
+                isBrokenOff = harness.last<relay::effect::BreakAnswer>().has_value();
+                const auto check = harness.last<relay::effect::CheckEngine>();
+                CHECK_FALSE(obstacle == Obstacle::Backoff && check && check->engine == ending.server);
+                if (hasLaterEvents)
+                    harness.send(relay::event::EventDelivered { other.attempt, 2U + unsigned(waited) / 20 });
+            }
+            const bool hasEvidence = hasLaterEvents && obstacle != Obstacle::NoEntry;
+            CHECK_EQUAL(hasEvidence, isComplete);
+            CHECK_EQUAL(!hasEvidence, isBrokenOff);
+        }
+    }
 }
 
 TEST(UnprovenEnd, TheEndOfAnAnswerDoesNotWaitForeverForACheck)
@@ -181,14 +223,6 @@
     for (int waited = 0; waited < 900; waited += 20)
         unanswered.tick(20);
     CHECK_TRUE(unanswered.outcome() == Outcome::BrokenOff);
-
-    // Without checks nothing shows that the server died.
-    RelayOptions options;
-    options.without = *DisabledMechanisms::make("engine-checks");
-    RelayHarness unchecked(options);
-    const relay::effect::StartAttempt start = unchecked.running("/once/1", 3);
-    unchecked.send(relay::event::AttemptEnded { start.attempt, AttemptResult::Unproven, 200, "" });
-    CHECK_TRUE(unchecked.last<relay::effect::CompleteAnswer>().has_value());
 }
 
 TEST(UnprovenEnd, ACallerThatLeavesWhileTheEndIsCheckedEndsTheCall)
@@ -327,11 +361,11 @@
         for (std::size_t each = 0; each < instances; ++each) {
             const RelayCounters& counters = fleet.reducer(each).counters();
             checks += counters.engineChecks;
-            diedUnder += counters.unprovenEnds.at(static_cast<std::size_t>(EndVerdict::ServerDied));
+            diedUnder += counters.unprovenEnds.at(static_cast<std::size_t>(EndVerdict::BrokenOff));
         }
-        const std::string figures = absl::StrCat(instances, " instances: sent ", tally.sent, ", completed ",
-            tally.completed, ", too early ", tally.completedTooEarly, ", failed ", tally.failed,
-            ", servers died under ", diedUnder, ", checks ", checks);
+        const std::string figures
+            = absl::StrCat(instances, " instances: sent ", tally.sent, ", completed ", tally.completed, ", too early ",
+                tally.completedTooEarly, ", failed ", tally.failed, ", broken off ", diedUnder, ", checks ", checks);
         CHECK_EQUAL_TEXT(0U, tally.completedTooEarly, figures.c_str());
         CHECK_TRUE_TEXT(diedUnder > 0, figures.c_str());
         CHECK_EQUAL_TEXT(tally.sent, tally.completed + tally.failed + tally.refusedPermanently, figures.c_str());
