Log and count why connections to servers fail, and what the directory answers

Callers of instances that were cut off from all servers got 503. The logs could not tell a path that swallows packets from servers that refuse or reset connections, and no metric showed how many instances the directory names. attempt_failed has connect_failure now; crocusmount_connect_failures_total counts by cause, crocusmount_directory_addresses is the directory's size. No decision changes.

--- a/src/edge/RelayMetrics.cpp
+++ b/src/edge/RelayMetrics.cpp
@@ -87,6 +87,12 @@
             "Streams without length that ended between two events, by what was found out",
             double(counters.unprovenEnds.at(verdict)), { { "verdict", toString(static_cast<EndVerdict>(verdict)) } });
     }
+    for (std::size_t failure = 0; failure < ConnectFailureCount; ++failure) {
+        families.addCounter("crocusmount_connect_failures_total",
+            "Attempts that could not connect to their backend server, by cause",
+            double(counters.connectFailures.at(failure)),
+            { { "cause", toString(static_cast<ConnectFailure>(failure)) } });
+    }
     families.addCounter(
         "crocusmount_events_cut_off_total", "Streams that ended inside an event", double(counters.eventsCutOff));
     families.addCounter(
@@ -103,6 +109,8 @@
     families.addGauge("crocusmount_connections", "Callers' connections", double(gauges.connections));
     families.addGauge("crocusmount_backend_servers", "Registered backend servers", double(gauges.servers));
     families.addGauge("crocusmount_instances", "Live instances", gauges.instances);
+    families.addGauge("crocusmount_directory_addresses", "Instances that the directory sends callers to",
+        double(gauges.directoryAddresses));
     families.addGauge("crocusmount_configuration_version", "In force", double(gauges.configurationVersion));
     families.addGauge("crocusmount_store_age_ms", "Since the store last answered", double(gauges.storeAgeMs));
     for (std::size_t kind = 0; kind < StoreCallKindCount; ++kind) {
--- a/src/edge/RelayNode.cpp
+++ b/src/edge/RelayNode.cpp
@@ -230,6 +230,8 @@
         { "culprit", ended.culprit }, { "server", attempt.server.value() }, { "chain", chainText(attempt.chain) },
         { "request", open->second.digest }, { "sent_ms", toMs(now() - attempt.startedAt) },
         { "begun_ms", attempt.begunAt ? toMs(now() - *attempt.begunAt) : NotBegunMs } };
+    if (ended.result == AttemptResult::ConnectFailed)
+        fields["connect_failure"] = toString(ended.connectFailure);
     for (const auto& field : endingFields(ended.ending))
         fields.insert(field);
     const bool isUnproven = ended.result == AttemptResult::Unproven;
--- a/src/edge/UpstreamAttempt.cpp
+++ b/src/edge/UpstreamAttempt.cpp
@@ -29,6 +29,17 @@
     /// HTTP status of a server that is not the expected one.
     constexpr unsigned MisdirectedRequest = 421;
 
+    ConnectFailure connectFailureOf(const boost::system::error_code& error)
+    {
+        if (error == beast::error::timeout || error == net::error::timed_out)
+            return ConnectFailure::TimedOut;
+        if (error == net::error::connection_refused)
+            return ConnectFailure::Refused;
+        if (error == net::error::connection_reset)
+            return ConnectFailure::Reset;
+        return ConnectFailure::Other;
+    }
+
     /// @return the head of an answer without its hop-by-hop headers
     AnswerHead forwardedHead(const http::response_header<>& header)
     {
@@ -151,7 +162,7 @@
 
 event::AttemptEnded UpstreamAttempt::makeEnded(AttemptResult result, unsigned status, std::string culprit) const
 {
-    return { m_order.attempt, result, status, std::move(culprit) };
+    return { m_order.attempt, result, status, std::move(culprit), std::nullopt, m_connectFailure };
 }
 
 Awaitable<bool> UpstreamAttempt::connect()
@@ -163,6 +174,8 @@
         = std::chrono::duration_cast<std::chrono::milliseconds>(m_order.remaining / ConnectTimeDivisor);
     m_stream.expires_after(std::min(MaxConnectTime, shareOfRemaining));
     const auto [error] = co_await m_stream.async_connect(*endpoint, asTuple);
+    if (error)
+        m_connectFailure = connectFailureOf(error);
     if (error || m_isCancelled)
         co_return false;
     boost::system::error_code ignored;
--- a/src/edge/UpstreamAttempt.h
+++ b/src/edge/UpstreamAttempt.h
@@ -94,6 +94,7 @@
     boost::system::error_code m_readError; ///< of the latest read of a body
     std::array<char, 8192> m_bodyChunk {}; ///< filled by each read of a body
     std::uint64_t m_lastEventId = 0; ///< id of the last event that the caller has; 0: none
+    ConnectFailure m_connectFailure = ConnectFailure::Other; ///< why connect() failed
     bool m_hasDeliveredHead = false; ///< the head of a stream was delivered to the caller
     bool m_isCancelled = false;
     bool m_isHeld = false; ///< hold() is in effect
--- a/src/relay/RelayCounters.h
+++ b/src/relay/RelayCounters.h
@@ -2,6 +2,7 @@
 
 #include "crocusmount/Reason.h"
 #include "relay/AnswerEnding.h"
+#include "relay/ConnectFailure.h"
 #include "relay/RetryLimit.h"
 
 #include <array>
@@ -40,6 +41,7 @@
     /// Answers whose body was read, by framing and by what ended the reading.
     std::array<std::array<std::uint64_t, AnswerStopCount>, AnswerFramingCount> answerEndings {};
     std::array<std::uint64_t, EndVerdictCount> unprovenEnds {}; ///< unproven ends of streams, by what was found out
+    std::array<std::uint64_t, ConnectFailureCount> connectFailures {}; ///< attempts that could not connect, by cause
     std::uint64_t eventsCutOff = 0; ///< streams that ended inside an event
     std::uint64_t callersLeft = 0; ///< callers that closed their connection before the end of the answer
     std::uint64_t configurationsAccepted = 0;
--- a/src/relay/RelayEvent.h
+++ b/src/relay/RelayEvent.h
@@ -3,6 +3,7 @@
 #include "crocusmount/Ids.h"
 #include "relay/AnswerEnding.h"
 #include "relay/CallSpec.h"
+#include "relay/ConnectFailure.h"
 #include "relay/CrashReport.h"
 #include "relay/LoadReport.h"
 #include "relay/PermitAnswer.h"
@@ -124,6 +125,7 @@
         unsigned status = 0; ///< HTTP status of the server's answer; zero if none
         std::string culprit; ///< address of the stage that the server blames; empty if none
         std::optional<AnswerEnding> ending {}; ///< how the body ended; nothing if none was read
+        ConnectFailure connectFailure = ConnectFailure::Other; ///< meaningful only for ConnectFailed
     };
 
     /// The first stage answered effect::RerouteAttempt.
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -265,6 +265,8 @@
 {
     if (ended.ending)
         countEnding(*ended.ending);
+    if (ended.result == AttemptResult::ConnectFailed)
+        ++m_counters.connectFailures.at(static_cast<std::size_t>(ended.connectFailure));
     Call* found = findByAttempt(ended.attempt);
     if (!found)
         return;
