Leave instances out of the directory that are cut off from all servers

Cause: an instance judged each server by itself and never its own path. Its readiness and the directory depend on the store and its peers alone, so it kept a third of all callers, and tried dead-looking servers until its retry budget was spent. The class: what an instance sees of its own path is taken for what is true of the servers.

Evidence: of 41 servers none answered an attempt or a check of the three instances from 5.2 s on (283 checks, 431 connections), while the others' 210 checks were all answered.

Ruled out: a part of the servers reachable (no success at all); peers that knew of it (instances_silent never logged; the rate of callers unchanged).

Change: ServerContacts records which new connections were answered, each load report says which servers answered its instance lately, and classifyPath() decides: cut off is an instance to which no server answers for 0.8 s, at least two of which answer others. It says so in its reports, the directory leaves it out as long as another one is left, it refuses calls at once, ends those that it cannot serve, releases the planner's lock, and draws no conclusions about servers for others: no death reports, no avoidance, no crash evidence. It returns after a second in which servers answered.

Why it works: servers that are gone, slow or full fail for all instances, so nobody leaves then. Shown in virtual time at 9, 60 and 295 instances with silence, resets and refusals; with the detection switched off the check of callers fails.

--- a/include/crocusmount/Reason.h
+++ b/include/crocusmount/Reason.h
@@ -31,6 +31,7 @@
     NoCapacity, ///< all suitable backend servers are full
     LimitReached, ///< all suitable backend servers name limits that leave no request for the call
     ServersInBackoff, ///< all suitable backend servers asked to be sent nothing for longer than the call can wait
+    NoPathToServers, ///< this instance reaches no backend server, while other instances do
     TimedOut,
     ServerFailure, ///< a backend server answered with an error
     // Attempts that failed; the request is retried or fails.
--- a/programs/crocusmount-entry.cpp
+++ b/programs/crocusmount-entry.cpp
@@ -146,6 +146,8 @@
         gauges.connections = m_front->connections();
         gauges.servers = reducer.fleet().servers().size();
         gauges.instances = m_registry.count();
+        gauges.isCutOff = reducer.isCutOff();
+        gauges.cutOffInstances = m_registry.cutOffCount();
         gauges.directoryAddresses = callerAddresses().size();
         gauges.configurationVersion = reducer.routes() ? reducer.routes()->configuration().version : 0;
         gauges.storeAgeMs = m_mirror.age().count();
--- a/src/edge/InstanceRegistry.cpp
+++ b/src/edge/InstanceRegistry.cpp
@@ -106,6 +106,16 @@
     relay::DecisionLog::state("instances_silent", { { "silent", m_silentInstances.size() }, { "instances", count() } });
 }
 
+void InstanceRegistry::setCutOffInstances(std::set<std::uint64_t> cutOff)
+{
+    if (cutOff == m_cutOffInstances)
+        return;
+    m_cutOffInstances = std::move(cutOff);
+    relay::DecisionLog::state("instances_cut_off",
+        { { "cut_off", m_cutOffInstances.size() }, { "instances", count() },
+            { "directory_addresses", callerAddresses().size() } });
+}
+
 void InstanceRegistry::noteLeaving(std::uint64_t key)
 {
     if (m_leavingInstances.insert(key).second)
@@ -115,21 +125,28 @@
 
 std::vector<std::string> InstanceRegistry::callerAddresses() const
 {
-    std::vector<std::string> all;
-    std::vector<std::string> responsive;
-    if (!m_isWithdrawn) {
-        all.push_back(m_self.address);
-        responsive.push_back(m_self.address);
-    }
+    std::vector<const Entry*> all;
+    if (!m_isWithdrawn)
+        all.push_back(&m_self);
     for (const auto& [key, entry] : m_others) {
-        const std::uint64_t instance = relay::instanceKey(InstanceId(entry.id));
-        if (m_leavingInstances.count(instance))
-            continue;
-        all.push_back(entry.address);
-        if (!m_silentInstances.count(instance))
-            responsive.push_back(entry.address);
+        if (!m_leavingInstances.count(relay::instanceKey(InstanceId(entry.id))))
+            all.push_back(&entry);
     }
-    return responsive.size() * 2 > all.size() ? responsive : all;
+    const auto without = [](const std::vector<const Entry*>& entries, const std::set<std::uint64_t>& excluded) {
+        std::vector<const Entry*> rest;
+        std::copy_if(entries.begin(), entries.end(), std::back_inserter(rest),
+            [&](const Entry* entry) { return !excluded.count(relay::instanceKey(InstanceId(entry->id))); });
+        return rest;
+    };
+    std::set<std::uint64_t> silentOthers = m_silentInstances;
+    silentOthers.erase(relay::instanceKey(InstanceId(m_self.id)));
+    const auto responsive = without(all, silentOthers);
+    const auto& reachable = responsive.size() * 2 > all.size() ? responsive : all;
+    const auto connected = without(reachable, m_cutOffInstances);
+    std::vector<std::string> addresses;
+    for (const Entry* entry : connected.empty() ? reachable : connected)
+        addresses.push_back(entry->address);
+    return addresses;
 }
 
 std::vector<InstanceRegistry::Entry> InstanceRegistry::others() const
--- a/src/edge/InstanceRegistry.h
+++ b/src/edge/InstanceRegistry.h
@@ -38,6 +38,13 @@
     /// @param silent  keys of the instances, see relay::instanceKey
     void setSilentInstances(std::set<std::uint64_t> silent);
 
+    /// Sets the instances that reach no backend server, although others do. callerAddresses() leaves them out as long
+    /// as it has others.
+    /// @param cutOff  keys of the instances, perhaps of this one, see relay::instanceKey
+    void setCutOffInstances(std::set<std::uint64_t> cutOff);
+    /// @return instances that are cut off from the servers as far as this instance knows
+    std::size_t cutOffCount() const { return m_cutOffInstances.size(); }
+
     /// Notes that a listed instance is shutting down. If the store is unreachable, the instance's entry stays there
     /// until its lease expires.
     /// @param key  key of the instance, see relay::instanceKey
@@ -45,8 +52,10 @@
     /// @return whether withdraw() was called
     bool isWithdrawn() const { return m_isWithdrawn; }
 
-    /// @return addresses for callers of the instances that are not silent or leaving, including this one unless it
-    ///         withdrew; silent instances are included if they are half of the addresses or more
+    /// @return addresses for callers of the instances that are not silent, leaving or cut off, including this one
+    /// unless
+    ///         it withdrew; silent instances are included if they are half of the addresses or more, and instances that
+    ///         are cut off if there are no others
     std::vector<std::string> callerAddresses() const;
     /// @return number of instances that share the backend servers, including this one
     std::uint32_t count() const;
@@ -79,6 +88,7 @@
     std::map<std::string, Entry> m_others; ///< by store key
     std::set<std::uint64_t> m_leavingInstances; ///< instance keys of listed instances that are shutting down
     std::set<std::uint64_t> m_silentInstances; ///< instance keys, see setSilentInstances()
+    std::set<std::uint64_t> m_cutOffInstances; ///< instance keys, see setCutOffInstances()
     ListChangeLog m_changeLog { "instances" };
     std::uint64_t m_unreadableCount = 0;
     Lease m_lease;
--- a/src/edge/PeerDatagramCodec.cpp
+++ b/src/edge/PeerDatagramCodec.cpp
@@ -31,17 +31,21 @@
             out.tokenLayers.push_back(toCount(load.tokenLayers));
             out.calls.push_back(toCount(load.calls));
             out.avoiders.push_back(toCount(load.avoiders));
+            out.contacts.push_back(toCount(load.contacts));
         }
         out.slice = static_cast<std::int32_t>(report.slice);
         out.slices = static_cast<std::int32_t>(report.slices);
         out.silentInstances.assign(report.silentInstances.begin(), report.silentInstances.end());
+        out.cutOffInstances.assign(report.cutOffInstances.begin(), report.cutOffInstances.end());
         return out;
     }
 
     absl::StatusOr<relay::LoadReport> fromWire(const wire::LoadReport& in)
     {
         const std::size_t count = in.engines.size();
-        if (count != in.tokenLayers.size() || count != in.calls.size() || count != in.avoiders.size())
+        const bool hasContacts = !in.contacts.empty();
+        if (count != in.tokenLayers.size() || count != in.calls.size() || count != in.avoiders.size()
+            || (hasContacts && count != in.contacts.size()))
             return absl::InvalidArgumentError("the lists of a load report differ in length");
         if (in.scope < wire::LoadScope::INSTANCE || in.scope > wire::LoadScope::FLEET)
             return absl::InvalidArgumentError("unknown scope of a load report");
@@ -51,10 +55,11 @@
             static_cast<std::uint64_t>(in.sequence), static_cast<relay::LoadScope>(in.scope),
             static_cast<std::uint32_t>(std::max(1, in.instances)), {},
             { in.silentInstances.begin(), in.silentInstances.end() }, static_cast<std::uint32_t>(in.slice),
-            static_cast<std::uint32_t>(std::max(1, in.slices)) };
+            static_cast<std::uint32_t>(std::max(1, in.slices)),
+            { in.cutOffInstances.begin(), in.cutOffInstances.end() } };
         for (std::size_t i = 0; i < count; ++i) {
             report.engines.push_back({ static_cast<std::uint64_t>(in.engines[i]), fromCount(in.tokenLayers[i]),
-                fromCount(in.calls[i]), fromCount(in.avoiders[i]) });
+                fromCount(in.calls[i]), fromCount(in.avoiders[i]), hasContacts ? fromCount(in.contacts[i]) : 0 });
         }
         return report;
     }
--- a/src/edge/PeerLink.cpp
+++ b/src/edge/PeerLink.cpp
@@ -367,7 +367,8 @@
     if (distributesStoreChanges() != std::exchange(m_distributedStoreChanges, distributesStoreChanges()))
         relay::DecisionLog::state(
             "store_follower", { { "watches", m_distributedStoreChanges }, { "instances", m_registry.count() } });
-    for (auto& each : m_exchange.makeRound(m_node.reducer().fleet().ownLoads(m_node.now()), m_node.now())) {
+    m_exchange.setCutOff(m_node.reducer().isCutOff());
+    for (auto& each : m_exchange.makeRound(m_node.reducer().ownLoads(m_node.now()), m_node.now())) {
         PeerDatagram datagram { std::move(each.report), std::nullopt, std::nullopt, {} };
         send(each.address, encode(datagram));
     }
@@ -378,6 +379,7 @@
         announceLeaving();
     reportStoreCopy();
     m_registry.setSilentInstances(m_exchange.silentInstances(m_node.now()));
+    m_registry.setCutOffInstances(m_exchange.cutOffInstances(m_node.now()));
     auto loads = m_exchange.loadOfOthers(m_node.now());
     if (loads.has_value() != std::exchange(m_knowsOtherLoads, loads.has_value()))
         relay::DecisionLog::state(
--- a/src/edge/PlacementDriver.cpp
+++ b/src/edge/PlacementDriver.cpp
@@ -26,7 +26,7 @@
 } // namespace
 
 PlacementDriver::PlacementDriver(
-    net::io_context& context, relay::RelayNode& node, const PlannerLock& lock, EngineControl& control)
+    net::io_context& context, relay::RelayNode& node, PlannerLock& lock, EngineControl& control)
     : m_context(context)
     , m_node(node)
     , m_lock(lock)
@@ -42,7 +42,9 @@
     while (true) {
         timer.expires_after(PlanInterval);
         co_await timer.async_wait(net::as_tuple(useAwaitable));
-        if (!m_lock.isHeld()) {
+        m_lock.setEligible(!m_node.reducer().isCutOff());
+        // Servers that seem dead to an instance without a path to them must not lose their layers to others.
+        if (!m_lock.isHeld() || m_node.reducer().isPathInDoubt()) {
             m_outstandingOrders.clear();
             continue;
         }
--- a/src/edge/PlacementDriver.h
+++ b/src/edge/PlacementDriver.h
@@ -19,7 +19,7 @@
 class PlacementDriver {
 public:
     /// All parameters must outlive this.
-    PlacementDriver(net::io_context&, relay::RelayNode&, const PlannerLock&, EngineControl&);
+    PlacementDriver(net::io_context&, relay::RelayNode&, PlannerLock&, EngineControl&);
 
     /// Starts to plan at regular intervals, in the background.
     void start();
@@ -41,7 +41,7 @@
 
     net::io_context& m_context;
     relay::RelayNode& m_node;
-    const PlannerLock& m_lock;
+    PlannerLock& m_lock;
     EngineControl& m_engineControl;
     std::map<BackendId, OutstandingOrder> m_outstandingOrders; ///< by engine
     std::map<relay::ServiceId, PlanTiming> m_planTimings; ///< by service
--- a/src/edge/PlannerLock.cpp
+++ b/src/edge/PlannerLock.cpp
@@ -66,7 +66,7 @@
 
 bool PlannerLock::isHeld() const
 {
-    return !m_isReleased && isOwnLock() && std::chrono::steady_clock::now() + LeaseSafetyMargin < m_leaseExpiresAt;
+    return !m_isReleased && m_isEligible && isOwnLock() && std::chrono::steady_clock::now() + LeaseSafetyMargin < m_leaseExpiresAt;
 }
 
 bool PlannerLock::isFree(Time now) const { return m_revision == 0 || now > m_holderLastValid + UnlistedHolderTimeout; }
@@ -86,7 +86,9 @@
         const Time now = std::chrono::steady_clock::now();
         if (m_revision == 0 || m_registry.isListed(m_holderId))
             m_holderLastValid = now;
-        if (isOwnLock())
+        if (!m_isEligible)
+            co_await revokeLease();
+        else if (isOwnLock())
             co_await renewLease();
         else if (m_registry.isListed(m_registry.self().id) && isFree(now) && isOwnTurn(now))
             co_await tryAcquire();
@@ -132,6 +134,9 @@
 Awaitable<void> PlannerLock::revokeLease()
 {
     const std::int64_t lease = m_lease.id;
+    if (!lease)
+        co_return;
+    m_lease = {};
     const absl::Status status = co_await m_leases.endLease(lease);
     relay::DecisionLog::state("planner_withdrawn", { { "lease", lease }, { "store", status.ToString() } });
 }
--- a/src/edge/PlannerLock.h
+++ b/src/edge/PlannerLock.h
@@ -27,6 +27,9 @@
     void start();
     /// Releases the lock for good by ending its lease.
     void release();
+    /// Sets whether this instance may hold the lock. Otherwise it releases the lock and leaves it to the others, for
+    /// example while it does not reach the engines that it would send orders to.
+    void setEligible(bool isEligible) { m_isEligible = isEligible; }
     /// Applies a change of the store. Changes of keys other than the lock are ignored.
     void storeChanged(const StoreEvent&);
 
@@ -57,6 +60,7 @@
     Time m_holderLastValid; ///< when the lock was last seen not set, or held by a listed instance
     Lease m_lease; ///< id 0: none
     Time m_leaseExpiresAt; ///< earliest time at which the lease may expire, by this instance's clock
+    bool m_isEligible = true; ///< see setEligible()
     bool m_isReleased = false;
 };
 
--- a/src/edge/RelayMetrics.cpp
+++ b/src/edge/RelayMetrics.cpp
@@ -93,6 +93,10 @@
             double(counters.connectFailures.at(failure)),
             { { "cause", toString(static_cast<ConnectFailure>(failure)) } });
     }
+    families.addCounter("crocusmount_server_paths_lost_total",
+        "Times that this instance was cut off from all backend servers", double(counters.pathsLost));
+    families.addCounter("crocusmount_server_paths_restored_total",
+        "Times that this instance reached the backend servers again", double(counters.pathsRestored));
     families.addCounter(
         "crocusmount_events_cut_off_total", "Streams that ended inside an event", double(counters.eventsCutOff));
     families.addCounter(
@@ -109,6 +113,10 @@
     families.addGauge("crocusmount_connections", "Callers' connections", double(gauges.connections));
     families.addGauge("crocusmount_backend_servers", "Registered backend servers", double(gauges.servers));
     families.addGauge("crocusmount_instances", "Live instances", gauges.instances);
+    families.addGauge(
+        "crocusmount_cut_off", "Whether this instance is cut off from all backend servers", gauges.isCutOff);
+    families.addGauge("crocusmount_cut_off_instances", "Instances that are cut off from all backend servers",
+        double(gauges.cutOffInstances));
     families.addGauge("crocusmount_directory_addresses", "Instances that the directory sends callers to",
         double(gauges.directoryAddresses));
     families.addGauge("crocusmount_configuration_version", "In force", double(gauges.configurationVersion));
--- a/src/edge/RelayMetrics.h
+++ b/src/edge/RelayMetrics.h
@@ -19,6 +19,8 @@
     std::size_t connections = 0; ///< callers' connections
     std::size_t servers = 0; ///< registered backend servers
     std::uint32_t instances = 0; ///< live instances, this one included
+    bool isCutOff = false; ///< this instance reaches no backend server, although others do
+    std::size_t cutOffInstances = 0; ///< instances in this state, this one included
     std::size_t directoryAddresses = 0; ///< instances that the directory sends callers to
     std::uint64_t configurationVersion = 0; ///< of the configuration in force; 0: none
     std::int64_t storeAgeMs = 0; ///< time since the store last answered
--- a/src/edge/RelayNode.cpp
+++ b/src/edge/RelayNode.cpp
@@ -376,7 +376,7 @@
     DecisionLog::state("server_probed",
         { { "server", probe.server.value() }, { "finding", toString(finding) }, { "said", identity.id.value() } });
     postNotice(probe.server, probe.startedAt, askedAt, identity.notice);
-    post(event::ServerProbed { probe.server, finding });
+    post(event::ServerProbed { probe.server, finding, identity.answer == CheckAnswer::Alive });
 }
 
 Awaitable<void> RelayNode::checkEngine(effect::CheckEngine check)
@@ -414,6 +414,15 @@
             { "server_key", hexKey(engineKey(note.server, note.startedAt)) } });
 }
 
+void RelayNode::on(const effect::LogServerPath& note)
+{
+    const PathEvidence& evidence = note.evidence;
+    DecisionLog::state("server_path",
+        { { "before", toString(note.before) }, { "now", toString(note.now) }, { "failed", evidence.failed },
+            { "failed_here_only", evidence.failedHereOnly }, { "failing_ms", toMs(evidence.failingFor) },
+            { "answered", evidence.answered }, { "answering_ms", toMs(evidence.answeringFor) } });
+}
+
 void RelayNode::on(const effect::LogServerLimit& note)
 {
     boost::json::object fields { { "server", note.server.value() }, { "named", note.perSecond.has_value() } };
--- a/src/edge/RelayNode.h
+++ b/src/edge/RelayNode.h
@@ -125,6 +125,7 @@
     void on(const effect::ClearRequest&);
     void on(const effect::ReportEngineState&);
     void on(const effect::LogServerState&);
+    void on(const effect::LogServerPath&);
     void on(const effect::LogServerLimit&);
     void on(const effect::LogServerBackoff&);
     void on(const effect::LogPermits&);
--- a/src/idl/peer.thrift
+++ b/src/idl/peer.thrift
@@ -57,7 +57,7 @@
 
 enum LoadScope { INSTANCE = 0, DATA_CENTRE = 1, FLEET = 2 }
 
-// What calls hold on engines, in four lists of the same length.
+// What calls hold on engines, in lists of the same length.
 struct LoadReport {
   1: string sender
   2: string dataCentre
@@ -73,6 +73,10 @@
   // Index of the slice of engines that the report covers, by key hash, and the number of slices; 0 slices means 1.
   11: i32 slice
   12: i32 slices
+  // Instances whose new connections the engine answered lately; another list of the same length. Older senders omit it.
+  13: list<i32> contacts
+  // Keys of instances that reach no backend server, although others do.
+  14: list<i64> cutOffInstances
 }
 
 // How far the sender's copy of the platform's store is.
--- a/src/relay/LoadExchange.cpp
+++ b/src/relay/LoadExchange.cpp
@@ -17,7 +17,7 @@
     constexpr Duration MaxMemberSilence = 2 * ReportLifetime;
 
     /// Maximum encoded size of one EngineLoad.
-    constexpr std::size_t MaxEngineLoadBytes = 18;
+    constexpr std::size_t MaxEngineLoadBytes = 20;
     /// Limits the overhead of report headers.
     constexpr std::size_t MinEnginesPerReport = 16;
 
@@ -37,6 +37,7 @@
             sum.tokenLayers += load.tokenLayers;
             sum.calls += load.calls;
             sum.avoiders += load.avoiders;
+            sum.contacts += load.contacts;
         }
     }
 
@@ -144,7 +145,9 @@
     ++m_sequence;
     const std::size_t memberCount = m_peers[m_self.dataCentre].size();
     // The limit is shared among all members, because a collector receives the reports of all of them in each round.
-    const LoadReport ownReport = makeReport(LoadScope::Instance, 1, own, memberCount);
+    LoadReport ownReport = makeReport(LoadScope::Instance, 1, own, memberCount);
+    if (m_isCutOff)
+        ownReport.cutOffInstances.push_back(instanceKey(m_self.id));
     m_ownLoads = std::move(own);
     for (const LoadPeer* collector : collectorsOf(m_self.dataCentre)) {
         if (!(*collector == m_self))
@@ -163,18 +166,21 @@
     const auto isFresh = [&](const Source& source) { return now - source.lastReceivedAt <= ReportLifetime; };
     EngineLoads sums;
     std::uint32_t instances = 0;
+    std::vector<std::uint64_t> cutOff;
     const auto addFresh = [&](const Sources& sources) {
         for (const auto& [id, source] : sources) {
             if (!isFresh(source))
                 continue;
             addLoads(sums, source.engines);
             instances += source.instances;
+            cutOff.insert(cutOff.end(), source.cutOffInstances.begin(), source.cutOffInstances.end());
         }
     };
     addFresh(m_members);
     const std::size_t receiverCount = memberCount + (m_peers.size() - 1) * CollectorCount;
     LoadReport localReport = makeReport(LoadScope::DataCentre, instances, toVector(sums), receiverCount);
     localReport.silentInstances = silentMembers(now);
+    localReport.cutOffInstances = cutOff;
     for (const auto& [dataCentre, peers] : m_peers) {
         if (dataCentre == m_self.dataCentre)
             continue;
@@ -185,6 +191,7 @@
     std::vector<EngineLoad> fleetLoads = toVector(sums);
     LoadReport fleetReport = makeReport(LoadScope::Fleet, instances, fleetLoads, receiverCount);
     fleetReport.silentInstances = localReport.silentInstances;
+    fleetReport.cutOffInstances = std::move(cutOff);
     for (const auto& [dataCentre, sum] : m_dataCentreSums) {
         const auto& silent = sum.silentInstances;
         if (isFresh(sum))
@@ -221,6 +228,7 @@
     state.receivedSlices.insert(report.slice);
     state.isComplete = state.isComplete || state.receivedSlices.size() == report.slices;
     state.silentInstances = report.silentInstances;
+    state.cutOffInstances = report.cutOffInstances;
     std::erase_if(sources, [&](const auto& each) { return now - each.second.lastReceivedAt > ReportLifetime; });
 }
 
@@ -269,6 +277,16 @@
     return { best->silentInstances.begin(), best->silentInstances.end() };
 }
 
+std::set<std::uint64_t> LoadExchange::cutOffInstances(TimePoint now) const
+{
+    std::set<std::uint64_t> cutOff;
+    if (const Source* best = bestFleetSum(now))
+        cutOff.insert(best->cutOffInstances.begin(), best->cutOffInstances.end());
+    const std::uint64_t own = instanceKey(m_self.id);
+    m_isCutOff ? static_cast<void>(cutOff.insert(own)) : static_cast<void>(cutOff.erase(own));
+    return cutOff;
+}
+
 std::optional<EngineLoads> LoadExchange::loadOfOthers(TimePoint now) const
 {
     const Source* best = bestFleetSum(now);
@@ -283,6 +301,7 @@
         found->second.tokenLayers = std::max(0.0, found->second.tokenLayers - own.tokenLayers);
         found->second.calls = std::max(0.0, found->second.calls - own.calls);
         found->second.avoiders = std::max(0.0, found->second.avoiders - own.avoiders);
+        found->second.contacts = std::max(0.0, found->second.contacts - own.contacts);
     }
     if (listedCount <= best->instances)
         return sums;
--- a/src/relay/LoadExchange.h
+++ b/src/relay/LoadExchange.h
@@ -47,6 +47,9 @@
     /// @param others  all other listed instances
     void setPeers(std::vector<LoadPeer> others);
 
+    /// Sets whether this instance reaches no backend server, although others do.
+    void setCutOff(bool isCutOff) { m_isCutOff = isCutOff; }
+
     /// Starts a round and returns the reports to send in it.
     /// @param own  the load that this instance puts on each engine
     std::vector<OutgoingLoadReport> makeRound(std::vector<EngineLoad> own, TimePoint now);
@@ -64,6 +67,10 @@
     /// @return keys of instances that are listed but silent, see instanceKey; empty if no fresh sum is known
     std::set<std::uint64_t> silentInstances(TimePoint now) const;
 
+    /// @return keys of the instances that reach no backend server, although others do, see instanceKey; only this
+    ///         instance if no fresh sum is known
+    std::set<std::uint64_t> cutOffInstances(TimePoint now) const;
+
     bool isCollector() const;
     /// @return whether this instance has the lowest id in its data centre
     bool hasLowestId() const { return m_peers.at(m_self.dataCentre).front() == m_self; }
@@ -79,6 +86,7 @@
         std::set<std::uint32_t> receivedSlices; ///< since sliceCount last changed
         bool isComplete = false; ///< all slices have been received at least once
         std::vector<std::uint64_t> silentInstances; ///< as of the last report
+        std::vector<std::uint64_t> cutOffInstances; ///< as of the last report
     };
     using Sources = std::map<std::string, Source>; ///< by id of the instance or data centre
 
@@ -96,6 +104,7 @@
     LoadPeer m_self;
     std::size_t m_bytesPerRound; ///< 0: no limit
     std::map<DataCentreId, std::vector<LoadPeer>> m_peers; ///< sorted by id, this instance included
+    bool m_isCutOff = false; ///< see setCutOff()
     std::uint64_t m_sequence = 0; ///< number of the current round
     std::vector<EngineLoad> m_ownLoads; ///< as of the last round
     Sources m_members; ///< instances of this data centre; used only while this instance is a collector
--- a/src/relay/LoadReport.h
+++ b/src/relay/LoadReport.h
@@ -14,6 +14,7 @@
     double tokenLayers = 0; ///< KV cache in use, in tokens times layers, as estimated by the instances
     double calls = 0; ///< calls that enter the model's chain at this engine; each takes one of the engine's slots
     double avoiders = 0; ///< instances that send no new work there because the engine failed, stalled or was full
+    double contacts = 0; ///< instances whose new connections it answered lately
 
     bool operator==(const EngineLoad&) const = default;
 };
@@ -38,6 +39,8 @@
     std::vector<std::uint64_t> silentInstances; ///< keys of listed instances that stopped reporting, see instanceKey
     std::uint32_t slice = 0; ///< index of the slice of engines that the report covers, by hash of the engine's key
     std::uint32_t slices = 1; ///< number of slices, sent in rotation
+    /// Keys of instances that reach no backend server, although others do; in the report of an instance, its own key.
+    std::vector<std::uint64_t> cutOffInstances {};
 };
 
 /// @return a key for one start of an instance in reports; every process computes an equal key
--- a/src/relay/RelayCounters.h
+++ b/src/relay/RelayCounters.h
@@ -42,6 +42,8 @@
     std::array<std::array<std::uint64_t, AnswerStopCount>, AnswerFramingCount> answerEndings {};
     std::array<std::uint64_t, EndVerdictCount> unprovenEnds {}; ///< unproven ends of streams, by what was found out
     std::array<std::uint64_t, ConnectFailureCount> connectFailures {}; ///< attempts that could not connect, by cause
+    std::uint64_t pathsLost = 0; ///< times that this instance found itself cut off from all backend servers
+    std::uint64_t pathsRestored = 0; ///< times that it reached them again
     std::uint64_t eventsCutOff = 0; ///< streams that ended inside an event
     std::uint64_t callersLeft = 0; ///< callers that closed their connection before the end of the answer
     std::uint64_t configurationsAccepted = 0;
--- a/src/relay/RelayEffect.h
+++ b/src/relay/RelayEffect.h
@@ -12,6 +12,7 @@
 #include "relay/PermitAnswer.h"
 #include "relay/PermitRequest.h"
 #include "relay/RetryLimit.h"
+#include "relay/ServerPath.h"
 
 #include <cstdint>
 #include <optional>
@@ -147,6 +148,13 @@
         std::optional<double> perSecond; ///< requests a second; nothing if the limit has ended
     };
 
+    /// Log that this instance is cut off from the backend servers, or reaches them again.
+    struct LogServerPath {
+        ServerPath before = ServerPath::Unknown;
+        ServerPath now = ServerPath::Unknown;
+        PathEvidence evidence;
+    };
+
     /// Log that a backend server asked this instance to send it nothing for a time.
     struct LogServerBackoff {
         BackendId server;
@@ -226,7 +234,7 @@
 using RelayEffect = std::variant<effect::StartAttempt, effect::CancelAttempt, effect::HoldAnswer,
     effect::ContinueAnswer, effect::AskStalledStage, effect::CheckEngine, effect::ProbeServer, effect::ShareCrashes,
     effect::ShareHarmlessRequest, effect::LogCrash, effect::QuarantineRequest, effect::ClearRequest,
-    effect::ReportEngineState, effect::LogServerState, effect::LogServerLimit, effect::LogServerBackoff,
+    effect::ReportEngineState, effect::LogServerPath, effect::LogServerState, effect::LogServerLimit, effect::LogServerBackoff,
     effect::LogPermits, effect::RequestPermits, effect::AnswerPermits, effect::ShareServerLimit, effect::RerouteAttempt,
     effect::Refuse, effect::DeliverServerFailure, effect::CompleteAnswer, effect::LogEndVerdict, effect::BreakAnswer>;
 using RelayEffects = std::vector<RelayEffect>;
--- a/src/relay/RelayEvent.h
+++ b/src/relay/RelayEvent.h
@@ -180,6 +180,7 @@
 
         BackendId server;
         Finding finding = Finding::Unknown;
+        bool responded = false; ///< any process answered, whatever its answer says
     };
 
     /// Another instance reported servers that ended while they ran requests.
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -183,6 +183,12 @@
         = call.spec.expectedAnswerTokens ? call.spec.expectedAnswerTokens : call.spec.maxAnswerTokens;
     call.tokens = call.spec.promptTokens + expected;
     call.lastEventId = call.spec.resumeAfter.value_or(0);
+    if (isCutOff()) {
+        ++m_counters.refused.at(static_cast<std::size_t>(Reason::NoPathToServers));
+        context.effects.emplace_back(effect::Refuse {
+            call.id, Reason::NoPathToServers, RunState::NotRun, retryAfterFor(Reason::NoPathToServers, context) });
+        return;
+    }
     budgetOf(call.service).addRequest();
     Call& stored = m_calls.emplace(call.id, std::move(call)).first->second;
     if (awaitsCrashVerdict(stored)) {
@@ -231,6 +237,7 @@
         return;
     Attempt& attempt = call->attempt(begun.attempt);
     attempt.answerBegunAt = context.now;
+    recordContactAnswered(attempt.server, attempt.startedAt, context);
     m_fleet.answerBegun(attempt.server, attempt.chain, context.now);
     settleUnprovenEnds(attempt.server, attempt.startedAt, LifeSign::Alive, context);
 }
@@ -282,6 +289,10 @@
     }
     const bool wasSecond = call.second && call.second->id == ended.attempt;
     const Attempt attempt = wasSecond ? *call.second : call.main;
+    if (ended.status)
+        recordContactAnswered(attempt.server, attempt.startedAt, context);
+    else if (ended.result == AttemptResult::ConnectFailed)
+        recordContactFailed(attempt.server, attempt.startedAt);
     recordFailedAttempt(attempt, call, ended, context);
     release(call, attempt, context);
     if (ended.result == AttemptResult::ConnectFailed || ended.result == AttemptResult::NotRun) {
@@ -401,6 +412,10 @@
         finishUnanswered(call, Reason::CrashesServers, context);
         return;
     }
+    if (isCutOff()) {
+        finishUnanswered(call, Reason::NoPathToServers, context, RetryLimit::NoServer);
+        return;
+    }
     std::optional<RetryLimit> limit = retryLimit(call, context);
     // The attempts limit may no longer apply when a server that ran the call leaves while the caller waits.
     if (call.hasPartialAnswer && (!limit || *limit == RetryLimit::Attempts)) {
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -12,7 +12,9 @@
 #include "relay/RelayEvent.h"
 #include "relay/RelayOptions.h"
 #include "relay/RequestQuarantine.h"
+#include "relay/ServerContacts.h"
 #include "relay/ServerFleet.h"
+#include "relay/ServerPath.h"
 #include "relay/ServiceQueue.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -38,6 +40,7 @@
 /// - RelayReducerMoves.cpp: answers that move off leaving servers or resume after a lost one
 /// - RelayReducerNotices.cpp: what servers state about themselves in their answers
 /// - RelayReducerLimits.cpp: limits that servers name
+/// - RelayReducerPath.cpp: loss of the path to the servers
 /// - RelayReducerCrashes.cpp: requests that crash servers, and their quarantine
 class RelayReducer {
 public:
@@ -60,6 +63,12 @@
     std::size_t openCalls() const { return m_calls.size() + m_earlyCalls.size(); }
     /// @return calls in the queues of all services
     std::size_t waitingCalls() const;
+    /// @return whether this instance reaches no backend server, although others do; it then refuses all calls
+    bool isCutOff() const { return m_path == ServerPath::CutOff; }
+    /// @return whether this instance may be cut off, so that it must not take servers for dead that do not answer it
+    bool isPathInDoubt() const;
+    /// @return this instance's load reports about the servers, for the other instances
+    std::vector<EngineLoad> ownLoads(TimePoint now) const;
     bool isDraining() const { return m_drainRequestedAt.has_value(); }
 
 private:
@@ -191,6 +200,7 @@
     void recordLostAttempt(const Call&, const Attempt&, Context&);
     void checkUnsettledServers(Context&);
     void probe(FleetServer&, Context&);
+    void sendProbe(FleetServer&, Context&);
     void recordServerEnded(const FleetServer&, Context&);
     void settleCrashes(Context&);
     void countCrash(const CrashReport&, bool isOwn, Context&);
@@ -223,6 +233,14 @@
     Duration retryAfterBackoff(const ServiceId&, const Context&) const;
     Duration retryAfterFor(Reason, const Context&) const;
     Duration retryAfterShortage(ServiceQueue&, const Context&) const;
+    void recordContactAnswered(const BackendId&, TimePoint askedAt, Context&);
+    void recordContactFailed(const BackendId&, TimePoint askedAt);
+    PathEvidence pathEvidence(TimePoint now) const;
+    void updatePath(Context&);
+    void checkPath(const PathEvidence&, Context&);
+    bool mayContact(const FleetServer&) const;
+    bool hasLostPath(const Call&, TimePoint now) const;
+    void endCallsWithoutPath(Context&);
     void remove(RequestId);
     Call* findByAttempt(AttemptId);
     ServiceQueue& queueOf(const Call& call) { return m_services[call.service]; }
@@ -251,6 +269,9 @@
     PermitIssuer m_permitIssuer; ///< used for the servers that this instance coordinates
     std::uint64_t m_nextPermitRequest = 1;
     EngineCheckBudget m_checkBudget;
+    ServerContacts m_contacts;
+    ServerPath m_path = ServerPath::Unknown;
+    TimePoint m_lastPathCheckAt;
     std::uint64_t m_nextAttempt = 1;
     std::optional<TimePoint> m_startedAt; ///< time of the first event
     std::optional<TimePoint> m_lastCertainFailureAt; ///< when a check last showed that an engine's process has ended
--- a/src/relay/RelayReducerChecks.cpp
+++ b/src/relay/RelayReducerChecks.cpp
@@ -150,6 +150,10 @@
     if (!server || checked.asked != server->entry.startedAt)
         return; // The engine has restarted or was unregistered since the check was sent.
     server->beingChecked = false;
+    if (checked.answered)
+        recordContactAnswered(checked.engine, server->lastCheckAt, context);
+    else
+        recordContactFailed(checked.engine, server->lastCheckAt);
     if (!applyReportedStart(checked.engine, checked.answering, checked.layers, context))
         return;
     server = m_fleet.find(checked.engine); // A new start replaces the fleet's entry.
@@ -163,23 +167,25 @@
         dispatchAll(context);
         return;
     }
+    // A partition may answer for the servers behind it, by refusing connections.
+    const bool hasEnded = checked.refused && !isPathInDoubt();
     m_crashEvidence.noteSilent(server->othersLoad.engine, context.now, server->lastAliveAt);
-    if (checked.refused)
+    if (hasEnded)
         recordServerEnded(*server, context);
-    m_fleet.recordMissedCheck(checked.engine, checked.refused, context.now);
+    m_fleet.recordMissedCheck(checked.engine, hasEnded, context.now);
     ++m_counters.deadEngines;
     server = m_fleet.find(checked.engine);
-    const bool sharesDeath = !m_options.without.has(Mechanism::DeadReports);
+    const bool sharesDeath = !m_options.without.has(Mechanism::DeadReports) && !isPathInDoubt();
     if (sharesDeath && server && server->unansweredChecks == 1)
         context.effects.emplace_back(effect::ReportEngineState { checked.engine, server->entry.startedAt });
     if (server && server->unansweredChecks == 1)
-        checkEnginesAfterFailure(checked.refused, context);
+        checkEnginesAfterFailure(hasEnded, context);
     if (server) {
-        const LifeSign sign = checked.refused ? LifeSign::Ended : LifeSign::Silent;
+        const LifeSign sign = hasEnded ? LifeSign::Ended : LifeSign::Silent;
         settleUnprovenEnds(checked.engine, server->lastCheckAt, sign, context);
     }
     // Streams through an ended process hold memory at all other stages until their callers time out.
-    if (checked.refused)
+    if (hasEnded)
         abandonEndedServer(checked.engine, context);
     else
         abandonDeadEngine(checked.engine, context);
--- a/src/relay/RelayReducerCrashes.cpp
+++ b/src/relay/RelayReducerCrashes.cpp
@@ -93,6 +93,12 @@
     if (server.beingChecked || server.backoff.isActive(context.now) || !service || service->healthPath.empty()
         || !m_checkBudget.spendUrgent())
         return;
+    sendProbe(server, context);
+}
+
+void RelayReducer::sendProbe(FleetServer& server, Context& context)
+{
+    const Service* service = m_routes->service(server.entry.service);
     server.beingChecked = true;
     server.lastCheckAt = context.now;
     context.effects.emplace_back(
@@ -106,16 +112,20 @@
         return; // The server was replaced by a later start.
     using Finding = event::ServerProbed::Finding;
     server->beingChecked = false;
+    if (probed.responded)
+        recordContactAnswered(probed.server, server->lastCheckAt, context);
+    else
+        recordContactFailed(probed.server, server->lastCheckAt);
     server->nextProbe.reset();
     if (probed.finding == Finding::Alive)
         m_crashEvidence.noteAlive(server->othersLoad.engine);
-    else if (probed.finding == Finding::Ended)
+    else if (probed.finding == Finding::Ended && (probed.responded || !isPathInDoubt()))
         recordServerEnded(*server, context);
     else
         server->nextProbe = context.now + ReprobeInterval;
-    const LifeSign sign = probed.finding == Finding::Alive ? LifeSign::Alive
-        : probed.finding == Finding::Ended                 ? LifeSign::Ended
-                                                           : LifeSign::Silent;
+    const LifeSign sign = probed.finding == Finding::Alive                           ? LifeSign::Alive
+        : probed.finding == Finding::Ended && (probed.responded || !isPathInDoubt()) ? LifeSign::Ended
+                                                                                     : LifeSign::Silent;
     settleUnprovenEnds(probed.server, server->lastCheckAt, sign, context);
 }
 
--- a/src/relay/RelayReducerPlacing.cpp
+++ b/src/relay/RelayReducerPlacing.cpp
@@ -74,6 +74,8 @@
 /// @return the attempt, or nothing if no server has capacity or a stage is being checked
 std::optional<Attempt> RelayReducer::startAttempt(Call& call, AttemptPurpose purpose, Context& context)
 {
+    if (isCutOff())
+        return std::nullopt;
     requestPermits(call, context);
     auto placement = m_placer.place(call, context.now, context.entropy);
     if (!placement || awaitsCheck(placement->chain, context) || isKnownFull(call, placement->chain, context.now))
@@ -126,6 +128,9 @@
     case Reason::UnknownKey:
     case Reason::CrashesServers:
         return Duration(0);
+    case Reason::NoPathToServers:
+        // Other instances can serve the caller now.
+        return between(20, 100);
     default:
         return between(200, 600);
     }
--- a/src/relay/RelayReducerServers.cpp
+++ b/src/relay/RelayReducerServers.cpp
@@ -83,6 +83,7 @@
 void RelayReducer::on(const event::ServerUnregistered& gone, Context& context)
 {
     m_unusable.erase(gone.server);
+    m_contacts.forget(gone.server);
     // A server that leaves without notice still answers checks until its entry ends, so a missed check shows a crash.
     if (const FleetServer* server = m_fleet.find(gone.server); server && server->unansweredChecks)
         recordServerEnded(*server, context);
--- a/src/relay/RelayReducerTime.cpp
+++ b/src/relay/RelayReducerTime.cpp
@@ -26,6 +26,7 @@
     for (auto& [service, budget] : m_budgets)
         budget.raiseBurstShare(retryBurstShare());
     m_checkBudget.refill(m_fleet.servers().size(), m_placer.instances(), context.now);
+    updatePath(context);
     admitEarlyCalls(context);
     settleOverdueEnds(context);
     refuseOverdue(context);
@@ -104,7 +105,7 @@
 /// Looks for stalled stages of a running call, and moves the call off them or starts a second attempt.
 void RelayReducer::checkRunning(Call& call, Context& context)
 {
-    if (!isRepeatable(call.route->kind) || call.main.unprovenEnd || call.second
+    if (isCutOff() || !isRepeatable(call.route->kind) || call.main.unprovenEnd || call.second
         || !call.main.pendingReroute.hops().empty())
         return;
     if (call.main.hasLostStage)
--- a/src/relay/ServerFleet.cpp
+++ b/src/relay/ServerFleet.cpp
@@ -28,6 +28,8 @@
     constexpr Duration LeftServerRetention = std::chrono::minutes(1);
     /// How long removed servers are remembered in case their entries return.
     constexpr Duration RemovedServerRetention = std::chrono::minutes(10);
+    /// How long an answered contact is reported to the other instances.
+    constexpr Duration ContactLifetime = std::chrono::milliseconds(500);
     /// Limit of doublings of an avoidance. The longest one, 4 s, is about the time that a dead server stays registered.
     constexpr std::uint32_t MaxDoublings = 3;
 
@@ -44,7 +46,8 @@
 
 EngineLoad FleetServer::ownLoad(TimePoint now) const
 {
-    return { othersLoad.engine, ownTokenLayers, static_cast<double>(ownCalls), now < unhealthyUntil ? 1.0 : 0.0 };
+    return { othersLoad.engine, ownTokenLayers, static_cast<double>(ownCalls), now < unhealthyUntil ? 1.0 : 0.0,
+        now < lastContactAt + ContactLifetime ? 1.0 : 0.0 };
 }
 
 Registration ServerFleet::upsert(const RegisteredServer& entry, TimePoint now)
@@ -217,7 +220,7 @@
     std::vector<EngineLoad> loads;
     for (const auto& [id, server] : m_servers) {
         const EngineLoad load = server.ownLoad(now);
-        if (load.tokenLayers > 0 || load.avoiders > 0)
+        if (load.tokenLayers > 0 || load.avoiders > 0 || load.contacts > 0)
             loads.push_back(load);
     }
     return loads;
@@ -323,6 +326,19 @@
     setAvoidedUntil(id, server->deadUntil);
 }
 
+void ServerFleet::forgetFailures()
+{
+    for (auto& [id, server] : m_servers) {
+        server.failureRate = 0;
+        server.consecutiveFailures = 0;
+        server.avoidUntil = {};
+        server.unhealthyUntil = {};
+        server.deadUntil = {};
+        server.unansweredChecks = 0;
+        server.refusedCheck = false;
+    }
+}
+
 void ServerFleet::recordReportedDead(const BackendId& id, TimePoint now)
 {
     FleetServer* server = find(id);
--- a/src/relay/ServerFleet.h
+++ b/src/relay/ServerFleet.h
@@ -32,6 +32,7 @@
     /// Until then, this instance reports to others that it avoids the server.
     TimePoint unhealthyUntil;
     TimePoint lastProgress; ///< last event of any call through this server
+    TimePoint lastContactAt; ///< when it last answered a new connection of this instance, see PathEvidence
     TimePoint lastAliveAt; ///< last event, start of an answer, or sending of a health check that was answered
     double slowness = 1; ///< last reported step time as a multiple of the usual one of its accelerator
     TimePoint listedAt; ///< last change of the registry entry, which the server wrote shortly before
@@ -147,6 +148,8 @@
     /// unanswered checks.
     /// @param refused  whether the connection was refused, which means that no process listens there
     void recordMissedCheck(const BackendId&, bool refused, TimePoint now);
+    /// Forgets all failures, because they were due to the path to the servers.
+    void forgetFailures();
     /// Records another instance's report that an engine is dead, if a silent stream of this instance confirms it.
     void recordReportedDead(const BackendId&, TimePoint now);
 
--- a/tests/CutFleet.cpp
+++ b/tests/CutFleet.cpp
@@ -20,6 +20,8 @@
     constexpr Duration TimeToBegin = milliseconds(40);
     constexpr Duration EventInterval = milliseconds(40);
     constexpr std::uint64_t EventsPerStream = 20;
+    /// A stream that has not ended within this time has been held up.
+    constexpr Duration MaxStreamTime = milliseconds(1500);
     constexpr std::uint32_t SlotsPerServer = 192;
     constexpr std::size_t CallerCount = 60;
 
@@ -313,7 +315,9 @@
         : isSilent(probe.server) || cut ? Finding::Unknown
                                         : Finding::Alive;
     at(finding == Finding::Unknown ? CheckTimeout : 2 * NetworkDelay,
-        [this, instance, probed = event::ServerProbed { probe.server, finding }] { post(instance, probed); });
+        [this, instance, probed = event::ServerProbed { probe.server, finding, finding == Finding::Alive }] {
+            post(instance, probed);
+        });
 }
 
 void CutFleet::finish(std::size_t instance, RequestId call, bool isServed, RunState run)
@@ -367,12 +371,14 @@
 void CutFleet::makeRound(std::size_t index)
 {
     Instance& instance = *m_instances[index];
-    for (auto& outgoing : instance.exchange.makeRound(instance.reducer->fleet().ownLoads(m_now), m_now)) {
+    instance.exchange.setCutOff(instance.reducer->isCutOff());
+    for (auto& outgoing : instance.exchange.makeRound(instance.reducer->ownLoads(m_now), m_now)) {
         const std::size_t to = std::stoul(outgoing.address.substr(1)) - 1000;
         at(NetworkDelay,
             [this, to, report = std::move(outgoing.report)] { m_instances[to]->exchange.receive(report, m_now); });
     }
     instance.registry.setSilentInstances(instance.exchange.silentInstances(m_now));
+    instance.registry.setCutOffInstances(instance.exchange.cutOffInstances(m_now));
     post(index, event::LoadsReported { instance.exchange.loadOfOthers(m_now) });
     at(RoundInterval, [this, index] { makeRound(index); });
 }
@@ -384,7 +390,8 @@
         if (each.at < from || each.wasCutOff != atCutOff)
             continue;
         ++tries.sent;
-        tries.served += each.isServed || (each.isOpen && each.runs && !atCutOff) ? 1 : 0;
+        const bool isUnderWay = each.isOpen && !atCutOff && m_now < each.at + MaxStreamTime;
+        tries.served += each.isServed || isUnderWay ? 1 : 0;
     }
     return tries;
 }
--- a/tests/CutFleet.h
+++ b/tests/CutFleet.h
@@ -41,7 +41,7 @@
     /// First tries of callers, which are not repeated.
     struct FirstTries {
         std::size_t sent = 0;
-        std::size_t served = 0; ///< answered completely, or still running
+        std::size_t served = 0; ///< answered completely, or still under way at instances that are not cut off
         double servedShare() const { return sent ? static_cast<double>(served) / static_cast<double>(sent) : 1; }
         std::size_t failed() const { return sent - served; }
     };
--- a/tests/CutOffInstanceTest.cpp
+++ b/tests/CutOffInstanceTest.cpp
@@ -76,3 +76,113 @@
         LONGS_EQUAL_TEXT(0, fleet.falselyNotRun(), each.name);
     }
 }
+
+// The directory leaves out what is cut off. It leaves out nobody where the servers have failed for all instances, and
+// where all instances are cut off.
+TEST(CutOffInstance, TheDirectoryNamesTheInstancesThatReachTheServers)
+{
+    const struct {
+        const char* name;
+        std::size_t cut; ///< of nine instances
+        CutKind kind;
+        bool areServersEnded;
+        std::size_t named; ///< by each instance
+    } cases[] = {
+        { "one", 1, CutKind::Hang, false, 8 },
+        { "a third", 3, CutKind::Reset, false, 6 },
+        { "most", 8, CutKind::RefuseNew, false, 1 },
+        { "all", 9, CutKind::Hang, false, 9 },
+        { "all, refused", 9, CutKind::RefuseNew, false, 9 },
+        { "none, and all servers end", 0, CutKind::Hang, true, 9 },
+        { "a third, and all servers end", 3, CutKind::Hang, true, 9 },
+    };
+    for (const auto& each : cases) {
+        CutFleet fleet({});
+        fleet.run(seconds(3));
+        fleet.cut(each.cut, each.kind);
+        if (each.areServersEnded)
+            fleet.endAllServers();
+        fleet.run(seconds(6));
+        for (std::size_t i = 0; i < 9; ++i)
+            CHECK_EQUAL_TEXT(each.named, fleet.directorySize(i), each.name);
+        if (each.areServersEnded)
+            continue;
+        fleet.heal();
+        const TimePoint healed = fleet.now();
+        fleet.run(seconds(4));
+        for (std::size_t i = 0; i < 9; ++i)
+            CHECK_EQUAL_TEXT(9U, fleet.directorySize(i), each.name);
+        fleet.run(seconds(3));
+        const auto after = fleet.firstTries(healed + seconds(4), false);
+        CHECK_EQUAL_TEXT(after.sent, after.served, each.name);
+    }
+}
+
+// A whole data centre, with the collectors of the exchange.
+TEST(CutOffInstance, CallersOfADataCentreThatIsCutOffAreServed)
+{
+    for (const std::size_t instances : { 9U, 60U }) {
+        CutFleet::Options options;
+        options.instances = instances;
+        CutFleet fleet(options);
+        fleet.run(seconds(3));
+        const TimePoint cutAt = fleet.now();
+        fleet.cutDataCentre(1, CutKind::Hang);
+        fleet.run(CutTime);
+        checkServed(fleet, cutAt, "data centre 1");
+    }
+}
+
+// Servers that stand still for a second are no partition: nobody leaves the directory.
+TEST(CutOffInstance, ServersThatStandStillAreNotTakenForABrokenPath)
+{
+    const std::vector<std::string> some { "e0", "f1", "p0" };
+    const std::vector<std::string> most { "e0", "e1", "e2", "f0", "f1", "f2", "p0", "p1", "p2" };
+    const std::vector<std::string> all { "e0", "e1", "e2", "e3", "f0", "f1", "f2", "f3", "p0", "p1", "p2", "p3" };
+    for (const auto& frozen : { some, most, all }) {
+        CutFleet fleet({});
+        fleet.run(seconds(3));
+        fleet.freeze(frozen, std::chrono::milliseconds(1200));
+        for (int step = 0; step < 40; ++step) {
+            fleet.run(std::chrono::milliseconds(100));
+            for (std::size_t i = 0; i < 9; ++i)
+                CHECK_EQUAL(9U, fleet.directorySize(i));
+        }
+    }
+}
+
+// An instance that is cut off takes no engine for dead: it would move layers, blame requests, and make the others avoid
+// engines that are sound.
+TEST(CutOffInstance, OtherInstancesAreNotToldOfServersThatSeemDeadFromBehindACut)
+{
+    for (const CutKind kind : { CutKind::Hang, CutKind::Reset, CutKind::RefuseNew }) {
+        CutFleet fleet({});
+        fleet.run(seconds(3));
+        fleet.cut(4, kind);
+        fleet.run(seconds(1));
+        const std::size_t reportsSoFar = fleet.deadReports();
+        fleet.run(seconds(11));
+        CHECK_EQUAL(reportsSoFar, fleet.deadReports());
+        CHECK_EQUAL(0U, fleet.quarantined());
+        for (std::size_t i = 4; i < 9; ++i) {
+            for (const auto& [id, server] : fleet.reducer(i).fleet().servers()) {
+                CHECK_EQUAL_TEXT(0.0, server.othersLoad.avoiders, id.value().c_str());
+                CHECK_FALSE_TEXT(server.isDead(fleet.now()), id.value().c_str());
+            }
+        }
+    }
+}
+
+// Without the detection the first test has to fail.
+TEST(CutOffInstance, TheCheckOfCallersFailsWithoutTheDetection)
+{
+    CutFleet::Options options;
+    options.without = *DisabledMechanisms::make("path-detection");
+    CutFleet fleet(options);
+    fleet.run(seconds(3));
+    const TimePoint cutAt = fleet.now();
+    fleet.cut(3, CutKind::Hang);
+    fleet.run(CutTime);
+    CHECK_TRUE(fleet.firstTries(cutAt + SettlingTime, true).servedShare() < 0.1);
+    CHECK_EQUAL(9U, fleet.directorySize(0));
+}
