--- a/tests/CutFleet.cpp
+++ b/tests/CutFleet.cpp
@@ -34,6 +34,7 @@
     LoadExchange exchange;
     std::unique_ptr<RelayReducer> reducer;
     std::optional<CutKind> cut; ///< nothing while it reaches the servers
+    TimePoint pausedUntil;
 
     Instance(net::io_context& context, LockStore& store, const InstanceRegistry::Entry& entry)
         : address(entry.address)
@@ -151,6 +152,8 @@
         m_frozenUntil[BackendId(id)] = m_now + span;
 }
 
+void CutFleet::pause(std::size_t instance, Duration span) { m_instances[instance]->pausedUntil = m_now + span; }
+
 void CutFleet::endAllServers()
 {
     m_areServersEnded = true;
@@ -172,6 +175,10 @@
 
 void CutFleet::post(std::size_t instance, RelayEventBody body)
 {
+    if (const TimePoint until = m_instances[instance]->pausedUntil; m_now < until) {
+        at(until - m_now, [this, instance, body = std::move(body)] { post(instance, body); });
+        return;
+    }
     RelayEffects effects;
     const auto entropy = static_cast<std::uint64_t>(random() * 1e18);
     m_instances[instance]->reducer->reduce({ m_now, entropy, std::move(body) }, effects);
@@ -371,6 +378,10 @@
 void CutFleet::makeRound(std::size_t index)
 {
     Instance& instance = *m_instances[index];
+    if (m_now < instance.pausedUntil) {
+        at(instance.pausedUntil - m_now, [this, index] { makeRound(index); });
+        return;
+    }
     instance.exchange.setCutOff(instance.reducer->isCutOff());
     for (auto& outgoing : instance.exchange.makeRound(instance.reducer->ownLoads(m_now), m_now)) {
         const std::size_t to = std::stoul(outgoing.address.substr(1)) - 1000;
--- a/tests/CutOffInstanceTest.cpp
+++ b/tests/CutOffInstanceTest.cpp
@@ -151,6 +151,20 @@
     }
 }
 
+// An instance whose process stood still finds all its checks timed out at once. That says nothing of its path.
+TEST(CutOffInstance, AnInstanceThatStoodStillDoesNotTakeItsPathForBroken)
+{
+    for (const int milliseconds : { 500, 1500, 4000 }) {
+        CutFleet fleet({});
+        fleet.run(seconds(3));
+        fleet.pause(2, std::chrono::milliseconds(milliseconds));
+        for (int step = 0; step < 80; ++step) {
+            fleet.run(std::chrono::milliseconds(100));
+            CHECK_FALSE(fleet.reducer(2).isCutOff());
+        }
+    }
+}
+
 // An instance that is cut off takes no engine for dead: it would move layers, blame requests, and make the others avoid
 // engines that are sound.
 TEST(CutOffInstance, OtherInstancesAreNotToldOfServersThatSeemDeadFromBehindACut)
