Let an instance return whose path is back although some servers stay dead

Cause: it returned only after a second without any failed contact. Servers that are dead or slow for all instances failed some of its checks, and each failure started the second anew.

An instance returns when two thirds of at least five were answered, by two servers or more.

--- a/src/edge/RelayNode.cpp
+++ b/src/edge/RelayNode.cpp
@@ -420,7 +420,8 @@
     DecisionLog::state("server_path",
         { { "before", toString(note.before) }, { "now", toString(note.now) }, { "failed", evidence.failed },
             { "failed_here_only", evidence.failedHereOnly }, { "failing_ms", toMs(evidence.failingFor) },
-            { "answered", evidence.answered }, { "answering_ms", toMs(evidence.answeringFor) } });
+            { "contacts", evidence.contacts }, { "answered", evidence.answered },
+            { "answering_servers", evidence.answeringServers } });
 }
 
 void RelayNode::on(const effect::LogServerLimit& note)
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -292,7 +292,7 @@
     if (ended.status)
         recordContactAnswered(attempt.server, attempt.startedAt, context);
     else if (ended.result == AttemptResult::ConnectFailed)
-        recordContactFailed(attempt.server, attempt.startedAt);
+        recordContactFailed(attempt.server, attempt.startedAt, context);
     recordFailedAttempt(attempt, call, ended, context);
     release(call, attempt, context);
     if (ended.result == AttemptResult::ConnectFailed || ended.result == AttemptResult::NotRun) {
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -234,7 +234,7 @@
     Duration retryAfterFor(Reason, const Context&) const;
     Duration retryAfterShortage(ServiceQueue&, const Context&) const;
     void recordContactAnswered(const BackendId&, TimePoint askedAt, Context&);
-    void recordContactFailed(const BackendId&, TimePoint askedAt);
+    void recordContactFailed(const BackendId&, TimePoint askedAt, Context&);
     PathEvidence pathEvidence(TimePoint now) const;
     void updatePath(Context&);
     void checkPath(const PathEvidence&, Context&);
--- a/src/relay/RelayReducerChecks.cpp
+++ b/src/relay/RelayReducerChecks.cpp
@@ -153,7 +153,7 @@
     if (checked.answered)
         recordContactAnswered(checked.engine, server->lastCheckAt, context);
     else
-        recordContactFailed(checked.engine, server->lastCheckAt);
+        recordContactFailed(checked.engine, server->lastCheckAt, context);
     if (!applyReportedStart(checked.engine, checked.answering, checked.layers, context))
         return;
     server = m_fleet.find(checked.engine); // A new start replaces the fleet's entry.
--- a/src/relay/RelayReducerCrashes.cpp
+++ b/src/relay/RelayReducerCrashes.cpp
@@ -115,7 +115,7 @@
     if (probed.responded)
         recordContactAnswered(probed.server, server->lastCheckAt, context);
     else
-        recordContactFailed(probed.server, server->lastCheckAt);
+        recordContactFailed(probed.server, server->lastCheckAt, context);
     server->nextProbe.reset();
     if (probed.finding == Finding::Alive)
         m_crashEvidence.noteAlive(server->othersLoad.engine);
--- a/src/relay/RelayReducerPath.cpp
+++ b/src/relay/RelayReducerPath.cpp
@@ -29,9 +29,9 @@
         server->lastContactAt = context.now;
 }
 
-void RelayReducer::recordContactFailed(const BackendId& id, TimePoint askedAt)
+void RelayReducer::recordContactFailed(const BackendId& id, TimePoint askedAt, Context& context)
 {
-    m_contacts.recordFailure(id, askedAt);
+    m_contacts.recordFailure(id, askedAt, context.now);
 }
 
 PathEvidence RelayReducer::pathEvidence(TimePoint now) const
@@ -39,8 +39,10 @@
     PathEvidence evidence;
     evidence.failed = m_contacts.failed().size();
     evidence.failingFor = m_contacts.failingFor(now);
-    evidence.answered = m_contacts.answered().size();
-    evidence.answeringFor = m_contacts.answeringFor(now);
+    const ServerContacts::Recent recent = m_contacts.recent(now);
+    evidence.contacts = recent.contacts;
+    evidence.answered = recent.answered;
+    evidence.answeringServers = recent.answeringServers;
     evidence.knowsOthers = m_fleet.knowsOthersLoad() && m_placer.instances() > 1;
     if (!evidence.knowsOthers)
         return evidence;
--- a/src/relay/ServerPath.cpp
+++ b/src/relay/ServerPath.cpp
@@ -9,7 +9,9 @@
     /// Must be longer than the lifetime of another instance's contact (ServerFleet) and the two rounds in which it is
     /// reported. Otherwise servers that fall silent for all instances would seem to answer the others.
     constexpr Duration MinFailingTime = std::chrono::milliseconds(800);
-    constexpr Duration MinAnsweringTime = std::chrono::milliseconds(1000);
+    /// Contacts that show whether the path is back. Some servers may be dead.
+    constexpr std::size_t MinContacts = 5;
+    constexpr double MinAnsweredShare = 0.65;
     /// Checks are answered within milliseconds, so that one dead server does not raise doubts for this long.
     constexpr Duration DoubtTime = std::chrono::milliseconds(250);
 
@@ -31,12 +33,14 @@
 ServerPath classifyPath(const PathEvidence& evidence, ServerPath current)
 {
     if (current == ServerPath::CutOff) {
-        const bool isBack = evidence.answered >= MinServers && evidence.answeringFor >= MinAnsweringTime;
+        const double neededAnswers = MinAnsweredShare * static_cast<double>(evidence.contacts);
+        const bool isBack = evidence.contacts >= MinContacts && evidence.answeringServers >= MinServers
+            && static_cast<double>(evidence.answered) >= neededAnswers;
         return isBack ? ServerPath::Reachable : ServerPath::CutOff;
     }
     if (evidence.knowsOthers && evidence.failedHereOnly >= MinServers && evidence.failingFor >= MinFailingTime)
         return ServerPath::CutOff;
-    return evidence.answered ? ServerPath::Reachable : ServerPath::Unknown;
+    return evidence.answered && !evidence.failed ? ServerPath::Reachable : ServerPath::Unknown;
 }
 
 bool isPathInDoubt(const PathEvidence& evidence, ServerPath current)
--- a/src/relay/ServerPath.h
+++ b/src/relay/ServerPath.h
@@ -23,13 +23,14 @@
     std::size_t failed = 0; ///< servers that failed to answer since the last answered contact
     std::size_t failedHereOnly = 0; ///< of those, servers that have answered other instances lately
     Duration failingFor {}; ///< since the first of these failures
-    std::size_t answered = 0; ///< servers that answered since the last failed contact
-    Duration answeringFor {}; ///< since the first of these answers
+    std::size_t contacts = 0; ///< contacts of the last second or so
+    std::size_t answered = 0; ///< of those, the ones that were answered
+    std::size_t answeringServers = 0; ///< servers that answered them
 };
 
 /// Unanswered contacts alone do not tell a broken path from servers that are gone, slow or full. The instance is cut
 /// off only if the same servers answer other instances at the same time. Hysteresis keeps an instance from returning to
-/// the directory while only some contacts get through.
+/// the directory until most contacts get through.
 /// @param current  the result of the previous call
 ServerPath classifyPath(const PathEvidence&, ServerPath current);
 
--- a/tests/CutFleet.h
+++ b/tests/CutFleet.h
@@ -58,6 +58,8 @@
     void heal();
     /// Lets servers answer nothing for a time. Their streams go on after it.
     void freeze(const std::vector<std::string>& servers, Duration);
+    /// Ends one server without notice. Its host answers nothing.
+    void endServer(const std::string& server) { m_frozenUntil[BackendId(server)] = TimePoint::max(); }
     /// Stops the process of an instance for a time. What happens meanwhile reaches it afterwards.
     void pause(std::size_t instance, Duration);
     /// Ends all servers without notice. Their hosts refuse connections.
--- a/tests/CutOffInstanceTest.cpp
+++ b/tests/CutOffInstanceTest.cpp
@@ -118,6 +118,26 @@
     }
 }
 
+// Some servers stay dead. Their silence must not keep an instance from returning that reaches the others.
+TEST(CutOffInstance, AnInstanceReturnsThoughSomeServersStayDead)
+{
+    for (const std::size_t cut : { 3U, 8U, 9U }) {
+        CutFleet fleet({});
+        fleet.run(seconds(3));
+        for (const char* dead : { "e0", "f0", "p0" })
+            fleet.endServer(dead);
+        fleet.run(seconds(2));
+        fleet.cut(cut, CutKind::Hang);
+        fleet.run(seconds(5));
+        fleet.heal();
+        fleet.run(seconds(4));
+        for (std::size_t i = 0; i < 9; ++i) {
+            CHECK_FALSE(fleet.reducer(i).isCutOff());
+            CHECK_EQUAL(9U, fleet.directorySize(i));
+        }
+    }
+}
+
 // A whole data centre, with the collectors of the exchange.
 TEST(CutOffInstance, CallersOfADataCentreThatIsCutOffAreServed)
 {
