Let the soak cut instances off from all servers

Instances share one source address, so the links find the process that owns a connection by its port. Some instances at a time, never all, lose their path for 5 to 7 s, by silence or by resets, from a generator of their own, beside all other faults. Sixteen more callers follow the directory: they use an answer for 1 s or 3 s and leave connections to instances that a new one lacks; the others keep theirs as before. Promise path: as the users state it, from 3 s after a cut on. What a cut holds back is not counted against an instance, as with faults of links.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -20,6 +20,7 @@
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 from httpio import close, read_body, read_head  # noqa: E402
+from paths import PathCut  # noqa: E402
 from standins import CARD_MB, HEALTH_PATH, KV_TOKEN_BYTES, LAYER_MB, LAYERS, Fleet, Link, Server, Store  # noqa: E402
 
 ZONES = ["za", "zb"]
@@ -27,7 +28,7 @@
 # Bounds in time hold this long after the last fault on the store or an instance; set by the platform.
 STABLE_S = 3
 # Promises with a bound in time. They may fail on a busy host, so CI leaves them out.
-TIMED = {"delivered", "deadline", "config", "recovery", "leaving", "grace", "quarantine"}
+TIMED = {"delivered", "deadline", "config", "recovery", "leaving", "grace", "quarantine", "path"}
 # A server that names a limit gets at most 1.5 times as much, and five requests, within LIMIT_WINDOW_S. That holds for
 # instances that passed on an answer naming it TOLD_S before or earlier.
 LIMIT_WINDOW_S = 4
@@ -37,6 +38,9 @@
 # A call that was sent later than this after its instance had passed on an answer that says that a server leaves must not
 # reach that server.
 ANNOUNCED_S = 2
+# Callers of an instance that was cut off from all servers PATH_S before or earlier are served two thirds as often as those
+# of the others, or no more than 10 + 1 in 50 of all first tries fail there.
+PATH_S = 3
 KEY = "soak-key"
 EVENT_END = b"\n\n"
 
@@ -49,12 +53,13 @@
     """One entry instance, run as a separate process."""
 
     def __init__(self, number, program, folder, net):
-        self.number, self.program, self.folder, self.net = number, program, folder, net
+        self.number, self.program, self.folder, self.net, self.without = number, program, folder, net, ""
         self.ip, self.zone = f"{net}.91.{number + 1}", ZONES[number % len(ZONES)]
         self.front, self.directory = f"{self.ip}:8227", f"{self.ip}:8224"
         # touched: times of faults. term_at: time of the SIGTERM, 0 after a SIGKILL, None while it runs normally.
         # started_calm: end of the latest restart or pause. All times are monotonic.
         self.process, self.touched, self.term_at, self.started_calm = None, [0.0], None, 0
+        self.cuts = []  # [begin, end] of each time in which it reaches no server
         self.log = open(f"{folder}/{number}.log", "ab")
 
     def settings(self):
@@ -69,7 +74,7 @@
         with open(path, "w") as file:
             file.write(self.settings())
         self.process = await asyncio.create_subprocess_exec(
-            self.program, "--settings", path, stdout=self.log, stderr=self.log)
+            self.program, "--settings", path, "--without", self.without, stdout=self.log, stderr=self.log)
         self.touch()
         self.term_at = None
 
@@ -82,6 +87,10 @@
         when = when or time.monotonic()
         return not any(when - seconds < each <= when for each in self.touched)
 
+    def was_cut_off(self, begin, end):
+        """Whether the links to the servers held its requests back at some time between `begin` and `end`."""
+        return any(start < end and until > begin for start, until in self.cuts)
+
     def send(self, number):
         if self.process and self.process.returncode is None:
             self.process.send_signal(number)
@@ -98,6 +107,11 @@
         self.store_link = Link(store_link(net), f"{net}.90.1:7000")
         self.instances = [Instance(each, program, folder, net) for each in range(instances)]
         self.store_faults, self.instance_of, self.sent_at = [], {}, {}
+        # Cuts: (begin, end, instances). Calls of callers that follow the directory: (time, instance, whether served).
+        self.path_cut, self.cuts, self.first_tries = PathCut(lambda: [each.link for each in self.fleet.servers.values()]), [], []
+        if mutate == "path":
+            for instance in self.instances:
+                instance.without = "path-detection"
         if mutate == "leaving":
             self.fleet.leaving_bound_s = -5.0
         # store_calm, backend_calm: monotonic time of the latest fault on the store or a server. Some kinds of faults set
@@ -155,13 +169,20 @@
                 continue
         return []
 
-    async def caller(self):
-        """Runs one caller, which reuses its connection until the connection is closed."""
-        stream, known, until = None, [], 0
+    async def caller(self, lifetime=1, follows=False):
+        """Runs one caller, which reuses its connection until the connection is closed.
+
+        It uses a directory answer for `lifetime` seconds. If it follows the directory, it also leaves its connection when
+        a new answer lacks the instance.
+        """
+        stream, known, until, instance = None, [], 0, None
         while not self.stopping:
+            if (stream is None or follows) and (time.monotonic() > until or not known):
+                known, until = await self.addresses(), time.monotonic() + lifetime
+                if stream and follows and known and instance.front not in known:
+                    close(stream[1])
+                    stream = None
             if stream is None:
-                if time.monotonic() > until or not known:
-                    known, until = await self.addresses(), time.monotonic() + 1
                 if not known:
                     await asyncio.sleep(0.1)
                     continue
@@ -173,22 +194,24 @@
                 except (OSError, asyncio.TimeoutError):
                     known = []
                     continue
-            if not await self.call(instance, *stream):
+            if not await self.call(instance, *stream, follows):
                 close(stream[1])
                 stream = None
             await asyncio.sleep(self.random.random() * 0.1)
         if stream:
             close(stream[1])
 
-    async def call(self, instance, reader, writer):
+    async def call(self, instance, reader, writer, follows):
         """Sends one request and checks its answer; returns whether the connection can be reused."""
         self.attempts += 1
         attempt = f"{self.attempts:016x}"
+        # Callers that follow the directory send short calls, many of which fit into the time of a cut.
         route = self.random.choice(["look", "book", "draft", "draft", "once", "extra", "gone"])
+        route, deadline_ms = (self.random.choice(["look", "book"]), 1000) if follows else (route, 6000)
         events, sent = self.random.randint(3, 60), time.monotonic()
         self.instance_of[attempt], self.sent_at[attempt] = instance, sent
         writer.write((f"POST /{route}/x HTTP/1.1\r\nHost: soak.example\r\nX-Attempt-Id: {attempt}\r\n"
-                      f"Authorization: Bearer {KEY}\r\nX-Deadline-Ms: 6000\r\nX-Key: k{attempt}\r\n"
+                      f"Authorization: Bearer {KEY}\r\nX-Deadline-Ms: {deadline_ms}\r\nX-Key: k{attempt}\r\n"
                       f"X-Events: {events}\r\nX-Token-Usage: 100,{events}\r\nContent-Length: 0\r\n\r\n").encode())
         try:
             head = await asyncio.wait_for(read_head(reader), 9)
@@ -200,6 +223,8 @@
         except ConnectionError:
             answer = None
         self.judge(attempt, route, events, instance, sent, answer)
+        if follows:
+            self.first_tries.append((sent, instance, self.answers[attempt][1] == 200))
         return bool(answer) and answer.complete and answer.headers.get("connection", "") != "close"
 
     def judge(self, attempt, route, events, instance, sent, answer):
@@ -310,6 +335,40 @@
             server.retry_after_s = 0
         await asyncio.gather(*leaving)
 
+    async def path_cuts(self):
+        """Cuts some instances off from all servers. It has a generator of its own, like limits()."""
+        draws = random.Random(f"paths {self.seed}")
+        end = time.monotonic() + self.seconds
+        while time.monotonic() < end and len(self.instances) > 1:
+            await asyncio.sleep(draws.random())
+            count = draws.randint(1, len(self.instances) - 1)
+            cut, mode = draws.sample(self.instances, count), draws.choice(["silent", "silent", "reset"])
+            begin, self.backend_calm = time.monotonic(), time.monotonic() + 60
+            self.path_cut.begin(cut, mode)
+            for instance in cut:
+                instance.cuts.append([begin, float("inf")])
+            await asyncio.sleep(PATH_S + 2 + draws.random() * 2)
+            self.path_cut.end()
+            for instance in cut:
+                instance.cuts[-1][1] = time.monotonic()
+            self.cuts.append((begin, time.monotonic(), cut))
+            self.backend_calm = time.monotonic() + 2
+
+    def judge_cuts(self):
+        """Checks that callers of instances that were cut off were served like those of the others."""
+        for begin, end, cut in self.cuts:
+            tries = {True: [], False: []}
+            for sent, instance, served in self.first_tries:
+                if begin + PATH_S <= sent < end and instance.calm(sent - begin + PATH_S, sent):
+                    tries[instance in cut].append(served)
+            failed, total = tries[True].count(False), len(tries[True]) + len(tries[False])
+            if not tries[True] or not tries[False] or failed <= 10 + total / 50:
+                continue
+            share = {each: sum(served) / len(served) for each, served in tries.items()}
+            if share[True] < share[False] * 2 / 3:
+                self.report("path", f"{len(cut)} instances cut off served {sum(tries[True])} of {len(tries[True])} first "
+                            f"tries, the others {sum(tries[False])} of {len(tries[False])}")
+
     async def leave_as_announced(self, server, after):
         incarnation = server.id, server.born_ms
         self.backend_calm = time.monotonic() + 60
@@ -328,6 +387,8 @@
                 harmed = any(start < end and until > rejected_at for start, until in server.link_faults)
                 if instance is None or harmed or not instance.calm(seconds + TOLD_S, end):
                     continue
+                if instance.was_cut_off(rejected_at, end):
+                    continue
                 count = sum(rejected_at + TOLD_S < at < end and self.instance_of.get(each) is instance
                             for at, each in server.arrivals)
                 if count > bound:
@@ -349,7 +410,8 @@
                     told_at = told.get(instance)
                     if told_at is None or not begin <= at < end:
                         continue
-                    if self.sent_at.get(attempt, 0) > told_at + bound and instance.calm(at - told_at, at):
+                    calm = instance.calm(at - told_at, at) and not instance.was_cut_off(told_at, at)
+                    if self.sent_at.get(attempt, 0) > told_at + bound and calm:
                         self.report("announced", f"{attempt} reached {server.id} {at - told_at:.1f} s after {instance.ip} "
                                     "had passed on that it leaves")
                         return
@@ -366,7 +428,8 @@
                 for at, attempt in server.arrivals:
                     instance = self.instance_of.get(attempt)
                     knows = instance in told and told[instance] + TOLD_S <= at
-                    if begin + STABLE_S <= at < end and knows and instance.calm(STABLE_S, at):
+                    calm = knows and instance.calm(STABLE_S, at) and not instance.was_cut_off(at - STABLE_S, at)
+                    if begin + STABLE_S <= at < end and calm:
                         arrivals.append(at)
                 self.judge_arrivals(server, arrivals, limits)
 
@@ -555,7 +618,8 @@
             if len(times) < 3:
                 continue
             late = [attempt for at, attempt in self.fleet.reached[body]
-                    if at > times[2] + STABLE_S and self.instance_of[attempt].calm(STABLE_S, at)]
+                    if at > times[2] + STABLE_S and self.instance_of[attempt].calm(STABLE_S, at)
+                    and not self.instance_of[attempt].was_cut_off(at - STABLE_S, at)]
             if len(late) > 3 or self.mutate == "crashes":
                 self.report("quarantine", f"{body} ended {len(times)} servers and was sent on {len(late)} times more")
 
@@ -570,8 +634,9 @@
         await self.start()
         for instance in self.instances:
             instance.started_calm = time.monotonic()
-        callers = [asyncio.create_task(self.caller()) for _ in range(24)]
-        await asyncio.gather(self.faults(), self.limits(), self.notices())
+        callers = [asyncio.create_task(self.caller()) for _ in range(16)]
+        callers += [asyncio.create_task(self.caller(3 if each % 4 == 0 else 1, follows=True)) for each in range(16)]
+        await asyncio.gather(self.faults(), self.limits(), self.notices(), self.path_cuts())
         self.faults_over = time.monotonic()
         await asyncio.sleep(6)
         before = self.served()
@@ -588,6 +653,7 @@
         self.judge_limits()
         self.judge_backoffs()
         self.judge_leaves()
+        self.judge_cuts()
         self.close()
         return self.broken
 
@@ -622,7 +688,8 @@
         """
         store_calm = not any(start < when and end > when - STABLE_S for start, end in self.store_faults)
         instance = self.instance_of.get(attempt)
-        return store_calm and instance is not None and instance.calm(STABLE_S, when)
+        held_up = instance is not None and instance.was_cut_off(when - STABLE_S, when)
+        return store_calm and instance is not None and not held_up and instance.calm(STABLE_S, when)
 
 
 async def run_seed(seed, arguments):
@@ -645,7 +712,7 @@
     parser.add_argument("--program", default="build/crocusmount-entry")
     parser.add_argument("--block", type=int, default=1, help="second number of the loopback addresses, 1 to 254")
     parser.add_argument("--untimed", action="store_true", help="leave out promises with a bound in time")
-    parser.add_argument("--mutate", default="", help="breaks one promise on purpose: announced, backoff, body, config, crashes, cut, leaving, limits, runs")
+    parser.add_argument("--mutate", default="", help="breaks one promise on purpose: announced, backoff, body, config, crashes, cut, leaving, limits, path, runs")
     arguments = parser.parse_args()
     if "-" in arguments.seeds:
         first, last = arguments.seeds.split("-")
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -24,15 +24,24 @@
     return free_mb * 1e6 >= LONGEST_TOKENS * layers * KV_TOKEN_BYTES / LAYERS
 
 
+class Peer:
+    """The other side of an accepted connection."""
+
+    def __init__(self, port):
+        self.port, self.accepted_at = port, time.monotonic()
+        self.is_cut_off = {}  # by number of the cut
+
+
 class Link:
     """A loopback proxy in front of one server.
 
     Modes: ok, delay (0.1 s for each read), reset (connections are reset), silent (data is held in both directions),
-    mute (only answers are held).
+    mute (only answers are held). `mode_for` returns a mode for the connections of one peer, or None.
     """
 
     def __init__(self, listen, target):
         self.listen, self.target, self.mode, self.writers, self.server = listen, target, "ok", set(), None
+        self.mode_for, self.peers = lambda peer: None, {}  # by open connection: its peer and the writer to the server
 
     async def start(self):
         host, port = self.listen.rsplit(":", 1)
@@ -44,6 +53,13 @@
             for writer in list(self.writers):
                 reset(writer)
 
+    def reset_peers(self):
+        """Resets the connections of the peers whose mode is reset."""
+        for writer, (peer, back_writer) in list(self.peers.items()):
+            if self.mode_for(peer) == "reset":
+                reset(writer)
+                reset(back_writer)
+
     def refuse(self):
         """Refuses connections until the next start(), unless the link is silent."""
         if self.server and self.mode not in ("silent", "mute"):
@@ -51,7 +67,10 @@
             self.server = None
 
     async def _connection(self, reader, writer):
-        if self.mode == "reset":
+        peer = Peer(writer.get_extra_info("peername")[1])
+        while self.mode_for(peer) == "silent":
+            await asyncio.sleep(0.02)
+        if self.mode == "reset" or self.mode_for(peer) == "reset":
             reset(writer)
             return
         try:
@@ -61,17 +80,20 @@
             reset(writer)
             return
         self.writers |= {writer, back_writer}
-        tasks = [asyncio.create_task(self._copy(reader, back_writer, False)),
-                 asyncio.create_task(self._copy(back_reader, writer, True))]
+        self.peers[writer] = (peer, back_writer)
+        tasks = [asyncio.create_task(self._copy(reader, back_writer, False, peer)),
+                 asyncio.create_task(self._copy(back_reader, writer, True, peer))]
         await asyncio.wait(tasks, return_when=asyncio.ALL_COMPLETED)
         self.writers -= {writer, back_writer}
+        del self.peers[writer]
 
-    async def _copy(self, reader, writer, is_answer):
+    async def _copy(self, reader, writer, is_answer, peer):
         try:
             while data := await reader.read(65536):
                 if self.mode == "delay":
                     await asyncio.sleep(0.1)
-                while self.mode == "silent" or (self.mode == "mute" and is_answer):
+                while (self.mode == "silent" or (self.mode == "mute" and is_answer)
+                       or self.mode_for(peer) == "silent"):
                     await asyncio.sleep(0.02)
                 writer.write(data)
                 await writer.drain()
