--- a/src/core/Reason.cpp
+++ b/src/core/Reason.cpp
@@ -22,9 +22,9 @@
         "key_claimed", "key_reused", "store_unavailable", "deadline_too_short", "deadline_passed", "queue_full",
         "no_route", "retry_budget_spent", "retries_spent", "draining", "isolated", "not_repeatable", "caller_gone",
         "not_configured", "unknown_route", "unknown_key", "crashes_servers", "no_capacity", "limit_reached",
-        "servers_in_backoff", "no_path_to_servers", "timed_out", "server_failure", "connect_failed", "connection_lost", "refused_by_backend",
-        "backend_error", "stage_failed", "stalled", "truncated", "trace_mismatch", "index_gap", "late_frame",
-        "doubled_frame", "crossed_frame" };
+        "servers_in_backoff", "no_path_to_servers", "timed_out", "server_failure", "connect_failed", "connection_lost",
+        "refused_by_backend", "backend_error", "stage_failed", "stalled", "truncated", "trace_mismatch", "index_gap",
+        "late_frame", "doubled_frame", "crossed_frame" };
     return names.at(static_cast<std::size_t>(reason));
 }
 
--- a/src/edge/PlannerLock.cpp
+++ b/src/edge/PlannerLock.cpp
@@ -66,7 +66,8 @@
 
 bool PlannerLock::isHeld() const
 {
-    return !m_isReleased && m_isEligible && isOwnLock() && std::chrono::steady_clock::now() + LeaseSafetyMargin < m_leaseExpiresAt;
+    return !m_isReleased && m_isEligible && isOwnLock()
+        && std::chrono::steady_clock::now() + LeaseSafetyMargin < m_leaseExpiresAt;
 }
 
 bool PlannerLock::isFree(Time now) const { return m_revision == 0 || now > m_holderLastValid + UnlistedHolderTimeout; }
--- a/src/relay/RelayEffect.h
+++ b/src/relay/RelayEffect.h
@@ -234,9 +234,10 @@
 using RelayEffect = std::variant<effect::StartAttempt, effect::CancelAttempt, effect::HoldAnswer,
     effect::ContinueAnswer, effect::AskStalledStage, effect::CheckEngine, effect::ProbeServer, effect::ShareCrashes,
     effect::ShareHarmlessRequest, effect::LogCrash, effect::QuarantineRequest, effect::ClearRequest,
-    effect::ReportEngineState, effect::LogServerPath, effect::LogServerState, effect::LogServerLimit, effect::LogServerBackoff,
-    effect::LogPermits, effect::RequestPermits, effect::AnswerPermits, effect::ShareServerLimit, effect::RerouteAttempt,
-    effect::Refuse, effect::DeliverServerFailure, effect::CompleteAnswer, effect::LogEndVerdict, effect::BreakAnswer>;
+    effect::ReportEngineState, effect::LogServerPath, effect::LogServerState, effect::LogServerLimit,
+    effect::LogServerBackoff, effect::LogPermits, effect::RequestPermits, effect::AnswerPermits,
+    effect::ShareServerLimit, effect::RerouteAttempt, effect::Refuse, effect::DeliverServerFailure,
+    effect::CompleteAnswer, effect::LogEndVerdict, effect::BreakAnswer>;
 using RelayEffects = std::vector<RelayEffect>;
 
 } // namespace crocusmount::relay
