Read the parts of a prompt and log them with attempts and answers

Change: the parts that other requests may share, all but the last, are read from the header and stand in the lines of attempts and answers. The header itself is passed on as it came. No decision depends on them yet.

Test: Edge.PromptPartsThatRequestsShareAreReadFromTheirHeader (absent, empty, malformed, upper case, leading zeros, several lines, thousands).

--- a/include/crocusmount/Ids.h
+++ b/include/crocusmount/Ids.h
@@ -19,6 +19,9 @@
 using StartTime = StrongId<struct StartTimeTag, std::int64_t>;
 /// A workspace of a customer.
 using WorkspaceId = StrongId<struct WorkspaceTag, std::string>;
+/// A part of a prompt that several requests may share, such as a system prompt: lower-case hexadecimal digits without
+/// leading zeros.
+using PromptPartId = StrongId<struct PromptPartTag, std::string>;
 /// A pipeline: a model or a plain service for use by callers.
 using PipelineId = StrongId<struct PipelineTag, std::string>;
 /// A data centre in which instances and backend servers run.
--- a/src/edge/RelayNode.cpp
+++ b/src/edge/RelayNode.cpp
@@ -6,6 +6,7 @@
 #include "edge/RequestDigest.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 #include <random>
 
 namespace crocusmount::relay {
@@ -97,6 +98,13 @@
     /// @return an engine's key as 16 hexadecimal digits
     std::string hexKey(std::uint64_t key) { return absl::StrCat(absl::Hex(key, absl::kZeroPad16)); }
 
+    /// @return the ids, separated by commas
+    std::string textFrom(const std::vector<PromptPartId>& parts)
+    {
+        return absl::StrJoin(
+            parts, ",", [](std::string* out, const PromptPartId& part) { absl::StrAppend(out, part.value()); });
+    }
+
     std::int64_t toMs(Duration duration)
     {
         return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
@@ -145,8 +153,8 @@
     const RequestId id(m_nextRequestId++);
     spec.content = digestOf(*request, spec.host);
     auto pipe = std::make_shared<AnswerPipe>(m_context);
-    m_openCalls[id] = { spec.name, spec.content.toHex(), std::move(request), pipe, now(), std::nullopt, std::nullopt,
-        Duration(0), 0 };
+    m_openCalls[id] = { spec.name, spec.content.toHex(), textFrom(spec.promptParts), std::move(request), pipe, now(),
+        std::nullopt, std::nullopt, Duration(0), 0 };
     if (!m_reducer.openCalls())
         m_tickTimer.cancel();
     post(event::CallArrived { id, std::move(spec) });
@@ -251,9 +259,9 @@
         return;
     DecisionLog::call("attempt", found->second.callId,
         { { "route", start.route }, { "workspace", start.workspace }, { "server", start.server.value() },
-            { "request", found->second.digest }, { "purpose", toString(start.purpose) }, { "address", start.address },
-            { "chain", chainText(start.chain) }, { "remaining_ms", toMs(start.remaining) },
-            { "resume_after", start.resumeAfter.value_or(0) },
+            { "request", found->second.digest }, { "parts", found->second.promptParts },
+            { "purpose", toString(start.purpose) }, { "address", start.address }, { "chain", chainText(start.chain) },
+            { "remaining_ms", toMs(start.remaining) }, { "resume_after", start.resumeAfter.value_or(0) },
             { "waited_ms", toMs(now() - found->second.arrivedAt) } });
     auto attempt = std::make_shared<UpstreamAttempt>(m_context, m_headerNames, m_unknownHeaders, start,
         found->second.request, found->second.pipe, [this](RelayEventBody body) { post(std::move(body)); });
@@ -549,6 +557,7 @@
 {
     fields["outcome"] = outcome;
     fields["request"] = call.digest;
+    fields["parts"] = call.promptParts;
     const Duration total = now() - call.arrivedAt;
     (outcome == "completed" ? m_latencies.completed : m_latencies.refused).observe(total);
     if (call.firstEventAt) {
--- a/src/edge/RelayNode.h
+++ b/src/edge/RelayNode.h
@@ -70,6 +70,7 @@
     struct OpenCall {
         std::string callId; ///< the caller's id of the call, for logs
         std::string digest; ///< digest of the request's content as hexadecimal text, for logs
+        std::string promptParts; ///< the parts of the prompt that other requests may share, for logs
         std::shared_ptr<const CallerRequest> request;
         std::shared_ptr<AnswerPipe> pipe;
         TimePoint arrivedAt;
--- a/src/relay/CallSpec.h
+++ b/src/relay/CallSpec.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace crocusmount::relay {
 
@@ -15,6 +16,8 @@
     std::string host; ///< without a port
     std::string path; ///< without the query
     ContentDigest content; ///< of everything but the headers; equal for a repeat, even under another name
+    /// The parts of the prompt in order, without the last one, which belongs to this request or its session alone.
+    std::vector<PromptPartId> promptParts;
     std::string key; ///< bearer key; empty if none was sent
     Duration callerTimeout {}; ///< how long the caller waits for the answer; zero if unknown
     std::uint32_t promptTokens = 0;
--- a/tests/EdgeTest.cpp
+++ b/tests/EdgeTest.cpp
@@ -10,6 +10,10 @@
 #include "platform/WireCodec.h"
 #include "platform/WireNames.h"
 #include "shell/Endpoint.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+
 #include "tests/Tests.h"
 
 using namespace crocusmount;
@@ -107,6 +111,45 @@
     CHECK_FALSE(reader.read(fields, "/a").ok());
 }
 
+TEST(Edge, PromptPartsThatRequestsShareAreReadFromTheirHeader)
+{
+    std::string manyParts;
+    for (int i = 1; i <= 2000; ++i)
+        manyParts += absl::StrCat(absl::Hex(i), ":1,");
+    const struct {
+        const char* name;
+        std::vector<std::string> lines;
+        const char* expected; ///< parts separated by spaces; null: the first 32 of many
+    } cases[] = {
+        { "none", {}, "" },
+        { "empty", { "" }, "" },
+        { "only the part of the request itself", { "e4402b7d:250" }, "" },
+        { "all but the last", { "5c1e07a2:800,91bd3f06:410,e4402b7d:250" }, "5c1e07a2 91bd3f06" },
+        { "one number in several forms", { "5C1E07A2:8, 05c1e07a2:8 ,0:1,000:1,e4402b7d:2" }, "5c1e07a2 0" },
+        { "malformed entries", { "xyz:1,:2,a,b:,c:-1,d:1:2,,e:5,f:1" }, "e" },
+        { "an id of more digits than any part has", { std::string(65, 'a') + ":1,b:1,c:1" }, "b" },
+        { "two lines", { "a:1,b:2", "c:3,d:4" }, "a b c" },
+        { "only separators", { ",,,," }, "" },
+        { "thousands of parts", { manyParts }, nullptr },
+    };
+    const platform::PlatformCallReader reader;
+    for (const auto& each : cases) {
+        http::fields fields;
+        fields.set(http::field::host, "h.example");
+        for (const std::string& line : each.lines)
+            fields.insert("X-Prompt-Prefix", line);
+        const auto spec = reader.read(fields, "/a");
+        CHECK_TRUE_TEXT(spec.ok(), each.name);
+        std::vector<std::string> parts;
+        for (const PromptPartId& part : spec->promptParts)
+            parts.push_back(part.value());
+        if (each.expected)
+            STRCMP_EQUAL_TEXT(each.expected, absl::StrJoin(parts, " ").c_str(), each.name);
+        else
+            CHECK_EQUAL_TEXT(32U, parts.size(), each.name);
+    }
+}
+
 TEST(Edge, ConfigurationIsDecoded)
 {
     const auto configuration = platform::parseConfiguration(
