Test that requests with a part that crashes servers are soon sent to none (fails)

Virtual time, 13 loads: one part and several, first, in the middle and last of the shared ones, rare and common, 9, 60 and 295 instances, beside lost datagrams, group losses and restarts. No two requests are alike.

--- a/tests/CrashFleet.cpp
+++ b/tests/CrashFleet.cpp
@@ -142,7 +142,7 @@
     const auto found = owner.openCalls.find(complete.call);
     if (found == owner.openCalls.end())
         return;
-    Tally& tally = tallyOf(found->second);
+    Tally& tally = tallyOf(found->second.crashingNumber);
     ++(owner.wholeStreams.count(complete.call) ? tally.completed : tally.completedTooEarly);
     owner.openCalls.erase(found);
 }
@@ -153,7 +153,7 @@
     const auto found = open.find(call);
     if (found == open.end())
         return;
-    Tally& tally = tallyOf(found->second);
+    Tally& tally = tallyOf(found->second.crashingNumber);
     ++(isRefusedPermanently ? tally.refusedPermanently : tally.failed);
     open.erase(found);
 }
@@ -165,7 +165,10 @@
     attempt.call = started.call;
     attempt.chain = started.chain;
     const auto open = m_instances[instance].openCalls.find(started.call);
-    attempt.crashingNumber = open == m_instances[instance].openCalls.end() ? -1 : open->second;
+    if (open != m_instances[instance].openCalls.end()) {
+        attempt.crashingNumber = open->second.crashingNumber;
+        attempt.isFirst = !std::exchange(open->second.hasAttempt, true);
+    }
     attempt.sentAt = m_now;
     attempt.nextEvent = started.resumeAfter.value_or(0) + 1;
     Engine* engine = findEngine(started.server);
@@ -178,6 +181,17 @@
     m_attempts[{ instance, started.attempt }] = attempt;
 }
 
+std::vector<PromptPartId> CrashFleet::promptParts(int crashingNumber)
+{
+    std::vector<PromptPartId> parts { PromptPartId("f1"),
+        PromptPartId("b" + std::to_string(random() % m_options.subjects)) };
+    if (crashingNumber >= 0) {
+        const auto position = static_cast<std::ptrdiff_t>(std::min(m_options.crashingPartPosition, parts.size()));
+        parts.insert(parts.begin() + position, PromptPartId("c" + std::to_string(crashingNumber)));
+    }
+    return parts;
+}
+
 void CrashFleet::send(std::size_t instance, int crashingNumber)
 {
     const RequestId id(m_nextCallId++);
@@ -188,16 +202,19 @@
     spec.callerTimeout = std::chrono::seconds(20);
     spec.promptTokens = 100;
     spec.maxAnswerTokens = 50;
-    if (crashingNumber >= 0) {
+    const bool isRepeat = crashingNumber >= 0 && m_options.crashCause == CrashCause::Content;
+    if (isRepeat) {
         spec.content.bytes[0] = 1;
         spec.content.bytes[1] = static_cast<std::uint8_t>(crashingNumber);
     } else {
-        for (std::size_t i = 0; i < sizeof(m_nextHarmlessContent); ++i)
-            spec.content.bytes.at(i + 1) = static_cast<std::uint8_t>(m_nextHarmlessContent >> (8 * i));
-        ++m_nextHarmlessContent;
+        for (std::size_t i = 0; i < sizeof(m_nextContent); ++i)
+            spec.content.bytes.at(i + 1) = static_cast<std::uint8_t>(m_nextContent >> (8 * i));
+        ++m_nextContent;
     }
+    if (m_options.crashCause == CrashCause::PromptPart)
+        spec.promptParts = promptParts(crashingNumber);
     ++tallyOf(crashingNumber).sent;
-    m_instances[instance].openCalls[id] = crashingNumber;
+    m_instances[instance].openCalls[id] = { crashingNumber, m_now };
     post(instance, event::CallArrived { id, spec });
 }
 
@@ -257,8 +274,8 @@
 {
     std::erase_if(m_attempts, [&](const auto& each) { return each.first.first == instance; });
     std::erase_if(m_messages, [&](const Message& message) { return message.instance == instance; });
-    for (const auto& [call, crashingNumber] : std::exchange(m_instances[instance].openCalls, {}))
-        ++tallyOf(crashingNumber).failed;
+    for (const auto& [id, call] : std::exchange(m_instances[instance].openCalls, {}))
+        ++tallyOf(call.crashingNumber).failed;
     startInstance(instance);
 }
 
@@ -287,6 +304,13 @@
     }
 }
 
+void CrashFleet::recordBegun(const RunningAttempt& attempt)
+{
+    const auto& open = m_instances[attempt.instance].openCalls;
+    if (const auto call = open.find(attempt.call); attempt.isFirst && call != open.end())
+        tallyOf(attempt.crashingNumber).begunAtFirstAttempt.push_back(call->second.arrivedAt);
+}
+
 void CrashFleet::stepAttempts()
 {
     std::vector<AttemptKey> keys;
@@ -302,6 +326,7 @@
                 continue;
             attempt.begunAt = m_now;
             attempt.nextEventAt = m_now + EventInterval;
+            recordBegun(attempt);
             post(key.first, event::AnswerBegun { key.second });
             continue;
         }
@@ -360,14 +385,21 @@
         step();
 }
 
-std::size_t CrashFleet::attemptsAfterThirdCrash(std::uint8_t number, Duration delay)
+std::size_t CrashFleet::attemptsAfterCrash(std::uint8_t number, std::size_t ordinal, Duration delay)
 {
     const Tally& tally = m_crashingTallies[number];
-    if (tally.crashTimes.size() < 3)
+    if (tally.crashTimes.size() < ordinal)
         return 0;
-    const TimePoint from = tally.crashTimes[2] + delay;
+    const TimePoint from = tally.crashTimes[ordinal - 1] + delay;
     return static_cast<std::size_t>(
         std::count_if(tally.attemptTimes.begin(), tally.attemptTimes.end(), [&](TimePoint at) { return at > from; }));
 }
 
+std::size_t CrashFleet::harmlessBegunAtFirstAttempt(Duration from, Duration to) const
+{
+    const auto& times = m_harmlessTally.begunAtFirstAttempt;
+    return static_cast<std::size_t>(std::count_if(
+        times.begin(), times.end(), [&](TimePoint at) { return at >= m_start + from && at < m_start + to; }));
+}
+
 } // namespace crocusmount::relay
--- a/tests/CrashFleet.h
+++ b/tests/CrashFleet.h
@@ -16,6 +16,11 @@
 /// soon after, and registers again seconds later with a new id at its address.
 class CrashFleet {
 public:
+    /// What the requests that crash engines have in common.
+    enum class CrashCause {
+        Content, ///< repeats of one request
+        PromptPart, ///< one part of their prompts; no two requests are equal
+    };
     struct Options {
         std::size_t instances = 6;
         std::size_t enginesPerHalf = 8; ///< number of engines for each half of the layers
@@ -25,6 +30,10 @@
         bool crashResetsConnections = true;
         /// Whether streams end with their connections, in order also when their engine crashes, between two events.
         bool streamsHaveNoLength = false;
+        CrashCause crashCause = CrashCause::Content;
+        /// With CrashCause::PromptPart, all requests have a common first part and one of this many second parts.
+        std::size_t subjects = 40;
+        std::size_t crashingPartPosition = 1; ///< index of the crashing part in the prompt
     };
 
     /// Counts the outcomes of one kind of request.
@@ -36,6 +45,7 @@
         std::uint64_t failed = 0; ///< refused otherwise, broken off, or lost with the instance
         std::vector<TimePoint> attemptTimes; ///< when attempts were sent to running engines
         std::vector<TimePoint> crashTimes; ///< when the request crashed an engine
+        std::vector<TimePoint> begunAtFirstAttempt; ///< when requests arrived whose first attempt began
     };
 
     explicit CrashFleet(Options);
@@ -56,9 +66,12 @@
     void isolate(std::size_t instance, Duration until);
     const Tally& harmlessTally() const { return m_harmlessTally; }
     const Tally& crashingTally(std::uint8_t number) { return m_crashingTallies[number]; }
-    /// @param delay  time after the third crash at which counting begins
+    /// @param ordinal  number of the crash after which counting begins, 1 for the first
+    /// @param delay  time after that crash at which counting begins
     /// @return the number of attempts of a crashing request that were sent to running engines after that time
-    std::size_t attemptsAfterThirdCrash(std::uint8_t number, Duration delay);
+    std::size_t attemptsAfterCrash(std::uint8_t number, std::size_t ordinal, Duration delay);
+    /// @return the number of harmless requests that arrived within a time since the start and whose first attempt began
+    std::size_t harmlessBegunAtFirstAttempt(Duration from, Duration to) const;
     RelayReducer& reducer(std::size_t instance) { return *m_instances.at(instance).reducer; }
     std::size_t instances() const { return m_instances.size(); }
     /// @return the virtual time since the start
@@ -80,6 +93,7 @@
         RequestId call;
         Chain chain;
         int crashingNumber = -1; ///< number of the crashing request; -1: harmless
+        bool isFirst = false; ///< no attempt at the call was made before
         TimePoint sentAt;
         std::optional<TimePoint> begunAt;
         std::uint64_t nextEvent = 1; ///< sequence number of the next event of the stream
@@ -87,10 +101,15 @@
         bool endsUnproven = false; ///< the stream shows no difference between its end and a crash of the first engine
         bool isSilent = false; ///< an engine of the chain crashed without resetting the connection to the instance
     };
+    struct OpenCall {
+        int crashingNumber = -1; ///< number of the crashing request; -1: harmless
+        TimePoint arrivedAt;
+        bool hasAttempt = false; ///< an attempt has been made
+    };
     struct Instance {
         std::unique_ptr<RelayReducer> reducer;
         TimePoint isolatedUntil;
-        std::map<RequestId, int> openCalls; ///< crashingNumber of each call
+        std::map<RequestId, OpenCall> openCalls;
         std::set<RequestId> wholeStreams; ///< open calls whose last event was delivered
     };
     /// An event to be delivered to an instance.
@@ -112,10 +131,13 @@
     /// Counts a call that ended without a complete answer.
     void recordFailure(std::size_t instance, RequestId, bool isRefusedPermanently);
     void send(std::size_t instance, int crashingNumber);
+    /// @return the parts of a prompt that several requests share
+    std::vector<PromptPartId> promptParts(int crashingNumber);
     void crash(Engine&);
     void step();
     void stepEngines();
     void stepAttempts();
+    void recordBegun(const RunningAttempt&);
     Engine* findEngine(const BackendId&);
     bool areAllUp(const Chain&);
     Tally& tallyOf(int crashingNumber)
@@ -136,7 +158,7 @@
     TimePoint m_nextTick = m_start;
     std::uint64_t m_randomState = 7;
     std::uint64_t m_nextCallId = 1;
-    std::uint64_t m_nextHarmlessContent = 1;
+    std::uint64_t m_nextContent = 1; ///< of the requests that are not repeats
 };
 
 } // namespace crocusmount::relay
--- /dev/null
+++ b/tests/CrashingPromptPartTest.cpp
@@ -0,0 +1,112 @@
+#include "tests/CrashFleet.h"
+#include "tests/Tests.h"
+
+#include <functional>
+
+using namespace crocusmount;
+using namespace crocusmount::relay;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// From the fifth crash on, after this time no more than MaxLateAttempts requests with the part may reach engines.
+constexpr std::size_t ToleratedCrashes = 5;
+constexpr Duration DetectionTime = seconds(3);
+constexpr std::size_t MaxLateAttempts = 3;
+/// Harmless requests are compared from this time after the fifth crash on. Crashed engines are back by then.
+constexpr Duration RecoveryTime = 2 * DetectionTime;
+/// Minimum share of harmless requests that begin at the first attempt, compared to a run without crashes.
+constexpr double MinBegunShare = 0.95;
+
+struct Load {
+    const char* name;
+    CrashFleet::Options options;
+    std::uint8_t crashingParts = 1;
+    double crashingShare = 0.03; ///< of all requests
+    Duration arrivalGap = milliseconds(10);
+    Duration length = seconds(20);
+    std::function<void(CrashFleet&, Duration)> disturb = {};
+};
+
+/// Sends requests with crashing parts among harmless ones, each to a random instance, from CrashBegin on.
+constexpr Duration CrashBegin = seconds(3);
+
+void simulateCallers(CrashFleet& fleet, const Load& load, double crashingShare)
+{
+    constexpr std::uint64_t Scale = 10000;
+    while (fleet.elapsed() < load.length) {
+        const Duration now = fleet.elapsed();
+        const std::size_t instance = fleet.random() % fleet.instances();
+        const bool isCrashing = static_cast<double>(fleet.random() % Scale) < crashingShare * Scale;
+        if (now >= CrashBegin && isCrashing)
+            fleet.sendCrashing(instance, static_cast<std::uint8_t>(fleet.random() % load.crashingParts));
+        else
+            fleet.sendHarmless(instance);
+        if (load.disturb)
+            load.disturb(fleet, now);
+        fleet.runUntil(now + load.arrivalGap);
+    }
+}
+
+CrashFleet::Options withPart(CrashFleet::Options options)
+{
+    options.crashCause = CrashFleet::CrashCause::PromptPart;
+    return options;
+}
+
+} // namespace
+
+TEST_GROUP(CrashingPromptPart) {};
+
+// Guards against requests that share a part of their prompts, and are otherwise all different, and crash one engine
+// after the other. Evidence was kept by the whole content of a request, so it never added up: 57 engines ended in a
+// minute.
+TEST(CrashingPromptPart, IsSoonSentToNoServer)
+{
+    const auto every = [](Duration now, Duration interval) { return now.count() % interval.count() == 0; };
+    const Load loads[] = {
+        { "one part, nine instances", withPart({ .instances = 9 }) },
+        { "one part, common", withPart({ .instances = 9 }), 1, 0.1 },
+        { "one part, rare", withPart({ .instances = 9 }), 1, 0.005, milliseconds(10), seconds(30) },
+        { "the first part of the prompt", withPart({ .instances = 9, .crashingPartPosition = 0 }) },
+        { "the last part that requests share", withPart({ .instances = 9, .crashingPartPosition = 2 }) },
+        { "three parts at once", withPart({ .instances = 9 }), 3, 0.09 },
+        { "few engines", withPart({ .instances = 9, .enginesPerHalf = 4 }) },
+        { "datagrams are lost", withPart({ .instances = 9, .messageLossRate = 0.3 }) },
+        { "engines fall silent without a reset", withPart({ .instances = 9, .crashResetsConnections = false }) },
+        { "engines in groups of four crash, too", withPart({ .instances = 9, .enginesPerHalf = 12 }), 1, 0.03,
+            milliseconds(10), seconds(20),
+            [&](CrashFleet& fleet, Duration now) {
+                if (every(now, seconds(7)))
+                    fleet.crashEngines(4, every(now, seconds(14)));
+            } },
+        { "instances restart in turn", withPart({ .instances = 9 }), 1, 0.03, milliseconds(10), seconds(20),
+            [&](CrashFleet& fleet, Duration now) {
+                if (every(now, seconds(2)))
+                    fleet.restart(static_cast<std::size_t>(now / seconds(2)) % fleet.instances());
+            } },
+        { "sixty instances", withPart({ .instances = 60, .enginesPerHalf = 24 }), 1, 0.03, milliseconds(5),
+            seconds(15) },
+        { "295 instances", withPart({ .instances = 295, .enginesPerHalf = 40 }), 1, 0.03, milliseconds(5),
+            seconds(13) },
+    };
+    for (const Load& load : loads) {
+        CrashFleet fleet(load.options);
+        simulateCallers(fleet, load, load.crashingShare);
+        CrashFleet calmFleet(load.options);
+        simulateCallers(calmFleet, load, 0);
+        for (std::uint8_t part = 0; part < load.crashingParts; ++part) {
+            const auto& crashTimes = fleet.crashingTally(part).crashTimes;
+            const auto late = fleet.attemptsAfterCrash(part, ToleratedCrashes, DetectionTime);
+            CHECK_TRUE_TEXT(fleet.crashingTally(part).sent >= 2 * ToleratedCrashes, load.name);
+            CHECK_TRUE_TEXT(crashTimes.size() >= 3, load.name);
+            CHECK_TRUE_TEXT(late <= MaxLateAttempts, load.name);
+        }
+        const Duration from = load.length - seconds(5);
+        const auto begun = static_cast<double>(fleet.harmlessBegunAtFirstAttempt(from, load.length));
+        const auto calm = static_cast<double>(calmFleet.harmlessBegunAtFirstAttempt(from, load.length));
+        CHECK_TRUE_TEXT(begun >= MinBegunShare * (1 - load.crashingShare) * calm, load.name);
+        CHECK_EQUAL_TEXT(0U, fleet.harmlessTally().refusedPermanently, load.name);
+    }
+}
--- a/tests/CrashingRequestTest.cpp
+++ b/tests/CrashingRequestTest.cpp
@@ -57,7 +57,7 @@
     for (std::uint8_t number = 0; number < CrashingRequests; ++number) {
         CHECK_TRUE(fleet.crashingTally(number).sent >= 10);
         CHECK_TRUE(fleet.crashingTally(number).crashTimes.size() >= 3);
-        CHECK_TRUE(fleet.attemptsAfterThirdCrash(number, MaxDetectionTime) <= MaxLateAttempts);
+        CHECK_TRUE(fleet.attemptsAfterCrash(number, 3, MaxDetectionTime) <= MaxLateAttempts);
     }
 }
 
@@ -108,7 +108,7 @@
         });
         for (std::uint8_t number = 0; number < CrashingRequests; ++number) {
             CHECK_TRUE_TEXT(fleet.crashingTally(number).crashTimes.size() >= 3, each.name);
-            CHECK_TRUE_TEXT(fleet.attemptsAfterThirdCrash(number, MaxDetectionTime) <= MaxLateAttempts, each.name);
+            CHECK_TRUE_TEXT(fleet.attemptsAfterCrash(number, 3, MaxDetectionTime) <= MaxLateAttempts, each.name);
         }
         CHECK_EQUAL_TEXT(0U, fleet.harmlessTally().refusedPermanently, each.name);
     }
