--- a/programs/crocusmount.cpp
+++ b/programs/crocusmount.cpp
@@ -35,8 +35,8 @@
   drain                      let the instance finish its streams and stop
   settle                     find out whether a write in doubt was applied (--nonce, --base)
   why CALL [FILE...]         print the history of a call from instances' log lines, in FILEs or on standard input
-  quarantine                 print the requests that are sent to no server (--entry: an instance's metrics address)
-  quarantine lift ID         allow a quarantined request to be sent to servers again
+  quarantine                 print the requests and parts of prompts that are sent to no server (--entry: an instance's metrics address)
+  quarantine lift ID         allow quarantined requests to be sent to servers again
 Commands for callers:
   entries                    print the instances to use
   send PIPELINE PROMPT       send a completion and print the answer
@@ -431,8 +431,8 @@
     const json::object listed = objectOf(answer);
     for (const json::value& each : listOf(listed, "quarantined")) {
         const json::object& entry = each.as_object();
-        std::cout << textOf(entry, "id") << "  " << textOf(entry, "workspace") << "  servers "
-                  << json::serialize(entry.at("servers")) << "\n";
+        std::cout << textOf(entry, "id") << "  " << textOf(entry, "kind") << " " << textOf(entry, "value") << "  "
+                  << textOf(entry, "workspace") << "  servers " << json::serialize(entry.at("servers")) << "\n";
     }
     return ExitOk;
 }
--- a/src/edge/OperatorEndpoints.cpp
+++ b/src/edge/OperatorEndpoints.cpp
@@ -43,7 +43,8 @@
 {
     boost::json::array entries;
     for (const auto& [id, entry] : m_quarantine.entries()) {
-        entries.push_back(boost::json::object { { "id", id }, { "workspace", entry.request.workspace.value() },
+        entries.push_back(boost::json::object { { "id", id }, { "kind", relay::kindOf(entry.trait) },
+            { "value", entry.trait.toHex() }, { "workspace", entry.trait.workspace.value() },
             { "since_ms", entry.sinceMs }, { "servers", entry.servers } });
     }
     HttpReply reply;
--- a/src/edge/OperatorEndpoints.h
+++ b/src/edge/OperatorEndpoints.h
@@ -6,10 +6,10 @@
 
 class QuarantineStore;
 
-/// HTTP endpoints for operators, on the address of the instance's metrics. They list the quarantined requests and lift
-/// a quarantine.
+/// HTTP endpoints for operators, on the address of the instance's metrics. They list the quarantined traits of
+/// requests and lift a quarantine.
 ///
-///     GET /quarantine        {"quarantined":[{"id","workspace","since_ms","servers"}]}
+///     GET /quarantine        {"quarantined":[{"id","kind","value","workspace","since_ms","servers"}]}
 ///     DELETE /quarantine/ID  200; 404 if ID is not listed, 503 if the store did not confirm the deletion
 class OperatorEndpoints final : public HttpHandler {
 public:
--- a/src/edge/PeerDatagram.h
+++ b/src/edge/PeerDatagram.h
@@ -31,7 +31,7 @@
     /// The receiver forwards storeChanges to the instances with ids after its own, up to and including this id; empty:
     /// no forwarding.
     std::string forwardUntil {};
-    std::vector<relay::RequestIdentity> soundRequests {}; ///< suspect requests that the sender saw run without a crash
+    std::vector<relay::RequestTrait> harmlessTraits {}; ///< suspected traits that the sender saw run without a crash
     std::optional<relay::PermitRequest> permitRequest {};
     std::optional<relay::PermitAnswer> permitAnswer {};
     std::optional<ServerLimitReport> serverLimit {}; ///< the limit has begun or ended
--- a/src/edge/PeerDatagramCodec.cpp
+++ b/src/edge/PeerDatagramCodec.cpp
@@ -88,25 +88,39 @@
         return changes;
     }
 
-    wire::RequestName toWire(const relay::RequestIdentity& request)
+    using relay::ContentDigest;
+
+    wire::RequestName toWire(const WorkspaceId& workspace, const ContentDigest& content)
     {
         wire::RequestName out;
-        out.workspace = request.workspace.value();
-        out.content = request.content.toBytes();
+        out.workspace = workspace.value();
+        out.content = content.toBytes();
         return out;
     }
 
-    absl::StatusOr<relay::RequestIdentity> fromWire(const wire::RequestName& in)
+    absl::StatusOr<relay::RequestTrait> fromWire(const wire::RequestName& in)
     {
-        if (in.content.size() != relay::ContentDigest::Size)
+        if (in.content.size() != ContentDigest::Size)
             return absl::InvalidArgumentError("content digest of unexpected length");
-        return relay::RequestIdentity { WorkspaceId(in.workspace), relay::ContentDigest::fromBytes(in.content) };
+        return relay::RequestTrait { WorkspaceId(in.workspace), ContentDigest::fromBytes(in.content) };
+    }
+
+    absl::StatusOr<relay::RequestTrait> fromWire(const wire::PromptPartName& in)
+    {
+        if (in.part.empty())
+            return absl::InvalidArgumentError("empty id of a prompt part");
+        return relay::RequestTrait { WorkspaceId(in.workspace), PromptPartId(in.part) };
     }
 
     wire::CrashReport toWire(const relay::CrashReport& report)
     {
         wire::CrashReport out;
-        out.request = toWire(report.suspect.request);
+        for (const relay::RequestTrait& trait : report.suspect.traits) {
+            if (const auto* content = std::get_if<ContentDigest>(&trait.value))
+                out.request = toWire(trait.workspace, *content);
+            else
+                out.parts.push_back(trait.toHex());
+        }
         out.server = static_cast<std::int64_t>(report.server);
         out.justBegun = report.suspect.sign == relay::CrashSign::JustBegun;
         return out;
@@ -114,11 +128,14 @@
 
     absl::StatusOr<relay::CrashReport> fromWire(const wire::CrashReport& in)
     {
-        auto request = fromWire(in.request);
-        if (!request.ok())
-            return request.status();
+        auto content = fromWire(in.request);
+        if (!content.ok())
+            return content.status();
         const auto sign = in.justBegun ? relay::CrashSign::JustBegun : relay::CrashSign::Waiting;
-        return relay::CrashReport { { *std::move(request), sign }, static_cast<std::uint64_t>(in.server) };
+        relay::CrashReport report { { { *std::move(content) }, sign }, static_cast<std::uint64_t>(in.server) };
+        for (const std::string& part : in.parts)
+            report.suspect.traits.push_back({ WorkspaceId(in.request.workspace), PromptPartId(part) });
+        return report;
     }
 
     wire::ServerLimit toWire(std::uint64_t server, const relay::ServerLimit& limit, TimePoint now)
@@ -224,15 +241,21 @@
         out.__set_closedEngines({ datagram.closedEngines.begin(), datagram.closedEngines.end() });
     if (datagram.leavingInstance)
         out.__set_leavingInstance(static_cast<std::int64_t>(*datagram.leavingInstance));
-    if (!datagram.crashes.empty()) {
-        for (const relay::CrashReport& report : datagram.crashes)
-            out.crashes.push_back(toWire(report));
-        out.__isset.crashes = true;
-    }
-    if (!datagram.soundRequests.empty()) {
-        for (const relay::RequestIdentity& request : datagram.soundRequests)
-            out.soundRequests.push_back(toWire(request));
-        out.__isset.soundRequests = true;
+    for (const relay::CrashReport& report : datagram.crashes)
+        (report.isGroupFailure ? out.groupCrashes : out.crashes).push_back(toWire(report));
+    out.__isset.crashes = !out.crashes.empty();
+    out.__isset.groupCrashes = !out.groupCrashes.empty();
+    for (const relay::RequestTrait& trait : datagram.harmlessTraits) {
+        if (const auto* content = std::get_if<ContentDigest>(&trait.value)) {
+            out.soundRequests.push_back(toWire(trait.workspace, *content));
+            out.__isset.soundRequests = true;
+            continue;
+        }
+        wire::PromptPartName name;
+        name.workspace = trait.workspace.value();
+        name.part = trait.toHex();
+        out.soundParts.push_back(std::move(name));
+        out.__isset.soundParts = true;
     }
     if (!datagram.forwardUntil.empty())
         out.__set_forwardUntil(datagram.forwardUntil);
@@ -276,7 +299,14 @@
         datagram.closedEngines.assign(in->closedEngines.begin(), in->closedEngines.end());
     if (const absl::Status status = decodeAll(in->crashes, datagram.crashes); !status.ok())
         return status;
-    if (const absl::Status status = decodeAll(in->soundRequests, datagram.soundRequests); !status.ok())
+    const std::size_t singleCrashes = datagram.crashes.size();
+    if (const absl::Status status = decodeAll(in->groupCrashes, datagram.crashes); !status.ok())
+        return status;
+    for (std::size_t i = singleCrashes; i < datagram.crashes.size(); ++i)
+        datagram.crashes[i].isGroupFailure = true;
+    if (const absl::Status status = decodeAll(in->soundRequests, datagram.harmlessTraits); !status.ok())
+        return status;
+    if (const absl::Status status = decodeAll(in->soundParts, datagram.harmlessTraits); !status.ok())
         return status;
     if (in->__isset.permitRequest) {
         auto request = fromWire(in->permitRequest, now);
--- a/src/edge/PeerLink.cpp
+++ b/src/edge/PeerLink.cpp
@@ -24,8 +24,8 @@
     constexpr int LeavingAnnouncements = 3;
     /// Number of rounds in which a datagram is sent again, as datagrams can be lost.
     constexpr int RepeatRounds = 2;
-    /// A crash report takes about 100 bytes if the workspace's name is long.
-    constexpr std::size_t MaxCrashesPerDatagram = 200;
+    /// Each trait takes about 100 bytes if the workspace's name or the id of the part is long.
+    constexpr std::size_t MaxCrashTraitsPerDatagram = 200;
     /// Maximum total size of the keys and values in one datagram. Their encoding adds a few bytes per change. When the
     /// store is back after an outage, the entries of all engines arrive in one batch. If that batch did not fit into
     /// datagrams, every instance would have to read the store.
@@ -126,8 +126,8 @@
         m_node.post(relay::event::EnginesReportedClosed { datagram->closedEngines });
     if (!datagram->crashes.empty())
         m_node.post(relay::event::CrashesReported { datagram->crashes });
-    if (!datagram->soundRequests.empty())
-        m_node.post(relay::event::HarmlessRequestsReported { datagram->soundRequests });
+    if (!datagram->harmlessTraits.empty())
+        m_node.post(relay::event::HarmlessTraitsReported { datagram->harmlessTraits });
     if (datagram->permitRequest)
         receivePermitRequest(*datagram->permitRequest, from);
     if (datagram->permitAnswer)
@@ -225,21 +225,24 @@
 void PeerLink::onShareCrashes(const relay::effect::ShareCrashes& crashes)
 {
     PeerDatagram datagram;
+    std::size_t traitCount = 0;
     for (const relay::CrashReport& report : crashes.crashes) {
         datagram.crashes.push_back(report);
-        if (datagram.crashes.size() < MaxCrashesPerDatagram)
+        traitCount += report.suspect.traits.size();
+        if (traitCount < MaxCrashTraitsPerDatagram)
             continue;
         sendRepeatedly(encode(datagram));
         datagram.crashes.clear();
+        traitCount = 0;
     }
     if (!datagram.crashes.empty())
         sendRepeatedly(encode(datagram));
 }
 
-void PeerLink::onShareHarmlessRequest(const relay::effect::ShareHarmlessRequest& harmless)
+void PeerLink::onShareHarmlessTraits(const relay::effect::ShareHarmlessTraits& harmless)
 {
     PeerDatagram datagram;
-    datagram.soundRequests.push_back(harmless.request);
+    datagram.harmlessTraits = harmless.traits;
     sendRepeatedly(encode(datagram));
 }
 
--- a/src/edge/PeerSink.h
+++ b/src/edge/PeerSink.h
@@ -11,7 +11,7 @@
 
     void shareFinding(const relay::effect::ReportEngineState& finding) { onShareFinding(finding); }
     void shareCrashes(const relay::effect::ShareCrashes& crashes) { onShareCrashes(crashes); }
-    void shareHarmlessRequest(const relay::effect::ShareHarmlessRequest& harmless) { onShareHarmlessRequest(harmless); }
+    void shareHarmlessTraits(const relay::effect::ShareHarmlessTraits& harmless) { onShareHarmlessTraits(harmless); }
 
     void shareServerLimit(const relay::effect::ShareServerLimit& limit) { onShareServerLimit(limit); }
     /// Sends a request for permits to the instance that coordinates the server's limit. There may be no answer.
@@ -21,7 +21,7 @@
 private:
     virtual void onShareFinding(const relay::effect::ReportEngineState&) = 0;
     virtual void onShareCrashes(const relay::effect::ShareCrashes&) = 0;
-    virtual void onShareHarmlessRequest(const relay::effect::ShareHarmlessRequest&) = 0;
+    virtual void onShareHarmlessTraits(const relay::effect::ShareHarmlessTraits&) = 0;
     virtual void onShareServerLimit(const relay::effect::ShareServerLimit&) = 0;
     virtual void onRequestPermits(const relay::effect::RequestPermits&) = 0;
     virtual void onAnswerPermits(const relay::effect::AnswerPermits&) = 0;
--- a/src/edge/QuarantineStore.cpp
+++ b/src/edge/QuarantineStore.cpp
@@ -45,27 +45,35 @@
 
     std::string textFrom(const QuarantineStore::Entry& entry)
     {
-        return boost::json::serialize(boost::json::object { { "workspace", entry.request.workspace.value() },
-            { "content", entry.request.content.toHex() }, { "since_ms", entry.sinceMs },
+        return boost::json::serialize(boost::json::object { { "workspace", entry.trait.workspace.value() },
+            { relay::kindOf(entry.trait), entry.trait.toHex() }, { "since_ms", entry.sinceMs },
             { "servers", entry.servers } });
     }
 
+    bool isHex(const std::string& text)
+    {
+        return !text.empty() && text.find_first_not_of("0123456789abcdef") == std::string::npos;
+    }
+
     absl::StatusOr<QuarantineStore::Entry> entryFrom(const std::string& id, const StoreEntry& stored)
     {
         const boost::json::object value = parseObject(stored.value);
+        const std::string part = textOf(value, "part");
         const std::string hexDigest = textOf(value, "content");
-        const bool isHex = hexDigest.size() == 2 * relay::ContentDigest::Size
-            && hexDigest.find_first_not_of("0123456789abcdef") == std::string::npos;
-        if (!isHex)
-            return absl::InvalidArgumentError("content is not a digest in hexadecimal digits");
+        if (!isHex(part.empty() ? hexDigest : part)
+            || (part.empty() && hexDigest.size() != 2 * relay::ContentDigest::Size))
+            return absl::InvalidArgumentError("neither a digest nor a part in hexadecimal digits");
         QuarantineStore::Entry entry;
-        entry.request.workspace = WorkspaceId(textOf(value, "workspace"));
-        entry.request.content = relay::ContentDigest::fromBytes(absl::HexStringToBytes(hexDigest));
+        entry.trait.workspace = WorkspaceId(textOf(value, "workspace"));
+        if (part.empty())
+            entry.trait.value = relay::ContentDigest::fromBytes(absl::HexStringToBytes(hexDigest));
+        else
+            entry.trait.value = PromptPartId(part);
         entry.sinceMs = numberOf(value, "since_ms");
         entry.servers = static_cast<std::uint32_t>(countOf(value, "servers"));
         entry.revision = stored.modRevision;
-        if (QuarantineStore::idOf(entry.request) != id)
-            return absl::InvalidArgumentError("the id does not match the request");
+        if (QuarantineStore::idOf(entry.trait) != id)
+            return absl::InvalidArgumentError("the id does not match the trait");
         return entry;
     }
 
@@ -81,11 +89,12 @@
     node.setQuarantine(*this);
 }
 
-std::string QuarantineStore::idOf(const relay::RequestIdentity& request)
+std::string QuarantineStore::idOf(const relay::RequestTrait& trait)
 {
     // The workspace's name can be too long for a key, so the id contains its hash. The value holds the full name.
-    const std::string& workspace = request.workspace.value();
-    return absl::StrFormat("%s-%016x", request.content.toHex(), XXH3_64bits(workspace.data(), workspace.size()));
+    const std::string& workspace = trait.workspace.value();
+    return absl::StrFormat("%s%s-%016x", trait.isPromptPart() ? "part-" : "", trait.toHex(),
+        XXH3_64bits(workspace.data(), workspace.size()));
 }
 
 void QuarantineStore::storeChanged(const StoreEvent& event)
@@ -97,9 +106,9 @@
         const auto known = m_entries.find(id);
         if (known == m_entries.end())
             return;
-        const relay::RequestIdentity request = known->second.request;
+        const relay::RequestTrait trait = known->second.trait;
         m_entries.erase(known);
-        m_node.post(relay::event::QuarantineLifted { request });
+        m_node.post(relay::event::QuarantineLifted { trait });
         return;
     }
     const auto entry = entryFrom(id, event.entry);
@@ -111,24 +120,24 @@
     m_entries[id] = *entry;
     m_pendingVerdicts.erase(id);
     if (!isExpired(*entry))
-        m_node.post(relay::event::QuarantineListed { entry->request });
+        m_node.post(relay::event::QuarantineListed { entry->trait });
 }
 
-void QuarantineStore::onQuarantine(const relay::effect::QuarantineRequest& verdict)
+void QuarantineStore::onQuarantine(const relay::effect::QuarantineTrait& verdict)
 {
-    const std::string id = idOf(verdict.request);
+    const std::string id = idOf(verdict.trait);
     if (m_entries.count(id))
         return;
     const auto rank = static_cast<int>(m_registry.rank());
     const auto delay = verdict.isOwn ? std::chrono::milliseconds(0) : FinderWriteTimeout + rank * WriteDelayPerRank;
-    m_pendingVerdicts[id] = { { verdict.request, unixMs(), verdict.servers, 0 }, Clock::now() + delay };
+    m_pendingVerdicts[id] = { { verdict.trait, unixMs(), verdict.servers, 0 }, Clock::now() + delay };
     if (!std::exchange(m_isWriteLoopRunning, true))
         net::co_spawn(m_context.get_executor(), writeLoop(), net::detached);
 }
 
-void QuarantineStore::onClear(const relay::effect::ClearRequest& cleared)
+void QuarantineStore::onClear(const relay::effect::ClearTrait& cleared)
 {
-    const std::string id = idOf(cleared.request);
+    const std::string id = idOf(cleared.trait);
     m_pendingVerdicts.erase(id);
     if (!cleared.isOwn || !m_entries.count(id))
         return;
@@ -204,7 +213,7 @@
 {
     const auto entry = m_entries.find(id);
     if (entry == m_entries.end())
-        co_return absl::NotFoundError("no such request is quarantined");
+        co_return absl::NotFoundError("no such entry");
     StoreWrite write;
     write.guardKey = keyOf(id);
     write.expectedModRevision = entry->second.revision;
--- a/src/edge/QuarantineStore.h
+++ b/src/edge/QuarantineStore.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "edge/QuarantineSink.h"
-#include "relay/RequestIdentity.h"
+#include "relay/RequestTrait.h"
 #include "shell/StoreClient.h"
 
 #include <chrono>
@@ -17,17 +17,17 @@
     class RelayNode;
 }
 
-/// Persists the quarantined requests in the store, one key for each. Instances read them when they start, and an
-/// operator lifts a quarantine on all instances by deleting its key.
+/// Persists the quarantined traits of requests in the store, one key for each. Instances read them when they start, and
+/// an operator lifts a quarantine on all instances by deleting its key.
 ///
 /// Running instances do not depend on the store for this: they inform each other of crashes by datagrams.
 class QuarantineStore final : public QuarantineSink {
 public:
-    /// A quarantined request.
+    /// A quarantined trait.
     struct Entry {
-        relay::RequestIdentity request;
+        relay::RequestTrait trait;
         std::int64_t sinceMs = 0; ///< Unix time in milliseconds, by the clock of the instance that wrote the entry
-        std::uint32_t servers = 0; ///< number of servers that crashed while they processed the request
+        std::uint32_t servers = 0; ///< number of servers that crashed while they processed such requests
         std::int64_t revision = 0; ///< store revision of the entry; 0 before it is stored
     };
     using Entries = std::map<std::string, Entry>; ///< by id, which is the store key without its prefix
@@ -46,19 +46,19 @@
     /// @return NotFound if there is no entry with this id, Unavailable if the store did not confirm the deletion
     Awaitable<absl::Status> lift(std::string id);
 
-    /// @return the id of a request's entry
-    static std::string idOf(const relay::RequestIdentity&);
+    /// @return the id of a trait's entry
+    static std::string idOf(const relay::RequestTrait&);
 
 private:
     using Clock = std::chrono::steady_clock;
-    /// A decision to quarantine a request that is not yet in the store.
+    /// A decision to quarantine a trait that is not yet in the store.
     struct PendingVerdict {
         Entry entry;
         Clock::time_point due; ///< time of the next attempt to write the entry
     };
 
-    void onQuarantine(const relay::effect::QuarantineRequest&) override;
-    void onClear(const relay::effect::ClearRequest&) override;
+    void onQuarantine(const relay::effect::QuarantineTrait&) override;
+    void onClear(const relay::effect::ClearTrait&) override;
     Awaitable<void> writeLoop();
     Awaitable<bool> write(std::string id, Entry entry);
     std::vector<std::string> keysToDelete() const;
--- a/src/edge/RelayMetrics.cpp
+++ b/src/edge/RelayMetrics.cpp
@@ -34,16 +34,17 @@
         double(gauges.unreadableValues));
     families.addCounter("crocusmount_crashes_counted_total", "Ends of servers that are held against a request",
         double(counters.crashesCounted));
-    families.addCounter("crocusmount_crashes_dismissed_total",
-        "Ends of servers under a request as others ended in the same moment", double(counters.crashesDismissed));
-    families.addCounter("crocusmount_requests_quarantined_total", "Requests found to end the servers that run them",
-        double(counters.quarantined));
-    families.addCounter("crocusmount_requests_cleared_total", "Requests of which nothing is held against them any more",
+    families.addCounter("crocusmount_crashes_in_groups_total",
+        "Ends of servers under a request as others ended in the same moment", double(counters.crashesInGroups));
+    families.addCounter("crocusmount_requests_quarantined_total",
+        "Requests and parts of prompts found to end the servers that run them", double(counters.quarantined));
+    families.addCounter("crocusmount_requests_cleared_total",
+        "Requests and parts of prompts of which nothing is held against them any more",
         double(counters.requestsCleared));
     families.addCounter("crocusmount_calls_held_total", "Calls that waited until it was known what ended their servers",
         double(counters.held));
-    families.addGauge(
-        "crocusmount_quarantined_requests", "Requests that are sent to no server", double(gauges.quarantined));
+    families.addGauge("crocusmount_quarantined_requests", "Requests and parts of prompts that are sent to no server",
+        double(gauges.quarantined));
     families.addCounter("crocusmount_server_limits_seen_total", "Answers that named a limit of their server",
         double(counters.limitsSeen));
     families.addCounter("crocusmount_server_backoffs_requested_total",
--- a/src/edge/RelayNode.cpp
+++ b/src/edge/RelayNode.cpp
@@ -105,6 +105,19 @@
             parts, ",", [](std::string* out, const PromptPartId& part) { absl::StrAppend(out, part.value()); });
     }
 
+    std::vector<PromptPartId> partsOf(const CrashSuspect& suspect)
+    {
+        std::vector<PromptPartId> parts;
+        for (const RequestTrait& trait : suspect.traits) {
+            if (const auto* part = std::get_if<PromptPartId>(&trait.value))
+                parts.push_back(*part);
+        }
+        return parts;
+    }
+
+    /// @return the name of the log field for a trait
+    const char* nameOf(const RequestTrait& trait) { return trait.isPromptPart() ? "part" : "request"; }
+
     std::int64_t toMs(Duration duration)
     {
         return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
@@ -337,34 +350,35 @@
         m_peers->shareCrashes(crashes);
 }
 
-void RelayNode::on(const effect::ShareHarmlessRequest& harmless)
+void RelayNode::on(const effect::ShareHarmlessTraits& harmless)
 {
     if (m_peers)
-        m_peers->shareHarmlessRequest(harmless);
+        m_peers->shareHarmlessTraits(harmless);
 }
 
 void RelayNode::on(const effect::LogCrash& note)
 {
     const CrashSuspect& suspect = note.crash.suspect;
-    DecisionLog::state(note.counts ? "server_ended_under_request" : "server_ended_in_group",
-        { { "request", suspect.request.content.toHex() }, { "workspace", suspect.request.workspace.value() },
-            { "server_key", hexKey(note.crash.server) }, { "just_begun", suspect.sign == CrashSign::JustBegun } });
+    DecisionLog::state(note.crash.isGroupFailure ? "server_ended_in_group" : "server_ended_under_request",
+        { { "request", suspect.traits.front().toHex() }, { "workspace", suspect.traits.front().workspace.value() },
+            { "suspected_parts", textFrom(partsOf(suspect)) }, { "server_key", hexKey(note.crash.server) },
+            { "just_begun", suspect.sign == CrashSign::JustBegun } });
 }
 
-void RelayNode::on(const effect::QuarantineRequest& verdict)
+void RelayNode::on(const effect::QuarantineTrait& verdict)
 {
     DecisionLog::state("request_quarantined",
-        { { "request", verdict.request.content.toHex() }, { "workspace", verdict.request.workspace.value() },
+        { { nameOf(verdict.trait), verdict.trait.toHex() }, { "workspace", verdict.trait.workspace.value() },
             { "servers", verdict.servers }, { "points", verdict.points }, { "own", verdict.isOwn } });
     if (m_quarantine)
         m_quarantine->quarantine(verdict);
 }
 
-void RelayNode::on(const effect::ClearRequest& cleared)
+void RelayNode::on(const effect::ClearTrait& cleared)
 {
     DecisionLog::state("request_cleared",
-        { { "request", cleared.request.content.toHex() }, { "workspace", cleared.request.workspace.value() },
-            { "was_quarantined", cleared.wasQuarantined } });
+        { { nameOf(cleared.trait), cleared.trait.toHex() }, { "workspace", cleared.trait.workspace.value() },
+            { "was_quarantined", cleared.wasQuarantined }, { "own", cleared.isOwn } });
     if (m_quarantine)
         m_quarantine->clear(cleared);
 }
@@ -508,9 +522,13 @@
     const auto found = m_openCalls.find(refusal.call);
     if (found == m_openCalls.end())
         return;
-    recordAnswer(found->second, "refused",
-        { { "reason", toString(refusal.reason) }, { "run", toString(refusal.run) },
-            { "retry_after_ms", toMs(refusal.retryAfter) }, { "limit", limitText(refusal.limit) } });
+    boost::json::object fields { { "reason", toString(refusal.reason) }, { "run", toString(refusal.run) },
+        { "retry_after_ms", toMs(refusal.retryAfter) }, { "limit", limitText(refusal.limit) } };
+    if (refusal.quarantinedTrait) {
+        fields["quarantined"] = refusal.quarantinedTrait->toHex();
+        fields["crashed_servers"] = refusal.crashedServers;
+    }
+    recordAnswer(found->second, "refused", std::move(fields));
     found->second.pipe->refuse(refusal);
     m_openCalls.erase(found);
 }
--- a/src/edge/RelayNode.h
+++ b/src/edge/RelayNode.h
@@ -50,7 +50,7 @@
     /// Sets where findings are sent that other instances need at once.
     /// @param peers  must outlive this
     void setPeers(PeerSink& peers) { m_peers = &peers; }
-    /// Sets where quarantined and cleared requests are stored.
+    /// Sets where quarantined and cleared traits are stored.
     /// @param quarantine  must outlive this
     void setQuarantine(QuarantineSink& quarantine) { m_quarantine = &quarantine; }
 
@@ -120,10 +120,10 @@
     void on(const effect::CheckEngine&);
     void on(const effect::ProbeServer&);
     void on(const effect::ShareCrashes&);
-    void on(const effect::ShareHarmlessRequest&);
+    void on(const effect::ShareHarmlessTraits&);
     void on(const effect::LogCrash&);
-    void on(const effect::QuarantineRequest&);
-    void on(const effect::ClearRequest&);
+    void on(const effect::QuarantineTrait&);
+    void on(const effect::ClearTrait&);
     void on(const effect::ReportEngineState&);
     void on(const effect::LogServerState&);
     void on(const effect::LogServerPath&);
--- a/src/edge/RequestDigest.h
+++ b/src/edge/RequestDigest.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "edge/UpstreamAttempt.h"
-#include "relay/RequestIdentity.h"
+#include "relay/ContentDigest.h"
 
 #include <string>
 
--- a/src/idl/peer.thrift
+++ b/src/idl/peer.thrift
@@ -112,6 +112,14 @@
   2: i64 server
   // Whether the server had only just begun to run it; else it waited there.
   3: bool justBegun
+  // The parts of its prompt that are not known to be harmless, in order.
+  4: list<string> parts
+}
+
+// A part of the prompts of a workspace's requests.
+struct PromptPartName {
+  1: string workspace
+  2: string part
 }
 
 // The rate of requests that a server accepts from all instances, and when that was seen.
@@ -161,4 +169,8 @@
   11: optional PermitAnswer permitAnswer
   // The limit of a server has begun or ended.
   12: optional ServerLimit serverLimit
+  // Parts of prompts of such requests that the sender has seen run without crashing a server.
+  13: optional list<PromptPartName> soundParts
+  // Like crashes, of servers that seemed to end together with others.
+  14: optional list<CrashReport> groupCrashes
 }
--- a/src/relay/Call.h
+++ b/src/relay/Call.h
@@ -3,6 +3,7 @@
 #include "crocusmount/Chain.h"
 #include "crocusmount/Reason.h"
 #include "relay/CallSpec.h"
+#include "relay/RequestTrait.h"
 #include "relay/RouteTable.h"
 
 #include <algorithm>
@@ -53,7 +54,8 @@
 struct Call {
     RequestId id;
     CallSpec spec;
-    RequestIdentity identity; ///< equal for all calls that repeat one request
+    /// What other requests may share and that may crash servers: the content, then the parts of the prompt in order.
+    std::vector<RequestTrait> traits;
     std::shared_ptr<const RouteTable> routes; ///< table at admission; owns `route`
     const Route* route = nullptr;
     ServiceId service;
--- a/src/relay/CallSpec.h
+++ b/src/relay/CallSpec.h
@@ -1,7 +1,8 @@
 #pragma once
 
+#include "crocusmount/Ids.h"
 #include "crocusmount/Time.h"
-#include "relay/RequestIdentity.h"
+#include "relay/ContentDigest.h"
 
 #include <cstdint>
 #include <optional>
--- a/src/relay/RequestIdentity.cpp
+++ b/src/relay/ContentDigest.cpp
@@ -1,4 +1,4 @@
-#include "relay/RequestIdentity.h"
+#include "relay/ContentDigest.h"
 
 #include <absl/strings/escaping.h>
 #include <algorithm>
--- a/src/relay/RequestIdentity.h
+++ b/src/relay/ContentDigest.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include "crocusmount/Ids.h"
-
 #include <array>
 #include <compare>
 #include <cstdint>
@@ -28,14 +26,4 @@
     std::string toBytes() const { return { bytes.begin(), bytes.end() }; }
 };
 
-/// Identifies repeats of a request across calls with different ids and across instances. The workspace is a separate
-/// member, not part of the digest, so that no caller can affect the requests of another workspace.
-struct RequestIdentity {
-    WorkspaceId workspace; ///< the sender's workspace; empty on an anonymous route
-    ContentDigest content;
-
-    auto operator<=>(const RequestIdentity&) const = default; // NOLINT(modernize-use-nullptr)
-    bool operator==(const RequestIdentity&) const = default;
-};
-
 } // namespace crocusmount::relay
--- a/src/relay/CrashEvidence.cpp
+++ b/src/relay/CrashEvidence.cpp
@@ -23,16 +23,22 @@
 
 } // namespace
 
-bool CrashEvidence::ServerEnd::hasSuspect(const RequestIdentity& request) const
+bool CrashEvidence::ServerEnd::hasSuspectWith(const RequestTrait& trait) const
 {
     return std::any_of(
-        suspects.begin(), suspects.end(), [&](const CrashSuspect& each) { return each.request == request; });
+        suspects.begin(), suspects.end(), [&](const CrashSuspect& each) { return each.hasTrait(trait); });
+}
+
+bool CrashEvidence::ServerEnd::hasSuspectLike(const CrashSuspect& suspect) const
+{
+    return std::any_of(
+        suspects.begin(), suspects.end(), [&](const CrashSuspect& each) { return each.sharesTrait(suspect); });
 }
 
 void CrashEvidence::ServerEnd::addSuspect(const CrashSuspect& suspect)
 {
     const auto existing = std::find_if(
-        suspects.begin(), suspects.end(), [&](const CrashSuspect& each) { return each.request == suspect.request; });
+        suspects.begin(), suspects.end(), [&](const CrashSuspect& each) { return each.traits == suspect.traits; });
     if (existing == suspects.end())
         suspects.push_back(suspect);
     else
@@ -93,37 +99,36 @@
     return true;
 }
 
-bool CrashEvidence::isGroupFailure(const ServerEnd& end, const RequestIdentity& request) const
+bool CrashEvidence::isGroupFailure(const ServerEnd& end, const CrashSuspect& suspect) const
 {
     const auto endedTogether = std::count_if(m_ends.begin(), m_ends.end(), [&](const auto& each) {
         const ServerEnd& other = each.second;
-        return &other != &end && end.mayHaveEndedTogether(other) && !other.hasSuspect(request);
+        return &other != &end && end.mayHaveEndedTogether(other) && !other.hasSuspectLike(suspect);
     });
     return static_cast<std::size_t>(endedTogether) >= MinOthersInGroupFailure;
 }
 
-CrashEvidence::Findings CrashEvidence::classifyEnds(TimePoint now)
+std::vector<CrashReport> CrashEvidence::classifyEnds(TimePoint now)
 {
-    Findings findings;
+    std::vector<CrashReport> reports;
     for (auto& [server, end] : m_ends) {
         if (end.isSettled || !end.confirmedAt || now < *end.confirmedAt + SettleTime)
             continue;
         end.isSettled = true;
         for (const CrashSuspect& suspect : end.suspects)
-            (isGroupFailure(end, suspect.request) ? findings.dismissed : findings.crashes)
-                .push_back({ suspect, server });
+            reports.push_back({ suspect, server, isGroupFailure(end, suspect) });
     }
     removeExpired(now);
-    return findings;
+    return reports;
 }
 
-std::size_t CrashEvidence::unclassifiedEndCount(const RequestIdentity& request) const
+std::size_t CrashEvidence::unclassifiedEndCount(const RequestTrait& trait) const
 {
     const auto lostCount = std::count_if(m_lostAttempts.begin(), m_lostAttempts.end(),
-        [&](const LostAttempt& each) { return each.suspect.request == request; });
+        [&](const LostAttempt& each) { return each.suspect.hasTrait(trait); });
     const auto endCount = std::count_if(m_ends.begin(), m_ends.end(), [&](const auto& each) {
         const ServerEnd& end = each.second;
-        return end.confirmedAt && !end.isSettled && end.hasSuspect(request);
+        return end.confirmedAt && !end.isSettled && end.hasSuspectWith(trait);
     });
     return static_cast<std::size_t>(lostCount + endCount);
 }
--- a/src/relay/CrashEvidence.h
+++ b/src/relay/CrashEvidence.h
@@ -16,8 +16,9 @@
 ///
 /// A server that crashes ends all requests that it runs. Two rules narrow down the cause:
 /// - A request is suspected only if the server had just begun to run it or may have been about to (see CrashSign).
-/// - If several servers that did not hold the request ended at about the same time, the cause is assumed to be the loss
-///   of a group of servers, such as a rack or those behind a switch.
+/// - If several servers ended at about the same time that held no request with a trait in common with this one, the
+/// cause
+///   is assumed to be the loss of a group of servers, such as a rack or those behind a switch.
 ///
 /// A server ended at some time between when it was last known to be alive and when its end was detected. Servers whose
 /// intervals do not overlap did not end together, even if their ends were detected within a short time.
@@ -40,18 +41,13 @@
     /// @return whether the end was not yet known
     bool noteEnded(std::uint64_t server, std::vector<CrashSuspect> running, TimePoint now, TimePoint lastAliveAt = {});
 
-    /// One entry for each suspected request and server.
-    struct Findings {
-        std::vector<CrashReport> crashes;
-        std::vector<CrashReport> dismissed; ///< the server ended together with others, in a group failure
-    };
     /// Classifies the ends that were confirmed long enough ago to tell a crash from a group failure.
     /// @return a report for each suspect of the ends that this call has classified
-    Findings classifyEnds(TimePoint now);
+    std::vector<CrashReport> classifyEnds(TimePoint now);
 
-    /// @return the number of possible or confirmed ends of servers that are not classified yet and for which this
-    ///         request is a suspect
-    std::size_t unclassifiedEndCount(const RequestIdentity&) const;
+    /// @return the number of possible or confirmed ends of servers that are not classified yet and for which a request
+    ///         with the trait is a suspect
+    std::size_t unclassifiedEndCount(const RequestTrait&) const;
 
     /// @return servers that may have ended during an attempt, each with the time when the last such attempt was lost. A
     ///         check has to be sent after that time to show whether the server was still alive.
@@ -72,16 +68,18 @@
         bool isSettled = false; ///< has been classified
         std::vector<CrashSuspect> suspects; ///< at most one per request
 
-        bool hasSuspect(const RequestIdentity&) const;
+        bool hasSuspectWith(const RequestTrait&) const;
+        /// @return whether a suspect has a trait in common with a request
+        bool hasSuspectLike(const CrashSuspect&) const;
         /// Adds a suspect, or raises the sign of a known one.
         void addSuspect(const CrashSuspect&);
         /// @return whether both ends were detected within GroupWindow and their intervals overlap
         bool mayHaveEndedTogether(const ServerEnd&) const;
     };
 
-    /// @return whether at least MinOthersInGroupFailure servers ended together with this one that do not have the
-    ///         request among their suspects
-    bool isGroupFailure(const ServerEnd&, const RequestIdentity&) const;
+    /// @return whether at least MinOthersInGroupFailure servers ended together with this one whose suspects have no
+    ///         trait in common with this one
+    bool isGroupFailure(const ServerEnd&, const CrashSuspect&) const;
     void removeExpired(TimePoint now);
 
     std::deque<LostAttempt> m_lostAttempts; ///< oldest first
--- a/src/relay/Mechanism.cpp
+++ b/src/relay/Mechanism.cpp
@@ -28,6 +28,7 @@
         { "reroutes", Mechanism::Reroutes },
         { "stall-questions", Mechanism::StallQuestions },
         { "quarantine", Mechanism::Quarantine },
+        { "prompt-parts", Mechanism::PromptParts },
         { "path-detection", Mechanism::PathDetection },
         { "store-feed", Mechanism::StoreFeed },
     };
--- a/src/relay/Mechanism.h
+++ b/src/relay/Mechanism.h
@@ -26,6 +26,7 @@
     Reroutes, ///< orders to continue running streams over another chain
     StallQuestions, ///< queries to the first stage for the stage where a stream is stalled
     Quarantine, ///< quarantine of requests that crash servers
+    PromptParts, ///< quarantine of parts of prompts, not only of whole requests
     PathDetection, ///< detection that this instance is cut off from all servers
     StoreFeed, ///< updates of the local store copy from another instance
 };
--- a/src/relay/RelayCounters.h
+++ b/src/relay/RelayCounters.h
@@ -26,7 +26,7 @@
     std::uint64_t entriesOutdated = 0; ///< registry entries of ended starts
     std::uint64_t entriesUnusable = 0; ///< registry entries with a service or layers that the configuration lacks
     std::uint64_t crashesCounted = 0; ///< server crashes counted as evidence against a request
-    std::uint64_t crashesDismissed = 0; ///< crashes not counted, because other servers ended at that moment, too
+    std::uint64_t crashesInGroups = 0; ///< crashes that count for less, because other servers ended at that moment, too
     std::uint64_t quarantined = 0; ///< requests that were quarantined, so they are sent to no server
     std::uint64_t requestsCleared = 0; ///< requests of which all evidence was dropped
     std::uint64_t held = 0; ///< calls that waited until the cause of a server's end was known
--- a/src/relay/RelayEffect.h
+++ b/src/relay/RelayEffect.h
@@ -87,30 +87,30 @@
         std::vector<CrashReport> crashes;
     };
 
-    /// Report to the other instances that a request suspected of crashing servers has run without a crash.
-    struct ShareHarmlessRequest {
-        RequestIdentity request;
+    /// Report to the other instances that a request with traits that were suspected of crashing servers has run without
+    /// a crash.
+    struct ShareHarmlessTraits {
+        std::vector<RequestTrait> traits;
     };
 
     /// Log that a server ended while it ran a request.
     struct LogCrash {
         CrashReport crash;
-        bool counts = false; ///< whether it counts against the request; false if other servers ended at that moment
     };
 
-    /// Quarantine a request: from now on it is sent to no server.
-    struct QuarantineRequest {
-        RequestIdentity request;
-        std::uint32_t servers = 0; ///< servers known to this instance that ended while they ran the request
-        std::uint32_t points = 0; ///< points of evidence against the request
+    /// Quarantine a trait: from now on requests with it are sent to no server.
+    struct QuarantineTrait {
+        RequestTrait trait;
+        std::uint32_t servers = 0; ///< servers known to this instance that ended while they ran such requests
+        std::uint32_t points = 0; ///< points of evidence against the trait
         bool isOwn = false; ///< whether this instance's own observation led to this, so it writes the store entry first
     };
 
-    /// Drop all evidence against a request.
-    struct ClearRequest {
-        RequestIdentity request;
+    /// Drop all evidence against a trait.
+    struct ClearTrait {
+        RequestTrait trait;
         bool wasQuarantined = false; ///< whether this ends a quarantine
-        bool isOwn = false; ///< whether this instance itself observed that the request runs without a crash
+        bool isOwn = false; ///< whether this instance's own observation led to this, so it deletes the store entry
     };
 
     /// Report to the other instances what a health check of an engine found.
@@ -203,6 +203,8 @@
         RunState run = RunState::NotRun; ///< whether the call may have run at a server
         Duration retryAfter {}; ///< when the caller should retry; zero if a retry is useless
         std::optional<RetryLimit> limit {}; ///< what prevented another attempt; nothing if no attempt failed
+        std::optional<RequestTrait> quarantinedTrait {}; ///< with Reason::CrashesServers, the cause
+        std::uint32_t crashedServers = 0; ///< servers known to this instance that ended under that trait
     };
 
     /// Deliver the failure that a server answered, which the shell has stored, as the final answer.
@@ -233,7 +235,7 @@
 
 using RelayEffect = std::variant<effect::StartAttempt, effect::CancelAttempt, effect::HoldAnswer,
     effect::ContinueAnswer, effect::AskStalledStage, effect::CheckEngine, effect::ProbeServer, effect::ShareCrashes,
-    effect::ShareHarmlessRequest, effect::LogCrash, effect::QuarantineRequest, effect::ClearRequest,
+    effect::ShareHarmlessTraits, effect::LogCrash, effect::QuarantineTrait, effect::ClearTrait,
     effect::ReportEngineState, effect::LogServerPath, effect::LogServerState, effect::LogServerLimit,
     effect::LogServerBackoff, effect::LogPermits, effect::RequestPermits, effect::AnswerPermits,
     effect::ShareServerLimit, effect::RerouteAttempt, effect::Refuse, effect::DeliverServerFailure,
--- a/src/relay/RelayEvent.h
+++ b/src/relay/RelayEvent.h
@@ -189,18 +189,18 @@
     };
 
     /// Another instance reported requests that run without crashing a server.
-    struct HarmlessRequestsReported {
-        std::vector<RequestIdentity> requests;
+    struct HarmlessTraitsReported {
+        std::vector<RequestTrait> traits;
     };
 
-    /// The store lists a request as quarantined.
+    /// The store lists a trait as quarantined.
     struct QuarantineListed {
-        RequestIdentity request;
+        RequestTrait trait;
     };
 
-    /// The store no longer lists a request as quarantined.
+    /// The store no longer lists a trait as quarantined.
     struct QuarantineLifted {
-        RequestIdentity request;
+        RequestTrait trait;
     };
 
     /// This instance was told to finish its calls and exit.
@@ -216,7 +216,7 @@
     event::AttemptSent, event::ServerNoticeSeen, event::PermitsRequested, event::PermitsAnswered,
     event::ServerLimitReported, event::AnswerBegun, event::EventDelivered, event::AttemptEnded, event::RerouteAnswered,
     event::StalledStageReported, event::EngineChecked, event::ServerProbed, event::CrashesReported,
-    event::HarmlessRequestsReported, event::QuarantineListed, event::QuarantineLifted, event::EngineStartSeen,
+    event::HarmlessTraitsReported, event::QuarantineListed, event::QuarantineLifted, event::EngineStartSeen,
     event::EnginesReportedDead, event::EnginesReportedClosed, event::DrainRequested, event::Tick>;
 
 /// An event, with the only time and randomness that the reducer may use to handle it.
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -140,8 +140,8 @@
         call.workspace = holder->workspace;
         call.rank = holder->rank.value_or(call.rank);
     }
-    call.identity = { call.workspace, call.spec.content };
-    if (m_quarantine.isQuarantined(call.identity, context.now))
+    call.traits = traitsOf(call);
+    if (m_quarantine.findQuarantined(call.traits, context.now))
         return Reason::CrashesServers;
     call.service = RouteTable::pickService(*call.route, context.entropy);
     return std::nullopt;
@@ -171,8 +171,7 @@
     call.arrived = arrived;
     if (const auto refusal = admit(call, context)) {
         ++m_counters.refused.at(static_cast<std::size_t>(*refusal));
-        context.effects.emplace_back(
-            effect::Refuse { call.id, *refusal, RunState::NotRun, retryAfterFor(*refusal, context) });
+        refuse(call, *refusal, RunState::NotRun, retryAfterFor(*refusal, context), std::nullopt, context);
         return;
     }
     const Route& route = *call.route;
@@ -408,7 +407,7 @@
 /// @param reason  why the last attempt failed
 void RelayReducer::retryOrFinish(Call& call, Reason reason, Context& context)
 {
-    if (m_quarantine.isQuarantined(call.identity, context.now)) {
+    if (m_quarantine.findQuarantined(call.traits, context.now)) {
         finishUnanswered(call, Reason::CrashesServers, context);
         return;
     }
@@ -471,7 +470,7 @@
         const Duration retryAfter = reason == Reason::ServersInBackoff ? retryAfterBackoff(call.service, context)
             : isShortage                                               ? retryAfterShortage(queueOf(call), context)
                                                                        : retryAfterFor(reason, context);
-        context.effects.emplace_back(effect::Refuse { call.id, reason, run, retryAfter, limit });
+        refuse(call, reason, run, retryAfter, limit, context);
     }
     remove(call.id);
 }
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -5,7 +5,7 @@
 #include "relay/CallPlacer.h"
 #include "relay/CrashEvidence.h"
 #include "relay/EngineCheckBudget.h"
-#include "relay/HarmlessRequests.h"
+#include "relay/HarmlessTraits.h"
 #include "relay/PermitIssuer.h"
 #include "relay/RelayCounters.h"
 #include "relay/RelayEffect.h"
@@ -103,7 +103,7 @@
     void on(const event::EnginesReportedClosed&, Context&);
     void on(const event::ServerProbed&, Context&);
     void on(const event::CrashesReported&, Context&);
-    void on(const event::HarmlessRequestsReported&, Context&);
+    void on(const event::HarmlessTraitsReported&, Context&);
     void on(const event::QuarantineListed&, Context&);
     void on(const event::QuarantineLifted&, Context&);
     void on(const event::DrainRequested&, Context&);
@@ -196,7 +196,9 @@
     void resumeInterrupted(Context&);
     bool isRetryReserved(const ServiceId&) const;
     bool countsCrashes() const;
-    CrashSign crashSign(const Call&, const Attempt&) const;
+    std::vector<RequestTrait> traitsOf(const Call&) const;
+    TraitStanding standingOf(const RequestTrait&, TimePoint now) const;
+    CrashSuspect suspectOf(const Call&, const Attempt&, TimePoint now) const;
     void recordLostAttempt(const Call&, const Attempt&, Context&);
     void checkUnsettledServers(Context&);
     void probe(FleetServer&, Context&);
@@ -204,8 +206,11 @@
     void recordServerEnded(const FleetServer&, Context&);
     void settleCrashes(Context&);
     void countCrash(const CrashReport&, bool isOwn, Context&);
-    void quarantine(const RequestIdentity&, bool isOwn, Context&);
-    bool clearRequest(const RequestIdentity&, bool isOwn, Context&);
+    void planContradictions(const CrashReport&, Context&);
+    void contradict(Context&);
+    void quarantine(const RequestTrait&, bool isOwn, Context&);
+    bool clearTrait(const RequestTrait&, bool isOwn, Context&);
+    void refuse(const Call&, Reason, RunState, Duration retryAfter, std::optional<RetryLimit>, Context&);
     void recordHarmlessRequest(Call&, Context&);
     bool awaitsCrashVerdict(const Call&) const;
     void holdCall(Call&, Context&);
@@ -265,7 +270,8 @@
     std::map<BackendId, RegisteredServer> m_unusable; ///< entries that fit no service of the configuration
     CrashEvidence m_crashEvidence;
     RequestQuarantine m_quarantine;
-    HarmlessRequests m_harmlessRequests;
+    HarmlessTraits m_harmlessTraits;
+    std::map<RequestTrait, TimePoint> m_contradictions; ///< harmless traits and when to tell the other instances
     PermitIssuer m_permitIssuer; ///< used for the servers that this instance coordinates
     std::uint64_t m_nextPermitRequest = 1;
     EngineCheckBudget m_checkBudget;
--- a/src/relay/RelayReducerCrashes.cpp
+++ b/src/relay/RelayReducerCrashes.cpp
@@ -19,6 +19,10 @@
     /// Longest time that a call is held. By then it is known whether each server end belongs to a group failure, or it
     /// will stay unknown.
     constexpr Duration MaxHold = std::chrono::milliseconds(1000);
+    /// Evidence at which one more crash may quarantine a trait.
+    constexpr std::uint32_t MinPointsToContradict = 4;
+    /// Shorter than the time that judgements wait.
+    constexpr Duration MaxContradictionDelay = std::chrono::milliseconds(60);
 
     /// @return how strongly the end of a server suggests that an attempt there caused it
     CrashSign signOf(const Call& call, const Attempt& attempt)
@@ -39,19 +43,47 @@
 /// @return whether crashes count against requests; false if the quarantine is disabled
 bool RelayReducer::countsCrashes() const { return !m_options.without.has(Mechanism::Quarantine); }
 
-/// @return how strongly the end of a server suggests that an attempt there caused it; CrashSign::None if the request
-///         recently ran without crashing a server
-CrashSign RelayReducer::crashSign(const Call& call, const Attempt& attempt) const
+/// @return the call's content, then the parts of its prompt in order
+std::vector<RequestTrait> RelayReducer::traitsOf(const Call& call) const
 {
-    return m_harmlessRequests.contains(call.identity) ? CrashSign::None : signOf(call, attempt);
+    std::vector<RequestTrait> traits { { call.workspace, call.spec.content } };
+    if (m_options.without.has(Mechanism::PromptParts))
+        return traits;
+    for (const PromptPartId& part : call.spec.promptParts)
+        traits.push_back({ call.workspace, part });
+    return traits;
+}
+
+TraitStanding RelayReducer::standingOf(const RequestTrait& trait, TimePoint now) const
+{
+    TraitEvidence evidence = m_quarantine.evidence(trait, now);
+    evidence.hasRun = m_harmlessTraits.contains(trait, now);
+    return classifyTrait(evidence);
+}
+
+/// @return the call as a suspect in case that a server of the attempt has ended; its sign is CrashSign::None if the
+/// call
+///         did not cause that
+CrashSuspect RelayReducer::suspectOf(const Call& call, const Attempt& attempt, TimePoint now) const
+{
+    CrashSuspect suspect { {}, signOf(call, attempt) };
+    if (suspect.sign == CrashSign::None)
+        return suspect;
+    if (standingOf(call.traits.front(), now) == TraitStanding::Harmless)
+        return {};
+    for (const RequestTrait& trait : call.traits) {
+        if (standingOf(trait, now) != TraitStanding::Harmless)
+            suspect.traits.push_back(trait);
+    }
+    return suspect;
 }
 
 /// Records an attempt that broke off, or that was cancelled at a server that may be dead. It becomes evidence against
 /// the request if one of its servers turns out to have ended.
 void RelayReducer::recordLostAttempt(const Call& call, const Attempt& attempt, Context& context)
 {
-    const CrashSign sign = crashSign(call, attempt);
-    if (sign == CrashSign::None || !countsCrashes())
+    CrashSuspect suspect = suspectOf(call, attempt, context.now);
+    if (suspect.sign == CrashSign::None || !countsCrashes())
         return;
     std::vector<std::uint64_t> servers;
     if (const FleetServer* first = m_fleet.find(attempt.server))
@@ -61,7 +93,7 @@
         if (server && hop.backend != attempt.server && (server->beingChecked || server->isDead(context.now)))
             servers.push_back(server->othersLoad.engine);
     }
-    m_crashEvidence.noteLost({ call.identity, sign }, std::move(servers), context.now);
+    m_crashEvidence.noteLost(suspect, std::move(servers), context.now);
     checkUnsettledServers(context);
 }
 
@@ -137,9 +169,11 @@
         return;
     std::vector<CrashSuspect> running;
     const auto consider = [&](const Call& call, const Attempt& attempt) {
-        const CrashSign sign = attempt.usesServer(server.entry.id) ? crashSign(call, attempt) : CrashSign::None;
-        if (sign != CrashSign::None)
-            running.push_back({ call.identity, sign });
+        if (!attempt.usesServer(server.entry.id))
+            return;
+        CrashSuspect suspect = suspectOf(call, attempt, context.now);
+        if (suspect.sign != CrashSign::None)
+            running.push_back(std::move(suspect));
     };
     for (const auto& [id, call] : m_calls) {
         if (call.state != CallState::Running)
@@ -153,47 +187,81 @@
             effect::LogServerState::ServerStateChange::ProcessEnded, server.entry.id, server.entry.startedAt });
 }
 
-/// Counts the server ends that are now known to be crashes, and shares them with the other instances.
+/// Counts the server ends that are now known to be crashes or group failures, and shares them with the other instances.
 void RelayReducer::settleCrashes(Context& context)
 {
     checkUnsettledServers(context);
-    CrashEvidence::Findings findings = m_crashEvidence.classifyEnds(context.now);
-    m_counters.crashesDismissed += findings.dismissed.size();
-    for (const CrashReport& report : findings.dismissed)
-        context.effects.emplace_back(effect::LogCrash { report, false });
-    for (const CrashReport& report : findings.crashes)
+    std::vector<CrashReport> reports = m_crashEvidence.classifyEnds(context.now);
+    for (const CrashReport& report : reports)
         countCrash(report, true, context);
-    if (!findings.crashes.empty())
-        context.effects.emplace_back(effect::ShareCrashes { std::move(findings.crashes) });
+    std::erase_if(reports,
+        [](const CrashReport& each) { return !RequestQuarantine::pointsOf(each.suspect.sign, each.isGroupFailure); });
+    if (!reports.empty())
+        context.effects.emplace_back(effect::ShareCrashes { std::move(reports) });
+    contradict(context);
+    for (const RequestQuarantine::Verdict& verdict : m_quarantine.judge(context.now))
+        quarantine(verdict.trait, verdict.isOwn, context);
     m_quarantine.removeExpired(context.now);
     releaseHeldCalls(context);
 }
 
-/// Counts a crash against its request, and quarantines the request if there is enough evidence.
+/// Counts a crash against the traits of its request.
 /// @param isOwn  whether this instance saw the crash, rather than learning of it from another one
 void RelayReducer::countCrash(const CrashReport& report, bool isOwn, Context& context)
 {
-    const RequestQuarantine::Change change = m_quarantine.add(report, context.now);
-    if (change == RequestQuarantine::Change::None)
+    const bool isNews = m_quarantine.add(report, isOwn, context.now);
+    if (isNews && !report.isGroupFailure)
+        ++m_counters.crashesCounted;
+    if (!isOwn)
         return;
-    ++m_counters.crashesCounted;
-    if (isOwn)
-        context.effects.emplace_back(effect::LogCrash { report, true });
-    if (change == RequestQuarantine::Change::Quarantined)
-        quarantine(report.suspect.request, isOwn, context);
+    m_counters.crashesInGroups += report.isGroupFailure ? 1 : 0;
+    if (isNews || report.isGroupFailure)
+        context.effects.emplace_back(effect::LogCrash { report });
+}
+
+/// Plans to contradict the other instances if they may soon quarantine traits of requests that ran here. Each instance
+/// waits for a random time, so that one or a few of them answer.
+void RelayReducer::planContradictions(const CrashReport& report, Context& context)
+{
+    for (const RequestTrait& trait : report.suspect.traits) {
+        const TraitEvidence evidence = m_quarantine.evidence(trait, context.now);
+        if (!evidence.isQuarantined && evidence.points >= MinPointsToContradict
+            && m_harmlessTraits.contains(trait, context.now))
+            m_contradictions.try_emplace(
+                trait, context.now + Duration(context.entropy % MaxContradictionDelay.count()));
+    }
+}
+
+/// Tells the other instances of suspected traits that are harmless. A trait that became harmful lately must not be
+/// defended again, so it counts as harmless here only after its next run.
+void RelayReducer::contradict(Context& context)
+{
+    std::vector<RequestTrait> harmless;
+    for (const auto& [trait, due] : m_contradictions) {
+        if (context.now < due)
+            continue;
+        m_harmlessTraits.remove(trait);
+        if (clearTrait(trait, true, context))
+            harmless.push_back(trait);
+    }
+    std::erase_if(m_contradictions, [&](const auto& each) { return context.now >= each.second; });
+    if (!harmless.empty())
+        context.effects.emplace_back(effect::ShareHarmlessTraits { std::move(harmless) });
 }
 
-/// Ends the open calls of a request that was just quarantined.
-/// @param isOwn  whether this instance came to the verdict first
-void RelayReducer::quarantine(const RequestIdentity& request, bool isOwn, Context& context)
+/// Ends the open calls with a trait that was just quarantined.
+/// @param isOwn  whether this instance saw one of the crashes, so it writes the store entry first
+void RelayReducer::quarantine(const RequestTrait& trait, bool isOwn, Context& context)
 {
     ++m_counters.quarantined;
-    const auto servers = static_cast<std::uint32_t>(m_quarantine.serverCount(request));
-    context.effects.emplace_back(effect::QuarantineRequest { request, servers, m_quarantine.points(request), isOwn });
+    const auto servers = static_cast<std::uint32_t>(m_quarantine.serverCount(trait));
+    context.effects.emplace_back(
+        effect::QuarantineTrait { trait, servers, m_quarantine.evidence(trait, context.now).points, isOwn });
     std::vector<RequestId> open;
     for (const auto& [id, call] : m_calls) {
-        // A partly delivered stream is evidence in favour of the request, so it may complete.
-        if (call.identity == request && !call.hasPartialAnswer)
+        const bool hasTrait = std::find(call.traits.begin(), call.traits.end(), trait) != call.traits.end();
+        // A partly delivered stream is evidence in favour of its traits, so it may complete.
+        if (hasTrait && !call.hasPartialAnswer)
             open.push_back(id);
     }
     for (const RequestId& id : open) {
@@ -207,59 +275,84 @@
 {
     if (!countsCrashes())
         return;
-    for (const CrashReport& report : reported.crashes)
+    for (const CrashReport& report : reported.crashes) {
         countCrash(report, false, context);
+        planContradictions(report, context);
+    }
 }
 
-void RelayReducer::on(const event::HarmlessRequestsReported& reported, Context& context)
+void RelayReducer::on(const event::HarmlessTraitsReported& reported, Context& context)
 {
-    for (const RequestIdentity& request : reported.requests)
-        clearRequest(request, false, context);
+    for (const RequestTrait& trait : reported.traits)
+        clearTrait(trait, false, context);
 }
 
 void RelayReducer::on(const event::QuarantineListed& listed, Context& context)
 {
-    if (countsCrashes() && m_quarantine.quarantine(listed.request, context.now))
-        quarantine(listed.request, false, context);
+    if (countsCrashes() && m_quarantine.quarantine(listed.trait, context.now))
+        quarantine(listed.trait, false, context);
 }
 
 void RelayReducer::on(const event::QuarantineLifted& lifted, Context& context)
 {
-    clearRequest(lifted.request, false, context);
+    clearTrait(lifted.trait, false, context);
 }
 
-/// Forgets all evidence against a request, and its quarantine.
-/// @param isOwn  whether this instance saw the request run without crashing a server
+/// Forgets all evidence against a trait, and its quarantine.
+/// @param isOwn  whether this instance saw a request with the trait run without crashing a server
 /// @return whether there was any evidence
-bool RelayReducer::clearRequest(const RequestIdentity& request, bool isOwn, Context& context)
+bool RelayReducer::clearTrait(const RequestTrait& trait, bool isOwn, Context& context)
 {
-    const bool wasQuarantined = m_quarantine.isQuarantined(request, context.now);
-    if (!m_quarantine.clear(request))
+    const bool wasQuarantined = m_quarantine.isQuarantined(trait, context.now);
+    if (!m_quarantine.clear(trait))
         return false;
     ++m_counters.requestsCleared;
-    context.effects.emplace_back(effect::ClearRequest { request, wasQuarantined, isOwn });
+    context.effects.emplace_back(effect::ClearTrait { trait, wasQuarantined, isOwn });
     return true;
 }
 
 /// Records that a request is harmless: it ran longer than a request that crashes its server, or to its end. Evidence
-/// from servers that ended while it was there is dropped.
+/// against its traits from servers that ended while it or others with them were there is dropped.
 void RelayReducer::recordHarmlessRequest(Call& call, Context& context)
 {
     call.wasHarmless = true;
-    m_harmlessRequests.add(call.identity);
-    if (!m_quarantine.empty() && clearRequest(call.identity, true, context))
-        context.effects.emplace_back(effect::ShareHarmlessRequest { call.identity });
+    m_harmlessTraits.add(call.traits, context.now);
+    if (m_quarantine.empty())
+        return;
+    std::vector<RequestTrait> cleared;
+    for (const RequestTrait& trait : call.traits) {
+        if (clearTrait(trait, true, context))
+            cleared.push_back(trait);
+    }
+    if (!cleared.empty())
+        context.effects.emplace_back(effect::ShareHarmlessTraits { std::move(cleared) });
 }
 
 /// Further attempts wait while this holds, because the next server could be one crash too many.
-/// @return whether server ends that are not settled yet may be enough to quarantine the request
+/// @return whether server ends that are not settled yet may be enough to quarantine a trait of the request
 bool RelayReducer::awaitsCrashVerdict(const Call& call) const
 {
     if (!countsCrashes() || call.wasHarmless)
         return false;
-    const std::size_t open = m_crashEvidence.unclassifiedEndCount(call.identity);
-    const std::uint32_t each = RequestQuarantine::pointsOf(CrashSign::JustBegun);
-    return open && m_quarantine.points(call.identity) + each * open >= RequestQuarantine::Limit;
+    return std::any_of(call.traits.begin(), call.traits.end(), [&](const RequestTrait& trait) {
+        const std::size_t open = m_crashEvidence.unclassifiedEndCount(trait);
+        const std::uint32_t each = RequestQuarantine::pointsOf(CrashSign::JustBegun);
+        const TraitEvidence evidence = m_quarantine.evidence(trait, m_now);
+        return (open || evidence.points) && each * open >= missingPoints(evidence);
+    });
+}
+
+/// Refuses a call without an answer.
+/// @param limit  what forbade another attempt, or nothing if no attempt failed
+void RelayReducer::refuse(const Call& call, Reason reason, RunState run, Duration retryAfter,
+    std::optional<RetryLimit> limit, Context& context)
+{
+    effect::Refuse refusal { call.id, reason, run, retryAfter, limit };
+    if (const RequestTrait* cause = m_quarantine.findQuarantined(call.traits, context.now)) {
+        refusal.quarantinedTrait = *cause;
+        refusal.crashedServers = static_cast<std::uint32_t>(m_quarantine.serverCount(*cause));
+    }
+    context.effects.emplace_back(std::move(refusal));
 }
 
 /// Keeps a call out of the queue until there is a verdict on its request. In the queue it would block those behind it.
--- a/tests/CrashFleet.cpp
+++ b/tests/CrashFleet.cpp
@@ -51,8 +51,8 @@
     m_instances[instance].reducer = std::make_unique<RelayReducer>(options);
     post(instance, event::ConfigurationAccepted { RouteTable::make(RelayHarness::configuration()) });
     post(instance, event::InstancesCounted { static_cast<std::uint32_t>(m_instances.size()) });
-    for (const RequestIdentity& request : m_storedVerdicts)
-        post(instance, event::QuarantineListed { request });
+    for (const RequestTrait& trait : m_storedVerdicts)
+        post(instance, event::QuarantineListed { trait });
     for (const Engine& engine : m_engines) {
         if (engine.isListed)
             post(instance, event::ServerRegistered { engine.entry });
@@ -98,12 +98,17 @@
         } else if (const auto* finding = std::get_if<effect::ReportEngineState>(&effect)) {
             if (finding->finding == effect::ReportEngineState::Finding::Dead)
                 broadcast(instance, event::EnginesReportedDead { { engineKey(finding->engine, finding->startedAt) } });
-        } else if (const auto* harmless = std::get_if<effect::ShareHarmlessRequest>(&effect)) {
-            broadcast(instance, event::HarmlessRequestsReported { { harmless->request } });
-        } else if (const auto* verdict = std::get_if<effect::QuarantineRequest>(&effect)) {
-            if (m_storedVerdicts.insert(verdict->request).second) {
+        } else if (const auto* harmless = std::get_if<effect::ShareHarmlessTraits>(&effect)) {
+            broadcast(instance, event::HarmlessTraitsReported { harmless->traits });
+        } else if (const auto* verdict = std::get_if<effect::QuarantineTrait>(&effect)) {
+            if (m_storedVerdicts.insert(verdict->trait).second) {
                 for (std::size_t each = 0; each < m_instances.size(); ++each)
-                    postLater(StoreDelay, each, event::QuarantineListed { verdict->request });
+                    postLater(StoreDelay, each, event::QuarantineListed { verdict->trait });
+            }
+        } else if (const auto* cleared = std::get_if<effect::ClearTrait>(&effect)) {
+            if (cleared->isOwn && m_storedVerdicts.erase(cleared->trait)) {
+                for (std::size_t each = 0; each < m_instances.size(); ++each)
+                    postLater(StoreDelay, each, event::QuarantineLifted { cleared->trait });
             }
         } else if (const auto* started = std::get_if<effect::StartAttempt>(&effect)) {
             on(instance, *started);
--- a/tests/CrashFleet.h
+++ b/tests/CrashFleet.h
@@ -146,7 +146,7 @@
     }
 
     Options m_options;
-    std::set<RequestIdentity> m_storedVerdicts; ///< quarantined requests in the store
+    std::set<RequestTrait> m_storedVerdicts; ///< quarantined traits in the store
     std::vector<Instance> m_instances;
     std::vector<Engine> m_engines;
     std::map<AttemptKey, RunningAttempt> m_attempts;
--- a/tests/CrashingPromptPartTest.cpp
+++ b/tests/CrashingPromptPartTest.cpp
@@ -90,6 +90,8 @@
             seconds(15) },
         { "295 instances", withPart({ .instances = 295, .enginesPerHalf = 40 }), 1, 0.03, milliseconds(5),
             seconds(13) },
+        { "295 instances, common", withPart({ .instances = 295, .enginesPerHalf = 40 }), 1, 0.1, milliseconds(5),
+            seconds(13) },
     };
     for (const Load& load : loads) {
         CrashFleet fleet(load.options);
--- a/tests/CrashingRequestTest.cpp
+++ b/tests/CrashingRequestTest.cpp
@@ -166,8 +166,11 @@
               { "nearly all engines of one half of the layers", 7, seconds(6) },
               { "half of the engines of one half of the layers, 60 ms apart", 4, seconds(4), milliseconds(60) },
               { "nearly all engines of one half of the layers, 140 ms apart", 7, seconds(6), milliseconds(140) } };
-    for (const auto& each : cases) {
-        CrashFleet fleet({});
+    const CrashFleet::Options optionSets[] = { {}, { .crashCause = CrashFleet::CrashCause::PromptPart, .subjects = 40 },
+        { .crashCause = CrashFleet::CrashCause::PromptPart, .subjects = 4 } };
+    for (std::size_t run = 0; run < std::size(cases) * std::size(optionSets); ++run) {
+        const auto& each = cases[run / std::size(optionSets)];
+        CrashFleet fleet(optionSets[run % std::size(optionSets)]);
         Duration nextCrash = seconds(2);
         bool isFirstHalf = true;
         std::size_t crashedCount = 0; ///< crashed engines of the current group
--- a/tests/RelayLoopback.cpp
+++ b/tests/RelayLoopback.cpp
@@ -35,7 +35,7 @@
 } // namespace
 
 CallOutcome runCall(const std::string& request, std::vector<std::string> answers,
-    const std::optional<RequestIdentity>& quarantined, CheckAnswer checkAnswer)
+    const std::optional<RequestTrait>& quarantined, CheckAnswer checkAnswer)
 {
     net::io_context context(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE);
     RefusingEngineControl control(checkAnswer);
--- a/tests/RelayLoopback.h
+++ b/tests/RelayLoopback.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "edge/EngineReport.h"
-#include "relay/RequestIdentity.h"
+#include "relay/RequestTrait.h"
 #include "shell/Net.h"
 
 #include <optional>
@@ -23,10 +23,10 @@
 /// Runs one call through FrontServer, RelayNode and UpstreamAttempt, with one scripted server for all services.
 /// @param request      bytes that the caller sends
 /// @param answers      see ScriptedServer
-/// @param quarantined  request that the store lists as quarantined, if any
+/// @param quarantined  trait that the store lists as quarantined, if any
 /// @param checkAnswer  how the engine answers each health check
 CallOutcome runCall(const std::string& request, std::vector<std::string> answers,
-    const std::optional<RequestIdentity>& quarantined = std::nullopt, CheckAnswer checkAnswer = CheckAnswer::Alive);
+    const std::optional<RequestTrait>& quarantined = std::nullopt, CheckAnswer checkAnswer = CheckAnswer::Alive);
 
 /// @return a request of the caller "me" for a path, the last one on its connection
 std::string requestTo(const char* path);
--- a/tests/RelayLoopbackTest.cpp
+++ b/tests/RelayLoopbackTest.cpp
@@ -231,7 +231,7 @@
     const std::string wholeAnswer = answerHead("200 OK") + "Content-Length: 4\r\n\r\nbody";
     CallerRequest quarantinedRequest(http::verb::post, "/book/1", 11);
     quarantinedRequest.body() = "hi";
-    const RequestIdentity quarantined { WorkspaceId("w"), digestOf(quarantinedRequest, "h.example") };
+    const RequestTrait quarantined { WorkspaceId("w"), digestOf(quarantinedRequest, "h.example") };
     std::string withOtherId = requestTo("/book/1");
     withOtherId.replace(withOtherId.find("X-Attempt-Id: me"), std::strlen("X-Attempt-Id: me"), "X-Attempt-Id: another");
     std::string otherBody = requestTo("/book/1");
--- a/tests/RequestQuarantineTest.cpp
+++ b/tests/RequestQuarantineTest.cpp
@@ -13,16 +13,18 @@
 
 namespace {
 
-RequestIdentity request(std::uint8_t number, const char* workspace = "w")
+RequestTrait request(std::uint8_t number, const char* workspace = "w")
 {
-    RequestIdentity made { WorkspaceId(workspace), {} };
-    made.content.bytes[0] = number;
-    return made;
+    ContentDigest content;
+    content.bytes[0] = number;
+    return { WorkspaceId(workspace), content };
 }
 
+RequestTrait part(const char* id, const char* workspace = "w") { return { WorkspaceId(workspace), PromptPartId(id) }; }
+
 CrashReport report(std::uint8_t number, std::uint64_t server, CrashSign sign = CrashSign::JustBegun)
 {
-    return { { request(number), sign }, server };
+    return { { { request(number) }, sign }, server };
 }
 
 /// @param since  time since the start of a test
@@ -62,25 +64,156 @@
         RequestQuarantine quarantine;
         int verdicts = 0;
         for (const CrashReport& crash : each.reports)
-            verdicts += quarantine.add(crash, at(milliseconds(0))) == RequestQuarantine::Change::Quarantined ? 1 : 0;
+            quarantine.add(crash, true, at(milliseconds(0)));
+        verdicts += static_cast<int>(quarantine.judge(at(milliseconds(99))).size());
+        CHECK_EQUAL_TEXT(0, verdicts, each.name);
+        verdicts += static_cast<int>(quarantine.judge(at(milliseconds(100))).size());
         CHECK_EQUAL_TEXT(each.isQuarantined ? 1 : 0, verdicts, each.name);
-        CHECK_EQUAL_TEXT(each.isQuarantined, quarantine.isQuarantined(request(1), at(milliseconds(0))), each.name);
-        CHECK_FALSE_TEXT(quarantine.isQuarantined(request(1, "other"), at(milliseconds(0))), each.name);
+        CHECK_EQUAL_TEXT(each.isQuarantined, quarantine.isQuarantined(request(1), at(milliseconds(100))), each.name);
+        CHECK_FALSE_TEXT(quarantine.isQuarantined(request(1, "other"), at(milliseconds(100))), each.name);
+    }
+}
+
+TEST(RequestQuarantine, StandingOfATrait)
+{
+    const struct {
+        const char* name;
+        TraitEvidence evidence;
+        TraitStanding standing;
+    } cases[] = {
+        { "nothing is known", {}, TraitStanding::Unknown },
+        { "it ran, and no server ended", { .hasRun = true }, TraitStanding::Harmless },
+        { "a server ended", { .points = 1 }, TraitStanding::Suspected },
+        { "it ran, then a server ended", { .hasRun = true, .points = 2 }, TraitStanding::Suspected },
+        { "almost enough servers ended", { .points = 5 }, TraitStanding::Suspected },
+        { "enough servers ended", { .points = 6 }, TraitStanding::Blocked },
+        { "enough servers ended, but it was there by chance before", { .points = 6, .explainedEnds = 1 },
+            TraitStanding::Suspected },
+        { "twice as many servers ended, it was often there by chance before", { .points = 10, .explainedEnds = 12 },
+            TraitStanding::Blocked },
+        { "it ran, then enough servers ended", { .hasRun = true, .points = 6 }, TraitStanding::Blocked },
+        { "a verdict of another instance", { .isQuarantined = true }, TraitStanding::Blocked },
+        { "a verdict of another instance, though it ran", { .hasRun = true, .isQuarantined = true },
+            TraitStanding::Blocked },
+    };
+    for (const auto& each : cases)
+        CHECK_TRUE_TEXT(classifyTrait(each.evidence) == each.standing, each.name);
+}
+
+// Guards against harmless traits that are blamed for crashes because requests with them were there, too.
+TEST(RequestQuarantine, OnlyTheNarrowestTraitThatExplainsTheCrashesIsQuarantined)
+{
+    using Traits = std::vector<RequestTrait>;
+    const auto crash = [](Traits traits, std::uint64_t server, CrashSign sign = CrashSign::JustBegun) {
+        return CrashReport { { std::move(traits), sign }, server };
+    };
+    const auto groupCrash = [](Traits traits, std::uint64_t server) {
+        return CrashReport { { std::move(traits), CrashSign::JustBegun }, server, true };
+    };
+    const struct {
+        const char* name;
+        std::vector<CrashReport> reports;
+        Traits quarantined;
+    } cases[] = {
+        { "a part of three requests, with parts of their own",
+            { crash({ request(1), part("c"), part("b1") }, 1), crash({ request(2), part("c"), part("b2") }, 2),
+                crash({ request(3), part("c"), part("b3") }, 3) },
+            { part("c") } },
+        { "repeats of one request",
+            { crash({ request(1), part("c") }, 1), crash({ request(1), part("c") }, 2),
+                crash({ request(1), part("c") }, 3) },
+            { request(1) } },
+        { "two parts that are always together: the later one",
+            { crash({ request(1), part("f"), part("c") }, 1), crash({ request(2), part("f"), part("c") }, 2),
+                crash({ request(3), part("f"), part("c") }, 3), crash({ request(4), part("f"), part("c") }, 4) },
+            { part("c") } },
+        { "the earlier part, once it has crashed four more servers with others",
+            { crash({ request(1), part("f"), part("c") }, 1), crash({ request(2), part("f"), part("c") }, 2),
+                crash({ request(3), part("f"), part("c") }, 3), crash({ request(4), part("f"), part("d") }, 4),
+                crash({ request(5), part("f"), part("d") }, 5), crash({ request(6), part("f"), part("e") }, 6),
+                crash({ request(7), part("f"), part("e") }, 7) },
+            { part("c"), part("f") } },
+        { "two parts that were on the same servers",
+            { crash({ request(1), part("c") }, 1), crash({ request(2), part("b") }, 1),
+                crash({ request(3), part("c") }, 2), crash({ request(4), part("b") }, 2),
+                crash({ request(5), part("c") }, 3), crash({ request(6), part("b") }, 3) },
+            {} },
+        { "two parts that were on the same servers, and one on a server more",
+            { crash({ request(1), part("c") }, 1), crash({ request(2), part("b") }, 1),
+                crash({ request(3), part("c") }, 2), crash({ request(4), part("b") }, 2),
+                crash({ request(5), part("c") }, 3), crash({ request(6), part("b") }, 3),
+                crash({ request(7), part("c") }, 4) },
+            { part("c") } },
+        { "a part of three requests in a group failure",
+            { groupCrash({ request(1), part("c") }, 1), groupCrash({ request(2), part("c") }, 2),
+                groupCrash({ request(3), part("c") }, 3) },
+            {} },
+        { "a part of six requests in what looks like group failures",
+            { groupCrash({ request(1), part("c") }, 1), groupCrash({ request(2), part("c") }, 2),
+                groupCrash({ request(3), part("c") }, 3), groupCrash({ request(4), part("c") }, 4),
+                groupCrash({ request(5), part("c") }, 5), groupCrash({ request(6), part("c") }, 6) },
+            { part("c") } },
+        { "the cause, though its reports arrive last",
+            { crash({ request(2), part("b") }, 1), crash({ request(4), part("b") }, 2),
+                crash({ request(6), part("b") }, 3), crash({ request(1), part("c") }, 1),
+                crash({ request(3), part("c") }, 2), crash({ request(5), part("c") }, 3),
+                crash({ request(7), part("c") }, 4) },
+            { part("c") } },
+        { "the second cause, not another part that was there under both",
+            { crash({ request(1), part("c") }, 1), crash({ request(2), part("c") }, 2),
+                crash({ request(3), part("c") }, 3), crash({ request(4), part("c") }, 4),
+                crash({ request(5), part("b") }, 1), crash({ request(6), part("b") }, 2),
+                crash({ request(7), part("b") }, 5), crash({ request(8), part("b") }, 6),
+                crash({ request(9), part("b") }, 7), crash({ request(10), part("d") }, 5),
+                crash({ request(11), part("d") }, 6), crash({ request(12), part("d") }, 7) },
+            { part("c"), part("d") } },
+        { "two causes",
+            { crash({ request(1), part("c") }, 1), crash({ request(2), part("c") }, 2),
+                crash({ request(3), part("c") }, 3), crash({ request(4), part("d") }, 4),
+                crash({ request(5), part("d") }, 5), crash({ request(6), part("d") }, 6) },
+            { part("c"), part("d") } },
+        { "the same part in two workspaces",
+            { crash({ request(1), part("c") }, 1), crash({ request(2), part("c") }, 2),
+                crash({ request(3, "v"), part("c", "v") }, 3) },
+            {} },
+        { "two servers, reported twice",
+            { crash({ request(1), part("c") }, 1), crash({ request(2), part("c") }, 2),
+                crash({ request(1), part("c") }, 1), crash({ request(2), part("c") }, 2) },
+            {} },
+    };
+    for (const auto& each : cases) {
+        RequestQuarantine quarantine;
+        Duration now = milliseconds(0);
+        std::uint64_t server = 0;
+        for (const CrashReport& report : each.reports) {
+            // Servers end some time after each other; reports about one end arrive together.
+            now += report.server > std::exchange(server, std::max(server, report.server)) ? milliseconds(200)
+                                                                                          : milliseconds(0);
+            quarantine.judge(at(now));
+            quarantine.add(report, true, at(now));
+        }
+        now += milliseconds(200);
+        quarantine.judge(at(now));
+        CHECK_EQUAL_TEXT(each.quarantined.size(), quarantine.quarantinedCount(at(now)), each.name);
+        for (const RequestTrait& trait : each.quarantined)
+            CHECK_TRUE_TEXT(quarantine.isQuarantined(trait, at(now)), each.name);
     }
 }
 
 TEST(RequestQuarantine, EvidenceExpiresAndAQuarantineIsRenewedByOneCrash)
 {
     RequestQuarantine quarantine;
-    quarantine.add(report(1, 1), at(minutes(0)));
+    quarantine.add(report(1, 1), true, at(minutes(0)));
     quarantine.removeExpired(at(minutes(11)));
     CHECK_TRUE(quarantine.empty());
     for (std::uint64_t server = 1; server <= 3; ++server)
-        quarantine.add(report(1, server), at(minutes(20)));
+        quarantine.add(report(1, server), true, at(minutes(20)) - milliseconds(100));
+    quarantine.judge(at(minutes(20)));
     CHECK_TRUE(quarantine.isQuarantined(request(1), at(minutes(49))));
     CHECK_FALSE(quarantine.isQuarantined(request(1), at(minutes(51))));
     quarantine.removeExpired(at(minutes(51)));
-    CHECK_TRUE(quarantine.add(report(1, 9), at(minutes(52))) == RequestQuarantine::Change::Quarantined);
+    quarantine.add(report(1, 9), true, at(minutes(52)) - milliseconds(100));
+    CHECK_EQUAL(1U, quarantine.judge(at(minutes(52))).size());
     CHECK_TRUE(quarantine.clear(request(1)));
     CHECK_FALSE(quarantine.clear(request(1)));
     CHECK_FALSE(quarantine.isQuarantined(request(1), at(minutes(52))));
@@ -91,12 +224,14 @@
 {
     RequestQuarantine quarantine;
     for (std::uint64_t server = 1; server <= 3; ++server)
-        quarantine.add(report(1, server), at(minutes(1)));
+        quarantine.add(report(1, server), true, at(minutes(1)) - milliseconds(100));
+    quarantine.judge(at(minutes(1)));
     for (std::uint32_t i = 0; i < 10000; ++i) {
         CrashReport each = report(2, 1);
-        each.suspect.request.content.bytes[1] = static_cast<std::uint8_t>(i);
-        each.suspect.request.content.bytes[2] = static_cast<std::uint8_t>(i >> 8U);
-        quarantine.add(each, at(milliseconds(i)));
+        auto& content = std::get<ContentDigest>(each.suspect.traits.front().value);
+        content.bytes[1] = static_cast<std::uint8_t>(i);
+        content.bytes[2] = static_cast<std::uint8_t>(i >> 8U);
+        quarantine.add(each, true, at(milliseconds(i)));
     }
     // All other reports are older than the ones about this request.
     CHECK_TRUE(quarantine.isQuarantined(request(1), at(minutes(1))));
@@ -104,13 +239,13 @@
 
 TEST(RequestQuarantine, EvidenceOfOneInstanceTellsACrashFromOtherEnds)
 {
-    const CrashSuspect suspect { request(1), CrashSign::JustBegun };
+    const CrashSuspect suspect { { request(1) }, CrashSign::JustBegun };
     using Steps = std::function<void(CrashEvidence&)>;
     const struct {
         const char* name;
         Steps steps;
         std::size_t crashes;
-        std::size_t dismissed;
+        std::size_t inGroups;
     } cases[] = {
         { "its attempt broke off, and the server refuses connections",
             [&](CrashEvidence& evidence) {
@@ -191,29 +326,34 @@
     for (const auto& each : cases) {
         CrashEvidence evidence;
         each.steps(evidence);
-        const auto findings = evidence.classifyEnds(at(milliseconds(4000)));
-        CHECK_EQUAL_TEXT(each.crashes, findings.crashes.size(), each.name);
-        CHECK_EQUAL_TEXT(each.dismissed, findings.dismissed.size(), each.name);
+        const std::vector<CrashReport> reports = evidence.classifyEnds(at(milliseconds(4000)));
+        const auto inGroups
+            = std::count_if(reports.begin(), reports.end(), [](const auto& report) { return report.isGroupFailure; });
+        CHECK_EQUAL_TEXT(each.crashes, reports.size() - static_cast<std::size_t>(inGroups), each.name);
+        CHECK_EQUAL_TEXT(each.inGroups, static_cast<std::size_t>(inGroups), each.name);
         CHECK_EQUAL_TEXT(0U, evidence.unclassifiedEndCount(request(1)), each.name);
-        CHECK_TRUE_TEXT(evidence.classifyEnds(at(milliseconds(4300))).crashes.empty(), each.name);
+        CHECK_TRUE_TEXT(evidence.classifyEnds(at(milliseconds(4300))).empty(), each.name);
     }
 }
 
 TEST(RequestQuarantine, DatagramsKeepCrashReportsAndTruncatedOnesAreRejected)
 {
     PeerDatagram datagram;
-    datagram.crashes = { report(1, 7), report(2, ~0ULL, CrashSign::Waiting) };
-    datagram.soundRequests = { request(3, "a workspace") };
+    datagram.crashes = { report(1, 7), report(2, ~0ULL, CrashSign::Waiting), report(4, 9) };
+    datagram.crashes[2].isGroupFailure = true;
+    datagram.crashes[1].suspect.traits.push_back(part("5c1e07a2"));
+    datagram.harmlessTraits = { request(3, "a workspace"), part("91bd3f06", "a workspace") };
     const std::string bytes = encode(datagram);
     const auto decoded = decodePeerDatagram(bytes);
     CHECK_TRUE(decoded.ok());
-    CHECK_EQUAL(2U, decoded->crashes.size());
-    for (std::size_t i = 0; i < 2; ++i) {
-        CHECK_TRUE(decoded->crashes[i].suspect.request == datagram.crashes[i].suspect.request);
+    CHECK_EQUAL(datagram.crashes.size(), decoded->crashes.size());
+    for (std::size_t i = 0; i < datagram.crashes.size(); ++i) {
+        CHECK_TRUE(decoded->crashes[i].suspect.traits == datagram.crashes[i].suspect.traits);
         CHECK_TRUE(decoded->crashes[i].suspect.sign == datagram.crashes[i].suspect.sign);
         CHECK_TRUE(decoded->crashes[i].server == datagram.crashes[i].server);
+        CHECK_EQUAL(datagram.crashes[i].isGroupFailure, decoded->crashes[i].isGroupFailure);
     }
-    CHECK_TRUE(decoded->soundRequests == datagram.soundRequests);
+    CHECK_TRUE(decoded->harmlessTraits == datagram.harmlessTraits);
     for (std::size_t length = 0; length < bytes.size(); ++length)
         CHECK_FALSE(decodePeerDatagram(bytes.substr(0, length)).ok());
 }
@@ -269,6 +409,7 @@
         harness.send(relay::event::ServerProbed { probe->server, relay::event::ServerProbed::Finding::Ended });
         registerSuccessor(harness, start.address, crash);
         harness.tick(milliseconds(1000));
+        harness.tick(milliseconds(100)); // For reports of other instances.
     }
     callPlainService(harness, nextId);
     const auto refusal = harness.last<relay::effect::Refuse>();
@@ -307,6 +448,7 @@
             CHECK_EQUAL_TEXT(each.finding == Finding::Unknown, isProbedAgain, each.name);
             registerSuccessor(harness, start.address, crash);
             harness.tick(milliseconds(1000));
+            harness.tick(milliseconds(100)); // For reports of other instances.
         }
         callPlainService(harness, nextId);
         const auto refusal = harness.last<relay::effect::Refuse>();
@@ -319,8 +461,8 @@
 TEST(RequestQuarantine, AQuarantineFromTheStoreIsInForceUntilItIsLifted)
 {
     RelayHarness harness;
-    const RequestIdentity ownRequest { WorkspaceId("w"), {} };
-    const RequestIdentity othersRequest { WorkspaceId("v"), {} };
+    const RequestTrait ownRequest { WorkspaceId("w"), ContentDigest {} };
+    const RequestTrait othersRequest { WorkspaceId("v"), ContentDigest {} };
     const auto isRefused = [&](std::uint64_t id) {
         CallSpec spec;
         spec.host = "h.example";
--- a/tests/StoreEntryTest.cpp
+++ b/tests/StoreEntryTest.cpp
@@ -269,33 +269,37 @@
 // A verdict of one instance must reach instances that start later, and deleting its entry must lift it on all of them.
 TEST(StoreEntry, QuarantineIsWrittenReadAndLifted)
 {
-    TestInstance finder;
-    RequestIdentity request { WorkspaceId("a workspace"), {} };
-    request.content.bytes[3] = 7;
-    QuarantineSink& sink = finder.quarantine;
-    sink.quarantine({ request, 3, 6, true });
-    finder.context.run_for(std::chrono::milliseconds(20));
-    CHECK_EQUAL(1U, finder.store.writes.size());
-    CHECK_EQUAL(0, finder.store.writes[0].expectedModRevision);
-
-    TestInstance other;
-    const StoreEvent listedEvent = eventOf(finder.store.writes[0], 9);
-    other.follower.storeChanged(listedEvent);
-    CHECK_TRUE(other.node.reducer().quarantine().isQuarantined(request, other.node.now()));
-    const std::string id = QuarantineStore::idOf(request);
-    CHECK_EQUAL(3U, other.quarantine.entries().at(id).servers);
-    net::co_spawn(other.context, other.quarantine.lift(id), net::detached);
-    other.context.run_for(std::chrono::milliseconds(20));
-    CHECK_EQUAL(1U, other.store.writes.size());
-    CHECK_EQUAL(9, other.store.writes[0].expectedModRevision);
-    other.follower.storeChanged(eventOf(other.store.writes[0], 10));
-    CHECK_FALSE(other.node.reducer().quarantine().isQuarantined(request, other.node.now()));
+    ContentDigest content;
+    content.bytes[3] = 7;
+    const WorkspaceId workspace("a workspace");
+    for (const RequestTrait& trait :
+        { RequestTrait { workspace, content }, RequestTrait { workspace, PromptPartId("5c1e07a2") } }) {
+        TestInstance finder;
+        QuarantineSink& sink = finder.quarantine;
+        sink.quarantine({ trait, 3, 6, true });
+        finder.context.run_for(std::chrono::milliseconds(20));
+        CHECK_EQUAL(1U, finder.store.writes.size());
+        CHECK_EQUAL(0, finder.store.writes[0].expectedModRevision);
+
+        TestInstance other;
+        const StoreEvent listedEvent = eventOf(finder.store.writes[0], 9);
+        other.follower.storeChanged(listedEvent);
+        CHECK_TRUE(other.node.reducer().quarantine().isQuarantined(trait, other.node.now()));
+        const std::string id = QuarantineStore::idOf(trait);
+        CHECK_EQUAL(3U, other.quarantine.entries().at(id).servers);
+        net::co_spawn(other.context, other.quarantine.lift(id), net::detached);
+        other.context.run_for(std::chrono::milliseconds(20));
+        CHECK_EQUAL(1U, other.store.writes.size());
+        CHECK_EQUAL(9, other.store.writes[0].expectedModRevision);
+        other.follower.storeChanged(eventOf(other.store.writes[0], 10));
+        CHECK_FALSE(other.node.reducer().quarantine().isQuarantined(trait, other.node.now()));
+    }
 }
 
 TEST(StoreEntry, InvalidQuarantineEntriesAreIgnored)
 {
     TestInstance finder;
-    const RequestIdentity request { WorkspaceId("w"), {} };
+    const RequestTrait request { WorkspaceId("w"), ContentDigest {} };
     QuarantineSink& sink = finder.quarantine;
     sink.quarantine({ request, 3, 6, true });
     finder.context.run_for(std::chrono::milliseconds(20));
@@ -329,7 +333,7 @@
 {
     TestInstance finder;
     QuarantineSink& sink = finder.quarantine;
-    const RequestIdentity request { WorkspaceId("w"), {} };
+    const RequestTrait request { WorkspaceId("w"), ContentDigest {} };
     sink.quarantine({ request, 3, 6, true });
     finder.context.run_for(std::chrono::milliseconds(20));
     TestInstance reader;
