Show the quarantine of a prompt part and the crashes behind it in a call's timeline; let the soak crash engines on a part

crocusmount why joined lines by the whole request, so a call refused for a part of its prompt had no cause in its timeline. Test: CallTimeline.QuarantineOfAPartOfThePromptAndTheCrashesBehindItAreShown.

--- a/src/shell/CallTimeline.cpp
+++ b/src/shell/CallTimeline.cpp
@@ -28,16 +28,18 @@
     /// @return the time of a line in milliseconds; zero if it has none
     std::int64_t timeOf(const json::object& line) { return numberOf(line, "time_ms"); }
 
-    /// @return the id that a call shares with its repeats, from the first line that has one; empty if none has
-    std::string requestOf(const std::vector<json::object>& lines)
+    /// @return the first value of a field that is not empty; empty if there is none
+    std::string firstText(const std::vector<json::object>& lines, const char* field)
     {
         for (const json::object& line : lines) {
-            if (std::string request = textOf(line, "request"); !request.empty())
-                return request;
+            if (std::string text = textOf(line, field); !text.empty())
+                return text;
         }
         return {};
     }
 
+    std::set<std::string> split(const std::string& list) { return absl::StrSplit(list, ',', absl::SkipEmpty()); }
+
     void sortByTime(std::vector<json::object>& lines)
     {
         std::stable_sort(
@@ -65,7 +67,7 @@
     }
     if (textOf(line, "call") == m_call)
         m_callLines.push_back(std::move(line));
-    else if (textOf(line, "call").empty() && !textOf(line, "request").empty())
+    else if (textOf(line, "call").empty() && !(textOf(line, "request").empty() && textOf(line, "part").empty()))
         m_requestLines.push_back(std::move(line));
     else if (!engineOf(line).empty())
         m_engineLines.push_back(std::move(line));
@@ -103,9 +105,14 @@
         if (isRelevant && time >= first - EngineStateLeadMs && time <= last && usedEngines.count(engineOf(engineLine)))
             all.push_back(engineLine);
     }
-    const std::string request = requestOf(m_callLines);
+    const std::string request = firstText(m_callLines, "request");
+    const std::string quarantined = firstText(m_callLines, "quarantined");
+    const std::set<std::string> parts = split(firstText(m_callLines, "parts"));
     for (const json::object& requestLine : m_requestLines) {
-        if (!request.empty() && textOf(requestLine, "request") == request && timeOf(requestLine) <= last)
+        const bool concernsRequest = !request.empty() && textOf(requestLine, "request") == request;
+        const bool concernsPart = parts.count(textOf(requestLine, "part"))
+            || (!quarantined.empty() && split(textOf(requestLine, "suspected_parts")).count(quarantined));
+        if ((concernsRequest || concernsPart) && timeOf(requestLine) <= last)
             all.push_back(requestLine);
     }
     sortByTime(all);
--- a/src/shell/CallTimeline.h
+++ b/src/shell/CallTimeline.h
@@ -12,7 +12,9 @@
 /// - the log lines of the call
 /// - the states of its engines as seen by the instances that handled it
 /// - the orders of any instance to its engines
-/// - log lines of any instance about its request up to the last line of the call, such as a quarantine
+/// - log lines of any instance about its request, or about a part of its prompt, up to the last line of the call, such
+/// as
+///   a quarantine
 class CallTimeline {
 public:
     /// @param call  id of the call, as in the field "call" of the logs
--- a/tests/CallTimelineTest.cpp
+++ b/tests/CallTimelineTest.cpp
@@ -19,6 +19,11 @@
     R"({"time_ms":1000,"instance":"z","what":"request_quarantined","request":"d4","servers":3})",
     R"({"time_ms":1001,"instance":"z","what":"request_quarantined","request":"d5","servers":3})",
     R"({"time_ms":3000,"instance":"a","what":"answer","call":"c4","outcome":"refused","request":"d4"})",
+    R"({"time_ms":900,"instance":"z","what":"server_ended_under_request","request":"d7","suspected_parts":"e1,e2"})",
+    R"({"time_ms":950,"instance":"z","what":"server_ended_under_request","request":"d8","suspected_parts":"e3"})",
+    R"({"time_ms":1002,"instance":"z","what":"request_quarantined","part":"e2","servers":3})",
+    R"({"time_ms":1003,"instance":"z","what":"request_quarantined","part":"e3","servers":3})",
+    R"({"time_ms":3000,"instance":"a","what":"answer","call":"c6","request":"d6","parts":"f1,e2","quarantined":"e2"})",
     "no log line",
 };
 
@@ -59,6 +64,16 @@
     CHECK_EQUAL(0, lines[1].at("since_ms").as_int64());
 }
 
+TEST(CallTimeline, QuarantineOfAPartOfThePromptAndTheCrashesBehindItAreShown)
+{
+    const auto lines = storyOf("c6").lines();
+    CHECK_EQUAL(3U, lines.size());
+    CHECK_TEXT("server_ended_under_request", std::string(lines[0].at("what").as_string()));
+    CHECK_TEXT("d7", std::string(lines[0].at("request").as_string()));
+    CHECK_TEXT("e2", std::string(lines[1].at("part").as_string()));
+    CHECK_TEXT("answer", std::string(lines[2].at("what").as_string()));
+}
+
 TEST(CallTimeline, TextHasOneRowPerLogLine)
 {
     const std::string text = storyOf("c2").text();
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -21,7 +21,7 @@
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 from httpio import close, read_body, read_head  # noqa: E402
 from paths import PathCut  # noqa: E402
-from standins import CARD_MB, HEALTH_PATH, KV_TOKEN_BYTES, LAYER_MB, LAYERS, Fleet, Link, Server, Store  # noqa: E402
+from standins import CARD_MB, CRASHING_PART, HEALTH_PATH, KV_TOKEN_BYTES, LAYER_MB, LAYERS, Fleet, Link, Server, Store  # noqa: E402
 
 ZONES = ["za", "zb"]
 GRACE_S = 8
@@ -49,6 +49,12 @@
     return f"{net}.90.2:7000"
 
 
+def prompt_parts(attempt, subject=None):
+    """Returns the header with the parts of a prompt, all but the last of which other requests have, too."""
+    subject = subject or f"a{int(attempt, 16) % 7}"
+    return f"X-Prompt-Prefix: f1:40,{subject}:30,{attempt}:30\r\n"
+
+
 class Instance:
     """One entry instance, run as a separate process."""
 
@@ -112,6 +118,9 @@
         if mutate == "path":
             for instance in self.instances:
                 instance.without = "path-detection"
+        if mutate == "parts":
+            for instance in self.instances:
+                instance.without = "prompt-parts"
         if mutate == "leaving":
             self.fleet.leaving_bound_s = -5.0
         # store_calm, backend_calm: monotonic time of the latest fault on the store or a server. Some kinds of faults set
@@ -212,7 +221,8 @@
         self.instance_of[attempt], self.sent_at[attempt] = instance, sent
         writer.write((f"POST /{route}/x HTTP/1.1\r\nHost: soak.example\r\nX-Attempt-Id: {attempt}\r\n"
                       f"Authorization: Bearer {KEY}\r\nX-Deadline-Ms: {deadline_ms}\r\nX-Key: k{attempt}\r\n"
-                      f"X-Events: {events}\r\nX-Token-Usage: 100,{events}\r\nContent-Length: 0\r\n\r\n").encode())
+                      f"X-Events: {events}\r\nX-Token-Usage: 100,{events}\r\n{prompt_parts(attempt)}"
+                      "Content-Length: 0\r\n\r\n").encode())
         try:
             head = await asyncio.wait_for(read_head(reader), 9)
             answer = await asyncio.wait_for(read_body(reader, head), 9) if head else None
@@ -594,7 +604,22 @@
             await asyncio.sleep(0.2 + draws.random() * 0.5)
         self.backend_calm = time.monotonic() + 3
 
-    async def send_crashing(self, instance, path, body):
+    async def crashing_parts(self):
+        """Sends requests with a part that crashes each engine that begins an answer on it; no two of them are equal.
+
+        It has a generator of its own, like limits().
+        """
+        draws = random.Random(f"parts {self.seed}")
+        await asyncio.sleep(draws.random() * self.seconds / 3)
+        part = f"{CRASHING_PART}{draws.randrange(16 ** 6):06x}"
+        self.backend_calm = time.monotonic() + 60
+        for _ in range(draws.randint(12, 20)):
+            body = f"{draws.random()}".encode()
+            await self.send_crashing(draws.choice(self.instances), "draft", body, part)
+            await asyncio.sleep(0.1 + draws.random() * 0.4)
+        self.backend_calm = time.monotonic() + 3
+
+    async def send_crashing(self, instance, path, body, part=None):
         self.attempts += 1
         attempt = f"{self.attempts:016x}"
         self.instance_of[attempt] = instance
@@ -603,7 +628,8 @@
             reader, writer = await asyncio.wait_for(asyncio.open_connection(host, int(port)), 1)
             writer.write((f"POST /{path}/x HTTP/1.1\r\nHost: soak.example\r\nX-Attempt-Id: {attempt}\r\n"
                           f"Authorization: Bearer {KEY}\r\nX-Deadline-Ms: 6000\r\nX-Key: k\r\nX-Events: 9\r\n"
-                          f"X-Token-Usage: 100,9\r\nContent-Length: {len(body)}\r\n\r\n").encode() + body)
+                          f"X-Token-Usage: 100,9\r\n{prompt_parts(attempt, part)}"
+                          f"Content-Length: {len(body)}\r\n\r\n").encode() + body)
             head = await asyncio.wait_for(read_head(reader), 9)
             answer = await asyncio.wait_for(read_body(reader, head), 9) if head else None
             if answer and answer.complete and answer.status == 200:
@@ -613,15 +639,19 @@
             pass
 
     def judge_crashing(self):
-        """Checks that a request reaches servers at most three times once STABLE_S has passed since its third crash."""
-        for body, times in self.fleet.crashed.items():
-            if len(times) < 3:
+        """Checks that requests that crash servers reach at most three more once they are to be known, after STABLE_S.
+
+        A request is to be known after three crashes, and requests with a part in common after five.
+        """
+        for cause, times in self.fleet.crashed.items():
+            tolerated = 5 if cause.startswith(CRASHING_PART) else 3
+            if len(times) < tolerated:
                 continue
-            late = [attempt for at, attempt in self.fleet.reached[body]
-                    if at > times[2] + STABLE_S and self.instance_of[attempt].calm(STABLE_S, at)
+            late = [attempt for at, attempt in self.fleet.reached[cause]
+                    if at > times[tolerated - 1] + STABLE_S and self.instance_of[attempt].calm(STABLE_S, at)
                     and not self.instance_of[attempt].was_cut_off(at - STABLE_S, at)]
             if len(late) > 3 or self.mutate == "crashes":
-                self.report("quarantine", f"{body} ended {len(times)} servers and was sent on {len(late)} times more")
+                self.report("quarantine", f"{cause} ended {len(times)} servers and was sent on {len(late)} times more")
 
     async def change(self, _draws):
         self.routes ^= {"extra"}
@@ -636,7 +666,7 @@
             instance.started_calm = time.monotonic()
         callers = [asyncio.create_task(self.caller()) for _ in range(16)]
         callers += [asyncio.create_task(self.caller(3 if each % 4 == 0 else 1, follows=True)) for each in range(16)]
-        await asyncio.gather(self.faults(), self.limits(), self.notices(), self.path_cuts())
+        await asyncio.gather(self.faults(), self.limits(), self.notices(), self.path_cuts(), self.crashing_parts())
         self.faults_over = time.monotonic()
         await asyncio.sleep(6)
         before = self.served()
@@ -712,7 +742,7 @@
     parser.add_argument("--program", default="build/crocusmount-entry")
     parser.add_argument("--block", type=int, default=1, help="second number of the loopback addresses, 1 to 254")
     parser.add_argument("--untimed", action="store_true", help="leave out promises with a bound in time")
-    parser.add_argument("--mutate", default="", help="breaks one promise on purpose: announced, backoff, body, config, crashes, cut, leaving, limits, path, runs")
+    parser.add_argument("--mutate", default="", help="breaks one promise on purpose: announced, backoff, body, config, crashes, cut, leaving, limits, parts, path, runs")
     arguments = parser.parse_args()
     if "-" in arguments.seeds:
         first, last = arguments.seeds.split("-")
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -16,6 +16,7 @@
 UNFRAMED_SHARE = 0.5  # of the starts of servers: answers have neither a length nor chunks and end with their connection
 REFUSED_SHARE = 0.5  # of the crashes: the address refuses connections; otherwise they are accepted and then reset
 CRASHES = b"crash"  # a server crashes when it begins to run a request whose body has this prefix
+CRASHING_PART = "dead"  # an engine crashes when it begins an answer on a prompt with a part whose id has this prefix
 
 
 def fits(layers):
@@ -218,12 +219,20 @@
         return self._answer(writer, 200, {})
 
 
+def crash_cause(message):
+    """Returns what of a request crashes servers, as text: its body or a part of its prompt; empty if nothing does."""
+    if message.body.startswith(CRASHES):
+        return message.body.decode()
+    parts = [each.partition(":")[0] for each in message.headers.get("x-prompt-prefix", "").split(",")[:-1]]
+    return next((part for part in parts if part.startswith(CRASHING_PART)), "")
+
+
 class Fleet:
     """All backend servers, the number of runs of each attempt, and the promises that the servers saw violated."""
 
     def __init__(self, store, seed):
         self.seed, self.store, self.servers, self.runs, self.wrong = seed, store, {}, {}, []
-        # By body of a crashing request: (time, attempt) of each arrival, and the time of each crash.
+        # By body or prompt part that crashes servers: (time, attempt) of each arrival, and the time of each crash.
         self.reached, self.crashed = {}, {}
         self.leaving_bound_s = 2.0  # from the write of the drain to the store until no new request may arrive
 
@@ -353,15 +362,15 @@
                                   | self.notices(attempt)))
             return True
         self._check_leaving(attempt)
-        crashes = message.body.startswith(CRASHES)
-        if crashes:
-            self.fleet.reached.setdefault(message.body, []).append((time.monotonic(), attempt))
+        cause = crash_cause(message)
+        if cause:
+            self.fleet.reached.setdefault(cause, []).append((time.monotonic(), attempt))
         if self.retry_after_s:
             return self._reject(writer, attempt)
         if self.kind:
-            return await self._stream(message, writer, attempt, crashes)
-        if crashes:
-            return await self._crash_under(message.body)
+            return await self._stream(message, writer, attempt, cause)
+        if cause:
+            return await self._crash_under(cause)
         self.fleet.ran(attempt)
         await asyncio.sleep(0.01)
         body = f"plain {message.headers['x-key']}".encode()
@@ -375,11 +384,11 @@
                                             "Retry-After": f"{self.retry_after_s:g}"} | self.notices(attempt)))
         return True
 
-    async def _crash_under(self, body):
+    async def _crash_under(self, cause):
         """Crashes the server while it runs the request, and restarts it after 1.5 s."""
         await asyncio.sleep(0.05)
         if self.alive:
-            self.fleet.crashed.setdefault(body, []).append(time.monotonic())
+            self.fleet.crashed.setdefault(cause, []).append(time.monotonic())
             await self.crash(3.6, self.draws.random() < 0.5, self.draws.choice([0, self.draws.random()]))
             self.revival = asyncio.create_task(self._start_later())
         return False
@@ -410,7 +419,7 @@
             self.layers = layers
             self.register()
 
-    async def _stream(self, message, writer, attempt, crashes):
+    async def _stream(self, message, writer, attempt, cause):
         status, culprit = self._check_chain(message.headers.get("x-hop-count", ""))
         if status != 200:
             writer.write(response(status, headers={"X-Not-Executed": "1", "X-Attempt-Id": attempt, "At-Server": culprit}
@@ -429,8 +438,8 @@
                 event = f"id: {number}\ndata: {message.headers['x-key']} {number}\n\n".encode()
                 part = event if unframed else f"{len(event):x}\r\n".encode() + event + b"\r\n"
                 self.streams[writer] = part
-                if crashes:
-                    return await self._crash_under(message.body)
+                if cause:
+                    return await self._crash_under(cause)
                 await asyncio.sleep(0.02)
                 if writer.is_closing():
                     return False
