Keep attempts at a server that refuses connections until their own connection ends

Cause: a server that leaves stops listening before its calls have ended. A refused check was taken for the end of its process unless its leave was known.

Ruled out: a crash (its entry says later that it leaves, under the same id).

Change: only a later start proves that a process has ended. After a refused connection, an attempt at that server goes on until its own connection ends, which it does with the process, or until the call stalls; it is a suspect of a crash only once its connection ends. Attempts that pass through the server as a later stage are moved as before.

Test: LeavingServer.AttemptsAreNotCancelledWhenALeavingServerStopsListening. Its case of a server that has ended without notice said that a refused connection alone cancels, while the attempt goes on to send events; that is the fault. It is replaced by four: the leave is not known yet; silence with an open connection; a connection that ends; a later start. The second failed before ("its leave is not known yet").

--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -4,6 +4,7 @@
 #include "relay/Call.h"
 #include "relay/CallPlacer.h"
 #include "relay/CrashEvidence.h"
+#include "relay/EndSign.h"
 #include "relay/EngineCheckBudget.h"
 #include "relay/HarmlessTraits.h"
 #include "relay/PermitIssuer.h"
@@ -160,12 +161,12 @@
     bool isUsable(const RegisteredServer&) const;
     void keepUnusableEntry(const RegisteredServer&, Context&);
     bool applyReportedStart(const BackendId&, StartTime, const LayerRange&, Context&);
-    void abandonEndedServer(const BackendId&, Context&);
+    void abandonEndedServer(const BackendId&, EndSign, Context&);
     bool isGone(const BackendId&) const;
     bool hasLostServer(const Attempt&) const;
     bool mayFinishCalls(const BackendId&) const;
     bool hasEndedStage(const Chain&) const;
-    void handleLostStage(Call&, const BackendId& lost, Context&);
+    void handleLostStage(Call&, const BackendId& lost, EndSign, Context&);
     void retryLostStages(Context&);
     void replaceOrEndAttempt(Call&, Context&);
     void cancelLostAttempt(Call&, const Attempt&, Context&);
@@ -203,7 +204,7 @@
     void checkUnsettledServers(Context&);
     void probe(FleetServer&, Context&);
     void sendProbe(FleetServer&, Context&);
-    void recordServerEnded(const FleetServer&, Context&);
+    void recordServerEnded(const FleetServer&, EndSign, Context&);
     void settleCrashes(Context&);
     void countCrash(const CrashReport&, bool isOwn, Context&);
     void planContradictions(const CrashReport&, Context&);
--- a/src/relay/RelayReducerChecks.cpp
+++ b/src/relay/RelayReducerChecks.cpp
@@ -171,7 +171,7 @@
     const bool hasEnded = checked.refused && !isPathInDoubt();
     m_crashEvidence.noteSilent(server->othersLoad.engine, context.now, server->lastAliveAt);
     if (hasEnded)
-        recordServerEnded(*server, context);
+        recordServerEnded(*server, EndSign::RefusedConnection, context);
     m_fleet.recordMissedCheck(checked.engine, hasEnded, context.now);
     ++m_counters.deadEngines;
     server = m_fleet.find(checked.engine);
@@ -186,7 +186,7 @@
     }
     // Streams through an ended process hold memory at all other stages until their callers time out.
     if (hasEnded)
-        abandonEndedServer(checked.engine, context);
+        abandonEndedServer(checked.engine, EndSign::RefusedConnection, context);
     else
         abandonDeadEngine(checked.engine, context);
     dispatchAll(context);
--- a/src/relay/RelayReducerCrashes.cpp
+++ b/src/relay/RelayReducerCrashes.cpp
@@ -152,7 +152,7 @@
     if (probed.finding == Finding::Alive)
         m_crashEvidence.noteAlive(server->othersLoad.engine);
     else if (probed.finding == Finding::Ended && (probed.responded || !isPathInDoubt()))
-        recordServerEnded(*server, context);
+        recordServerEnded(*server, EndSign::RefusedConnection, context);
     else
         server->nextProbe = context.now + ReprobeInterval;
     const LifeSign sign = probed.finding == Finding::Alive                           ? LifeSign::Alive
@@ -163,14 +163,15 @@
 
 /// Records that a server's process has ended, with the calls that it was running. A leaving server ends on purpose and
 /// is not counted.
-void RelayReducer::recordServerEnded(const FleetServer& server, Context& context)
+void RelayReducer::recordServerEnded(const FleetServer& server, EndSign sign, Context& context)
 {
     if (server.entry.leaving || !countsCrashes())
         return;
     std::vector<CrashSuspect> running;
     const auto consider = [&](const Call& call, const Attempt& attempt) {
-        if (!attempt.usesServer(server.entry.id))
-            return;
+        const bool isConnected = attempt.server == server.entry.id && sign == EndSign::RefusedConnection;
+        if (!attempt.usesServer(server.entry.id) || isConnected)
+            return; // A connected attempt becomes a suspect if its connection ends.
         CrashSuspect suspect = suspectOf(call, attempt, context.now);
         if (suspect.sign != CrashSign::None)
             running.push_back(std::move(suspect));
--- a/src/relay/RelayReducerServers.cpp
+++ b/src/relay/RelayReducerServers.cpp
@@ -47,8 +47,8 @@
         context.effects.emplace_back(
             effect::LogServerState { ServerStateChange::StartEnded, ended.entry.id, server.startedAt });
         m_moveOffAt.erase(ended.entry.id);
-        recordServerEnded(ended, context);
-        abandonEndedServer(ended.entry.id, context);
+        recordServerEnded(ended, EndSign::LaterStart, context);
+        abandonEndedServer(ended.entry.id, EndSign::LaterStart, context);
     }
     // An engine that gives up layers waits for the streams through them before it loads others.
     if (movesLayers && registration.ended.empty())
@@ -86,7 +86,7 @@
     m_contacts.forget(gone.server);
     // A server that leaves without notice still answers checks until its entry ends, so a missed check shows a crash.
     if (const FleetServer* server = m_fleet.find(gone.server); server && server->unansweredChecks)
-        recordServerEnded(*server, context);
+        recordServerEnded(*server, EndSign::NoSignOfLife, context);
     if (m_fleet.remove(gone.server, context.now))
         context.effects.emplace_back(
             effect::LogServerState { effect::LogServerState::ServerStateChange::Reinstated, gone.server, {} });
@@ -122,7 +122,7 @@
 }
 
 /// Handles the lost stage of each running call that uses a server whose process has ended.
-void RelayReducer::abandonEndedServer(const BackendId& ended, Context& context)
+void RelayReducer::abandonEndedServer(const BackendId& ended, EndSign sign, Context& context)
 {
     std::vector<RequestId> lost;
     for (const auto& [id, call] : m_calls) {
@@ -133,7 +133,7 @@
     }
     for (const RequestId& id : lost) {
         if (const auto call = m_calls.find(id); call != m_calls.end())
-            handleLostStage(call->second, ended, context);
+            handleLostStage(call->second, ended, sign, context);
     }
 }
 
@@ -167,10 +167,13 @@
 }
 
 /// Handles a running call that uses a server whose process has ended: replaces the stage by a reroute, continues with
-/// another attempt, or ends the call with the actual cause.
-void RelayReducer::handleLostStage(Call& call, const BackendId& lost, Context& context)
+/// another attempt, or ends the call with the actual cause. An attempt whose own server refuses connections goes on
+/// until its connection ends or the call stalls.
+void RelayReducer::handleLostStage(Call& call, const BackendId& lost, EndSign sign, Context& context)
 {
-    if (call.second && call.second->usesServer(lost)) {
+    const auto mayRunOn
+        = [&](const Attempt& attempt) { return attempt.server == lost && sign == EndSign::RefusedConnection; };
+    if (call.second && call.second->usesServer(lost) && !mayRunOn(*call.second)) {
         cancelLostAttempt(call, *call.second, context);
         endSecondAttempt(call, context);
     }
@@ -181,7 +184,7 @@
             settleEnd(call.id, EndVerdict::BrokenOff, context);
         return;
     }
-    if (!call.main.usesServer(lost) || (call.main.server == lost && mayFinishCalls(lost)))
+    if (!call.main.usesServer(lost) || mayRunOn(call.main) || (call.main.server == lost && mayFinishCalls(lost)))
         return;
     call.main.hasLostStage = true;
     call.main.hasServerEnded = call.main.hasServerEnded || call.main.server == lost;
--- a/tests/LeavingServerTest.cpp
+++ b/tests/LeavingServerTest.cpp
@@ -121,32 +121,68 @@
 //     22.658 s its attempt is cancelled
 //     22.659 s another server rejects the call
 //     22.665 s the answer ends incomplete
+//
+// The server's leave may become known later than that: on one day 0.5 s later, and streams ran on a third server.
 TEST(LeavingServer, AttemptsAreNotCancelledWhenALeavingServerStopsListening)
 {
+    enum class Sign { Leaves, SendsEvents, SendsNothing, BreaksOff, IsReplaced };
     const struct {
         const char* name;
-        bool isLeaving;
+        Sign sign;
         bool isCancelled;
-    } cases[] = { { "the server is leaving", true, false }, { "the server has ended without notice", false, true } };
+        bool isContinuedElsewhere;
+    } cases[] = {
+        { "the server is leaving", Sign::Leaves, false, false },
+        { "its leave is not known yet", Sign::SendsEvents, false, false },
+        { "the server is silent, and its connection stays open", Sign::SendsNothing, true, true },
+        { "the server has ended, and its connection with it", Sign::BreaksOff, false, true },
+        { "a later start of the server shows that it has ended", Sign::IsReplaced, true, true },
+    };
     for (const auto& each : cases) {
         RelayHarness harness;
         const auto start = harness.running("/draft/1", 20);
         RegisteredServer server = firstStage(start.server.value().c_str());
-        server.leaving = each.isLeaving;
+        server.leaving = each.sign == Sign::Leaves;
         harness.send(relay::event::ServerRegistered { server });
+        bool isCancelled = false;
+        std::optional<relay::effect::StartAttempt> next;
+        const auto observe = [&] {
+            isCancelled = isCancelled || harness.last<relay::effect::CancelAttempt>().has_value();
+            if (const auto started = harness.last<relay::effect::StartAttempt>(); started && !next)
+                next = started;
+        };
         harness.send(relay::event::EngineChecked { start.server, false, 1, true });
-        bool isCancelled = harness.last<relay::effect::CancelAttempt>().has_value();
+        observe();
         for (const char* id : { "a", "b", "c", "d" }) {
             if (start.server != BackendId(id))
                 harness.send(relay::event::EngineChecked { BackendId(id), true, 1 });
         }
-        for (std::uint64_t next = 21; next < 40; ++next) {
-            if (!isCancelled)
-                harness.events(start.attempt, next, next, milliseconds(0));
+        if (each.sign == Sign::BreaksOff) {
+            harness.send(relay::event::AttemptEnded { start.attempt, AttemptResult::Broken, 200, "" });
+            observe();
+        }
+        if (each.sign == Sign::IsReplaced) {
+            server.id = BackendId("next");
+            server.startedAt = StartTime(1);
+            harness.send(relay::event::ServerRegistered { server });
+            observe();
+        }
+        for (std::uint64_t event = 21; event < 60; ++event) {
+            if (each.sign == Sign::Leaves || each.sign == Sign::SendsEvents) {
+                harness.events(start.attempt, event, event, milliseconds(0));
+                observe();
+            }
             harness.tick(milliseconds(20));
-            isCancelled = isCancelled || harness.last<relay::effect::CancelAttempt>();
+            observe();
+            if (const auto reroute = harness.last<relay::effect::RerouteAttempt>())
+                harness.send(relay::event::RerouteAnswered { reroute->attempt, false });
+            observe();
+            if (next && each.sign == Sign::SendsNothing)
+                harness.send(relay::event::EventDelivered { next->attempt, 21 });
+            observe();
         }
         CHECK_EQUAL_TEXT(each.isCancelled, isCancelled, each.name);
+        CHECK_EQUAL_TEXT(each.isContinuedElsewhere, next.has_value(), each.name);
     }
 }
 
