Count the open ends of each trait once per change, not once per waiting call

Calls that wait for a server ask in every tick whether a verdict on one of their traits is due. With several traits a call, each such question went through all lost attempts and their traits.

--- a/src/relay/CrashEvidence.cpp
+++ b/src/relay/CrashEvidence.cpp
@@ -1,6 +1,8 @@
 #include "relay/CrashEvidence.h"
 
 #include <algorithm>
+#include <set>
+#include <utility>
 
 namespace crocusmount::relay {
 
@@ -23,12 +25,6 @@
 
 } // namespace
 
-bool CrashEvidence::ServerEnd::hasSuspectWith(const RequestTrait& trait) const
-{
-    return std::any_of(
-        suspects.begin(), suspects.end(), [&](const CrashSuspect& each) { return each.hasTrait(trait); });
-}
-
 bool CrashEvidence::ServerEnd::hasSuspectLike(const CrashSuspect& suspect) const
 {
     return std::any_of(
@@ -47,6 +43,7 @@
 
 void CrashEvidence::noteLost(const CrashSuspect& suspect, std::vector<std::uint64_t> servers, TimePoint now)
 {
+    m_areOpenEndCountsOutdated = true;
     std::erase_if(servers, [&](std::uint64_t server) {
         const auto end = m_ends.find(server);
         const bool isConfirmed = end != m_ends.end() && end->second.confirmedAt;
@@ -63,6 +60,7 @@
 
 void CrashEvidence::noteAlive(std::uint64_t server)
 {
+    m_areOpenEndCountsOutdated = true;
     for (LostAttempt& lost : m_lostAttempts)
         std::erase(lost.servers, server);
     std::erase_if(m_lostAttempts, [](const LostAttempt& lost) { return lost.servers.empty(); });
@@ -88,6 +86,7 @@
     ServerEnd& end = m_ends.try_emplace(server, ServerEnd { now, lastAliveAt }).first->second;
     if (end.confirmedAt)
         return false;
+    m_areOpenEndCountsOutdated = true;
     end.confirmedAt = now;
     end.suspects = std::move(running);
     std::erase_if(m_lostAttempts, [&](const LostAttempt& lost) {
@@ -114,6 +113,7 @@
     for (auto& [server, end] : m_ends) {
         if (end.isSettled || !end.confirmedAt || now < *end.confirmedAt + SettleTime)
             continue;
+        m_areOpenEndCountsOutdated = true;
         end.isSettled = true;
         for (const CrashSuspect& suspect : end.suspects)
             reports.push_back({ suspect, server, isGroupFailure(end, suspect) });
@@ -124,13 +124,26 @@
 
 std::size_t CrashEvidence::unclassifiedEndCount(const RequestTrait& trait) const
 {
-    const auto lostCount = std::count_if(m_lostAttempts.begin(), m_lostAttempts.end(),
-        [&](const LostAttempt& each) { return each.suspect.hasTrait(trait); });
-    const auto endCount = std::count_if(m_ends.begin(), m_ends.end(), [&](const auto& each) {
-        const ServerEnd& end = each.second;
-        return end.confirmedAt && !end.isSettled && end.hasSuspectWith(trait);
-    });
-    return static_cast<std::size_t>(lostCount + endCount);
+    if (std::exchange(m_areOpenEndCountsOutdated, false))
+        updateOpenEndCounts();
+    const auto count = m_openEndCounts.find(trait);
+    return count == m_openEndCounts.end() ? 0 : count->second;
+}
+
+void CrashEvidence::updateOpenEndCounts() const
+{
+    m_openEndCounts.clear();
+    for (const LostAttempt& lost : m_lostAttempts) {
+        for (const RequestTrait& trait : lost.suspect.traits)
+            ++m_openEndCounts[trait];
+    }
+    for (const auto& [server, end] : m_ends) {
+        std::set<RequestTrait> traits;
+        for (const CrashSuspect& suspect : end.suspects)
+            traits.insert(suspect.traits.begin(), suspect.traits.end());
+        for (const RequestTrait& trait : traits)
+            m_openEndCounts[trait] += end.confirmedAt && !end.isSettled ? 1 : 0;
+    }
 }
 
 std::map<std::uint64_t, TimePoint> CrashEvidence::unsettledServers() const
@@ -145,8 +158,10 @@
 
 void CrashEvidence::removeExpired(TimePoint now)
 {
-    while (!m_lostAttempts.empty() && now >= m_lostAttempts.front().lostAt + LostAttemptLifetime)
+    while (!m_lostAttempts.empty() && now >= m_lostAttempts.front().lostAt + LostAttemptLifetime) {
+        m_areOpenEndCountsOutdated = true;
         m_lostAttempts.pop_front();
+    }
     std::erase_if(m_ends, [&](const auto& each) { return now >= each.second.detectedAt + ServerEndLifetime; });
 }
 
--- a/src/relay/CrashEvidence.h
+++ b/src/relay/CrashEvidence.h
@@ -16,9 +16,8 @@
 ///
 /// A server that crashes ends all requests that it runs. Two rules narrow down the cause:
 /// - A request is suspected only if the server had just begun to run it or may have been about to (see CrashSign).
-/// - If several servers ended at about the same time that held no request with a trait in common with this one, the
-/// cause
-///   is assumed to be the loss of a group of servers, such as a rack or those behind a switch.
+/// - If several servers ended at about the same time whose requests have no trait in common with this one, the cause
+///   seems to be the loss of a group of servers, such as a rack or those behind a switch.
 ///
 /// A server ended at some time between when it was last known to be alive and when its end was detected. Servers whose
 /// intervals do not overlap did not end together, even if their ends were detected within a short time.
@@ -68,7 +67,6 @@
         bool isSettled = false; ///< has been classified
         std::vector<CrashSuspect> suspects; ///< at most one per request
 
-        bool hasSuspectWith(const RequestTrait&) const;
         /// @return whether a suspect has a trait in common with a request
         bool hasSuspectLike(const CrashSuspect&) const;
         /// Adds a suspect, or raises the sign of a known one.
@@ -82,8 +80,13 @@
     bool isGroupFailure(const ServerEnd&, const CrashSuspect&) const;
     void removeExpired(TimePoint now);
 
+    /// Calls that wait for a server ask for their traits in every tick, and most of the time nothing has changed.
+    void updateOpenEndCounts() const;
+
     std::deque<LostAttempt> m_lostAttempts; ///< oldest first
     std::map<std::uint64_t, ServerEnd> m_ends; ///< by key of the server
+    mutable std::map<RequestTrait, std::size_t> m_openEndCounts; ///< see unclassifiedEndCount
+    mutable bool m_areOpenEndCountsOutdated = false;
 };
 
 } // namespace crocusmount::relay
