--- a/src/relay/RelayReducerCrashes.cpp
+++ b/src/relay/RelayReducerCrashes.cpp
@@ -61,9 +61,7 @@
     return classifyTrait(evidence);
 }
 
-/// @return the call as a suspect in case that a server of the attempt has ended; its sign is CrashSign::None if the
-/// call
-///         did not cause that
+/// @return the call as a suspect if a server of the attempt has ended; with CrashSign::None if it is not one
 CrashSuspect RelayReducer::suspectOf(const Call& call, const Attempt& attempt, TimePoint now) const
 {
     CrashSuspect suspect { {}, signOf(call, attempt) };
--- a/tests/RelayLoopbackTest.cpp
+++ b/tests/RelayLoopbackTest.cpp
@@ -252,6 +252,34 @@
     }
 }
 
+TEST(RelayLoopback, RequestWithAQuarantinedPartInItsPromptIsRefused)
+{
+    const std::string wholeAnswer = answerHead("200 OK") + "Content-Length: 4\r\n\r\nbody";
+    const struct {
+        const char* name;
+        const char* prompt;
+        const char* workspace;
+        bool refused;
+    } cases[] = {
+        { "among others", "f1:40,c1:20,e1:5", "w", true },
+        { "first", "c1:20,e1:5", "w", true },
+        { "in upper case with a leading zero", "f1:40,0C1:20,e1:5", "w", true },
+        { "last, where it is the request's own", "f1:40,c1:20", "w", false },
+        { "of another workspace", "f1:40,c1:20,e1:5", "v", false },
+        { "other parts", "f1:40,c2:20,e1:5", "w", false },
+        { "a malformed entry", "f1:40,c1,e1:5", "w", false },
+    };
+    for (const auto& testCase : cases) {
+        std::string request = requestTo("/book/1");
+        request.insert(request.find("X-Attempt-Id"), std::string("X-Prompt-Prefix: ") + testCase.prompt + "\r\n");
+        const RequestTrait quarantined { WorkspaceId(testCase.workspace), PromptPartId("c1") };
+        const CallOutcome result = runCall(request, { wholeAnswer }, quarantined);
+        CHECK_EQUAL_TEXT(testCase.refused ? 0U : 1U, result.requests, testCase.name);
+        CHECK_EQUAL_TEXT(testCase.refused, hasText(result.answer, "HTTP/1.1 400"), testCase.name);
+        CHECK_EQUAL_TEXT(testCase.refused, hasText(result.answer, "not_run"), testCase.name);
+    }
+}
+
 // Guards against an attempt whose own timer fires before the reducer notices the call's deadline. On site odpoklic-lj,
 // day quiet-1, 45 calls ended as 502, and their servers were avoided as if they had failed.
 TEST(RelayLoopback, CallThatReachesItsDeadlineIsAnsweredAsTimedOut)
--- a/tests/RequestQuarantineTest.cpp
+++ b/tests/RequestQuarantineTest.cpp
@@ -457,6 +457,52 @@
     }
 }
 
+// Guards against a part that is blocked because some instances have not run it, though others have.
+TEST(RequestQuarantine, AnInstanceContradictsEvidenceAgainstAPartThatRanThere)
+{
+    const struct {
+        const char* name;
+        bool hasRun;
+        Duration sinceRun;
+        std::uint64_t ends; ///< servers that ended under requests with the part, by other instances
+        bool isContradicted;
+    } cases[] = {
+        { "it ran lately, and one more end may be enough", true, milliseconds(1000), 2, true },
+        { "it ran lately, and evidence is scarce", true, milliseconds(1000), 1, false },
+        { "it ran long ago", true, minutes(1), 2, false },
+        { "it never ran", false, milliseconds(1000), 2, false },
+    };
+    for (const auto& each : cases) {
+        RelayHarness harness;
+        CallSpec spec;
+        spec.host = "h.example";
+        spec.path = "/look/1";
+        spec.key = "key";
+        spec.promptParts = { PromptPartId("b1") };
+        if (each.hasRun) {
+            harness.send(relay::event::CallArrived { RequestId(1000), spec });
+            const auto start = harness.last<relay::effect::StartAttempt>();
+            harness.send(relay::event::AttemptSent { start->attempt });
+            harness.send(relay::event::AttemptEnded { start->attempt, AttemptResult::Completed, 200, "" });
+        }
+        harness.tick(each.sinceRun);
+        const auto reportEnds = [&](std::uint64_t firstServer) {
+            std::vector<CrashReport> reports;
+            for (std::uint64_t server = firstServer; server < firstServer + each.ends; ++server)
+                reports.push_back({ { { request(9), part("b1") }, CrashSign::JustBegun }, server });
+            harness.send(relay::event::CrashesReported { reports });
+            harness.tick(milliseconds(60));
+            return harness.last<relay::effect::ShareHarmlessTraits>();
+        };
+        const auto contradiction = reportEnds(1);
+        CHECK_EQUAL_TEXT(each.isContradicted, contradiction.has_value(), each.name);
+        if (contradiction)
+            CHECK_TRUE_TEXT(contradiction->traits == std::vector { part("b1") }, each.name);
+        // A part that became harmful must not be defended again and again.
+        CHECK_FALSE_TEXT(reportEnds(10).has_value(), each.name);
+    }
+}
+
 // Also guards against a quarantine that affects the requests of another workspace.
 TEST(RequestQuarantine, AQuarantineFromTheStoreIsInForceUntilItIsLifted)
 {
