Let a server of the soak start only if it does not run

Two faults that overlap both started it: a drain ends and starts its server after 6 s whatever has happened since, and a restart under the same id starts it after its own pause. No check of the soak changes.

--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -271,7 +271,12 @@
         return f"i-{self.name}-{self.incarnation}"
 
     async def start(self, keeps_id=False):
-        """Starts without layers, under a new id or the previous one. The start time (`born`) tells the starts apart."""
+        """Starts without layers, under a new id or the previous one. The start time (`born`) tells the starts apart.
+
+        Faults overlap, so another one may have started it already.
+        """
+        if self.alive:
+            return
         if keeps_id and self.lapse:
             self.lapse.cancel()  # Its heartbeats resume before the entry expires.
         self.incarnation += 0 if keeps_id else 1
