--- a/src/relay/RequestQuarantine.h
+++ b/src/relay/RequestQuarantine.h
@@ -17,9 +17,9 @@
 /// reach the same verdicts.
 ///
 /// A crash has many suspects, and most of them are harmless. A server that ended under a quarantined trait is
-/// explained, so it does not count against other traits. Of the traits of one request that reach the limit together,
-/// the narrowest is quarantined: its content, else the latest part of the prompt, as requests share the beginning of
-/// their prompts.
+/// explained, so it does not count against other traits. If several traits reach the limit together, the one with the
+/// most evidence is quarantined first, then the narrowest: the content, else the later part of the prompt, as requests
+/// share the beginning of their prompts.
 class RequestQuarantine {
 public:
     /// What looks like a group failure to one instance may be several crashes, of which the other instances hold the
