Soak: count a request for a pause only where the instance can have heard it

Cause, in the check. The two checks beside it (limits, announced leaves) take an answer for heard in the same way.

Change: an answer counts only if it was written TOLD_S before the deadline of its call, for all three checks; faults of links and cuts count from when the call was sent, as they may hold back the request, too. Found by reading, and not seen in a failing run: requests to a later start of the server counted, which begins without a backoff (decision 0013), and the soak's own pauses were counted as the instance's time; both are left out now.

A server now counts as alive once it listens, two starts exclude each other, and one that is not alive cannot crash.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -33,7 +33,8 @@
 # instances that passed on an answer naming it TOLD_S before or earlier.
 LIMIT_WINDOW_S = 4
 TOLD_S = 0.5
-# A server that asked an instance for a time without requests gets at most so many from TOLD_S after that on.
+# A server that asked an instance for a time without requests gets at most so many from TOLD_S after that on, as long as
+# it does not restart.
 MAX_DURING_BACKOFF = 2
 # A call that was sent later than this after its instance had passed on an answer that says that a server leaves must not
 # reach that server.
@@ -41,6 +42,7 @@
 # Callers of an instance that was cut off from all servers PATH_S before or earlier are served two thirds as often as those
 # of the others, or no more than 10 + 1 in 50 of all first tries fail there.
 PATH_S = 3
+STALL_CHECK_S = 0.1
 KEY = "soak-key"
 EVENT_END = b"\n\n"
 
@@ -112,7 +114,8 @@
         self.net, self.fleet = net, Fleet(self.store, seed)
         self.store_link = Link(store_link(net), f"{net}.90.1:7000")
         self.instances = [Instance(each, program, folder, net) for each in range(instances)]
-        self.store_faults, self.instance_of, self.sent_at = [], {}, {}
+        # By attempt: its instance, when its caller sent it, and how long the caller waits. Stalls: see watch_stalls().
+        self.store_faults, self.instance_of, self.sent_at, self.deadlines_s, self.stalls = [], {}, {}, {}, []
         # Cuts: (begin, end, instances). Calls of callers that follow the directory: (time, instance, whether served).
         self.path_cut, self.cuts, self.first_tries = PathCut(lambda: [each.link for each in self.fleet.servers.values()]), [], []
         if mutate == "path":
@@ -219,6 +222,7 @@
         route, deadline_ms = (self.random.choice(["look", "book"]), 1000) if follows else (route, 6000)
         events, sent = self.random.randint(3, 60), time.monotonic()
         self.instance_of[attempt], self.sent_at[attempt] = instance, sent
+        self.deadlines_s[attempt] = deadline_ms / 1000
         writer.write((f"POST /{route}/x HTTP/1.1\r\nHost: soak.example\r\nX-Attempt-Id: {attempt}\r\n"
                       f"Authorization: Bearer {KEY}\r\nX-Deadline-Ms: {deadline_ms}\r\nX-Key: k{attempt}\r\n"
                       f"X-Events: {events}\r\nX-Token-Usage: 100,{events}\r\n{prompt_parts(attempt)}"
@@ -388,21 +392,26 @@
             await server.start()
         self.backend_calm = time.monotonic()
 
+    def was_awaited(self, attempt, answered_at):
+        """Whether the instance still awaited the answer to an attempt. It has given up one whose deadline has passed."""
+        return answered_at + TOLD_S < self.sent_at.get(attempt, 0) + self.deadlines_s.get(attempt, 0)
+
     def judge_backoffs(self):
         """Checks that servers got next to nothing from an instance in the time for which they had asked it."""
         bound = -1 if self.mutate == "backoff" else MAX_DURING_BACKOFF
         for server in self.fleet.servers.values():
-            for rejected_at, attempt, seconds in server.rejections:
+            for rejected_at, attempt, seconds, start in server.rejections:
                 instance, end = self.instance_of.get(attempt), rejected_at + seconds
-                harmed = any(start < end and until > rejected_at for start, until in server.link_faults)
-                if instance is None or harmed or not instance.calm(seconds + TOLD_S, end):
+                if instance is None or not self.was_awaited(attempt, rejected_at):
                     continue
-                if instance.was_cut_off(rejected_at, end):
+                sent = self.sent_at[attempt]
+                harmed = any(begin < end and until > sent for begin, until in server.link_faults)
+                if harmed or not instance.calm(seconds + TOLD_S, end) or instance.was_cut_off(sent, end):
                     continue
-                count = sum(rejected_at + TOLD_S < at < end and self.instance_of.get(each) is instance
-                            for at, each in server.arrivals)
+                count = sum(at < end and each_start == start and self.instance_of.get(each) is instance
+                            and self.time_awake(rejected_at, at) > TOLD_S for at, each, each_start in server.arrivals)
                 if count > bound:
-                    self.report("backoff", f"{server.id} had asked {instance.ip} for {seconds} s without requests, and "
+                    self.report("backoff", f"{start[0]} had asked {instance.ip} for {seconds} s without requests, and "
                                 f"got {count} from it in that time")
                     return
 
@@ -413,9 +422,9 @@
             for begin, end in server.leaves:
                 end, told = end or time.monotonic(), {}
                 for at, attempt in server.leaving_answers:
-                    if begin <= at < end and attempt in self.instance_of:
+                    if begin <= at < end and self.was_awaited(attempt, at):
                         told.setdefault(self.instance_of[attempt], at)
-                for at, attempt in server.arrivals:
+                for at, attempt, _ in server.arrivals:
                     instance = self.instance_of.get(attempt)
                     told_at = told.get(instance)
                     if told_at is None or not begin <= at < end:
@@ -432,10 +441,10 @@
             for begin, end, limits in self.limit_spans(server):
                 told = {}
                 for at, attempt in server.named:
-                    if begin <= at < end and attempt in self.instance_of:
+                    if begin <= at < end and self.was_awaited(attempt, at):
                         told.setdefault(self.instance_of[attempt], at)
                 arrivals = []
-                for at, attempt in server.arrivals:
+                for at, attempt, _ in server.arrivals:
                     instance = self.instance_of.get(attempt)
                     knows = instance in told and told[instance] + TOLD_S <= at
                     calm = knows and instance.calm(STABLE_S, at) and not instance.was_cut_off(at - STABLE_S, at)
@@ -660,7 +669,20 @@
 
     # ---- A run ----------------------------------------------------------------------------------------------------
 
+    async def watch_stalls(self):
+        """Records when this process stood still, so that it stamped what servers received too late."""
+        while True:
+            before = time.monotonic()
+            await asyncio.sleep(STALL_CHECK_S)
+            if time.monotonic() > before + 2 * STALL_CHECK_S:
+                self.stalls.append((before + STALL_CHECK_S, time.monotonic()))
+
+    def time_awake(self, begin, end):
+        """Returns the time from `begin` to `end` without the stalls."""
+        return end - begin - sum(max(0, min(end, until) - max(begin, start)) for start, until in self.stalls)
+
     async def run(self):
+        watch = asyncio.create_task(self.watch_stalls())
         await self.start()
         for instance in self.instances:
             instance.started_calm = time.monotonic()
@@ -675,6 +697,7 @@
             self.report("recovery", "nothing served 6 s after the last fault")
         self.stopping = True
         await asyncio.wait(callers, timeout=12)
+        watch.cancel()
         for instance in self.instances:
             instance.send(signal.SIGKILL)
             await instance.process.wait()
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -250,6 +250,7 @@
         self.fleet, self.name, self.service, self.zone, self.kind = fleet, name, service, zone, kind
         self.link, self.address, self.behind = Link(address, behind), address, behind
         self.incarnation, self.state, self.layers, self.alive, self.left_at = 0, "ready", (0, 0), False, None
+        self.is_starting = False
         self.listener, self.connections, self.lapse = None, set(), None
         # By connection of each running stream: the bytes that it writes next. A generator of its own draws the framing
         # of each start, and how the server ends under a crashing request.
@@ -257,10 +258,11 @@
         self.born_ms, self.orders = 0, 0
         # The requests a second that it takes from all instances, None without a limit, and (time, limit) of each change.
         self.limit, self.limits = None, []
-        # (time, attempt) of each request, and of each answer that named the limit. Times of link faults: (start, end).
+        # (time, attempt, start) of each request, (time, attempt) of each answer that named the limit, and (start, end) of
+        # each link fault.
         self.arrivals, self.named, self.link_faults = [], [], []
-        # While not 0, it rejects all calls and asks for this time without requests, in seconds. (time, attempt, seconds)
-        # of each rejection.
+        # While not 0, it rejects all calls and asks for this time without requests, in seconds. (time, attempt, seconds,
+        # start) of each rejection.
         self.retry_after_s, self.rejections = 0, []
         # [begin, end] of each time in which its answers say that it leaves, while its entry does not; end is None while
         # it lasts. (time, attempt) of each success that says so.
@@ -270,18 +272,24 @@
     def id(self):
         return f"i-{self.name}-{self.incarnation}"
 
+    @property
+    def start_key(self):
+        """The id and the time of the present start, which no other start has together."""
+        return self.id, self.born_ms
+
     async def start(self, keeps_id=False):
         """Starts without layers, under a new id or the previous one. The start time (`born`) tells the starts apart.
 
         Faults overlap, so another one may have started it already.
         """
-        if self.alive:
+        if self.alive or self.is_starting:
             return
+        self.is_starting = True
         if keeps_id and self.lapse:
             self.lapse.cancel()  # Its heartbeats resume before the entry expires.
         self.incarnation += 0 if keeps_id else 1
         self.born_ms = max(self.born_ms + 1, int(time.time() * 1000))
-        self.state, self.layers, self.alive, self.left_at, self.orders = "ready", (0, 0), True, None, 0
+        self.state, self.layers, self.left_at, self.orders = "ready", (0, 0), None, 0
         self.set_limit(None)
         self.retry_after_s = 0
         if self.leaves:
@@ -290,6 +298,7 @@
         if self.link.server is None:
             await self.link.start()
         self.listener = await serve(self.behind, self._answer, self.connections)
+        self.alive, self.is_starting = True, False
         self.fleet.servers[self.name] = self
         self.register()
 
@@ -334,6 +343,8 @@
         Each stream still writes the share `written` of its next event. The entry in the store expires after `silent_for`
         seconds.
         """
+        if not self.alive:
+            return
         self.alive = False
         self.listener.close()
         if self.draws.random() < REFUSED_SHARE:
@@ -361,7 +372,7 @@
                                   headers={"X-Instance-Id": self.id} | self.notices("")))
             return True
         attempt = message.headers.get("x-attempt-id", "")
-        self.arrivals.append((time.monotonic(), attempt))
+        self.arrivals.append((time.monotonic(), attempt, self.start_key))
         if message.headers.get("x-expect-instance", self.id) != self.id:
             writer.write(response(421, headers={"X-Not-Executed": "1", "X-Attempt-Id": attempt}
                                   | self.notices(attempt)))
@@ -384,7 +395,7 @@
         return not self.unframed
 
     def _reject(self, writer, attempt):
-        self.rejections.append((time.monotonic(), attempt, self.retry_after_s))
+        self.rejections.append((time.monotonic(), attempt, self.retry_after_s, self.start_key))
         writer.write(response(503, headers={"X-Not-Executed": "1", "X-Attempt-Id": attempt,
                                             "Retry-After": f"{self.retry_after_s:g}"} | self.notices(attempt)))
         return True
