Keep a draining instance in the exchange of loads while it reports

Callers that asked a draining instance for the directory were sent to instances that reach no server.

Cause: an instance that drains leaves the list at once, and the others then send it no sums. 0.9 s later its last report of another collector expires; the only sum left is its own, in which nobody is cut off.

Ruled out: detection. The instances in question had been found cut off after 0.85 and 0.93 s and stayed so.

Change: who is not listed any more, but still reports, takes part until its reports stop. Nothing new is sent to tell this. Its calls count in the load of the servers for as long, which they did not.

Before: the two new tests fail (AnUnlistedInstanceTakesPartWhileItReports for a1, TheDirectoryOfADrainingInstanceNamesNoneThatIsCutOff). After: the groups LoadExchange and CutOffInstance pass.

--- a/src/edge/PeerLink.cpp
+++ b/src/edge/PeerLink.cpp
@@ -362,7 +362,7 @@
         if (!entry.peerAddress.empty())
             others.push_back(peerOf(entry));
     }
-    m_exchange.setPeers(std::move(others));
+    m_exchange.setPeers(std::move(others), m_node.now());
     // The list can be long, so it is read only while a server names a limit.
     if (m_node.reducer().fleet().limitedCount())
         updateCoordinators();
--- a/src/relay/LoadExchange.cpp
+++ b/src/relay/LoadExchange.cpp
@@ -66,8 +66,19 @@
     m_peers[m_self.dataCentre].push_back(m_self);
 }
 
-void LoadExchange::setPeers(std::vector<LoadPeer> others)
+void LoadExchange::setPeers(std::vector<LoadPeer> others, TimePoint now)
 {
+    std::erase_if(m_lastReports, [&](const auto& each) { return now - each.second > ReportLifetime; });
+    const auto isListed = [&](const LoadPeer& peer) {
+        return std::any_of(others.begin(), others.end(),
+            [&](const LoadPeer& other) { return other.id == peer.id || other.address == peer.address; });
+    };
+    std::vector<LoadPeer> unlisted;
+    for (const auto& [dataCentre, peers] : m_peers) {
+        std::copy_if(peers.begin(), peers.end(), std::back_inserter(unlisted),
+            [&](const LoadPeer& peer) { return m_lastReports.count(peer.id) && !isListed(peer); });
+    }
+    others.insert(others.end(), unlisted.begin(), unlisted.end());
     m_peers.clear();
     m_peers[m_self.dataCentre].push_back(m_self);
     for (LoadPeer& peer : others)
@@ -234,6 +245,8 @@
 
 void LoadExchange::receive(const LoadReport& report, TimePoint now)
 {
+    if (report.sender != m_self.id)
+        m_lastReports[report.sender] = now;
     switch (report.scope) {
     case LoadScope::Instance:
     case LoadScope::Fleet: {
--- a/src/relay/LoadExchange.h
+++ b/src/relay/LoadExchange.h
@@ -44,8 +44,10 @@
     ///                       from its data centre in a round; 0: no limit
     explicit LoadExchange(LoadPeer self, std::size_t bytesPerRound = 0);
 
+    /// Sets who takes part. An instance that has left the list stays as long as it reports: while it drains, its calls
+    /// load the servers, and callers still ask it which instances reach them.
     /// @param others  all other listed instances
-    void setPeers(std::vector<LoadPeer> others);
+    void setPeers(std::vector<LoadPeer> others, TimePoint now);
 
     /// Sets whether this instance reaches no backend server, although others do.
     void setCutOff(bool isCutOff) { m_isCutOff = isCutOff; }
@@ -94,7 +96,7 @@
     void mergeReport(Sources&, const std::string& source, const LoadReport&, TimePoint now);
     /// @return the collectors of a data centre: the first CollectorCount instances by id
     std::vector<const LoadPeer*> collectorsOf(const DataCentreId&) const;
-    /// @return the number of listed instances, this one included
+    /// @return the number of instances that take part, this one included
     std::uint32_t peerCount() const;
     LoadReport makeReport(
         LoadScope, std::uint32_t instances, const std::vector<EngineLoad>&, std::size_t reportCount) const;
@@ -104,6 +106,7 @@
     LoadPeer m_self;
     std::size_t m_bytesPerRound; ///< 0: no limit
     std::map<DataCentreId, std::vector<LoadPeer>> m_peers; ///< sorted by id, this instance included
+    std::map<InstanceId, TimePoint> m_lastReports; ///< when each of the other peers last sent a report of any scope
     bool m_isCutOff = false; ///< see setCutOff()
     std::uint64_t m_sequence = 0; ///< number of the current round
     std::vector<EngineLoad> m_ownLoads; ///< as of the last round
--- a/tests/CutFleet.cpp
+++ b/tests/CutFleet.cpp
@@ -72,16 +72,13 @@
         relay.without = m_options.without;
         relay.dataCentre = DataCentreId("z");
         instance.reducer = std::make_unique<RelayReducer>(relay);
-        std::vector<LoadPeer> peers;
         for (const InstanceRegistry::Entry& other : entries) {
             if (other.id == entries[i].id)
                 continue;
             const std::string value = R"({"address":")" + other.address + R"(","data_centre":")" + other.dataCentre
                 + R"(","peer_address":")" + other.peerAddress + R"("})";
             instance.registry.storeChanged({ { "crocusmount/instances/" + other.id, value, 1 }, false });
-            peers.push_back({ InstanceId(other.id), DataCentreId(other.dataCentre), other.id });
         }
-        instance.exchange.setPeers(std::move(peers));
         post(i, event::ConfigurationAccepted { RouteTable::make(RelayHarness::configuration()) });
         post(i, event::InstancesCounted { static_cast<std::uint32_t>(m_options.instances) });
         for (const auto& [id, server] : m_servers)
@@ -146,6 +143,15 @@
         instance->cut.reset();
 }
 
+void CutFleet::unlist(std::size_t instance)
+{
+    const std::string& id = m_instances[instance]->peer.id.value();
+    for (std::size_t other = 0; other < m_instances.size(); ++other) {
+        if (other != instance)
+            m_instances[other]->registry.storeChanged({ { "crocusmount/instances/" + id, "", 2 }, true });
+    }
+}
+
 void CutFleet::freeze(const std::vector<std::string>& servers, Duration span)
 {
     for (const std::string& id : servers)
@@ -382,6 +388,10 @@
         at(instance.pausedUntil - m_now, [this, index] { makeRound(index); });
         return;
     }
+    std::vector<LoadPeer> peers;
+    for (const InstanceRegistry::Entry& other : instance.registry.others())
+        peers.push_back({ InstanceId(other.id), DataCentreId(other.dataCentre), other.id });
+    instance.exchange.setPeers(std::move(peers), m_now);
     instance.exchange.setCutOff(instance.reducer->isCutOff());
     for (auto& outgoing : instance.exchange.makeRound(instance.reducer->ownLoads(m_now), m_now)) {
         const std::size_t to = std::stoul(outgoing.address.substr(1)) - 1000;
--- a/tests/CutFleet.h
+++ b/tests/CutFleet.h
@@ -56,6 +56,8 @@
     /// Cuts all instances of a data centre off from all servers.
     void cutDataCentre(std::size_t dataCentre, CutKind);
     void heal();
+    /// Takes an instance out of the list of the others, as when it drains. It goes on running.
+    void unlist(std::size_t instance);
     /// Lets servers answer nothing for a time. Their streams go on after it.
     void freeze(const std::vector<std::string>& servers, Duration);
     /// Ends one server without notice. Its host answers nothing.
--- a/tests/CutOffInstanceTest.cpp
+++ b/tests/CutOffInstanceTest.cpp
@@ -118,6 +118,22 @@
     }
 }
 
+// A draining instance still answers callers that ask it for the directory. Once the others no longer listed it, it got no
+// reports from them, and its directory named instances that were cut off.
+TEST(CutOffInstance, TheDirectoryOfADrainingInstanceNamesNoneThatIsCutOff)
+{
+    for (const std::size_t draining : { 3U, 4U, 8U }) {
+        CutFleet fleet({});
+        fleet.run(seconds(3));
+        fleet.unlist(draining);
+        fleet.run(seconds(2));
+        fleet.cut(3, CutKind::Hang);
+        fleet.run(seconds(5));
+        for (std::size_t cutOff = 0; cutOff < 3; ++cutOff)
+            CHECK_FALSE(fleet.isNamed(draining, cutOff));
+    }
+}
+
 // Some servers stay dead. Their silence must not keep an instance from returning that reaches the others.
 TEST(CutOffInstance, AnInstanceReturnsThoughSomeServersStayDead)
 {
--- a/tests/LoadExchangeTest.cpp
+++ b/tests/LoadExchangeTest.cpp
@@ -29,7 +29,7 @@
 
     /// Stops an instance from sending and receiving. The instance stays listed.
     void cutOff(const std::string& id) { m_cutOffIds.push_back(id); }
-    /// Removes an instance from the list of peers.
+    /// Removes an instance from the list of peers. It goes on sending and receiving.
     void unlist(const std::string& id)
     {
         std::erase_if(m_peers, [&](const LoadPeer& each) { return each.id.value() == id; });
@@ -62,6 +62,7 @@
     void runRoundWithLoads(const std::map<std::string, std::vector<EngineLoad>>& own)
     {
         m_now += milliseconds(150);
+        updatePeers();
         m_sentBytes.clear();
         m_receivedBytes.clear();
         for (auto& [id, exchange] : m_exchanges) {
@@ -122,7 +123,7 @@
                 if (each.id.value() != id)
                     others.push_back(each);
             }
-            exchange.setPeers(std::move(others));
+            exchange.setPeers(std::move(others), m_now);
         }
     }
 
@@ -271,6 +272,29 @@
     DOUBLES_EQUAL(0, network.othersTokenLayers("b1", 7), 0.01);
 }
 
+// A draining instance leaves the list at once, and answers callers until its last call has ended.
+TEST(LoadExchange, AnUnlistedInstanceTakesPartWhileItReports)
+{
+    const std::uint64_t cutOff = instanceKey(InstanceId("a3"));
+    for (const char* draining : { "a1", "a2", "a4", "b1", "c1" }) {
+        LoadNetwork network(sevenPeers());
+        for (int i = 0; i < 4; ++i)
+            network.runRound({});
+        network.unlist(draining);
+        for (int i = 0; i < 12; ++i)
+            network.runRound({ { draining, { 7, 10, 1 } } });
+        network.exchange("a3").setCutOff(true);
+        for (int i = 0; i < 4; ++i)
+            network.runRound({ { draining, { 7, 10, 1 } } });
+        CHECK_TRUE_TEXT(network.exchange(draining).cutOffInstances(network.now()).count(cutOff), draining);
+        DOUBLES_EQUAL_TEXT(10, network.othersTokenLayers("b2", 7), 0.01, draining);
+        network.cutOff(draining);
+        for (int i = 0; i < 12; ++i)
+            network.runRound({});
+        DOUBLES_EQUAL_TEXT(0, network.othersTokenLayers("b2", 7), 0.01, draining);
+    }
+}
+
 // Reports of single instances stay in their data centre, so a round needs few datagrams even with many instances.
 TEST(LoadExchange, DatagramCountGrowsLinearlyWithInstances)
 {
@@ -327,8 +351,8 @@
 TEST(LoadExchange, AnOldReportDoesNotReplaceANewerOne)
 {
     LoadExchange exchange(peer("a1", "a"));
-    exchange.setPeers({ peer("a2", "a") });
     const TimePoint now = timePoint(1000);
+    exchange.setPeers({ peer("a2", "a") }, now);
     const auto report = [](std::uint64_t sequence, double tokenLayers) {
         return LoadReport { InstanceId("a2"), DataCentreId("a"), sequence, LoadScope::Instance, 1,
             { { 7, tokenLayers, 1 } } };
