Judge whether the path is back by contacts since it was lost

Cause: a cut-off instance returns when two thirds of its contacts of the last 1.2 s were answered. It is found cut off after 0.8 s, and a busy one has more answers in the 0.4 s before the cut than failures since. So entry-1 was cut off and reachable in turns, each 20 ms, 53 of 64 contacts answered, twelve times; each return forgets the failures that it had seen of servers. The directory named it for 2.6 s longer.

Change: the contacts begin afresh when the path is lost.

Before: the new test is found cut off 8 times instead of once. After: once; the group CutOffInstance passes.

--- a/src/relay/RelayReducerPath.cpp
+++ b/src/relay/RelayReducerPath.cpp
@@ -77,7 +77,9 @@
     if (before != m_path && (isCutOff() || before == ServerPath::CutOff)) {
         ++(isCutOff() ? m_counters.pathsLost : m_counters.pathsRestored);
         context.effects.emplace_back(effect::LogServerPath { before, m_path, evidence });
-        if (!isCutOff())
+        if (isCutOff())
+            m_contacts.forgetRecent(); // Answers from before do not show that the path is back.
+        else
             m_fleet.forgetFailures();
     }
     checkPath(evidence, context);
--- a/src/relay/ServerContacts.h
+++ b/src/relay/ServerContacts.h
@@ -27,6 +27,8 @@
     void recordFailure(const BackendId&, TimePoint askedAt, TimePoint now);
     /// Forgets the failures of a server that is not registered any more.
     void forget(const BackendId&);
+    /// Starts recent() afresh.
+    void forgetRecent() { m_recent.clear(); }
 
     /// @return servers that failed to answer since the last answered contact
     const std::set<BackendId>& failed() const { return m_failed; }
--- a/tests/CutOffInstanceTest.cpp
+++ b/tests/CutOffInstanceTest.cpp
@@ -134,6 +134,49 @@
     }
 }
 
+// An instance with many calls returned to the directory 20 ms after it had been found cut off, and again and again: most
+// contacts of the last second had been answered, before the cut.
+TEST(CutOffInstance, AnswersFromBeforeTheCutDoNotBringAnInstanceBack)
+{
+    RelayHarness harness;
+    harness.send(relay::event::InstancesCounted { 4 });
+    const auto tick = [&] {
+        EngineLoads others;
+        for (const auto& [id, server] : harness.reducer().fleet().servers())
+            others[engineKey(id)] = { engineKey(id), 0, 0, 0, 1 };
+        harness.send(relay::event::LoadsReported { others });
+        harness.tick(std::chrono::milliseconds(20));
+    };
+    for (int i = 0; i < 60; ++i) {
+        tick();
+        for (int call = 0; call < 3; ++call) {
+            const auto attempt = harness.running("/look/1");
+            harness.send(relay::event::AnswerBegun { attempt.attempt });
+            harness.send(relay::event::AttemptEnded { attempt.attempt, AttemptResult::Completed });
+        }
+    }
+    const auto failContacts = [&] {
+        for (const RelayEffect& effect : RelayEffects(harness.effects())) {
+            if (const auto* check = std::get_if<relay::effect::CheckEngine>(&effect))
+                harness.send(relay::event::EngineChecked { check->engine, false, 1, false, check->startedAt });
+            else if (const auto* probe = std::get_if<relay::effect::ProbeServer>(&effect))
+                harness.send(
+                    relay::event::ServerProbed { probe->server, relay::event::ServerProbed::Finding::Unknown, false });
+            else if (const auto* started = std::get_if<relay::effect::StartAttempt>(&effect))
+                harness.send(relay::event::AttemptEnded { started->attempt, AttemptResult::ConnectFailed });
+        }
+    };
+    harness.call("/look/1");
+    failContacts();
+    for (int i = 0; i < 150; ++i) {
+        tick();
+        failContacts();
+    }
+    CHECK_TRUE(harness.reducer().isCutOff());
+    CHECK_EQUAL(1U, harness.reducer().counters().pathsLost);
+    CHECK_EQUAL(0U, harness.reducer().counters().pathsRestored);
+}
+
 // Some servers stay dead. Their silence must not keep an instance from returning that reaches the others.
 TEST(CutOffInstance, AnInstanceReturnsThoughSomeServersStayDead)
 {
