Give no directory before the reports of the other instances can have arrived

Cause: entry-1 restarted while it and two others were cut off. For the 150 ms until its first round, and in part for 300 ms, it knew the others from the store and nothing of their reports, so its directory named all of them, while those of the others named one. Callers use such an answer for up to 3 s.

Change: the directory has no addresses until a report can have passed from any instance to any other, three rounds of 150 ms; an instance without others needs none. Callers ask another directory then, as they do before the first configuration.

Test: hasExchangedReports() is new.

--- a/programs/crocusmount-entry.cpp
+++ b/programs/crocusmount-entry.cpp
@@ -130,11 +130,12 @@
     /// @return whether the store has been read, routes are configured and no drain has begun
     bool ready() const { return m_mirror.isComplete() && m_node.reducer().routes() && !m_node.reducer().isDraining(); }
 
-    /// @return the addresses for the directory, none while this instance has no routes. Without routes the instance
-    ///         cannot serve calls, and may not know the other instances.
+    /// @return the addresses for the directory, none while this instance has no routes or has not heard of the others.
+    ///         Without routes it cannot serve calls. It may not know the other instances, or which of them can.
     std::vector<std::string> callerAddresses() const
     {
-        return m_node.reducer().routes() ? m_registry.callerAddresses() : std::vector<std::string>();
+        const bool knowsOthers = !m_peerLink || m_peerLink->hasExchangedReports();
+        return m_node.reducer().routes() && knowsOthers ? m_registry.callerAddresses() : std::vector<std::string>();
     }
 
     std::string metrics() const
--- a/src/edge/PeerLink.cpp
+++ b/src/edge/PeerLink.cpp
@@ -13,6 +13,9 @@
 
     /// Sums of loads are two rounds old when they reach their readers, while streams last seconds.
     constexpr std::chrono::milliseconds RoundInterval { 150 };
+    /// Rounds in which a report passes from any instance to any other: its own, its collector's and the receiver's
+    /// collector's.
+    constexpr std::uint64_t RoundsOfOneReport = 3;
     /// Maximum share of the link bandwidth for load reports, so that they do not delay store changes.
     constexpr double MaxLoadReportShare = 0.3;
     constexpr std::size_t MaxDatagramBytes = 65000;
@@ -355,8 +358,11 @@
     }
 }
 
+bool PeerLink::hasExchangedReports() const { return m_registry.count() == 1 || m_rounds >= RoundsOfOneReport; }
+
 void PeerLink::makeRound()
 {
+    ++m_rounds;
     std::vector<relay::LoadPeer> others;
     for (const InstanceRegistry::Entry& entry : m_registry.others()) {
         if (!entry.peerAddress.empty())
--- a/src/edge/PeerLink.h
+++ b/src/edge/PeerLink.h
@@ -49,6 +49,9 @@
 
     /// @return whether this instance passes the store's changes on to the others of its data centre
     bool distributesStoreChanges() const { return m_mirror.distributesChanges(); }
+    /// @return whether what all other instances report can have arrived since the start, for example that they reach no
+    ///         backend server; true at once without others
+    bool hasExchangedReports() const;
     const Traffic& traffic() const { return m_traffic; }
     const PeerCopies::Traffic& copyTraffic() const { return m_copies.traffic(); }
 
@@ -99,6 +102,7 @@
         int roundsLeft = 0;
     };
     std::vector<RepeatedDatagram> m_repeatedDatagrams;
+    std::uint64_t m_rounds = 0; ///< since the start
     int m_leavingAnnouncements = 0; ///< rounds in which this instance has announced that it leaves
     bool m_distributedStoreChanges = false; ///< last logged value of distributesStoreChanges()
     bool m_reportedOutdated = false; ///< last state of the store copy that was posted to the relay
--- a/tests/PeerLinkTest.cpp
+++ b/tests/PeerLinkTest.cpp
@@ -90,6 +90,7 @@
     relay::RelayNode& node() { return m_node; }
     SwitchableStore& store() { return m_store; }
     const StoreMirror& mirror() const { return m_mirror; }
+    const PeerLink& link() const { return *m_link; }
     const std::string& configuration() const { return m_configuration; }
 
 private:
@@ -156,6 +157,23 @@
     }
 }
 
+// An instance that had just started named others that were cut off from the servers, as no report had reached it yet.
+TEST(PeerLink, AnInstanceHasExchangedReportsAfterThreeRounds)
+{
+    net::io_context context(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE);
+    Instance alone(context, "c", "z");
+    CHECK_TRUE(alone.link().hasExchangedReports());
+    Instance peer(context, "b", "z");
+    Instance first(context, "a", "z");
+    first.list(peer);
+    CHECK_FALSE(first.link().hasExchangedReports());
+    const auto start = std::chrono::steady_clock::now();
+    while (!first.link().hasExchangedReports() && std::chrono::steady_clock::now() < start + std::chrono::seconds(5))
+        context.run_one_for(milliseconds(20));
+    CHECK_TRUE(first.link().hasExchangedReports());
+    CHECK_TRUE(std::chrono::steady_clock::now() - start >= milliseconds(450));
+}
+
 // Guards against an outdated configuration on an instance whose calls the store rejects while it serves the others. The
 // lease of such an instance expires, so the others no longer list it and send it no changes. The first instance of a
 // data centre also ignored changes from peers. In a replay of such an outage of 20 s on six instances, a
