Let a leaving instance that hears nobody conclude nothing about the others

Cause: entry-1 got its SIGTERM 0.1 s after its start. It was listed for 50 ms, less than a round, so the others never took it for a peer and sent it nothing. It went on as a collector of its data centre, and after 1.8 s told the other data centre that entry-3 was silent; the last sum of a data centre counts. entry-3, the only one with a path, left the directories, and these named the three others.

Change: a leaving instance that hears no report sends its own and collects nothing. Its directory has no addresses then.

Before: the new test finds another instance's cut-off state lost. After: it passes, with the groups LoadExchange and PeerLink.

--- a/programs/crocusmount-entry.cpp
+++ b/programs/crocusmount-entry.cpp
@@ -134,7 +134,7 @@
     ///         Without routes it cannot serve calls. It may not know the other instances, or which of them can.
     std::vector<std::string> callerAddresses() const
     {
-        const bool knowsOthers = !m_peerLink || m_peerLink->hasExchangedReports();
+        const bool knowsOthers = !m_peerLink || m_peerLink->hasCurrentReports();
         return m_node.reducer().routes() && knowsOthers ? m_registry.callerAddresses() : std::vector<std::string>();
     }
 
--- a/src/edge/PeerLink.cpp
+++ b/src/edge/PeerLink.cpp
@@ -358,7 +358,12 @@
     }
 }
 
-bool PeerLink::hasExchangedReports() const { return m_registry.count() == 1 || m_rounds >= RoundsOfOneReport; }
+bool PeerLink::hasCurrentReports() const
+{
+    if (m_registry.isWithdrawn() && !m_exchange.hearsOthers())
+        return false;
+    return m_registry.count() == 1 || m_rounds >= RoundsOfOneReport;
+}
 
 void PeerLink::makeRound()
 {
@@ -377,6 +382,7 @@
         relay::DecisionLog::state(
             "store_follower", { { "watches", m_distributedStoreChanges }, { "instances", m_registry.count() } });
     m_exchange.setCutOff(m_node.reducer().isCutOff());
+    m_exchange.setLeaving(m_registry.isWithdrawn());
     for (auto& each : m_exchange.makeRound(m_node.reducer().ownLoads(m_node.now()), m_node.now())) {
         PeerDatagram datagram { std::move(each.report), std::nullopt, std::nullopt, {} };
         send(each.address, encode(datagram));
--- a/src/relay/LoadExchange.cpp
+++ b/src/relay/LoadExchange.cpp
@@ -164,7 +164,7 @@
         if (!(*collector == m_self))
             outgoing.push_back({ collector->address, ownReport });
     }
-    if (!isCollector()) {
+    if (!isCollector() || (m_isLeaving && !hearsOthers())) {
         m_lastHeard.clear();
         return outgoing;
     }
--- a/src/relay/LoadExchange.h
+++ b/src/relay/LoadExchange.h
@@ -52,6 +52,13 @@
     /// Sets whether this instance reaches no backend server, although others do.
     void setCutOff(bool isCutOff) { m_isCutOff = isCutOff; }
 
+    /// Sets whether this instance is shutting down. If the others have dropped it from the list before they heard of
+    /// it, none reports to it, and it must not conclude that they are silent.
+    void setLeaving(bool isLeaving) { m_isLeaving = isLeaving; }
+
+    /// @return whether another instance has reported lately, as of the last setPeers()
+    bool hearsOthers() const { return !m_lastReports.empty(); }
+
     /// Starts a round and returns the reports to send in it.
     /// @param own  the load that this instance puts on each engine
     std::vector<OutgoingLoadReport> makeRound(std::vector<EngineLoad> own, TimePoint now);
@@ -108,6 +115,7 @@
     std::map<DataCentreId, std::vector<LoadPeer>> m_peers; ///< sorted by id, this instance included
     std::map<InstanceId, TimePoint> m_lastReports; ///< when each of the other peers last sent a report of any scope
     bool m_isCutOff = false; ///< see setCutOff()
+    bool m_isLeaving = false; ///< see setLeaving()
     std::uint64_t m_sequence = 0; ///< number of the current round
     std::vector<EngineLoad> m_ownLoads; ///< as of the last round
     Sources m_members; ///< instances of this data centre; used only while this instance is a collector
--- a/tests/CutOffInstanceTest.cpp
+++ b/tests/CutOffInstanceTest.cpp
@@ -118,8 +118,8 @@
     }
 }
 
-// A draining instance still answers callers that ask it for the directory. Once the others no longer listed it, it got no
-// reports from them, and its directory named instances that were cut off.
+// A draining instance still answers callers that ask it for the directory. Once the others no longer listed it, it got
+// no reports from them, and its directory named instances that were cut off.
 TEST(CutOffInstance, TheDirectoryOfADrainingInstanceNamesNoneThatIsCutOff)
 {
     for (const std::size_t draining : { 3U, 4U, 8U }) {
@@ -134,8 +134,8 @@
     }
 }
 
-// An instance with many calls returned to the directory 20 ms after it had been found cut off, and again and again: most
-// contacts of the last second had been answered, before the cut.
+// An instance with many calls returned to the directory 20 ms after it had been found cut off, and again and again:
+// most contacts of the last second had been answered, before the cut.
 TEST(CutOffInstance, AnswersFromBeforeTheCutDoNotBringAnInstanceBack)
 {
     RelayHarness harness;
--- a/tests/LoadExchangeTest.cpp
+++ b/tests/LoadExchangeTest.cpp
@@ -295,6 +295,27 @@
     }
 }
 
+// An instance that was shut down 0.1 s after its start was listed for less than a round, so that none reported to it.
+// It told other data centres that all of its own were silent, and their directories left those out.
+TEST(LoadExchange, ALeavingInstanceThatHearsNobodyCallsNobodySilent)
+{
+    std::vector<LoadPeer> peers = sevenPeers();
+    peers.push_back(peer("c2", "c"));
+    LoadNetwork network(peers);
+    network.unlist("c2");
+    network.exchange("c2").setLeaving(true);
+    network.exchange("c1").setCutOff(true);
+    for (int i = 0; i < 20; ++i) {
+        network.runRound({});
+        for (const char* id : { "a1", "a4", "b1", "c1" }) {
+            CHECK_TRUE(network.silentInstancesKnownTo(id).empty());
+            CHECK_TRUE(i < 4 || network.exchange(id).cutOffInstances(network.now()).size() == 1);
+        }
+    }
+    CHECK_FALSE(network.exchange("c2").hearsOthers());
+    CHECK_TRUE(network.exchange("c1").hearsOthers());
+}
+
 // Reports of single instances stay in their data centre, so a round needs few datagrams even with many instances.
 TEST(LoadExchange, DatagramCountGrowsLinearlyWithInstances)
 {
--- a/tests/PeerLinkTest.cpp
+++ b/tests/PeerLinkTest.cpp
@@ -158,19 +158,19 @@
 }
 
 // An instance that had just started named others that were cut off from the servers, as no report had reached it yet.
-TEST(PeerLink, AnInstanceHasExchangedReportsAfterThreeRounds)
+TEST(PeerLink, AnInstanceHasTheReportsOfTheOthersAfterThreeRounds)
 {
     net::io_context context(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE);
     Instance alone(context, "c", "z");
-    CHECK_TRUE(alone.link().hasExchangedReports());
+    CHECK_TRUE(alone.link().hasCurrentReports());
     Instance peer(context, "b", "z");
     Instance first(context, "a", "z");
     first.list(peer);
-    CHECK_FALSE(first.link().hasExchangedReports());
+    CHECK_FALSE(first.link().hasCurrentReports());
     const auto start = std::chrono::steady_clock::now();
-    while (!first.link().hasExchangedReports() && std::chrono::steady_clock::now() < start + std::chrono::seconds(5))
+    while (!first.link().hasCurrentReports() && std::chrono::steady_clock::now() < start + std::chrono::seconds(5))
         context.run_one_for(milliseconds(20));
-    CHECK_TRUE(first.link().hasExchangedReports());
+    CHECK_TRUE(first.link().hasCurrentReports());
     CHECK_TRUE(std::chrono::steady_clock::now() - start >= milliseconds(450));
 }
 
