Let only listed instances collect the reports of their data centre

Change: an instance that leaves collects nothing, as the others choose their collectors without it. It reports to them and gets their sums as long as it does. In a data centre without others it hears nobody, and its directory has no addresses.

--- a/src/edge/PeerLink.cpp
+++ b/src/edge/PeerLink.cpp
@@ -373,6 +373,7 @@
         if (!entry.peerAddress.empty())
             others.push_back(peerOf(entry));
     }
+    m_exchange.setLeaving(m_registry.isWithdrawn());
     m_exchange.setPeers(std::move(others), m_node.now());
     // The list can be long, so it is read only while a server names a limit.
     if (m_node.reducer().fleet().limitedCount())
@@ -382,7 +383,6 @@
         relay::DecisionLog::state(
             "store_follower", { { "watches", m_distributedStoreChanges }, { "instances", m_registry.count() } });
     m_exchange.setCutOff(m_node.reducer().isCutOff());
-    m_exchange.setLeaving(m_registry.isWithdrawn());
     for (auto& each : m_exchange.makeRound(m_node.reducer().ownLoads(m_node.now()), m_node.now())) {
         PeerDatagram datagram { std::move(each.report), std::nullopt, std::nullopt, {} };
         send(each.address, encode(datagram));
--- a/src/relay/LoadExchange.cpp
+++ b/src/relay/LoadExchange.cpp
@@ -69,18 +69,18 @@
 void LoadExchange::setPeers(std::vector<LoadPeer> others, TimePoint now)
 {
     std::erase_if(m_lastReports, [&](const auto& each) { return now - each.second > ReportLifetime; });
+    std::vector<LoadPeer> known = std::move(m_peers[m_self.dataCentre]);
+    known.insert(known.end(), m_unlisted.begin(), m_unlisted.end());
     const auto isListed = [&](const LoadPeer& peer) {
         return std::any_of(others.begin(), others.end(),
             [&](const LoadPeer& other) { return other.id == peer.id || other.address == peer.address; });
     };
-    std::vector<LoadPeer> unlisted;
-    for (const auto& [dataCentre, peers] : m_peers) {
-        std::copy_if(peers.begin(), peers.end(), std::back_inserter(unlisted),
-            [&](const LoadPeer& peer) { return m_lastReports.count(peer.id) && !isListed(peer); });
-    }
-    others.insert(others.end(), unlisted.begin(), unlisted.end());
+    m_unlisted.clear();
+    std::copy_if(known.begin(), known.end(), std::back_inserter(m_unlisted),
+        [&](const LoadPeer& peer) { return m_lastReports.count(peer.id) && !isListed(peer); });
     m_peers.clear();
-    m_peers[m_self.dataCentre].push_back(m_self);
+    if (!m_isLeaving)
+        m_peers[m_self.dataCentre].push_back(m_self);
     for (LoadPeer& peer : others)
         m_peers[peer.dataCentre].push_back(std::move(peer));
     for (auto& [dataCentre, peers] : m_peers)
@@ -100,6 +100,12 @@
     return collectors;
 }
 
+bool LoadExchange::hasLowestId() const
+{
+    const auto listed = m_peers.find(m_self.dataCentre);
+    return listed != m_peers.end() && !listed->second.empty() && listed->second.front() == m_self;
+}
+
 bool LoadExchange::isCollector() const
 {
     const auto collectors = collectorsOf(m_self.dataCentre);
@@ -144,7 +150,7 @@
 
 std::uint32_t LoadExchange::peerCount() const
 {
-    std::size_t count = 0;
+    std::size_t count = m_unlisted.size() + (m_isLeaving ? 1 : 0);
     for (const auto& [dataCentre, peers] : m_peers)
         count += peers.size();
     return static_cast<std::uint32_t>(count);
@@ -154,7 +160,9 @@
 {
     std::vector<OutgoingLoadReport> outgoing;
     ++m_sequence;
-    const std::size_t memberCount = m_peers[m_self.dataCentre].size();
+    std::vector<LoadPeer> members = m_peers[m_self.dataCentre];
+    members.insert(members.end(), m_unlisted.begin(), m_unlisted.end());
+    const std::size_t memberCount = members.size();
     // The limit is shared among all members, because a collector receives the reports of all of them in each round.
     LoadReport ownReport = makeReport(LoadScope::Instance, 1, own, memberCount);
     if (m_isCutOff)
@@ -164,7 +172,7 @@
         if (!(*collector == m_self))
             outgoing.push_back({ collector->address, ownReport });
     }
-    if (!isCollector() || (m_isLeaving && !hearsOthers())) {
+    if (!isCollector()) {
         m_lastHeard.clear();
         return outgoing;
     }
@@ -208,7 +216,7 @@
         if (isFresh(sum))
             fleetReport.silentInstances.insert(fleetReport.silentInstances.end(), silent.begin(), silent.end());
     }
-    for (const LoadPeer& peer : m_peers[m_self.dataCentre]) {
+    for (const LoadPeer& peer : members) {
         if (!(peer == m_self))
             outgoing.push_back({ peer.address, fleetReport });
     }
--- a/src/relay/LoadExchange.h
+++ b/src/relay/LoadExchange.h
@@ -44,16 +44,16 @@
     ///                       from its data centre in a round; 0: no limit
     explicit LoadExchange(LoadPeer self, std::size_t bytesPerRound = 0);
 
-    /// Sets who takes part. An instance that has left the list stays as long as it reports: while it drains, its calls
-    /// load the servers, and callers still ask it which instances reach them.
+    /// Sets who takes part. An instance that has left the list stays as long as it reports, but collects nothing: while
+    /// it drains, its calls load the servers, and callers still ask it which instances reach them.
     /// @param others  all other listed instances
     void setPeers(std::vector<LoadPeer> others, TimePoint now);
 
     /// Sets whether this instance reaches no backend server, although others do.
     void setCutOff(bool isCutOff) { m_isCutOff = isCutOff; }
 
-    /// Sets whether this instance is shutting down. If the others have dropped it from the list before they heard of
-    /// it, none reports to it, and it must not conclude that they are silent.
+    /// Sets whether this instance is shutting down, so that the others no longer list it. Applies from the next
+    /// setPeers() on.
     void setLeaving(bool isLeaving) { m_isLeaving = isLeaving; }
 
     /// @return whether another instance has reported lately, as of the last setPeers()
@@ -82,7 +82,7 @@
 
     bool isCollector() const;
     /// @return whether this instance has the lowest id in its data centre
-    bool hasLowestId() const { return m_peers.at(m_self.dataCentre).front() == m_self; }
+    bool hasLowestId() const;
 
 private:
     /// The state of one source of reports: an instance or a data centre.
@@ -112,7 +112,9 @@
 
     LoadPeer m_self;
     std::size_t m_bytesPerRound; ///< 0: no limit
-    std::map<DataCentreId, std::vector<LoadPeer>> m_peers; ///< sorted by id, this instance included
+    /// The listed instances sorted by id, this one included unless it is leaving.
+    std::map<DataCentreId, std::vector<LoadPeer>> m_peers;
+    std::vector<LoadPeer> m_unlisted; ///< instances of this data centre that still report, without this one
     std::map<InstanceId, TimePoint> m_lastReports; ///< when each of the other peers last sent a report of any scope
     bool m_isCutOff = false; ///< see setCutOff()
     bool m_isLeaving = false; ///< see setLeaving()
--- a/tests/CutFleet.cpp
+++ b/tests/CutFleet.cpp
@@ -145,6 +145,7 @@
 
 void CutFleet::unlist(std::size_t instance)
 {
+    m_instances[instance]->exchange.setLeaving(true);
     const std::string& id = m_instances[instance]->peer.id.value();
     for (std::size_t other = 0; other < m_instances.size(); ++other) {
         if (other != instance)
