Give no directory right after a pause of the process either

Cause: an instance whose process was stopped for longer than a report counts has none when it goes on. Until its next rounds its directory named all listed instances, also the one that was cut off (instances_cut_off 0 at 58530.340, 1 again at 58530.490, and 1 only at 58501.039 on an instance that had gone on at 58500.888); some callers use such an answer for 3 s. It is the state of an instance that has just started.

Change: the rounds that the directory waits for count from the last pause, too.

Before: the state was not asked for.

--- a/src/edge/PeerLink.cpp
+++ b/src/edge/PeerLink.cpp
@@ -362,12 +362,15 @@
 {
     if (m_registry.isWithdrawn() && !m_exchange.hearsOthers())
         return false;
-    return m_registry.count() == 1 || m_rounds >= RoundsOfOneReport;
+    return m_registry.count() == 1 || (m_rounds >= RoundsOfOneReport && !wasPaused());
 }
 
+bool PeerLink::wasPaused() const { return m_node.now() > m_lastRoundAt + relay::LoadExchange::ReportLifetime; }
+
 void PeerLink::makeRound()
 {
-    ++m_rounds;
+    m_rounds = wasPaused() ? 1 : m_rounds + 1;
+    m_lastRoundAt = m_node.now();
     std::vector<relay::LoadPeer> others;
     for (const InstanceRegistry::Entry& entry : m_registry.others()) {
         if (!entry.peerAddress.empty())
--- a/src/edge/PeerLink.h
+++ b/src/edge/PeerLink.h
@@ -61,6 +61,8 @@
     Awaitable<void> receiveLoop();
     Awaitable<void> roundLoop();
     void makeRound();
+    /// @return whether the process has made no round for so long that all reports have expired
+    bool wasPaused() const;
     void receive(const std::string& bytes, const Udp::endpoint& from);
     void distribute(const StoreMirror::Changes&);
     void forward(PeerDatagram, const std::string& after, const std::string& until);
@@ -103,7 +105,8 @@
         int roundsLeft = 0;
     };
     std::vector<RepeatedDatagram> m_repeatedDatagrams;
-    std::uint64_t m_rounds = 0; ///< since the start
+    std::uint64_t m_rounds = 0; ///< since the start or the last pause of the process
+    TimePoint m_lastRoundAt;
     int m_leavingAnnouncements = 0; ///< rounds in which this instance has announced that it leaves
     bool m_distributedStoreChanges = false; ///< last logged value of distributesStoreChanges()
     bool m_reportedOutdated = false; ///< last state of the store copy that was posted to the relay
--- a/src/relay/LoadExchange.cpp
+++ b/src/relay/LoadExchange.cpp
@@ -9,12 +9,9 @@
 
     /// Collectors of each data centre. While one of them is dead but still listed, the sums of the other are used.
     constexpr std::size_t CollectorCount = 2;
-    /// A report counts for this long. Covers several rounds, because some datagrams may be lost.
-    constexpr Duration ReportLifetime = std::chrono::milliseconds(900);
-
     /// A member that has not reported for longer than this is assumed to be dead, and no callers are sent there. Twice
     /// the lifetime of a report, so that a few lost datagrams do not cost an instance its callers.
-    constexpr Duration MaxMemberSilence = 2 * ReportLifetime;
+    constexpr Duration MaxMemberSilence = 2 * LoadExchange::ReportLifetime;
 
     /// Maximum encoded size of one EngineLoad.
     constexpr std::size_t MaxEngineLoadBytes = 20;
--- a/src/relay/LoadExchange.h
+++ b/src/relay/LoadExchange.h
@@ -40,6 +40,9 @@
 /// one slice of the engines each, and consecutive rounds rotate through the slices.
 class LoadExchange {
 public:
+    /// A report counts for this long. Covers several rounds, because some datagrams may be lost.
+    static constexpr Duration ReportLifetime = std::chrono::milliseconds(900);
+
     /// @param bytesPerRound  approximate limit on the bytes of reports that an instance sends or a collector receives
     ///                       from its data centre in a round; 0: no limit
     explicit LoadExchange(LoadPeer self, std::size_t bytesPerRound = 0);
