Soak: compare callers of cut-off instances only while another instance runs

The fourth instance, the only one with a path, got its SIGTERM 5.1 s after the cut had begun (instance_leaving at 58531.290), and stopped 3.4 s later. Until then the directory named it alone. From then on no instance was left that could serve, and the directories named the three rather than nobody. The check did not count tries at an instance that is shut down, but still those at the others in the same time.

Change: a try counts if another instance has run without a fault since before the cut, as the instance itself has to. While there is one, nothing changes.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -372,8 +372,12 @@
         """Checks that callers of instances that were cut off were served like those of the others."""
         for begin, end, cut in self.cuts:
             tries = {True: [], False: []}
+            others = [each for each in self.instances if each not in cut]
             for sent, instance, served in self.first_tries:
-                if begin + PATH_S <= sent < end and instance.calm(sent - begin + PATH_S, sent):
+                calm_for = sent - begin + PATH_S
+                # Without another instance that has run all the time, nobody is served better elsewhere.
+                is_comparable = any(each.calm(calm_for, sent) for each in others)
+                if begin + PATH_S <= sent < end and is_comparable and instance.calm(calm_for, sent):
                     tries[instance in cut].append(served)
             failed, total = tries[True].count(False), len(tries[True]) + len(tries[False])
             if not tries[True] or not tries[False] or failed <= 10 + total / 50:
