--- a/src/edge/PeerLink.h
+++ b/src/edge/PeerLink.h
@@ -50,8 +50,8 @@
     /// @return whether this instance passes the store's changes on to the others of its data centre
     bool distributesStoreChanges() const { return m_mirror.distributesChanges(); }
     /// @return whether this instance knows what the others report, for example that they reach no backend server: false
-    ///         until their reports can have arrived, and while it shuts down and hears none; true at once without
-    ///         others
+    ///         until their reports can have arrived since its start or a pause of its process, and while it shuts down
+    ///         and hears none; true at once without others
     bool hasCurrentReports() const;
     const Traffic& traffic() const { return m_traffic; }
     const PeerCopies::Traffic& copyTraffic() const { return m_copies.traffic(); }
