State once when an attempt may go on after a server's end, and share harmless traits in one place

Read again, behaviour unchanged: - recordServerEnded() and handleLostStage() each decided whether an attempt goes on although its server refuses connections.

--- a/src/relay/Call.h
+++ b/src/relay/Call.h
@@ -3,6 +3,7 @@
 #include "crocusmount/Chain.h"
 #include "crocusmount/Reason.h"
 #include "relay/CallSpec.h"
+#include "relay/EndSign.h"
 #include "relay/RequestTrait.h"
 #include "relay/RouteTable.h"
 
@@ -48,6 +49,11 @@
 
     /// @return whether the server is the attempt's server or one of its stages
     bool usesServer(const BackendId& id) const { return server == id || chain.contains(id); }
+    /// @return whether the attempt may go on although this sign shows that a server has ended: its connection is open
+    bool mayOutlive(const BackendId& ended, EndSign sign) const
+    {
+        return server == ended && sign == EndSign::RefusedConnection;
+    }
 };
 
 /// A call from its admission to its final answer.
--- a/src/relay/CrashEvidence.cpp
+++ b/src/relay/CrashEvidence.cpp
@@ -138,11 +138,13 @@
             ++m_openEndCounts[trait];
     }
     for (const auto& [server, end] : m_ends) {
+        if (!end.confirmedAt || end.isSettled)
+            continue;
         std::set<RequestTrait> traits;
         for (const CrashSuspect& suspect : end.suspects)
             traits.insert(suspect.traits.begin(), suspect.traits.end());
         for (const RequestTrait& trait : traits)
-            m_openEndCounts[trait] += end.confirmedAt && !end.isSettled ? 1 : 0;
+            ++m_openEndCounts[trait];
     }
 }
 
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -211,6 +211,7 @@
     void contradict(Context&);
     void quarantine(const RequestTrait&, bool isOwn, Context&);
     bool clearTrait(const RequestTrait&, bool isOwn, Context&);
+    void clearAndShare(const std::vector<RequestTrait>& harmless, Context&);
     void refuse(const Call&, Reason, RunState, Duration retryAfter, std::optional<RetryLimit>, Context&);
     void recordHarmlessRequest(Call&, Context&);
     bool awaitsCrashVerdict(const Call&) const;
--- a/src/relay/RelayReducerCrashes.cpp
+++ b/src/relay/RelayReducerCrashes.cpp
@@ -167,9 +167,8 @@
         return;
     std::vector<CrashSuspect> running;
     const auto consider = [&](const Call& call, const Attempt& attempt) {
-        const bool isConnected = attempt.server == server.entry.id && sign == EndSign::RefusedConnection;
-        if (!attempt.usesServer(server.entry.id) || isConnected)
-            return; // A connected attempt becomes a suspect if its connection ends.
+        if (!attempt.usesServer(server.entry.id) || attempt.mayOutlive(server.entry.id, sign))
+            return; // An attempt that goes on becomes a suspect if its connection ends.
         CrashSuspect suspect = suspectOf(call, attempt, context.now);
         if (suspect.sign != CrashSign::None)
             running.push_back(std::move(suspect));
@@ -235,17 +234,16 @@
 /// defended again, so it counts as harmless here only after its next run.
 void RelayReducer::contradict(Context& context)
 {
-    std::vector<RequestTrait> harmless;
-    for (const auto& [trait, due] : m_contradictions) {
-        if (context.now < due)
-            continue;
+    std::vector<RequestTrait> due;
+    std::erase_if(m_contradictions, [&](const auto& each) {
+        const bool isDue = context.now >= each.second;
+        if (isDue)
+            due.push_back(each.first);
+        return isDue;
+    });
+    for (const RequestTrait& trait : due)
         m_harmlessTraits.remove(trait);
-        if (clearTrait(trait, true, context))
-            harmless.push_back(trait);
-    }
-    std::erase_if(m_contradictions, [&](const auto& each) { return context.now >= each.second; });
-    if (!harmless.empty())
-        context.effects.emplace_back(effect::ShareHarmlessTraits { std::move(harmless) });
+    clearAndShare(due, context);
 }
 
 /// Ends the open calls with a trait that was just quarantined.
@@ -316,10 +314,14 @@
 {
     call.wasHarmless = true;
     m_harmlessTraits.add(call.traits, context.now);
-    if (m_quarantine.empty())
-        return;
+    clearAndShare(call.traits, context);
+}
+
+/// Clears traits that this instance found to be harmless, and tells the other instances of those with any evidence.
+void RelayReducer::clearAndShare(const std::vector<RequestTrait>& harmless, Context& context)
+{
     std::vector<RequestTrait> cleared;
-    for (const RequestTrait& trait : call.traits) {
+    for (const RequestTrait& trait : harmless) {
         if (clearTrait(trait, true, context))
             cleared.push_back(trait);
     }
--- a/src/relay/RelayReducerServers.cpp
+++ b/src/relay/RelayReducerServers.cpp
@@ -171,9 +171,7 @@
 /// until its connection ends or the call stalls.
 void RelayReducer::handleLostStage(Call& call, const BackendId& lost, EndSign sign, Context& context)
 {
-    const auto mayRunOn
-        = [&](const Attempt& attempt) { return attempt.server == lost && sign == EndSign::RefusedConnection; };
-    if (call.second && call.second->usesServer(lost) && !mayRunOn(*call.second)) {
+    if (call.second && call.second->usesServer(lost) && !call.second->mayOutlive(lost, sign)) {
         cancelLostAttempt(call, *call.second, context);
         endSecondAttempt(call, context);
     }
@@ -184,7 +182,8 @@
             settleEnd(call.id, EndVerdict::BrokenOff, context);
         return;
     }
-    if (!call.main.usesServer(lost) || mayRunOn(call.main) || (call.main.server == lost && mayFinishCalls(lost)))
+    if (!call.main.usesServer(lost) || call.main.mayOutlive(lost, sign)
+        || (call.main.server == lost && mayFinishCalls(lost)))
         return;
     call.main.hasLostStage = true;
     call.main.hasServerEnded = call.main.hasServerEnded || call.main.server == lost;
