Compare members of the exchange within their data centre, and copy no list in a round

Each round compared every reporting member with all listed instances of the fleet, 60 times 295 at a collector of the largest site, and copied the members of the data centre with their names, also where nothing is collected. An address and an id belong to one data centre, so the listed members of this one suffice; both lists are walked where they are.

--- a/src/relay/LoadExchange.cpp
+++ b/src/relay/LoadExchange.cpp
@@ -66,15 +66,8 @@
 void LoadExchange::setPeers(std::vector<LoadPeer> others, TimePoint now)
 {
     std::erase_if(m_lastReports, [&](const auto& each) { return now - each.second > ReportLifetime; });
-    std::vector<LoadPeer> known = std::move(m_peers[m_self.dataCentre]);
-    known.insert(known.end(), m_unlisted.begin(), m_unlisted.end());
-    const auto isListed = [&](const LoadPeer& peer) {
-        return std::any_of(others.begin(), others.end(),
-            [&](const LoadPeer& other) { return other.id == peer.id || other.address == peer.address; });
-    };
-    m_unlisted.clear();
-    std::copy_if(known.begin(), known.end(), std::back_inserter(m_unlisted),
-        [&](const LoadPeer& peer) { return m_lastReports.count(peer.id) && !isListed(peer); });
+    std::vector<LoadPeer> known = std::move(m_unlisted);
+    std::move(m_peers[m_self.dataCentre].begin(), m_peers[m_self.dataCentre].end(), std::back_inserter(known));
     m_peers.clear();
     if (!m_isLeaving)
         m_peers[m_self.dataCentre].push_back(m_self);
@@ -82,6 +75,14 @@
         m_peers[peer.dataCentre].push_back(std::move(peer));
     for (auto& [dataCentre, peers] : m_peers)
         std::sort(peers.begin(), peers.end(), [](const LoadPeer& a, const LoadPeer& b) { return a.id < b.id; });
+    const std::vector<LoadPeer>& listed = m_peers[m_self.dataCentre];
+    const auto isListed = [&](const LoadPeer& peer) {
+        return std::any_of(listed.begin(), listed.end(),
+            [&](const LoadPeer& other) { return other.id == peer.id || other.address == peer.address; });
+    };
+    m_unlisted.clear();
+    std::copy_if(known.begin(), known.end(), std::back_inserter(m_unlisted),
+        [&](const LoadPeer& peer) { return m_lastReports.count(peer.id) && !isListed(peer); });
 }
 
 std::vector<const LoadPeer*> LoadExchange::collectorsOf(const DataCentreId& dataCentre) const
@@ -157,9 +158,8 @@
 {
     std::vector<OutgoingLoadReport> outgoing;
     ++m_sequence;
-    std::vector<LoadPeer> members = m_peers[m_self.dataCentre];
-    members.insert(members.end(), m_unlisted.begin(), m_unlisted.end());
-    const std::size_t memberCount = members.size();
+    const std::vector<LoadPeer>& listed = m_peers[m_self.dataCentre];
+    const std::size_t memberCount = listed.size() + m_unlisted.size();
     // The limit is shared among all members, because a collector receives the reports of all of them in each round.
     LoadReport ownReport = makeReport(LoadScope::Instance, 1, own, memberCount);
     if (m_isCutOff)
@@ -213,9 +213,11 @@
         if (isFresh(sum))
             fleetReport.silentInstances.insert(fleetReport.silentInstances.end(), silent.begin(), silent.end());
     }
-    for (const LoadPeer& peer : members) {
-        if (!(peer == m_self))
-            outgoing.push_back({ peer.address, fleetReport });
+    for (const auto* members : { &listed, &std::as_const(m_unlisted) }) {
+        for (const LoadPeer& peer : *members) {
+            if (!(peer == m_self))
+                outgoing.push_back({ peer.address, fleetReport });
+        }
     }
     // This instance uses the whole sum, even if the other instances receive only one slice of it.
     fleetReport.slice = 0;
