Soak: one piece for who was told what, and the key of a start where there is one

judge_limits() and judge_leaves() each collected when instances first heard an answer; first_told() does. Two faults built the key of a server's start that Server.start_key has.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -318,11 +318,11 @@
             if not limitable:
                 continue
             server = draws.choice(limitable)
-            incarnation = server.id, server.born_ms
+            start = server.start_key
             for _ in range(draws.randint(1, 3)):
                 server.set_limit(round(0.5 + draws.random() * 4, 1))
                 await asyncio.sleep(2 + draws.random() * 5)
-                if not server.alive or incarnation != (server.id, server.born_ms):
+                if not server.alive or start != server.start_key:
                     break
             server.set_limit(None)
 
@@ -388,10 +388,10 @@
                             f"tries, the others {sum(tries[False])} of {len(tries[False])}")
 
     async def leave_as_announced(self, server, after):
-        incarnation = server.id, server.born_ms
+        start = server.start_key
         self.backend_calm = time.monotonic() + 60
         await asyncio.sleep(after)
-        if server.alive and incarnation == (server.id, server.born_ms):
+        if server.alive and start == server.start_key:
             await server.crash(0)
             await server.start()
         self.backend_calm = time.monotonic()
@@ -400,6 +400,14 @@
         """Whether the instance still awaited the answer to an attempt. It has given up one whose deadline has passed."""
         return answered_at + TOLD_S < self.sent_at.get(attempt, 0) + self.deadlines_s.get(attempt, 0)
 
+    def first_told(self, answers, begin, end):
+        """Returns by instance when it first heard one of a server's answers, given as (time, attempt), in a time."""
+        told = {}
+        for at, attempt in answers:
+            if begin <= at < end and self.was_awaited(attempt, at):
+                told.setdefault(self.instance_of[attempt], at)
+        return told
+
     def judge_backoffs(self):
         """Checks that servers got next to nothing from an instance in the time for which they had asked it."""
         bound = -1 if self.mutate == "backoff" else MAX_DURING_BACKOFF
@@ -424,10 +432,8 @@
         bound = -ANNOUNCED_S if self.mutate == "announced" else ANNOUNCED_S
         for server in self.fleet.servers.values():
             for begin, end in server.leaves:
-                end, told = end or time.monotonic(), {}
-                for at, attempt in server.leaving_answers:
-                    if begin <= at < end and self.was_awaited(attempt, at):
-                        told.setdefault(self.instance_of[attempt], at)
+                end = end or time.monotonic()
+                told = self.first_told(server.leaving_answers, begin, end)
                 for at, attempt, _ in server.arrivals:
                     instance = self.instance_of.get(attempt)
                     told_at = told.get(instance)
@@ -443,10 +449,7 @@
         """Checks that servers with a limit got no more than it allows from the instances that they had told."""
         for server in self.fleet.servers.values():
             for begin, end, limits in self.limit_spans(server):
-                told = {}
-                for at, attempt in server.named:
-                    if begin <= at < end and self.was_awaited(attempt, at):
-                        told.setdefault(self.instance_of[attempt], at)
+                told = self.first_told(server.named, begin, end)
                 arrivals = []
                 for at, attempt, _ in server.arrivals:
                     instance = self.instance_of.get(attempt)
