Log and count why evidence against a part of a prompt is dropped, and which parts are left out

A line on the end of a server named the suspected parts only, so a part that was left out because it had run lately looked like one that was not in the prompt. A line on a clearance said neither why it came nor what it dropped, so a run after the crashes, a run before them, and another instance's word looked alike.

Now server_ended_under_request has exempt_parts, request_cleared has the cause and the ends and points that it drops, and crocusmount_requests_cleared_total and crocusmount_crash_suspects_exempt_total count both. No decision is changed.

--- a/src/edge/RelayMetrics.cpp
+++ b/src/edge/RelayMetrics.cpp
@@ -38,9 +38,14 @@
         "Ends of servers under a request as others ended in the same moment", double(counters.crashesInGroups));
     families.addCounter("crocusmount_requests_quarantined_total",
         "Requests and parts of prompts found to end the servers that run them", double(counters.quarantined));
-    families.addCounter("crocusmount_requests_cleared_total",
-        "Requests and parts of prompts of which nothing is held against them any more",
-        double(counters.requestsCleared));
+    for (std::size_t cause = 0; cause < ClearCauseCount; ++cause) {
+        families.addCounter("crocusmount_requests_cleared_total",
+            "Requests and parts of prompts of which nothing is held against them any more",
+            double(counters.cleared.at(cause)), { { "cause", toString(static_cast<ClearCause>(cause)) } });
+    }
+    families.addCounter("crocusmount_crash_suspects_exempt_total",
+        "Requests and parts of prompts that no end of a server is held against, as they ran lately",
+        double(counters.suspectsExempt));
     families.addCounter("crocusmount_calls_held_total", "Calls that waited until it was known what ended their servers",
         double(counters.held));
     families.addGauge("crocusmount_quarantined_requests", "Requests and parts of prompts that are sent to no server",
--- a/src/edge/RelayNode.cpp
+++ b/src/edge/RelayNode.cpp
@@ -105,10 +105,10 @@
             parts, ",", [](std::string* out, const PromptPartId& part) { absl::StrAppend(out, part.value()); });
     }
 
-    std::vector<PromptPartId> partsOf(const CrashSuspect& suspect)
+    std::vector<PromptPartId> partsOf(const std::vector<RequestTrait>& traits)
     {
         std::vector<PromptPartId> parts;
-        for (const RequestTrait& trait : suspect.traits) {
+        for (const RequestTrait& trait : traits) {
             if (const auto* part = std::get_if<PromptPartId>(&trait.value))
                 parts.push_back(*part);
         }
@@ -361,7 +361,8 @@
     const CrashSuspect& suspect = note.crash.suspect;
     DecisionLog::state(note.crash.isGroupFailure ? "server_ended_in_group" : "server_ended_under_request",
         { { "request", suspect.traits.front().toHex() }, { "workspace", suspect.traits.front().workspace.value() },
-            { "suspected_parts", textFrom(partsOf(suspect)) }, { "server_key", hexKey(note.crash.server) },
+            { "suspected_parts", textFrom(partsOf(suspect.traits)) },
+            { "exempt_parts", textFrom(partsOf(suspect.exempt)) }, { "server_key", hexKey(note.crash.server) },
             { "just_begun", suspect.sign == CrashSign::JustBegun } });
 }
 
@@ -378,6 +379,7 @@
 {
     DecisionLog::state("request_cleared",
         { { nameOf(cleared.trait), cleared.trait.toHex() }, { "workspace", cleared.trait.workspace.value() },
+            { "cause", toString(cleared.cause) }, { "servers", cleared.servers }, { "points", cleared.points },
             { "was_quarantined", cleared.wasQuarantined }, { "own", cleared.isOwn } });
     if (m_quarantine)
         m_quarantine->clear(cleared);
--- a/src/relay/CrashSuspect.h
+++ b/src/relay/CrashSuspect.h
@@ -19,6 +19,7 @@
     /// that are known to be harmless.
     std::vector<RequestTrait> traits;
     CrashSign sign = CrashSign::None;
+    std::vector<RequestTrait> exempt {}; ///< parts left out as harmless, for logs; unknown for other instances' reports
 
     bool hasTrait(const RequestTrait&) const;
     /// @return whether both requests have a trait in common
--- a/src/relay/RelayEffect.h
+++ b/src/relay/RelayEffect.h
@@ -8,6 +8,7 @@
 #include "relay/AnswerEnding.h"
 #include "relay/AttemptPurpose.h"
 #include "relay/CancelCause.h"
+#include "relay/ClearCause.h"
 #include "relay/CrashReport.h"
 #include "relay/PermitAnswer.h"
 #include "relay/PermitRequest.h"
@@ -109,6 +110,9 @@
     /// Drop all evidence against a trait.
     struct ClearTrait {
         RequestTrait trait;
+        ClearCause cause = ClearCause::Run;
+        std::uint32_t servers = 0; ///< ends of servers that no longer count
+        std::uint32_t points = 0; ///< points of evidence for them
         bool wasQuarantined = false; ///< whether this ends a quarantine
         bool isOwn = false; ///< whether this instance's own observation led to this, so it deletes the store entry
     };
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -210,8 +210,8 @@
     void planContradictions(const CrashReport&, Context&);
     void contradict(Context&);
     void quarantine(const RequestTrait&, bool isOwn, Context&);
-    bool clearTrait(const RequestTrait&, bool isOwn, Context&);
-    void clearAndShare(const std::vector<RequestTrait>& harmless, Context&);
+    bool clearTrait(const RequestTrait&, ClearCause, Context&);
+    void clearAndShare(const std::vector<RequestTrait>& harmless, ClearCause, Context&);
     void refuse(const Call&, Reason, RunState, Duration retryAfter, std::optional<RetryLimit>, Context&);
     void recordHarmlessRequest(Call&, Context&);
     bool awaitsCrashVerdict(const Call&) const;
--- a/src/relay/RelayReducerCrashes.cpp
+++ b/src/relay/RelayReducerCrashes.cpp
@@ -70,8 +70,8 @@
     if (standingOf(call.traits.front(), now) == TraitStanding::Harmless)
         return {};
     for (const RequestTrait& trait : call.traits) {
-        if (standingOf(trait, now) != TraitStanding::Harmless)
-            suspect.traits.push_back(trait);
+        const bool isHarmless = standingOf(trait, now) == TraitStanding::Harmless;
+        (isHarmless ? suspect.exempt : suspect.traits).push_back(trait);
     }
     return suspect;
 }
@@ -212,6 +212,7 @@
         ++m_counters.crashesCounted;
     if (!isOwn)
         return;
+    m_counters.suspectsExempt += report.suspect.exempt.size();
     m_counters.crashesInGroups += report.isGroupFailure ? 1 : 0;
     if (isNews || report.isGroupFailure)
         context.effects.emplace_back(effect::LogCrash { report });
@@ -243,7 +244,7 @@
     });
     for (const RequestTrait& trait : due)
         m_harmlessTraits.remove(trait);
-    clearAndShare(due, context);
+    clearAndShare(due, ClearCause::EarlierRun, context);
 }
 
 /// Ends the open calls with a trait that was just quarantined.
@@ -281,7 +282,7 @@
 void RelayReducer::on(const event::HarmlessTraitsReported& reported, Context& context)
 {
     for (const RequestTrait& trait : reported.traits)
-        clearTrait(trait, false, context);
+        clearTrait(trait, ClearCause::OtherInstance, context);
 }
 
 void RelayReducer::on(const event::QuarantineListed& listed, Context& context)
@@ -292,19 +293,21 @@
 
 void RelayReducer::on(const event::QuarantineLifted& lifted, Context& context)
 {
-    clearTrait(lifted.trait, false, context);
+    clearTrait(lifted.trait, ClearCause::Operator, context);
 }
 
 /// Forgets all evidence against a trait, and its quarantine.
-/// @param isOwn  whether this instance saw a request with the trait run without crashing a server
 /// @return whether there was any evidence
-bool RelayReducer::clearTrait(const RequestTrait& trait, bool isOwn, Context& context)
+bool RelayReducer::clearTrait(const RequestTrait& trait, ClearCause cause, Context& context)
 {
+    const auto servers = static_cast<std::uint32_t>(m_quarantine.serverCount(trait));
+    const std::uint32_t points = m_quarantine.evidence(trait, context.now).points;
     const bool wasQuarantined = m_quarantine.isQuarantined(trait, context.now);
     if (!m_quarantine.clear(trait))
         return false;
-    ++m_counters.requestsCleared;
-    context.effects.emplace_back(effect::ClearTrait { trait, wasQuarantined, isOwn });
+    ++m_counters.cleared.at(static_cast<std::size_t>(cause));
+    const bool isOwn = cause == ClearCause::Run || cause == ClearCause::EarlierRun;
+    context.effects.emplace_back(effect::ClearTrait { trait, cause, servers, points, wasQuarantined, isOwn });
     return true;
 }
 
@@ -314,15 +317,15 @@
 {
     call.wasHarmless = true;
     m_harmlessTraits.add(call.traits, context.now);
-    clearAndShare(call.traits, context);
+    clearAndShare(call.traits, ClearCause::Run, context);
 }
 
 /// Clears traits that this instance found to be harmless, and tells the other instances of those with any evidence.
-void RelayReducer::clearAndShare(const std::vector<RequestTrait>& harmless, Context& context)
+void RelayReducer::clearAndShare(const std::vector<RequestTrait>& harmless, ClearCause cause, Context& context)
 {
     std::vector<RequestTrait> cleared;
     for (const RequestTrait& trait : harmless) {
-        if (clearTrait(trait, true, context))
+        if (clearTrait(trait, cause, context))
             cleared.push_back(trait);
     }
     if (!cleared.empty())
