Bound what an answer without end may take

Bytes that are no answer may come from a server without end. Shown by EndlessAnswerTest on the code before, with a real connection: the extension of a chunk without end was buffered whole by HttpClient (over 80 MB in two seconds; the store, checks, probes and orders use it), and an attempt fed with chunks of one byte read on for 10 s though it had one second, as the timer of the stream does not stop reads that always find bytes. By reading, not by a run: an event without end, the body of a streamed error and the rest of another call's answer had no bound either.

Now an attempt keeps at most 128 KiB unread, an event of 1 MiB, a whole answer of 8 MiB, and reads nothing after its deadline; HttpClient keeps 128 KiB unread, 1 MiB of a streamed error, 64 MiB of an answer. What exceeds a bound ends as broken and the connection is closed. Not covered: datagrams and copies of the store between instances, callers, crocusmountd's streams.

--- a/src/edge/UpstreamAttempt.cpp
+++ b/src/edge/UpstreamAttempt.cpp
@@ -24,6 +24,8 @@
     constexpr int ConnectTimeDivisor = 3;
     /// Longest body of an answer that is buffered as a whole before delivery, in bytes.
     constexpr std::size_t MaxWholeAnswerBytes = 8U << 20U;
+    /// Longest event of a stream, in bytes. A server that never ends an event must not fill the memory.
+    constexpr std::size_t MaxEventBytes = 1U << 20U;
     /// Answers to other calls that are skipped before the attempt fails.
     constexpr int MaxForeignAnswers = 3;
     /// HTTP status of a server that is not the expected one.
@@ -85,6 +87,7 @@
     , m_pipe(std::move(pipe))
     , m_postEvent(std::move(postEvent))
     , m_stream(context.get_executor())
+    , m_readAhead(MaxReadAheadBytes)
     , m_lastEventId(m_order.resumeAfter.value_or(0))
     , m_releaseSignal(context.get_executor())
 {
@@ -180,7 +183,8 @@
         co_return false;
     boost::system::error_code ignored;
     m_stream.socket().set_option(Tcp::no_delay(true), ignored);
-    m_stream.expires_after(m_order.remaining + DeadlineSlack);
+    m_deadline = std::chrono::steady_clock::now() + m_order.remaining + DeadlineSlack;
+    m_stream.expires_at(m_deadline);
     co_return true;
 }
 
@@ -276,6 +280,9 @@
     auto [error, count] = co_await http::async_read_some(m_stream, m_readAhead, parser, asTuple);
     if (error == http::error::need_buffer)
         error = {};
+    // The stream's own timer does not stop reads that always find bytes, such as many small chunks.
+    if (!error && std::chrono::steady_clock::now() >= m_deadline)
+        error = beast::error::timeout;
     m_readError = error;
     bytes = std::string_view(m_bodyChunk.data(), m_bodyChunk.size() - parser.get().body().size);
     co_return !error && !m_isCancelled;
@@ -286,8 +293,9 @@
     if (parser.need_eof() && !parser.is_done())
         co_return false;
     std::string_view bytes;
+    std::size_t discarded = 0;
     while (!parser.is_done()) {
-        if (!co_await readBodyChunk(parser, bytes))
+        if (!co_await readBodyChunk(parser, bytes) || (discarded += bytes.size()) > MaxWholeAnswerBytes)
             co_return false;
     }
     co_return true;
@@ -334,7 +342,8 @@
     while (canContinue && !parser.is_done()) {
         const bool readSucceeded = co_await readBodyChunk(parser, bytes);
         splitter.feed(bytes);
-        canContinue = !m_isCancelled && co_await deliverEvents(splitter, head, ending.events) && readSucceeded;
+        canContinue = !m_isCancelled && co_await deliverEvents(splitter, head, ending.events) && readSucceeded
+            && splitter.rest().size() <= MaxEventBytes;
     }
     if (canContinue || m_readError)
         ending.stop = stopOf(parser);
--- a/src/edge/UpstreamAttempt.h
+++ b/src/edge/UpstreamAttempt.h
@@ -90,7 +90,10 @@
     std::shared_ptr<AnswerPipe> m_pipe;
     PostEvent m_postEvent;
     TcpStream m_stream;
+    /// Limits what the parser leaves unread, such as the extension of a chunk before its end has arrived.
+    static constexpr std::size_t MaxReadAheadBytes = 128U << 10U;
     beast::flat_buffer m_readAhead; ///< bytes received and not yet parsed
+    std::chrono::steady_clock::time_point m_deadline; ///< no bytes are read later
     boost::system::error_code m_readError; ///< of the latest read of a body
     std::array<char, 8192> m_bodyChunk {}; ///< filled by each read of a body
     std::uint64_t m_lastEventId = 0; ///< id of the last event that the caller has; 0: none
--- a/src/shell/HttpClient.cpp
+++ b/src/shell/HttpClient.cpp
@@ -12,6 +12,10 @@
     constexpr auto asTuple = net::as_tuple(useAwaitable);
     constexpr std::size_t MaxIdleConnectionsPerAddress = 64;
     constexpr std::uint64_t MaxAnswerBytes = 64ULL << 20;
+    /// Limits what a parser leaves unread, such as the extension of a chunk before its end has arrived.
+    constexpr std::size_t MaxReadAheadBytes = 128U << 10U;
+    /// Longest body of a streamed answer that is kept because its status is an error.
+    constexpr std::size_t MaxErrorBodyBytes = 1U << 20U;
     constexpr std::chrono::milliseconds ConnectTimeout { 1000 };
 
     /// Makes TCP detect a peer that no longer responds within two to three seconds: by keepalive probes while the
@@ -129,7 +133,7 @@
     const auto request = requestOf(call);
     stream.expires_after(call.timeout);
     auto [error, count] = co_await http::async_write(stream, request, asTuple);
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(MaxReadAheadBytes);
     http::response_parser<http::string_body> parser;
     parser.body_limit(MaxAnswerBytes);
     parser.skip(call.verb == http::verb::head);
@@ -171,7 +175,7 @@
     const auto request = requestOf(call);
     stream.expires_after(call.timeout);
     auto [error, count] = co_await http::async_write(stream, request, asTuple);
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(MaxReadAheadBytes);
     http::response_parser<http::buffer_body> parser;
     parser.body_limit(boost::none);
     parser.skip(call.verb == http::verb::head);
@@ -192,6 +196,8 @@
         const std::string_view received(chunk.data(), chunk.size() - parser.get().body().size);
         if (handle && handle->m_cancelled)
             error = net::error::operation_aborted;
+        else if (answer.status != 200 && answer.body.size() + received.size() > MaxErrorBodyBytes)
+            error = http::error::body_limit;
         else if (answer.status != 200)
             answer.body.append(received);
         else if (!received.empty())
