Soak: several workspaces, and a part that runs well before it crashes engines

Now each attempt's number chooses one of five workspaces, and in half of the runs the part crashes nothing for two seconds.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -43,7 +43,7 @@
 # of the others, or no more than 10 + 1 in 50 of all first tries fail there.
 PATH_S = 3
 STALL_CHECK_S = 0.1
-KEY = "soak-key"
+WORKSPACES = 5
 EVENT_END = b"\n\n"
 
 
@@ -57,6 +57,11 @@
     return f"X-Prompt-Prefix: f1:40,{subject}:30,{attempt}:30\r\n"
 
 
+def key_of(number):
+    """Returns the key of a workspace; equal numbers, such as those of attempts, have equal keys."""
+    return f"soak-key-{number % WORKSPACES}"
+
+
 class Instance:
     """One entry instance, run as a separate process."""
 
@@ -147,7 +152,7 @@
             "version": self.version, "routes": routes, "limits": {},
             "services": [{"name": "plain", "health_check": HEALTH_PATH},
                          {"name": "model", "health_check": HEALTH_PATH, "engine": engine}],
-            "tenants": [{"name": "w", "api_keys": [KEY]}]}))
+            "tenants": [{"name": f"w{number}", "api_keys": [key_of(number)]} for number in range(WORKSPACES)]}))
 
     async def start(self):
         self.listener = await self.store.start(f"{self.net}.90.1:7000")
@@ -224,7 +229,7 @@
         self.instance_of[attempt], self.sent_at[attempt] = instance, sent
         self.deadlines_s[attempt] = deadline_ms / 1000
         writer.write((f"POST /{route}/x HTTP/1.1\r\nHost: soak.example\r\nX-Attempt-Id: {attempt}\r\n"
-                      f"Authorization: Bearer {KEY}\r\nX-Deadline-Ms: {deadline_ms}\r\nX-Key: k{attempt}\r\n"
+                      f"Authorization: Bearer {key_of(int(attempt, 16))}\r\nX-Deadline-Ms: {deadline_ms}\r\nX-Key: k{attempt}\r\n"
                       f"X-Events: {events}\r\nX-Token-Usage: 100,{events}\r\n{prompt_parts(attempt)}"
                       "Content-Length: 0\r\n\r\n").encode())
         try:
@@ -623,13 +628,15 @@
     async def crashing_parts(self):
         """Sends requests with a part that crashes each engine that begins an answer on it; no two of them are equal.
 
-        It has a generator of its own, like limits().
+        They are of all workspaces. In half of the runs the part crashes nothing for some seconds. It has a generator of its
+        own, like limits().
         """
         draws = random.Random(f"parts {self.seed}")
         await asyncio.sleep(draws.random() * self.seconds / 3)
         part = f"{CRASHING_PART}{draws.randrange(16 ** 6):06x}"
         self.backend_calm = time.monotonic() + 60
-        for _ in range(draws.randint(12, 20)):
+        self.fleet.deadly_from[part] = time.monotonic() + draws.choice([0, 2])
+        for _ in range(draws.randint(12, 20) + 8):
             body = f"{draws.random()}".encode()
             await self.send_crashing(draws.choice(self.instances), "draft", body, part)
             await asyncio.sleep(0.1 + draws.random() * 0.4)
@@ -639,16 +646,17 @@
         self.attempts += 1
         attempt = f"{self.attempts:016x}"
         self.instance_of[attempt] = instance
+        sent = time.monotonic()
         try:
             host, port = instance.front.split(":")
             reader, writer = await asyncio.wait_for(asyncio.open_connection(host, int(port)), 1)
             writer.write((f"POST /{path}/x HTTP/1.1\r\nHost: soak.example\r\nX-Attempt-Id: {attempt}\r\n"
-                          f"Authorization: Bearer {KEY}\r\nX-Deadline-Ms: 6000\r\nX-Key: k\r\nX-Events: 9\r\n"
+                          f"Authorization: Bearer {key_of(self.attempts if part else 0)}\r\nX-Deadline-Ms: 6000\r\nX-Key: k\r\nX-Events: 9\r\n"
                           f"X-Token-Usage: 100,9\r\n{prompt_parts(attempt, part)}"
                           f"Content-Length: {len(body)}\r\n\r\n").encode() + body)
             head = await asyncio.wait_for(read_head(reader), 9)
             answer = await asyncio.wait_for(read_body(reader, head), 9) if head else None
-            if answer and answer.complete and answer.status == 200:
+            if answer and answer.complete and answer.status == 200 and not self.fleet.is_harmless(part, sent):
                 self.report("whole", f"{attempt} on {path}: complete, but each server that began it ended")
             close(writer)
         except (OSError, asyncio.TimeoutError):
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -234,11 +234,15 @@
         self.seed, self.store, self.servers, self.runs, self.wrong = seed, store, {}, {}, []
         # By body or prompt part that crashes servers: (time, attempt) of each arrival, and the time of each crash.
         self.reached, self.crashed = {}, {}
+        self.deadly_from = {}  # by part that crashes engines: when it begins to
         self.leaving_bound_s = 2.0  # from the write of the drain to the store until no new request may arrive
 
     def by_address(self, address):
         return next((each for each in self.servers.values() if each.address == address), None)
 
+    def is_harmless(self, cause, at):
+        return at < self.deadly_from.get(cause, 0)
+
     def ran(self, attempt):
         self.runs[attempt] = self.runs.get(attempt, 0) + 1
 
@@ -379,6 +383,7 @@
             return True
         self._check_leaving(attempt)
         cause = crash_cause(message)
+        cause = "" if self.fleet.is_harmless(cause, time.monotonic()) else cause
         if cause:
             self.fleet.reached.setdefault(cause, []).append((time.monotonic(), attempt))
         if self.retry_after_s:
