--- a/tests/RequestQuarantineTest.cpp
+++ b/tests/RequestQuarantineTest.cpp
@@ -535,15 +535,15 @@
             harness.send(relay::event::AttemptEnded { start->attempt, AttemptResult::Completed, 200, "" });
         }
         harness.tick(each.sinceRun);
-        const auto reportEnds = [&] {
+        const auto reportEnds = [&](std::uint64_t firstServer, Duration age) {
             std::vector<CrashReport> reports;
-            for (std::uint64_t server = 1; server <= each.ends; ++server)
-                reports.push_back({ { traitsOf(9, "b1", "w"), CrashSign::JustBegun }, server, each.age, each.age });
+            for (std::uint64_t server = firstServer; server < firstServer + each.ends; ++server)
+                reports.push_back({ { traitsOf(9, "b1", "w"), CrashSign::JustBegun }, server, age, age });
             harness.send(relay::event::CrashesReported { reports });
             harness.tick(milliseconds(60));
             return harness.last<relay::effect::ShareSoundRuns>();
         };
-        const auto shared = reportEnds();
+        const auto shared = reportEnds(1, each.age);
         CHECK_EQUAL_TEXT(each.refutedEnds.has_value(), shared.has_value(), each.name);
         const std::size_t endsLeft = shared && !each.refutedEnds->empty() ? 0 : each.ends;
         CHECK_EQUAL_TEXT(
@@ -554,7 +554,9 @@
             { part("b1"), *each.refutedEnds } };
         CHECK_TRUE_TEXT(shared->runs == expected, each.name);
         // The same run shows nothing new.
-        CHECK_FALSE_TEXT(reportEnds().has_value(), each.name);
+        CHECK_FALSE_TEXT(reportEnds(1, each.age).has_value(), each.name);
+        // A part that became harmful must not be defended again and again.
+        CHECK_FALSE_TEXT(reportEnds(10, milliseconds(300)).has_value(), each.name);
     }
 }
 
