Switch mechanisms by the settings, also by SIGHUP, and name those of the parts under heavy load

An operator could disable a mechanism only on the command line, so with a restart. The settings take a table mechanisms; an unknown name or another value than on and off is refused with the field's path, and a reload with an error leaves the last good settings in force.

--- a/programs/crocusmount-entry.cpp
+++ b/programs/crocusmount-entry.cpp
@@ -62,7 +62,7 @@
 relay::RelayOptions relayOptions(const PlatformSettings& settings, const relay::DisabledMechanisms& without)
 {
     relay::RelayOptions options;
-    options.without = without;
+    options.without = without.mergedWith(settings.disabledMechanisms);
     options.dataCentre = DataCentreId(settings.dataCentre);
     options.retryRatio = settings.retryRatio * RetryLimitShare;
     options.retryBurstRampUp = Duration(static_cast<std::int64_t>(settings.retryWindowSeconds * 1e6));
@@ -74,9 +74,14 @@
 /// Owns and connects the components of one entry instance.
 class EntryInstance {
 public:
-    EntryInstance(net::io_context& context, const PlatformSettings& settings, const relay::DisabledMechanisms& without)
+    /// @param file     the settings file, which is read again on SIGHUP
+    /// @param without  mechanisms that the command line disables
+    EntryInstance(net::io_context& context, const PlatformSettings& settings, std::string file,
+        const relay::DisabledMechanisms& without)
         : m_context(context)
         , m_settings(settings)
+        , m_settingsFile(std::move(file))
+        , m_without(without)
         , m_control(context)
         , m_node(context, relayOptions(settings, without), platform::headerNames(), m_control)
         , m_store(context, settings.storeAddress)
@@ -178,8 +183,7 @@
             if (error)
                 return;
             if (signal == SIGHUP) {
-                // The settings are fixed for the life of the process, so a reload changes nothing.
-                relay::DecisionLog::state("reload", { { "changed", false } });
+                reload();
                 waitForSignal();
                 return;
             }
@@ -187,6 +191,23 @@
         });
     }
 
+    /// Reads the settings again and applies the mechanisms. All other settings are fixed for the life of the process.
+    /// Settings that cannot be read change nothing.
+    void reload()
+    {
+        const auto settings = platform::readPlatformSettings(m_settingsFile);
+        if (!settings.ok()) {
+            relay::DecisionLog::state(
+                "reload", { { "changed", false }, { "error", std::string(settings.status().message()) } });
+            return;
+        }
+        const auto disabled = m_without.mergedWith(settings->disabledMechanisms);
+        const bool isChanged = disabled != m_node.reducer().options().without;
+        if (isChanged)
+            m_node.post(relay::event::MechanismsChanged { disabled });
+        relay::DecisionLog::state("reload", { { "changed", isChanged } });
+    }
+
     /// Withdraws this instance, so that callers use other instances, then lets running calls finish before the process
     /// stops. Calls that still run after ForcedStopShare of the grace period are cut off.
     Awaitable<void> drain()
@@ -214,6 +235,8 @@
 
     net::io_context& m_context;
     PlatformSettings m_settings;
+    std::string m_settingsFile;
+    relay::DisabledMechanisms m_without; ///< from the command line
     platform::PlatformEngineControl m_control;
     relay::RelayNode m_node;
     platform::PlatformCallReader m_reader;
@@ -264,7 +287,7 @@
     relay::DecisionLog::setUp(settings->instanceName, CallLogLinesPerSecond);
     // Everything except the log runs on this thread, so Asio needs no locks.
     net::io_context context(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE);
-    EntryInstance instance(context, *settings, *without);
+    EntryInstance instance(context, *settings, file, *without);
     if (const absl::Status status = instance.start(); !status.ok()) {
         std::cerr << "crocusmount-entry: " << status.message() << "\n";
         return ExitFailed;
--- a/src/relay/Mechanism.cpp
+++ b/src/relay/Mechanism.cpp
@@ -31,6 +31,11 @@
         { "prompt-parts", Mechanism::PromptParts },
         { "path-detection", Mechanism::PathDetection },
         { "store-feed", Mechanism::StoreFeed },
+        { "start-admission", Mechanism::StartAdmission },
+        { "return-slots", Mechanism::ReturnSlots },
+        { "queue-bypass", Mechanism::QueueBypass },
+        { "group-losses", Mechanism::GroupLosses },
+        { "store-turns", Mechanism::StoreTurns },
     };
 
 } // namespace
@@ -54,6 +59,13 @@
     return result;
 }
 
+DisabledMechanisms DisabledMechanisms::mergedWith(const DisabledMechanisms& other) const
+{
+    DisabledMechanisms merged = *this;
+    merged.m_disabled.insert(other.m_disabled.begin(), other.m_disabled.end());
+    return merged;
+}
+
 std::vector<std::string> mechanismNames()
 {
     std::vector<std::string> names;
--- a/src/relay/Mechanism.h
+++ b/src/relay/Mechanism.h
@@ -29,17 +29,26 @@
     PromptParts, ///< quarantine of parts of prompts, not only of whole requests
     PathDetection, ///< detection that this instance is cut off from all servers
     StoreFeed, ///< updates of the local store copy from another instance
+    StartAdmission, ///< admission of calls by what an instance knows after its start or an outage of the store
+    ReturnSlots, ///< retry times that spread returning callers over the capacity that will be free
+    QueueBypass, ///< placement of waiting calls behind one that has no server with capacity
+    GroupLosses, ///< search for engines that were lost together, and reroutes that avoid them
+    StoreTurns, ///< turns of the instances at a store that does not answer
 };
 
-/// The set of disabled mechanisms; empty in production.
+/// The set of disabled mechanisms, from the settings or the command line.
 class DisabledMechanisms {
 public:
     /// @param names  comma-separated names as returned by mechanismNames()
     /// @return the set, or InvalidArgument with the first unknown name
     static absl::StatusOr<DisabledMechanisms> make(std::string_view names);
 
+    /// @return the mechanisms that either set disables
+    DisabledMechanisms mergedWith(const DisabledMechanisms& other) const;
+
     /// @return whether a mechanism is disabled
     bool has(Mechanism mechanism) const { return m_disabled.count(mechanism) != 0; }
+    bool operator==(const DisabledMechanisms&) const = default;
 
 private:
     std::set<Mechanism> m_disabled;
--- a/src/relay/RelayEvent.h
+++ b/src/relay/RelayEvent.h
@@ -6,6 +6,7 @@
 #include "relay/ConnectFailure.h"
 #include "relay/CrashReport.h"
 #include "relay/LoadReport.h"
+#include "relay/Mechanism.h"
 #include "relay/PermitAnswer.h"
 #include "relay/PermitRequest.h"
 #include "relay/RegisteredServer.h"
@@ -67,6 +68,11 @@
         std::optional<EngineLoads> loads; ///< by engineKey; nothing if unknown
     };
 
+    /// The operator switched mechanisms on or off.
+    struct MechanismsChanged {
+        DisabledMechanisms disabled; ///< all that are off from now on
+    };
+
     /// A caller has sent a call.
     struct CallArrived {
         RequestId call;
@@ -218,7 +224,8 @@
     event::ServerLimitReported, event::AnswerBegun, event::EventDelivered, event::AttemptEnded, event::RerouteAnswered,
     event::StalledStageReported, event::EngineChecked, event::ServerProbed, event::CrashesReported,
     event::SoundRunsReported, event::QuarantineListed, event::QuarantineLifted, event::EngineStartSeen,
-    event::EnginesReportedDead, event::EnginesReportedClosed, event::DrainRequested, event::Tick>;
+    event::EnginesReportedDead, event::EnginesReportedClosed, event::DrainRequested, event::MechanismsChanged,
+    event::Tick>;
 
 /// An event, with the only time and randomness that the reducer may use to handle it.
 struct RelayEvent {
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -117,6 +117,8 @@
         m_drainRequestedAt = context.now;
 }
 
+void RelayReducer::on(const event::MechanismsChanged& changed, Context&) { m_options.without = changed.disabled; }
+
 // ---- Calls and attempts --------------------------------------------------------------------------------------------
 
 /// Resolves route, workspace, rank and service of a call.
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -108,6 +108,7 @@
     void on(const event::QuarantineListed&, Context&);
     void on(const event::QuarantineLifted&, Context&);
     void on(const event::DrainRequested&, Context&);
+    void on(const event::MechanismsChanged&, Context&);
     void on(const event::Tick&, Context&);
 
     /// A call that arrived before the first configuration.
--- a/tests/EdgeTest.cpp
+++ b/tests/EdgeTest.cpp
@@ -187,6 +187,12 @@
         { validYaml + "bounds:\n  grace_s: soon\n", "bounds.grace_s" },
         { validYaml + "bounds:\n  drain_ms: soon\n", "bounds.drain_ms" },
         { validYaml + "bounds:\n  drain_ms: 4000\n", "" },
+        { validYaml + "mechanisms:\n  return-slots: off\n  moves: on\n", "" },
+        { validYaml + "mechanisms:\n  return-slot: off\n", "mechanisms.return-slot: no such mechanism" },
+        { validYaml + "mechanisms:\n  \"moves,reroutes\": off\n", "mechanisms.moves,reroutes: no such mechanism" },
+        { validYaml + "mechanisms:\n  moves: sometimes\n", "mechanisms.moves: expected on or off" },
+        { validYaml + "mechanisms:\n  moves: [off]\n", "mechanisms.moves: expected on or off" },
+        { validYaml + "mechanisms: off\n", "mechanisms: not a table" },
         { "zone: z\n", "node_name: missing" },
         { "node_name: n\nzone: z\nip: i\nlisten: 3\n", "listen.front: missing" },
         { "a: [", "not YAML" },
@@ -200,6 +206,11 @@
             CHECK_TRUE_TEXT(message.find(each.expected) != std::string::npos, message.c_str());
         }
     }
+    const auto settings
+        = platform::parsePlatformSettings(validYaml + "mechanisms:\n  return-slots: off\n  moves: on\n");
+    CHECK_TRUE(settings.ok());
+    CHECK_TRUE(settings->disabledMechanisms.has(Mechanism::ReturnSlots));
+    CHECK_FALSE(settings->disabledMechanisms.has(Mechanism::Moves));
 }
 
 // Simulates the loss of half of the capacity while calls keep arriving, so that answers begin late.
