--- a/tests/CrashingPromptPartTest.cpp
+++ b/tests/CrashingPromptPartTest.cpp
@@ -182,6 +182,39 @@
     checkSeeds({ "nine instances, common", withPart({ .instances = 9, .crashesFrom = CrashesFrom }), 1, 0.1 });
 }
 
+// Guards against late verdicts and verdicts on sound parts, if a common part turns harmful: nearly all servers end at
+// once, so all common parts are on the same ones, and the calls that waited arrive together when servers are back.
+TEST(CrashingPromptPart, ThatIsCommonAndRanWellBeforeIsSoonSentToNoServer)
+{
+    const struct {
+        const char* name;
+        std::size_t workspaces;
+        Duration crashesFrom;
+        double share; ///< of all requests
+        std::size_t position; ///< of the part
+        std::uint64_t seed;
+    } cases[] = {
+        { "10 workspaces, 8 s, 10%, second part, seed 105", 10, seconds(8), 0.1, 1, 105 },
+        { "10 workspaces, 8 s, 10%, second part, seed 103", 10, seconds(8), 0.1, 1, 103 },
+        { "10 workspaces, 10 s, 10%, first part, seed 107", 10, seconds(10), 0.1, 0, 107 },
+        { "10 workspaces, 10 s, 10%, first part, seed 108", 10, seconds(10), 0.1, 0, 108 },
+        { "10 workspaces, 10 s, 25%, first part, seed 104", 10, seconds(10), 0.25, 0, 104 },
+        { "10 workspaces, 10 s, 25%, second part, seed 109", 10, seconds(10), 0.25, 1, 109 },
+        { "1 workspace, 10 s, 10%, last part, seed 109", 1, seconds(10), 0.1, 2, 109 },
+        { "1 workspace, 10 s, 25%, second part, seed 110", 1, seconds(10), 0.25, 1, 110 },
+        { "1 workspace, 10 s, 25%, second part, seed 102", 1, seconds(10), 0.25, 1, 102 },
+        { "1 workspace, 6 s, 10%, second part, seed 102", 1, seconds(6), 0.1, 1, 102 },
+    };
+    for (const auto& each : cases) {
+        const CrashFleet::Options options = withPart({ .instances = 9,
+            .crashingPartPosition = each.position,
+            .workspaces = each.workspaces,
+            .crashesFrom = each.crashesFrom,
+            .seed = each.seed });
+        checkLoad({ each.name, options, 1, each.share, milliseconds(10), seconds(25) });
+    }
+}
+
 // Guards against a caller who names another workspace's part in requests that crash servers.
 TEST(CrashingPromptPart, IsNotBlockedInAWorkspaceBecauseOfTheRequestsOfAnother)
 {
