A run at one server is no proof for later attempts of the same call

Each attempt is now judged by its own run. A resumed stream that runs well counts as a sound run of its own.

--- a/src/relay/Call.h
+++ b/src/relay/Call.h
@@ -38,6 +38,7 @@
     std::uint32_t eventsDelivered = 0; ///< events of this attempt that the caller received
     bool wasSent = false; ///< bytes of the call were sent, so the server may have run it
     std::optional<TimePoint> answerBegunAt; ///< when a success header arrived, so the server had begun to run the call
+    bool wasHarmless = false; ///< ran to its end, or longer than a request that crashes its server, see MinHarmlessRun
     bool isFirstEventLate = false; ///< no event arrived within the route's objective
     bool hasLostStage = false; ///< a stage has ended, and only a reroute lets the attempt continue
     bool hasServerEnded = false; ///< the process of `server` that accepted the attempt has ended
@@ -86,7 +87,6 @@
     bool mayHaveRun = false; ///< an ended attempt may have run the call
     bool hasPartialAnswer = false; ///< the caller received at least one event
     std::uint64_t lastEventId = 0; ///< id of the last event that the caller has, here or from an earlier call
-    bool wasHarmless = false; ///< ran to its end, or longer than a request that crashes its server, see MinHarmlessRun
     std::optional<TimePoint> nextHoldCheckAt; ///< set while the call is kept out of the queue for a crash verdict
     std::optional<TimePoint> holdDeadline; ///< the call is queued at this time even without a verdict
     std::vector<BackendId> avoidedServers; ///< servers that failed or rejected this call, or stalled under it
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -263,7 +263,7 @@
     call->lastDeliveredAt = context.now;
     m_fleet.recordProgress(call->main.chain, context.now);
     const TimePoint begun = call->main.answerBegunAt.value_or(call->main.startedAt);
-    if (!call->wasHarmless && context.now - begun >= MinHarmlessRun)
+    if (!call->main.wasHarmless && context.now - begun >= MinHarmlessRun)
         recordHarmlessRequest(*call, context);
 }
 
--- a/src/relay/RelayReducerCrashes.cpp
+++ b/src/relay/RelayReducerCrashes.cpp
@@ -28,7 +28,7 @@
     /// @return how strongly the end of a server suggests that an attempt there caused it
     CrashSign signOf(const Call& call, const Attempt& attempt)
     {
-        if (!attempt.wasSent || call.wasHarmless)
+        if (!attempt.wasSent || attempt.wasHarmless)
             return CrashSign::None;
         // A plain service sends its answer as a whole, so nothing shows when the server began to run the call.
         if (!isStream(call.route->kind))
@@ -330,7 +330,7 @@
 /// that ended under its traits before it began are no evidence against them.
 void RelayReducer::recordHarmlessRequest(Call& call, Context& context)
 {
-    call.wasHarmless = true;
+    call.main.wasHarmless = true;
     m_harmlessTraits.add(call.traits, call.main.answerBegunAt.value_or(call.main.startedAt), context.now);
     planSoundRuns(call.traits, context);
 }
@@ -340,7 +340,7 @@
 /// @return whether server ends that are not settled yet may be enough to quarantine a trait of the request
 bool RelayReducer::awaitsCrashVerdict(const Call& call) const
 {
-    if (!countsCrashes() || call.wasHarmless)
+    if (!countsCrashes())
         return false;
     return std::any_of(call.traits.begin(), call.traits.end(), [&](const RequestTrait& trait) {
         if (hasRunLately(trait, m_now))
