--- a/src/relay/RequestQuarantine.cpp
+++ b/src/relay/RequestQuarantine.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <cstdint>
 #include <iterator>
-#include <numeric>
 #include <tuple>
 
 namespace crocusmount::relay {
@@ -17,9 +16,6 @@
     constexpr Duration QuarantineDuration = std::chrono::minutes(30);
     /// Limits memory. A malicious caller has to crash a server for each few dozen records.
     constexpr std::size_t MaxRecords = 4096;
-    /// Servers that are remembered for one trait. Those that end before all instances know the verdict are explained by
-    /// it, too.
-    constexpr std::size_t MaxServersPerTrait = 16;
     /// Time in which the reports of all instances about one end arrive.
     constexpr Duration JudgementDelay = std::chrono::milliseconds(100);
     /// With less evidence, no trait is quarantined while another one has as much. The next crash shows which one it is.
@@ -42,41 +38,6 @@
     return 0;
 }
 
-RequestQuarantine::End* RequestQuarantine::Record::find(std::uint64_t server)
-{
-    const auto found = std::find_if(ends.begin(), ends.end(), [&](const End& each) { return each.server == server; });
-    return found == ends.end() ? nullptr : &*found;
-}
-
-std::uint32_t RequestQuarantine::Record::pointsOfAllEnds() const
-{
-    return std::accumulate(
-        ends.begin(), ends.end(), carriedPoints, [](std::uint32_t sum, const End& end) { return sum + end.points; });
-}
-
-std::uint32_t RequestQuarantine::Record::refutedCount() const
-{
-    return static_cast<std::uint32_t>(
-        std::count_if(ends.begin(), ends.end(), [](const End& end) { return end.isRefuted; }));
-}
-
-bool RequestQuarantine::Record::add(const End& end)
-{
-    if (End* known = find(end.server)) {
-        const std::size_t workspaceCount = known->workspaces.size();
-        const bool isStronger = known->points < end.points;
-        known->points = std::max(known->points, end.points);
-        known->workspaces.insert(end.workspaces.begin(), end.workspaces.end());
-        known->detectedAt = std::min(known->detectedAt, end.detectedAt);
-        known->lastAliveAt = std::max(known->lastAliveAt, end.lastAliveAt);
-        return !known->isRefuted && (isStronger || known->workspaces.size() > workspaceCount);
-    }
-    ends.push_back(end);
-    if (ends.size() > MaxServersPerTrait)
-        ends.erase(ends.begin());
-    return true;
-}
-
 TraitEvidence RequestQuarantine::evidenceOf(const RequestTrait& trait, const Record& record) const
 {
     TraitEvidence evidence { .points = record.carriedPoints, .isQuarantined = record.quarantinedUntil.has_value() };
--- a/src/relay/RequestQuarantine.h
+++ b/src/relay/RequestQuarantine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "crocusmount/Time.h"
+#include "relay/CrashRecord.h"
 #include "relay/CrashReport.h"
 #include "relay/SoundRun.h"
 #include "relay/TraitStanding.h"
@@ -83,32 +84,8 @@
     void removeExpired(TimePoint now);
 
 private:
-    /// The end of a server under a request.
-    struct End {
-        std::uint64_t server = 0; ///< engineKey
-        std::uint32_t points = 0;
-        TimePoint detectedAt; ///< not earlier than the end
-        TimePoint lastAliveAt; ///< not later than the end
-        bool isRefuted = false;
-        std::set<WorkspaceId> workspaces; ///< of the requests with the trait that were there
-    };
-    struct Record {
-        std::vector<End> ends; ///< one for each server, oldest first
-        std::uint32_t carriedPoints = 0; ///< points kept from a quarantine that has ended
-        TimePoint lastEvidenceAt; ///< when a crash or verdict was last reported, or the quarantine ended
-        std::optional<TimePoint> quarantinedUntil; ///< empty if the trait is not quarantined
-        std::optional<TimePoint> blockableSince; ///< when the evidence became enough; empty if it is not
-        bool hasRun = false; ///< an instance ran a request with the trait lately
-        bool hasOwnEnd = false; ///< this instance saw one of the ends
-        std::size_t position = 0; ///< among the traits of its request, see CrashSuspect
-
-        /// @return whether the end counts and was not known, or only with fewer points or workspaces
-        bool add(const End&);
-        End* find(std::uint64_t server);
-        /// @return points for all ends, whether they count or not
-        std::uint32_t pointsOfAllEnds() const;
-        std::uint32_t refutedCount() const;
-    };
+    using End = CrashRecord::End;
+    using Record = CrashRecord;
 
     /// Finds or creates the record of a trait and sets lastEvidenceAt. If there are MaxRecords already, creating one
     /// evicts the record with the oldest evidence, a quarantined one only if all are.
