Send requests with doubtful traits one at a time, so that sound runs come before further ends

Traits that ran wait for ends 0.6 s apart; their calls were not held, so when engines were back 3 s later, all that had waited was sent at once. Ruled out: lost or late reports between instances, which all had the ends 0.4 s after each.

- A trait that ran and has four points is doubtful.
One sound run refutes what is held against the parts of nearly all calls.
- A trait that ran waits for a verdict while a doubtful one with more evidence was on all its servers.

--- a/src/relay/Call.h
+++ b/src/relay/Call.h
@@ -89,6 +89,8 @@
     std::uint64_t lastEventId = 0; ///< id of the last event that the caller has, here or from an earlier call
     std::optional<TimePoint> nextHoldCheckAt; ///< set while the call is kept out of the queue for a crash verdict
     std::optional<TimePoint> holdDeadline; ///< the call is queued at this time even without a verdict
+    bool isTrial = false; ///< may be sent although its traits are doubtful
+    bool awaitsTrial = false; ///< the last search found a server, but the call may only be sent as a trial
     std::vector<BackendId> avoidedServers; ///< servers that failed or rejected this call, or stalled under it
 
     /// The delay of such a call reflects the failure, not the load, so the concurrency limit ignores it.
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -17,6 +17,7 @@
 #include "relay/ServerFleet.h"
 #include "relay/ServerPath.h"
 #include "relay/ServiceQueue.h"
+#include "relay/TrialRuns.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <deque>
@@ -216,6 +217,8 @@
     void recordHarmlessRequest(Call&, Context&);
     bool awaitsCrashVerdict(const Call&) const;
     void holdCall(Call&, Context&);
+    const RequestId* chooseTrial(Context&);
+    std::size_t doubtfulTraitCount(const Call&) const;
     void releaseHeldCalls(Context&);
     void requeue(Call&, Context&);
     static bool isPause(const Call&, Duration sinceProgress);
@@ -273,6 +276,7 @@
     CrashEvidence m_crashEvidence;
     RequestQuarantine m_quarantine;
     HarmlessTraits m_harmlessTraits;
+    TrialRuns m_trialRuns;
     std::map<RequestTrait, TimePoint> m_soundRunsDue; ///< when to tell the other instances of runs with a trait
     PermitIssuer m_permitIssuer; ///< used for the servers that this instance coordinates
     std::uint64_t m_nextPermitRequest = 1;
--- a/src/relay/RelayReducerCrashes.cpp
+++ b/src/relay/RelayReducerCrashes.cpp
@@ -13,13 +13,8 @@
 
 namespace {
 
-    /// Time between two checks whether a held call may be queued.
-    constexpr Duration HoldCheckInterval = std::chrono::milliseconds(50);
     /// Time between two probes of a server if the first did not show whether it is alive.
     constexpr Duration ReprobeInterval = std::chrono::milliseconds(400);
-    /// Longest time that a call is held. By then it is known whether each server end belongs to a group failure, or it
-    /// will stay unknown.
-    constexpr Duration MaxHold = std::chrono::milliseconds(1000);
     /// Evidence at which one more crash may quarantine a trait.
     constexpr std::uint32_t MinPointsToRefute = 4;
     /// Shorter than the time that judgements wait.
@@ -179,9 +174,11 @@
         if (call.second)
             consider(call, *call.second);
     }
-    if (m_crashEvidence.noteEnded(server.othersLoad.engine, std::move(running), context.now, server.lastAliveAt))
-        context.effects.emplace_back(effect::LogServerState {
-            effect::LogServerState::ServerStateChange::ProcessEnded, server.entry.id, server.entry.startedAt });
+    if (!m_crashEvidence.noteEnded(server.othersLoad.engine, std::move(running), context.now, server.lastAliveAt))
+        return;
+    m_trialRuns.noteEnd(context.now);
+    context.effects.emplace_back(effect::LogServerState {
+        effect::LogServerState::ServerStateChange::ProcessEnded, server.entry.id, server.entry.startedAt });
 }
 
 /// Counts the server ends that are now known to be crashes or group failures, and shares them with the other instances.
@@ -335,23 +332,6 @@
     planSoundRuns(call.traits, context);
 }
 
-/// Further attempts wait while this holds, because the next server could be one crash too many. Requests with a trait
-/// that ran lately do not wait, as only their runs can refute what is held against a popular trait.
-/// @return whether server ends that are not settled yet may be enough to quarantine a trait of the request
-bool RelayReducer::awaitsCrashVerdict(const Call& call) const
-{
-    if (!countsCrashes())
-        return false;
-    return std::any_of(call.traits.begin(), call.traits.end(), [&](const RequestTrait& trait) {
-        if (hasRunLately(trait, m_now))
-            return false;
-        const std::size_t open = m_crashEvidence.unclassifiedEndCount(trait);
-        const std::uint32_t each = RequestQuarantine::pointsOf(CrashSign::JustBegun);
-        const TraitEvidence evidence = m_quarantine.evidence(trait, m_now);
-        return (open || evidence.points) && each * open >= missingPoints(evidence);
-    });
-}
-
 /// Refuses a call without an answer.
 /// @param limit  what forbade another attempt, or nothing if no attempt failed
 void RelayReducer::refuse(const Call& call, Reason reason, RunState run, Duration retryAfter,
@@ -365,33 +345,4 @@
     context.effects.emplace_back(std::move(refusal));
 }
 
-/// Keeps a call out of the queue until there is a verdict on its request. In the queue it would block those behind it.
-void RelayReducer::holdCall(Call& call, Context& context)
-{
-    call.state = CallState::Waiting;
-    call.holdDeadline = std::min(call.deadline, context.now + MaxHold);
-    call.nextHoldCheckAt = context.now + HoldCheckInterval;
-    call.waitUntil = std::max(call.waitUntil, *call.holdDeadline);
-    ++m_counters.held;
-}
-
-/// Queues held calls whose request has a verdict, or that were held for long enough.
-void RelayReducer::releaseHeldCalls(Context& context)
-{
-    std::vector<RequestId> due;
-    for (const auto& [id, call] : m_calls) {
-        if (call.nextHoldCheckAt && context.now >= *call.nextHoldCheckAt)
-            due.push_back(id);
-    }
-    for (const RequestId& id : due) {
-        Call& call = m_calls.at(id);
-        if (awaitsCrashVerdict(call) && context.now < *call.holdDeadline) {
-            call.nextHoldCheckAt = context.now + HoldCheckInterval;
-            continue;
-        }
-        call.nextHoldCheckAt.reset();
-        requeue(call, context);
-    }
-}
-
 } // namespace crocusmount::relay
--- a/src/relay/RelayReducerPlacing.cpp
+++ b/src/relay/RelayReducerPlacing.cpp
@@ -44,6 +44,10 @@
         Call& call = found->second;
         if (place(call, context))
             continue;
+        if (call.awaitsTrial) {
+            holdCall(call, context);
+            continue;
+        }
         queue.pushFront(call.workspace, 1, -call.rank, call.id);
         return;
     }
@@ -71,15 +75,21 @@
 }
 
 /// Chooses servers for an attempt, books their capacity and emits StartAttempt.
-/// @return the attempt, or nothing if no server has capacity or a stage is being checked
+/// @return the attempt, or nothing if no server has capacity, a stage is being checked, or the call has to wait for a
+///         trial
 std::optional<Attempt> RelayReducer::startAttempt(Call& call, AttemptPurpose purpose, Context& context)
 {
     if (isCutOff())
         return std::nullopt;
+    call.awaitsTrial = false;
     requestPermits(call, context);
     auto placement = m_placer.place(call, context.now, context.entropy);
     if (!placement || awaitsCheck(placement->chain, context) || isKnownFull(call, placement->chain, context.now))
         return std::nullopt;
+    call.awaitsTrial = doubtfulTraitCount(call) && !call.isTrial;
+    if (call.awaitsTrial)
+        return std::nullopt;
+    call.isTrial = false;
     Attempt attempt;
     attempt.id = AttemptId(m_nextAttempt++);
     attempt.server = placement->server;
--- a/src/relay/RequestQuarantine.cpp
+++ b/src/relay/RequestQuarantine.cpp
@@ -174,6 +174,17 @@
     });
 }
 
+bool RequestQuarantine::hasStrongerSuspect(const Candidate& candidate) const
+{
+    const TraitEvidence evidence = evidenceOf(candidate.first, candidate.second);
+    return evidence.hasRun
+        && std::any_of(m_doubtfulTraits.begin(), m_doubtfulTraits.end(), [&](const RequestTrait& trait) {
+               const auto other = m_records.find(trait);
+               return other != m_records.end() && trait.value != candidate.first.value
+                   && evidenceOf(trait, other->second).points > evidence.points && covers(*other, candidate);
+           });
+}
+
 std::vector<RequestQuarantine::Candidate*> RequestQuarantine::findCandidates(TimePoint now)
 {
     std::vector<Candidate*> candidates;
@@ -184,7 +195,7 @@
         // A trait may also become blockable without a new end, because less speaks for another cause.
         const bool isCandidate = record.pointsOfAllEnds() >= MinPointsToBlock && isBlocked(each.first, record);
         record.blockableSince = isCandidate ? record.blockableSince.value_or(now) : std::optional<TimePoint>();
-        if (isCandidate)
+        if (isCandidate && !hasStrongerSuspect(each))
             candidates.push_back(&each);
     }
     std::vector<Candidate*> narrowest;
@@ -224,9 +235,24 @@
         verdicts.push_back({ blockable->first, blockable->second.hasOwnEnd });
         updateExplainedServers();
     }
+    updateDoubtfulTraits();
     return verdicts;
 }
 
+void RequestQuarantine::updateDoubtfulTraits()
+{
+    m_doubtfulTraits.clear();
+    for (const auto& [trait, record] : m_records) {
+        if (record.pointsOfAllEnds() < MinPointsToDoubt)
+            continue;
+        // A trait that is to be blocked stays doubtful until the other instances' reports have arrived.
+        const TraitEvidence evidence = evidenceOf(trait, record);
+        if (evidence.hasRun && !evidence.isQuarantined && !isCovered(trait)
+            && classifyTrait(evidence) >= TraitStanding::Doubtful)
+            m_doubtfulTraits.insert(trait);
+    }
+}
+
 void RequestQuarantine::updateExplainedServers()
 {
     m_explainedServers.clear();
--- a/src/relay/RequestQuarantine.h
+++ b/src/relay/RequestQuarantine.h
@@ -67,6 +67,8 @@
     /// @return whether an instance is known to have run a request with the trait lately
     bool isKnownToHaveRun(const RequestTrait&) const;
 
+    /// @return the traits that stood as doubtful at the last judgement
+    const std::set<RequestTrait>& doubtfulTraits() const { return m_doubtfulTraits; }
     bool isQuarantined(const RequestTrait&, TimePoint now) const;
     /// @return the first of the traits that is quarantined, or null if none is
     const RequestTrait* findQuarantined(const std::vector<RequestTrait>&, TimePoint now) const;
@@ -103,6 +105,8 @@
     bool isCovered(const RequestTrait&) const;
     /// Updates m_serversOfNewParts.
     void updateServersOfNewParts();
+    /// Updates m_doubtfulTraits.
+    void updateDoubtfulTraits();
     /// Updates m_explainedServers after a change of the quarantined records.
     void updateExplainedServers();
     using Candidate = std::pair<const RequestTrait, Record>;
@@ -111,6 +115,10 @@
     static std::size_t narrownessOf(const Candidate&);
     /// @return whether each end that counts against the other candidate counts against the first one, too
     bool covers(const Candidate&, const Candidate& other) const;
+    /// @return whether the candidate ran, and a doubtful trait with more evidence was on all of its servers. That one
+    /// may
+    ///         still lack evidence of other workspaces, or ends that are far enough apart.
+    bool hasStrongerSuspect(const Candidate&) const;
     /// @return traits with enough evidence, without those that a narrower one covers
     std::vector<Candidate*> findCandidates(TimePoint now);
     /// @return the trait to quarantine next, or null if no evidence is enough
@@ -122,6 +130,7 @@
     /// Servers that ended under parts which are on several of them and are not known to have run lately. They are the
     /// likelier cause, so these ends do not count against traits that ran.
     std::set<std::uint64_t> m_serversOfNewParts;
+    std::set<RequestTrait> m_doubtfulTraits; ///< as of the last judgement
 };
 
 } // namespace crocusmount::relay
--- a/src/relay/TraitStanding.cpp
+++ b/src/relay/TraitStanding.cpp
@@ -22,6 +22,8 @@
     const bool isConclusive = !evidence.hasRun || evidence.span >= MinSpanAfterRun;
     if (evidence.isQuarantined || (!missingPoints(evidence) && isConclusive))
         return TraitStanding::Blocked;
+    if (evidence.hasRun && evidence.points >= MinPointsToDoubt)
+        return TraitStanding::Doubtful;
     if (evidence.points)
         return TraitStanding::Suspected;
     return evidence.hasRun ? TraitStanding::Harmless : TraitStanding::Unknown;
--- a/src/relay/TraitStanding.h
+++ b/src/relay/TraitStanding.h
@@ -12,6 +12,7 @@
     Unknown, ///< no request with it has run lately, and no server has ended under one
     Harmless, ///< a request with it ran lately, and no server has ended under one since
     Suspected, ///< servers ended under requests with it, too few for a verdict
+    Doubtful, ///< it ran lately, and several servers ended since, which may be by chance: sent one at a time
     Blocked, ///< requests with it are sent to no server
 };
 
@@ -33,6 +34,8 @@
 /// the trait are enough, or six at which such requests were waiting. A harmless trait would have to be at that many
 /// crashed servers by chance.
 constexpr std::uint32_t MinPointsToBlock = 6;
+/// Points at which a trait that ran lately is doubtful: two servers.
+constexpr std::uint32_t MinPointsToDoubt = 4;
 /// Points that must not depend on any one workspace before a trait of all workspaces is blocked: two servers.
 constexpr std::uint32_t MinIndependentPointsToBlock = 4;
 /// Points at which a part of one workspace is blocked if requests with the part, of any workspace, ran before. In the
