--- a/src/relay/RequestQuarantine.h
+++ b/src/relay/RequestQuarantine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "crocusmount/Time.h"
+#include "relay/CrashRecord.h"
 #include "relay/CrashReport.h"
 #include "relay/SoundRun.h"
 #include "relay/TraitStanding.h"
@@ -66,6 +67,8 @@
     /// @return whether an instance is known to have run a request with the trait lately
     bool isKnownToHaveRun(const RequestTrait&) const;
 
+    /// @return the traits that stood as doubtful at the last judgement
+    const std::set<RequestTrait>& doubtfulTraits() const { return m_doubtfulTraits; }
     bool isQuarantined(const RequestTrait&, TimePoint now) const;
     /// @return the first of the traits that is quarantined, or null if none is
     const RequestTrait* findQuarantined(const std::vector<RequestTrait>&, TimePoint now) const;
@@ -83,32 +86,8 @@
     void removeExpired(TimePoint now);
 
 private:
-    /// The end of a server under a request.
-    struct End {
-        std::uint64_t server = 0; ///< engineKey
-        std::uint32_t points = 0;
-        TimePoint detectedAt; ///< not earlier than the end
-        TimePoint lastAliveAt; ///< not later than the end
-        bool isRefuted = false;
-        std::set<WorkspaceId> workspaces; ///< of the requests with the trait that were there
-    };
-    struct Record {
-        std::vector<End> ends; ///< one for each server, oldest first
-        std::uint32_t carriedPoints = 0; ///< points kept from a quarantine that has ended
-        TimePoint lastEvidenceAt; ///< when a crash or verdict was last reported, or the quarantine ended
-        std::optional<TimePoint> quarantinedUntil; ///< empty if the trait is not quarantined
-        std::optional<TimePoint> blockableSince; ///< when the evidence became enough; empty if it is not
-        bool hasRun = false; ///< an instance ran a request with the trait lately
-        bool hasOwnEnd = false; ///< this instance saw one of the ends
-        std::size_t position = 0; ///< among the traits of its request, see CrashSuspect
-
-        /// @return whether the end counts and was not known, or only with fewer points or workspaces
-        bool add(const End&);
-        End* find(std::uint64_t server);
-        /// @return points for all ends, whether they count or not
-        std::uint32_t pointsOfAllEnds() const;
-        std::uint32_t refutedCount() const;
-    };
+    using End = CrashRecord::End;
+    using Record = CrashRecord;
 
     /// Finds or creates the record of a trait and sets lastEvidenceAt. If there are MaxRecords already, creating one
     /// evicts the record with the oldest evidence, a quarantined one only if all are.
@@ -126,6 +105,8 @@
     bool isCovered(const RequestTrait&) const;
     /// Updates m_serversOfNewParts.
     void updateServersOfNewParts();
+    /// Updates m_doubtfulTraits.
+    void updateDoubtfulTraits();
     /// Updates m_explainedServers after a change of the quarantined records.
     void updateExplainedServers();
     using Candidate = std::pair<const RequestTrait, Record>;
@@ -134,6 +115,10 @@
     static std::size_t narrownessOf(const Candidate&);
     /// @return whether each end that counts against the other candidate counts against the first one, too
     bool covers(const Candidate&, const Candidate& other) const;
+    /// @return whether the candidate ran, and a doubtful trait with more evidence was on all of its servers. That one
+    /// may
+    ///         still lack evidence of other workspaces, or ends that are far enough apart.
+    bool hasStrongerSuspect(const Candidate&) const;
     /// @return traits with enough evidence, without those that a narrower one covers
     std::vector<Candidate*> findCandidates(TimePoint now);
     /// @return the trait to quarantine next, or null if no evidence is enough
@@ -145,6 +130,7 @@
     /// Servers that ended under parts which are on several of them and are not known to have run lately. They are the
     /// likelier cause, so these ends do not count against traits that ran.
     std::set<std::uint64_t> m_serversOfNewParts;
+    std::set<RequestTrait> m_doubtfulTraits; ///< as of the last judgement
 };
 
 } // namespace crocusmount::relay
