Hold calls after a start by what is known, and let them go at this instance's share

Cause: calls waited 3 s for a configuration, but only 250 ms for engines; a fresh instance's limit was 256 streams; Retry-After was 200 to 600 ms.

StartAdmission holds a call while its caller waits and refuses it as not run before; it lets calls go at this instance's share of what the listed engines carry, those in time first. Ruled out: filling engines within 1.5 s (newcomers find them full). Switched by the mechanism start-admission.

--- a/programs/crocusmount-entry.cpp
+++ b/programs/crocusmount-entry.cpp
@@ -37,6 +37,8 @@
 /// Share of the platform's retry limit that all instances use together. The rest covers instances that are counted
 /// late.
 constexpr double RetryLimitShare = 0.85;
+/// Time without a first event after which the platform's callers abandon a stream.
+constexpr std::chrono::milliseconds StreamPatience { 2000 };
 /// Share of a leaving backend server's drain time after which its running streams are rerouted. Most streams finish
 /// earlier. Rerouting a stream moves its KV cache: half a gigabyte for a prompt of 900 tokens.
 constexpr double RerouteDelayShare = 0.5;
@@ -67,6 +69,7 @@
     options.retryRatio = settings.retryRatio * RetryLimitShare;
     options.retryBurstRampUp = Duration(static_cast<std::int64_t>(settings.retryWindowSeconds * 1e6));
     options.rerouteDelay = Duration(static_cast<std::int64_t>(RerouteDelayShare * settings.drainMs * 1000));
+    options.streamPatience = StreamPatience;
     options.retrySlack = settings.retrySlack * RetryLimitShare;
     return options;
 }
--- a/src/admission/ConcurrencyLimit.cpp
+++ b/src/admission/ConcurrencyLimit.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace crocusmount {
 
@@ -42,10 +43,19 @@
 
 void ConcurrencyLimit::rejected(double inFlight, TimePoint now) { decrease(inFlight, now); }
 
+void ConcurrencyLimit::setInitial(double share)
+{
+    if (m_wasDecreased)
+        return;
+    const double wanted = std::clamp(share, MinLimit, MaxLimit);
+    m_limit = std::exchange(m_hasInitial, true) ? std::max(m_limit, wanted) : wanted;
+}
+
 void ConcurrencyLimit::decrease(double inFlight, TimePoint now)
 {
     if (now < m_lastDecrease + MinDecreaseInterval)
         return;
+    m_wasDecreased = true;
     m_lastDecrease = now;
     m_limit = std::max(
         MinLimit, std::min(m_limit, inFlight + HeadroomDeviations * std::sqrt(inFlight + 1)) * DecreaseFactor);
--- a/src/admission/ConcurrencyLimit.h
+++ b/src/admission/ConcurrencyLimit.h
@@ -21,6 +21,10 @@
     /// @param inFlight  number of calls that this instance has in flight at the service
     void rejected(double inFlight, TimePoint now);
 
+    /// Sets the limit of an instance that has just started to its share of what the servers carry. Has no effect once
+    /// the limit was decreased; a limit that answers have increased stays above a lower share.
+    void setInitial(double share);
+
     /// @return the limit, in calls
     double value() const { return m_limit; }
 
@@ -28,6 +32,8 @@
     void decrease(double inFlight, TimePoint now);
 
     double m_limit = 256;
+    bool m_hasInitial = false; ///< whether setInitial() replaced the default
+    bool m_wasDecreased = false;
     TimePoint m_lastDecrease;
 };
 
--- a/src/edge/RelayMetrics.cpp
+++ b/src/edge/RelayMetrics.cpp
@@ -48,6 +48,13 @@
         double(counters.suspectsRanLately));
     families.addCounter("crocusmount_calls_held_total", "Calls that waited until it was known what ended their servers",
         double(counters.held));
+    families.addCounter("crocusmount_start_calls_held_total",
+        "Calls held because this instance knew too little to place them", double(counters.startHeld));
+    for (std::size_t end = 0; end < StartHoldEndCount; ++end) {
+        families.addCounter("crocusmount_start_holds_total",
+            "Calls that arrived while this instance knew too little, by how their hold ended",
+            double(counters.startHolds.at(end)), { { "end", toString(static_cast<StartHoldEnd>(end)) } });
+    }
     families.addGauge("crocusmount_quarantined_requests", "Requests and parts of prompts that are sent to no server",
         double(gauges.quarantined));
     families.addCounter("crocusmount_server_limits_seen_total", "Answers that named a limit of their server",
@@ -148,6 +155,8 @@
     families.addHistogram(
         "crocusmount_first_event_seconds", "Streams: from arrival to the first event", latencies.firstEvent);
     families.addHistogram("crocusmount_longest_gap_seconds", "Streams: longest pause", latencies.longestGap);
+    families.addHistogram("crocusmount_start_hold_seconds",
+        "Calls held while this instance knew too little: from arrival to the end of the hold", latencies.startHold);
     families.addHistogram("crocusmount_call_seconds", "From arrival to the final answer", latencies.completed,
         { { "outcome", "completed" } });
     families.addHistogram("crocusmount_call_seconds", "From arrival to the final answer", latencies.refused,
--- a/src/edge/RelayMetrics.h
+++ b/src/edge/RelayMetrics.h
@@ -46,6 +46,7 @@
     LatencyHistogram firstEvent; ///< streams: from a call's arrival to the first event
     LatencyHistogram longestGap; ///< streams: longest time between two consecutive events
     LatencyHistogram completed; ///< from a call's arrival to the end of a successful answer
+    LatencyHistogram startHold; ///< calls held while too little was known: from arrival to the end of the hold
     LatencyHistogram refused; ///< from a call's arrival to any other end
 };
 
--- a/src/edge/RelayNode.h
+++ b/src/edge/RelayNode.h
@@ -130,6 +130,8 @@
     void on(const effect::LogServerLimit&);
     void on(const effect::LogServerBackoff&);
     void on(const effect::LogPermits&);
+    void on(const effect::LogStartKnowledge&);
+    void on(const effect::LogStartHold&);
     void on(const effect::RequestPermits&);
     void on(const effect::AnswerPermits&);
     void on(const effect::ShareServerLimit&);
--- a/src/relay/Call.h
+++ b/src/relay/Call.h
@@ -89,6 +89,9 @@
     bool wasHarmless = false; ///< ran to its end, or longer than a request that crashes its server, see MinHarmlessRun
     std::optional<TimePoint> nextHoldCheckAt; ///< set while the call is kept out of the queue for a crash verdict
     std::optional<TimePoint> holdDeadline; ///< the call is queued at this time even without a verdict
+    /// Set while the call is kept out of the queue because this instance knows too little; it is refused at this time.
+    std::optional<TimePoint> startHoldUntil;
+    bool isReturning = false; ///< most likely refused before, so it can't be in time any more, see StartAdmission
     std::vector<BackendId> avoidedServers; ///< servers that failed or rejected this call, or stalled under it
 
     /// The delay of such a call reflects the failure, not the load, so the concurrency limit ignores it.
--- a/src/relay/CallPlacer.cpp
+++ b/src/relay/CallPlacer.cpp
@@ -149,7 +149,7 @@
         if (cost.fill() > m_options.memoryOvercommit && server.ownTokenLayers > 0)
             continue;
         const double keptFactor = running && running->chain.contains(id) ? KeptStageCostFactor : 1;
-        const double jitter = 1 + CostJitter * uniformFraction(entropy, ++jitterIndex);
+        const double jitter = 1 + (CostJitter + m_costSpread) * uniformFraction(entropy, ++jitterIndex);
         // A stage processes a new event only after its current pass, which runs all of its layers.
         const double stagePenaltyMs = keptFactor * PassWaitFraction * cost.passMs() + penaltyMs(call, server, now);
         candidates.push_back({ id, entry.address, entry.layers, indexOf(entry.dataCentre),
--- a/src/relay/CallPlacer.h
+++ b/src/relay/CallPlacer.h
@@ -24,6 +24,9 @@
     /// @return number of instances that share the backend servers, including this one
     std::uint32_t instances() const { return m_instances; }
 
+    /// Sets the random fraction that is added to the cost of engines beyond the usual one.
+    void setCostSpread(double spread) { m_costSpread = spread; }
+
     /// Chooses where to run the next attempt of a call.
     /// @param entropy  uniformly random, varies the choice between servers of similar cost
     /// @return the cheapest server or chain with free capacity, or nothing if there is none
@@ -47,6 +50,7 @@
     const RelayOptions& m_options;
     const ServerFleet& m_fleet;
     std::uint32_t m_instances = 1;
+    double m_costSpread = 0;
 };
 
 } // namespace crocusmount::relay
--- a/src/relay/RelayCounters.h
+++ b/src/relay/RelayCounters.h
@@ -5,6 +5,7 @@
 #include "relay/ClearCause.h"
 #include "relay/ConnectFailure.h"
 #include "relay/RetryLimit.h"
+#include "relay/StartHoldEnd.h"
 
 #include <array>
 #include <cstdint>
@@ -32,6 +33,8 @@
     std::array<std::uint64_t, ClearCauseCount> cleared {}; ///< traits of which evidence was dropped, by cause
     std::uint64_t suspectsRanLately = 0; ///< traits in crash reports of which requests ran lately
     std::uint64_t held = 0; ///< calls that waited until the cause of a server's end was known
+    std::uint64_t startHeld = 0; ///< calls held because this instance knew too little to place them
+    std::array<std::uint64_t, StartHoldEndCount> startHolds {}; ///< such calls, also those refused at once, by end
     std::uint64_t limitsSeen = 0; ///< answers that named a limit of their server
     std::uint64_t backoffsRequested = 0; ///< rejections whose server asked for a time without requests
     std::uint64_t attemptsWithdrawn = 0; ///< attempts cancelled before they were sent, as their server wants none
--- a/src/relay/RelayEffect.h
+++ b/src/relay/RelayEffect.h
@@ -15,6 +15,8 @@
 #include "relay/RetryLimit.h"
 #include "relay/ServerPath.h"
 #include "relay/SoundRun.h"
+#include "relay/StartHoldEnd.h"
+#include "relay/StartKnowledge.h"
 
 #include <cstdint>
 #include <optional>
@@ -174,6 +176,30 @@
         Duration retryAfter {}; ///< when to ask for those that were not granted
     };
 
+    /// Log that this instance knows more or less of a service than before, see StartAdmission.
+    struct LogStartKnowledge {
+        std::string service;
+        StartKnowledge before = StartKnowledge::Complete;
+        StartKnowledge now = StartKnowledge::Complete;
+        Duration unknownFor {}; ///< how long too little has been known; zero if servers are known
+        std::size_t held = 0; ///< calls held, of all services
+        std::uint32_t instances = 1; ///< that share the servers, as far as known
+        double carried = 0; ///< calls that the listed servers run at the same time
+        double callsPerSecond = 0; ///< at which this instance lets calls go; infinite if there is no limit
+    };
+
+    /// Log how the time ended for which a call was held, see StartAdmission.
+    struct LogStartHold {
+        RequestId call;
+        StartHoldEnd end = StartHoldEnd::Placed;
+        StartKnowledge knowledge = StartKnowledge::Nothing; ///< of its service
+        Duration waited {}; ///< from its arrival
+        std::size_t held = 0; ///< other calls held, of all services
+        Duration unknownFor {}; ///< how long too little has been known; zero if servers are known
+        double callsPerSecond = 0; ///< at which this instance lets calls go; infinite if there is no limit
+        Duration retryAfter {}; ///< that the caller was told; zero if it was not refused
+    };
+
     /// Ask the coordinator of a server that names a limit for permits. The shell finds the coordinator and sets the
     /// sender.
     struct RequestPermits {
@@ -242,8 +268,9 @@
     effect::ContinueAnswer, effect::AskStalledStage, effect::CheckEngine, effect::ProbeServer, effect::ShareCrashes,
     effect::ShareSoundRuns, effect::LogCrash, effect::QuarantineTrait, effect::ClearTrait, effect::ReportEngineState,
     effect::LogServerPath, effect::LogServerState, effect::LogServerLimit, effect::LogServerBackoff, effect::LogPermits,
-    effect::RequestPermits, effect::AnswerPermits, effect::ShareServerLimit, effect::RerouteAttempt, effect::Refuse,
-    effect::DeliverServerFailure, effect::CompleteAnswer, effect::LogEndVerdict, effect::BreakAnswer>;
+    effect::LogStartKnowledge, effect::LogStartHold, effect::RequestPermits, effect::AnswerPermits,
+    effect::ShareServerLimit, effect::RerouteAttempt, effect::Refuse, effect::DeliverServerFailure,
+    effect::CompleteAnswer, effect::LogEndVerdict, effect::BreakAnswer>;
 using RelayEffects = std::vector<RelayEffect>;
 
 } // namespace crocusmount::relay
--- a/src/relay/RelayOptions.h
+++ b/src/relay/RelayOptions.h
@@ -25,6 +25,8 @@
     /// Limit of configurationWait as a fraction of the caller's timeout. The rest of the timeout is left for the call
     /// itself, or for a retry at another instance.
     double configurationWaitShare = 0.25;
+    /// Time without a first event after which callers abandon a stream, unless four times the objective is longer.
+    Duration streamPatience = std::chrono::milliseconds(2000);
     /// Maximum number of servers that may reject a call before it is refused. These servers did not run the call, so
     /// Route::maxAttempts does not count them, but the retry budget does.
     std::uint32_t maxRejections = 3;
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -12,8 +12,6 @@
     constexpr unsigned Misdirected = 421;
     /// Longest time that a retry waits for capacity. The caller's own time limit is near by then.
     constexpr Duration MaxRetryWait = std::chrono::milliseconds(800);
-    /// Maximum number of calls that wait for the first configuration. Further ones are refused at once.
-    constexpr std::size_t MaxEarlyCalls = 256;
     /// Weight of the latest gap in the moving average of a stream's gaps between events.
     constexpr double EventGapWeight = 0.2;
 
@@ -55,6 +53,7 @@
 RelayReducer::RelayReducer(RelayOptions options)
     : m_options(std::move(options))
     , m_placer(m_options, m_fleet)
+    , m_start(m_options.streamPatience)
 {
 }
 
@@ -64,6 +63,7 @@
     if (!m_startedAt)
         m_startedAt = event.now;
     m_now = event.now;
+    m_start.started(event.now);
     std::visit([&](const auto& body) { on(body, context); }, event.body);
 }
 
@@ -89,24 +89,25 @@
     if (m_routes && accepted.routes->configuration().version <= m_routes->configuration().version)
         return;
     m_routes = accepted.routes;
+    m_start.configured(context.now);
     ++m_counters.configurationsAccepted;
     for (const auto& [id, server] : std::exchange(m_unusable, {}))
         registerServer(server, context);
     dispatchAll(context);
 }
 
-void RelayReducer::on(const event::InstancesCounted& counted, Context&)
+void RelayReducer::on(const event::InstancesCounted& counted, Context& context)
 {
+    m_start.instancesCounted(counted.instances, context.now);
     m_placer.setInstances(std::max(1U, counted.instances));
     for (auto& [service, budget] : m_budgets)
         budget.setBurst(retryBurst());
 }
 
-void RelayReducer::on(const event::StoreCopyChecked& checked, Context&) { m_isStoreCopyOutdated = checked.isOutdated; }
-
 void RelayReducer::on(const event::LoadsReported& reported, Context& context)
 {
     const bool isEnabled = !m_options.without.has(Mechanism::LoadExchange);
+    m_start.loadsReported(isEnabled && reported.loads.has_value(), context.now);
     m_fleet.setOthersLoad(isEnabled ? reported.loads : std::nullopt, context.now);
     checkAvoidedEngines(context);
 }
@@ -152,15 +153,8 @@
 void RelayReducer::on(const event::CallArrived& arrival, Context& context)
 {
     ++m_counters.calls;
-    if (!m_routes && m_earlyCalls.size() < MaxEarlyCalls) {
-        const Duration callerTimeout = arrival.spec.callerTimeout;
-        const Duration wait = callerTimeout.count() > 0
-            ? std::min(m_options.configurationWait, scaled(callerTimeout, m_options.configurationWaitShare))
-            : m_options.configurationWait;
-        m_earlyCalls.push_back({ arrival, context.now, context.now + wait });
-        return;
-    }
-    admitOrRefuse(arrival, context.now, context);
+    if (m_routes || !keepEarlyCall(arrival, context))
+        admitOrRefuse(arrival, context.now, context);
 }
 
 /// Admits a call, then starts it, queues it, holds it for a crash verdict, or refuses it.
@@ -196,6 +190,8 @@
         holdCall(stored, context);
         return;
     }
+    if (holdAtStart(stored, context))
+        return;
     FairQueue& waiting = queueOf(stored).waiting();
     if (waiting.empty() && place(stored, context))
         return;
@@ -533,6 +529,7 @@
     if (found->second.state == CallState::Waiting)
         queueOf(found->second).waiting().erase(id);
     m_interrupted.erase(id);
+    m_heldAtStart.erase(id);
     m_calls.erase(found);
 }
 
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -17,6 +17,7 @@
 #include "relay/ServerFleet.h"
 #include "relay/ServerPath.h"
 #include "relay/ServiceQueue.h"
+#include "relay/StartAdmission.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <deque>
@@ -35,6 +36,7 @@
 /// Private functions are documented where they are defined:
 /// - RelayReducer.cpp: admission, delivery, the end of attempts, retries and final answers
 /// - RelayReducerPlacing.cpp: queues, placement, Retry-After times, the retry budget
+/// - RelayReducerStart.cpp: calls held while this instance knows too little
 /// - RelayReducerTime.cpp: ticks, deadlines, stalls, reroutes and second attempts
 /// - RelayReducerChecks.cpp: health checks of engines
 /// - RelayReducerServers.cpp: servers that register, restart or end
@@ -119,7 +121,19 @@
     };
 
     void admitOrRefuse(const event::CallArrived&, TimePoint arrived, Context&);
+    bool isHoldingAtStart() const;
+    bool keepEarlyCall(const event::CallArrived&, Context&);
+    void refuseEarlyCall(const EarlyCall&, StartHoldEnd, Context&);
     void admitEarlyCalls(Context&);
+    void updateStartKnowledge(const ServiceId&, Context&);
+    void updateStart(Context&);
+    bool holdAtStart(Call&, Context&);
+    std::size_t heldBefore(const Call&, TimePoint now) const;
+    std::vector<RequestId> orderHeld(TimePoint now) const;
+    bool placeHeld(Call&, Context&);
+    void refuseHeld(Call&, StartHoldEnd, Context&);
+    void serveHeldAtStart(Context&);
+    void logStartHold(const Call&, StartHoldEnd, Duration retryAfter, Context&);
     std::optional<Reason> admit(Call&, const Context&) const;
     void dispatchAll(Context&);
     void dispatch(FairQueue&, Context&);
@@ -264,6 +278,9 @@
     std::shared_ptr<const RouteTable> m_routes; ///< null before the first configuration
     bool m_isStoreCopyOutdated = false; ///< other instances may use a later configuration
     std::deque<EarlyCall> m_earlyCalls; ///< calls that arrived before the first configuration, oldest first
+    StartAdmission m_start;
+    std::map<ServiceId, StartKnowledge> m_startKnowledge; ///< as last logged
+    std::set<RequestId> m_heldAtStart; ///< admitted calls that are kept out of the queues, see Call::startHoldUntil
     std::map<RequestId, Call> m_calls; ///< admitted calls without a final answer
     absl::flat_hash_map<AttemptId, RequestId> m_attempts; ///< the call of each running attempt
     std::set<RequestId> m_interrupted; ///< calls with a partial answer that wait for a server to resume at
--- a/src/relay/RelayReducerTime.cpp
+++ b/src/relay/RelayReducerTime.cpp
@@ -27,7 +27,9 @@
         budget.raiseBurstShare(retryBurstShare());
     m_checkBudget.refill(m_fleet.servers().size(), m_placer.instances(), context.now);
     updatePath(context);
+    updateStart(context);
     admitEarlyCalls(context);
+    serveHeldAtStart(context);
     settleOverdueEnds(context);
     refuseOverdue(context);
     refuseBeyondRestrictions(context);
@@ -46,21 +48,6 @@
     dispatchAll(context);
 }
 
-/// Admits calls that arrived before the first configuration, and refuses those that have waited too long. This happens
-/// at a tick, after the events that follow the configuration, so that the backend servers read with it are known.
-void RelayReducer::admitEarlyCalls(Context& context)
-{
-    std::vector<EarlyCall> due;
-    std::erase_if(m_earlyCalls, [&](const EarlyCall& waiting) {
-        const bool isDue = m_routes || context.now >= waiting.until;
-        if (isDue)
-            due.push_back(waiting);
-        return isDue;
-    });
-    for (const EarlyCall& waiting : due)
-        admitOrRefuse(waiting.arrival, waiting.arrived, context);
-}
-
 /// Ends calls whose deadline has passed, and waiting calls whose longest wait is over.
 void RelayReducer::refuseOverdue(Context& context)
 {
