--- a/src/relay/Call.h
+++ b/src/relay/Call.h
@@ -93,6 +93,7 @@
     bool awaitsTrial = false; ///< the last search found a server, but the call may only be sent as a trial
     /// Set while the call is kept out of the queue because this instance knows too little; it is refused at this time.
     std::optional<TimePoint> startHoldUntil;
+    bool isReturning = false; ///< most likely refused before, so it can't be in time any more, see StartAdmission
     std::vector<BackendId> avoidedServers; ///< servers that failed or rejected this call, or stalled under it
 
     /// The delay of such a call reflects the failure, not the load, so the concurrency limit ignores it.
--- a/src/relay/RelayReducerStart.cpp
+++ b/src/relay/RelayReducerStart.cpp
@@ -33,7 +33,7 @@
 
     bool isLate(const Call& call, double queueWaitShare, TimePoint now)
     {
-        return now > call.arrived + scaled(call.route->objective, queueWaitShare);
+        return call.isReturning || now > call.arrived + scaled(call.route->objective, queueWaitShare);
     }
 
     /// Calls that can still begin in time come first, then more urgent ones, then earlier ones.
@@ -160,6 +160,9 @@
     if (m_start.mayMissServers(context.now) && m_start.callsPerSecond(call.service) <= 0)
         updateStartKnowledge(call.service, context);
     const StartKnowledge known = m_start.knowledgeOf(call.service, context.now);
+    // A stream that is resumed has lost its server, and its caller has a part of the answer to lose.
+    call.isReturning = isStream(call.route->kind) && !call.spec.resumeAfter
+        && m_start.isReturning(call.route->id, call.spec.callerTimeout);
     const bool isLateNow = isLate(call, m_options.queueWaitShare, context.now);
     const bool isNew
         = !m_start.isFull(call.service, context.now) && !(isLateNow && m_start.isRecovering(call.service, context.now));
--- a/src/relay/StartAdmission.cpp
+++ b/src/relay/StartAdmission.cpp
@@ -41,6 +41,9 @@
     /// Share of what the servers carry from which on they count as full by the loads that are known, as each of them
     /// has some more or fewer.
     constexpr double FullUse = 0.88;
+    /// A caller whose timeout is shorter than the longest one of its route by more than this share has been refused
+    /// before, or waited elsewhere. Timeouts of first tries differ by less.
+    constexpr double ReturnShare = 0.15;
     /// How long that is watched after the servers are known: two generations of streams.
     constexpr Duration FullWatch = std::chrono::seconds(7);
     /// A number of instances, or a list of servers, that has not grown for this long is taken for the whole, since all
@@ -155,6 +158,13 @@
     return now < std::max(*m_configuredAt, m_copyCompleteSince.value_or(*m_configuredAt)) + EntryGrace;
 }
 
+bool StartAdmission::isReturning(const RouteId& route, Duration timeout)
+{
+    Duration& longest = m_longestTimeouts[route];
+    longest = std::max(longest, timeout);
+    return timeout.count() > 0 && timeout < scaled(longest, 1 - ReturnShare);
+}
+
 bool StartAdmission::isRecovering(const ServiceId& id, TimePoint now) const
 {
     const ServiceState* service = find(id);
--- a/src/relay/StartAdmission.h
+++ b/src/relay/StartAdmission.h
@@ -54,6 +54,9 @@
     StartKnowledge knowledgeOf(const ServiceId&, TimePoint now) const;
     /// @return whether registry entries of servers that live may be missing, because the store was silent lately
     bool mayMissServers(TimePoint now) const;
+    /// Finds out whether a call was most likely made before, from what is left of its caller's time.
+    /// @param timeout  the caller's; zero if unknown
+    bool isReturning(const RouteId&, Duration timeout);
     /// @return whether the servers have come back lately, so that calls that can't be in time any more go at a pace
     bool isRecovering(const ServiceId&, TimePoint now) const;
     /// @return whether the knowledge of any service may change without a change of the registry or of the instances
@@ -115,6 +118,7 @@
     std::optional<TimePoint> m_countChangedAt; ///< nothing before the first count
     std::optional<TimePoint> m_loadsKnownAt; ///< when loads were first reported
     std::map<ServiceId, ServiceState> m_services;
+    std::map<RouteId, Duration> m_longestTimeouts; ///< of callers, by route
 };
 
 } // namespace crocusmount::relay
