Search for engines that were lost together, and leave a stage that a refused reroute names

Callers saw pauses of 450 to 560 ms in the middle of streams after three engines of a rack had ended dark; 250 ms are allowed. In the logs the move itself was quick (209 ms after losses with refused connections): the search was slow. All streams left the first engine that was found over chains that held the second, and first stages named it in 266 refusals that were ignored; checks went to all stages of silent streams until their budget was spent.

Now a refusal that names a stage moves the stream at once over other stages, and two first stages or three streams that name one count as a finding. Silent streams of an instance together point to the engines to check, within a bound over all instances. Streams leave a stage known to be dead once their event is overdue.

--- a/src/edge/RelayMetrics.cpp
+++ b/src/edge/RelayMetrics.cpp
@@ -17,6 +17,12 @@
         "crocusmount_streams_rerouted_total", "Running streams ordered onto another chain", double(counters.rerouted));
     families.addCounter(
         "crocusmount_reroutes_refused_total", "Such orders that no engine took", double(counters.reroutesRefused));
+    families.addCounter("crocusmount_reroutes_refused_by_named_stage_total",
+        "Such orders whose refusal named a stage that is not there", double(counters.reroutesRefusedByNamedStage));
+    families.addCounter("crocusmount_evidence_checks_total", "Engines asked because silent streams point to them",
+        double(counters.evidenceChecks));
+    families.addCounter("crocusmount_evidence_checks_denied_total", "Such checks that the budget did not allow",
+        double(counters.evidenceChecksDenied));
     families.addCounter(
         "crocusmount_stall_questions_total", "Reports asked of first stages", double(counters.stallQuestions));
     families.addCounter("crocusmount_engine_checks_total", "Engines asked how they are", double(counters.engineChecks));
@@ -148,6 +154,8 @@
     families.addHistogram(
         "crocusmount_first_event_seconds", "Streams: from arrival to the first event", latencies.firstEvent);
     families.addHistogram("crocusmount_longest_gap_seconds", "Streams: longest pause", latencies.longestGap);
+    families.addHistogram("crocusmount_moved_silence_seconds", "Streams moved off lost stages: silence until the order",
+        latencies.movedSilence);
     families.addHistogram("crocusmount_call_seconds", "From arrival to the final answer", latencies.completed,
         { { "outcome", "completed" } });
     families.addHistogram("crocusmount_call_seconds", "From arrival to the final answer", latencies.refused,
--- a/src/edge/RelayMetrics.h
+++ b/src/edge/RelayMetrics.h
@@ -45,6 +45,7 @@
 struct RelayLatencies {
     LatencyHistogram firstEvent; ///< streams: from a call's arrival to the first event
     LatencyHistogram longestGap; ///< streams: longest time between two consecutive events
+    LatencyHistogram movedSilence; ///< streams moved off lost stages: from the last event to the order
     LatencyHistogram completed; ///< from a call's arrival to the end of a successful answer
     LatencyHistogram refused; ///< from a call's arrival to any other end
 };
--- a/src/edge/RelayNode.cpp
+++ b/src/edge/RelayNode.cpp
@@ -492,14 +492,6 @@
         m_peers->shareServerLimit(limit);
 }
 
-void RelayNode::on(const effect::RerouteAttempt& order)
-{
-    const auto found = m_openCalls.find(order.call);
-    if (found == m_openCalls.end())
-        return;
-    net::co_spawn(m_context.get_executor(), sendReroute(order, found->second.callId), net::detached);
-}
-
 Awaitable<void> RelayNode::sendReroute(effect::RerouteAttempt order, std::string callId)
 {
     std::string address = order.address;
@@ -514,7 +506,7 @@
     if (const auto running = m_runningAttempts.find(order.attempt);
         reply.isAccepted() && running != m_runningAttempts.end())
         running->second.chain = order.chain;
-    post(event::RerouteAnswered { order.attempt, reply.isAccepted(), reply.culprit });
+    post(event::RerouteAnswered { order.attempt, reply.isAccepted(), reply.culprit, reply.status });
     post(event::EngineStartSeen { first, reply.startedAt });
     postNotice(first, reply.startedAt.value() ? reply.startedAt : startedAt, askedAt, reply.notice);
 }
--- a/src/edge/RelayNode.h
+++ b/src/edge/RelayNode.h
@@ -134,6 +134,7 @@
     void on(const effect::AnswerPermits&);
     void on(const effect::ShareServerLimit&);
     void on(const effect::RerouteAttempt&);
+    void on(const effect::LogSuspicion&);
     void on(const effect::Refuse&);
     void on(const effect::DeliverServerFailure&);
     void on(const effect::CompleteAnswer&);
--- a/src/relay/EngineCheckBudget.cpp
+++ b/src/relay/EngineCheckBudget.cpp
@@ -12,6 +12,12 @@
     /// Time in seconds that refills the urgent bucket completely. The registry shows a dead engine after about 4 s.
     constexpr double UrgentRefillSeconds = 5;
 
+    /// Refill rate of checks by evidence per engine and second, over all instances.
+    constexpr double EvidenceChecksPerEngineSecond = 1;
+    /// Checks of one engine within a window by the instances that suspect it, and by the others that heard a report.
+    constexpr double ExpectedSuspectChecks = 20;
+    constexpr double ExpectedReportChecks = 2;
+
 } // namespace
 
 void EngineCheckBudget::refill(std::size_t engines, std::uint32_t instances, TimePoint now)
@@ -20,6 +26,8 @@
     m_lastRefill = now;
     const double regularRate = RegularChecksPerEngineSecond * static_cast<double>(engines) / std::max(1U, instances);
     m_regularTokens = std::min(RegularBurst, m_regularTokens + std::max(0.0, seconds) * regularRate);
+    const double evidenceRate = EvidenceChecksPerEngineSecond * static_cast<double>(engines) / std::max(1U, instances);
+    m_evidenceTokens = std::min(EvidenceBurst, m_evidenceTokens + std::max(0.0, seconds) * evidenceRate);
     const double urgentBurst = std::max(RegularBurst, static_cast<double>(engines));
     m_urgentTokens = std::min(urgentBurst, m_urgentTokens + std::max(0.0, seconds) * urgentBurst / UrgentRefillSeconds);
 }
@@ -32,6 +40,21 @@
     return true;
 }
 
+double EngineCheckBudget::suspectCheckChance(double users) { return std::min(1.0, ExpectedSuspectChecks / users); }
+
+double EngineCheckBudget::reportCheckChance(double instances)
+{
+    return std::min(1.0, ExpectedReportChecks / instances);
+}
+
+bool EngineCheckBudget::spendByEvidence()
+{
+    if (m_evidenceTokens < 1)
+        return spend();
+    m_evidenceTokens -= 1;
+    return true;
+}
+
 bool EngineCheckBudget::spend()
 {
     if (m_regularTokens < 1)
--- a/src/relay/EngineCheckBudget.h
+++ b/src/relay/EngineCheckBudget.h
@@ -12,6 +12,14 @@
 /// that covers all stages of one chain. The urgent one is for engines that show a sign of death, and allows this
 /// instance a burst of one check per engine: the failure of a rack shows in all streams at the same time, and the
 /// relay must then find out at once which of its engines are dead.
+///
+/// A third bucket is for engines that silent streams point to. It allows all instances together one check per engine
+/// and second, and each instance a burst. How many instances check one engine at the same time is bounded by chance: a
+/// new connection takes an engine 1 ms, and a check that is not answered within 80 ms makes it look dead. At most
+/// MaxChecksPerWindow are to arrive within that time, which leaves an engine half of it. Instances that suspect
+/// the same engine, of which each knows the approximate number, check it with the chance at which twenty of them do,
+/// and instances that only heard a report with the chance at which two do; more than 40 do in one of 5,000 windows in
+/// which all suspect it.
 class EngineCheckBudget {
 public:
     /// Refills both buckets for the time since the previous call.
@@ -19,6 +27,20 @@
     /// @param instances  number of instances that share these engines
     void refill(std::size_t engines, std::uint32_t instances, TimePoint now);
 
+    /// Time that an engine has to answer a check.
+    static constexpr Duration CheckWindow = std::chrono::milliseconds(80);
+    /// Most checks that an engine that is not known to be dead is to receive in that time.
+    static constexpr std::size_t MaxChecksPerWindow = 40;
+
+    /// @param users  instances that may suspect the engine at this moment
+    /// @return chance in [0, 1] at which each of them checks it within CheckWindow
+    static double suspectCheckChance(double users);
+    /// @return the same for instances that only heard from another one that the engine is dead
+    static double reportCheckChance(double instances);
+
+    /// Consumes a token for the check of an engine that silent streams point to.
+    /// @return whether the check is allowed
+    bool spendByEvidence();
     /// Consumes a token for a regular check.
     /// @return whether the check is allowed
     bool spend();
@@ -32,6 +54,10 @@
 
     double m_regularTokens = RegularBurst;
     double m_urgentTokens = RegularBurst;
+    /// Three lost engines, each with two others that explain the same streams.
+    static constexpr double EvidenceBurst = 9;
+
+    double m_evidenceTokens = EvidenceBurst;
     TimePoint m_lastRefill;
 };
 
--- a/src/relay/RelayCounters.h
+++ b/src/relay/RelayCounters.h
@@ -19,6 +19,9 @@
     std::uint64_t resumed = 0; ///< streams that continued at another chain after their first event
     std::uint64_t rerouted = 0; ///< orders to continue a running stream over another chain
     std::uint64_t reroutesRefused = 0; ///< reroute orders that the first stage refused
+    std::uint64_t reroutesRefusedByNamedStage = 0; ///< of these, refusals that name the stage that is not there
+    std::uint64_t evidenceChecks = 0; ///< health checks of the engines that explain best why streams are silent
+    std::uint64_t evidenceChecksDenied = 0; ///< such checks for which the budget was spent
     std::uint64_t stallQuestions = 0; ///< queries for a stalled stage; the platform counts each one as a probe
     std::uint64_t engineChecks = 0; ///< health checks of engines; the platform counts each one as a probe
     std::uint64_t closedEngines = 0; ///< engines found to accept no new calls despite free capacity
--- a/src/relay/RelayEffect.h
+++ b/src/relay/RelayEffect.h
@@ -199,6 +199,18 @@
         RequestId call;
         std::string address; ///< of the first stage
         Chain chain;
+        Duration silence {}; ///< time since the stream's last event if that is why it moves; else zero
+    };
+
+    /// Log why an engine that may be lost is checked.
+    struct LogSuspicion {
+        BackendId engine;
+        std::uint32_t silentStreams = 0; ///< of this instance, which the loss of the engine would explain
+        std::uint32_t overdueStreams = 0; ///< the same, for streams whose next event is late
+        std::uint32_t progressingStreams = 0; ///< of this instance, through the engine
+        Duration longestSilence {}; ///< of these streams
+        Duration sinceAlive {}; ///< since the last sign of life of the engine
+        double users = 0; ///< instances that may suspect the engine, by the last load reports
     };
 
     /// Refuse a call of which no part of an answer was delivered. This is its final answer.
@@ -242,8 +254,9 @@
     effect::ContinueAnswer, effect::AskStalledStage, effect::CheckEngine, effect::ProbeServer, effect::ShareCrashes,
     effect::ShareSoundRuns, effect::LogCrash, effect::QuarantineTrait, effect::ClearTrait, effect::ReportEngineState,
     effect::LogServerPath, effect::LogServerState, effect::LogServerLimit, effect::LogServerBackoff, effect::LogPermits,
-    effect::RequestPermits, effect::AnswerPermits, effect::ShareServerLimit, effect::RerouteAttempt, effect::Refuse,
-    effect::DeliverServerFailure, effect::CompleteAnswer, effect::LogEndVerdict, effect::BreakAnswer>;
+    effect::RequestPermits, effect::AnswerPermits, effect::ShareServerLimit, effect::RerouteAttempt,
+    effect::LogSuspicion, effect::Refuse, effect::DeliverServerFailure, effect::CompleteAnswer, effect::LogEndVerdict,
+    effect::BreakAnswer>;
 using RelayEffects = std::vector<RelayEffect>;
 
 } // namespace crocusmount::relay
--- a/src/relay/RelayEvent.h
+++ b/src/relay/RelayEvent.h
@@ -140,6 +140,7 @@
         AttemptId attempt;
         bool accepted = false;
         std::string culprit {}; ///< address of the stage at which rerouting failed; empty if none is named
+        unsigned status = 0; ///< HTTP status of the answer; zero if there was none
     };
 
     /// The first stage answered effect::AskStalledStage.
--- a/src/relay/RelayOptions.h
+++ b/src/relay/RelayOptions.h
@@ -37,6 +37,9 @@
     Duration firstEventLimit = std::chrono::milliseconds(900); ///< time without a first event that counts as a stall
     Duration minStall = std::chrono::milliseconds(450); ///< minimum gap between events that counts as a stall
     double stallFactor = 8; ///< minimum gap that counts as a stall, as a multiple of the stream's usual gap
+    /// How long an engine is avoided that another instance reported dead, if no stream of this one is silent there. A
+    /// second report follows within this time if the engine stays silent.
+    Duration reportedAvoidance = std::chrono::milliseconds(700);
     Duration stallAvoidance = std::chrono::seconds(3); ///< how long a stalled stage is avoided
     /// Time from the announcement that a server leaves until its streams are moved to other servers. Most streams end
     /// earlier. The server continues to run them for at least twice this time.
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -7,6 +7,7 @@
 #include "relay/EndSign.h"
 #include "relay/EngineCheckBudget.h"
 #include "relay/HarmlessTraits.h"
+#include "relay/NamedStages.h"
 #include "relay/PermitIssuer.h"
 #include "relay/RelayCounters.h"
 #include "relay/RelayEffect.h"
@@ -25,6 +26,10 @@
 
 namespace crocusmount::relay {
 
+class SilenceEvidence;
+enum class StreamSilence;
+struct SilenceSuspect;
+
 /// Decides for each call whether it is admitted, how long it waits, on which backend servers it runs, whether it is
 /// retried, and which final answer it gets.
 ///
@@ -37,6 +42,7 @@
 /// - RelayReducerPlacing.cpp: queues, placement, Retry-After times, the retry budget
 /// - RelayReducerTime.cpp: ticks, deadlines, stalls, reroutes and second attempts
 /// - RelayReducerChecks.cpp: health checks of engines
+/// - RelayReducerLosses.cpp: engines that are lost together, and refused reroutes
 /// - RelayReducerServers.cpp: servers that register, restart or end
 /// - RelayReducerMoves.cpp: answers that move off leaving servers or resume after a lost one
 /// - RelayReducerNotices.cpp: what servers state about themselves in their answers
@@ -185,6 +191,20 @@
     bool awaitsCheck(const Chain&, Context&);
     void checkForGroupFailure(FleetServer&, Context&);
     void checkEnginesAfterFailure(bool isCertain, Context&);
+    bool findsGroupLosses() const;
+    bool isOverdue(const Call&, TimePoint now) const;
+    static StreamSilence silenceOf(const Call&, TimePoint now);
+    static Duration firstEventSilence(const Call&);
+    void searchLosses(Context&);
+    void addSilentStream(SilenceEvidence&, const Call&, StreamSilence, TimePoint now);
+    double estimatedUsers(const FleetServer&, std::uint32_t ownStreams) const;
+    void checkSuspect(FleetServer&, const SilenceSuspect&, Context&);
+    void checkReported(FleetServer&, Context&);
+    bool drawsCheck(FleetServer&, double chance, Context&) const;
+    void recordRefusedReroute(
+        const Call&, const Attempt&, const Chain& ordered, const event::RerouteAnswered&, Context&);
+    void recordNamedStage(FleetServer&, const Call&, const BackendId& firstStage, Context&);
+    bool rerouteAgain(Call&, const Attempt&, const event::RerouteAnswered&, Context&);
     void moveOffLeaving(Context&);
     bool mustLeave(const Hop&) const;
     bool isLeaving(const BackendId&) const;
@@ -278,6 +298,9 @@
     PermitIssuer m_permitIssuer; ///< used for the servers that this instance coordinates
     std::uint64_t m_nextPermitRequest = 1;
     EngineCheckBudget m_checkBudget;
+    NamedStages m_namedStages;
+    std::set<BackendId>
+        m_suspects; ///< engines that the latest search for losses suspects on account of several streams
     ServerContacts m_contacts;
     ServerPath m_path = ServerPath::Unknown;
     TimePoint m_lastPathCheckAt;
--- a/src/relay/RelayReducerChecks.cpp
+++ b/src/relay/RelayReducerChecks.cpp
@@ -27,16 +27,8 @@
     /// Engines that report a slowness above the threshold are checked again at the interval until they recover.
     constexpr double SlownessRecheckThreshold = 1.5;
     constexpr Duration SlowEngineCheckInterval = std::chrono::milliseconds(1000);
-    /// An engine is assumed to be alive for this long after the last event through it.
-    constexpr Duration AssumedAliveAfterEvent = std::chrono::milliseconds(100);
-    /// For this time after the failure of one engine, others are suspected of having failed with it. By its end the
-    /// calls through each failed engine have noticed its silence, and all instances have been told.
-    constexpr Duration GroupFailureWindow = std::chrono::milliseconds(500);
     /// Shortest time between any check of an engine and an urgent one. Engines answer within a few milliseconds.
     constexpr Duration UrgentCheckInterval = std::chrono::milliseconds(100);
-    /// Longest time that a call waits for a stage to answer a check. A stage that has not answered by then has missed
-    /// it.
-    constexpr Duration MaxCheckWait = std::chrono::milliseconds(100);
     /// Age of the load figures in an engine's answer to a check, which is a few hundred milliseconds. A check that is
     /// sent this long after a rejection returns the load at about the time of the rejection.
     constexpr Duration ReportLag = std::chrono::milliseconds(300);
@@ -57,14 +49,21 @@
 bool RelayReducer::isPause(const Call& call, Duration sinceProgress)
 {
     if (!call.main.eventsDelivered)
-        return sinceProgress > scaled(call.route->objective, FirstEventSilenceShare);
+        return sinceProgress > firstEventSilence(call);
     return sinceProgress > std::max(MinSilence, scaled(call.meanEventGap, SilentGapFactor));
 }
 
-/// Abandons the dead stages of a silent stream, or checks its stalled stages if none is known to be dead.
+/// @return the time without a first event after which a stream counts as silent
+Duration RelayReducer::firstEventSilence(const Call& call)
+{
+    return scaled(call.route->objective, FirstEventSilenceShare);
+}
+
+/// Abandons the dead stages of a silent stream. If none is known to be dead, checks its stalled stages, unless
+/// searchLosses() does so for all silent streams together.
 void RelayReducer::checkSilentStages(Call& call, Context& context)
 {
-    if (!isStream(call.route->kind) || call.main.chain.hops().empty() || !isSilent(call, context.now))
+    if (!isStream(call.route->kind) || call.main.chain.hops().empty() || !isOverdue(call, context.now))
         return;
     std::vector<BackendId> dead;
     for (const Hop& hop : call.main.chain.hops()) {
@@ -76,6 +75,8 @@
         abandonStages(call, dead, context);
         return;
     }
+    if (findsGroupLosses())
+        return;
     for (const BackendId& stage : stalledStages(call)) {
         if (FleetServer* server = m_fleet.find(stage))
             checkEngine(*server, context);
@@ -162,6 +163,7 @@
     if (checked.answered) {
         m_crashEvidence.noteAlive(server->othersLoad.engine);
         m_fleet.recordAnsweredCheck(checked.engine, checked.slowness);
+        m_namedStages.clearEvidence(checked.engine);
         recordClosed(checked, context);
         settleUnprovenEnds(checked.engine, server->lastCheckAt, LifeSign::Alive, context);
         dispatchAll(context);
@@ -242,92 +244,4 @@
     }
 }
 
-/// Checks engines that may have failed together with another one, as when a rack or a switch fails. A stream that moves
-/// on before such failures are known reaches the next dead stage, and fails after three of them.
-///
-/// Engines that run calls of this instance are checked at once, and others only when a call would go there. If every
-/// instance checked all engines, healthy ones would be busy with connections and be taken for dead.
-///
-/// @param isCertain  whether the failed engine is known to be dead. If it only did not answer, it may be overloaded
-///                   instead, and calls do not wait for checks of other engines.
-void RelayReducer::checkEnginesAfterFailure(bool isCertain, Context& context)
-{
-    if (isCertain)
-        m_lastCertainFailureAt = context.now;
-    for (const auto& [id, server] : m_fleet.servers()) {
-        if (server.ownTokenLayers > 0)
-            checkForGroupFailure(*m_fleet.find(id), context);
-    }
-}
-
-/// Checks an engine urgently, unless an event passed through it recently or it is already known to be dead.
-void RelayReducer::checkForGroupFailure(FleetServer& server, Context& context)
-{
-    if (server.lastProgress + AssumedAliveAfterEvent > context.now || server.isDead(context.now))
-        return;
-    server.groupCheckedAt = context.now;
-    checkUrgently(server, context);
-}
-
-/// Checks the stages of a chain that may have failed together with another engine, see checkEnginesAfterFailure.
-/// @return whether a stage has yet to answer such a check
-bool RelayReducer::awaitsCheck(const Chain& chain, Context& context)
-{
-    const bool isWithinWindow = m_lastCertainFailureAt && context.now < *m_lastCertainFailureAt + GroupFailureWindow;
-    bool isCheckPending = false;
-    for (const Hop& hop : chain.hops()) {
-        FleetServer* server = m_fleet.find(hop.backend);
-        if (!server)
-            continue;
-        const bool isKnownSinceFailure
-            = std::max(server->lastCheckAt, server->listedAt) >= m_lastCertainFailureAt.value_or(context.now);
-        if (isWithinWindow && !isKnownSinceFailure)
-            checkForGroupFailure(*server, context);
-        isCheckPending
-            = isCheckPending || (server->beingChecked && context.now < server->groupCheckedAt + MaxCheckWait);
-    }
-    return isCheckPending;
-}
-
-/// Marks an engine as dead if another instance found it dead and a stream of this instance is silent there. Without
-/// such a stream the engine is checked.
-void RelayReducer::on(const event::EnginesReportedDead& reported, Context& context)
-{
-    for (const auto& [id, server] : m_fleet.servers()) {
-        const auto& keys = reported.engines;
-        if (server.isDead(context.now) || std::find(keys.begin(), keys.end(), server.othersLoad.engine) == keys.end())
-            continue;
-        if (!hasSilentStreamThrough(id, context.now)) {
-            checkUrgently(*m_fleet.find(id), context);
-            continue;
-        }
-        m_fleet.recordReportedDead(id, context.now);
-        context.effects.emplace_back(effect::LogServerState {
-            effect::LogServerState::ServerStateChange::ReportedDead, id, server.entry.startedAt });
-        abandonDeadEngine(id, context);
-    }
-}
-
-/// @return whether a running stream of this instance uses the engine and is silent
-bool RelayReducer::hasSilentStreamThrough(const BackendId& engine, TimePoint now) const
-{
-    return std::any_of(m_calls.begin(), m_calls.end(), [&](const auto& each) {
-        const Call& call = each.second;
-        return call.state == CallState::Running && isStream(call.route->kind) && call.main.chain.contains(engine)
-            && isSilent(call, now);
-    });
-}
-
-/// Moves all silent streams that may be repeated off a dead engine.
-void RelayReducer::abandonDeadEngine(const BackendId& engine, Context& context)
-{
-    for (auto& [id, call] : m_calls) {
-        const bool isMovable
-            = call.state == CallState::Running && !call.second && call.main.pendingReroute.hops().empty();
-        if (isMovable && isRepeatable(call.route->kind) && call.main.chain.contains(engine)
-            && isSilent(call, context.now))
-            abandonStages(call, { engine }, context);
-    }
-}
-
 } // namespace crocusmount::relay
--- a/src/relay/RelayReducerTime.cpp
+++ b/src/relay/RelayReducerTime.cpp
@@ -36,6 +36,7 @@
     moveOffLeaving(context);
     retryLostStages(context);
     settleCrashes(context);
+    searchLosses(context);
     for (auto& [id, call] : m_calls) {
         if (call.state != CallState::Running)
             continue;
@@ -208,7 +209,12 @@
     if (m_options.without.has(Mechanism::Reroutes) || attempt.unprovenEnd || awaitsCrashVerdict(call)
         || leavesFirstStage || !acceptsReroutes || attempt.rerouteCount >= m_options.maxReroutes)
         return MoveResult::Impossible;
-    auto chain = m_placer.reroute(call, attempt, excluded, context.now, context.entropy);
+    std::vector<BackendId> avoided = excluded;
+    if (findsGroupLosses()) {
+        const std::vector<BackendId> named = m_namedStages.avoided(context.now);
+        avoided.insert(avoided.end(), named.begin(), named.end());
+    }
+    auto chain = m_placer.reroute(call, attempt, avoided, context.now, context.entropy);
     if (!chain)
         return MoveResult::Impossible;
     if (awaitsCheck(*chain, context))
@@ -218,33 +224,14 @@
     // The new stages need the capacity from now on. The old ones are released when the order is answered.
     m_fleet.book(*chain, call.tokens);
     attempt.pendingReroute = *chain;
+    const bool isMovedForSilence = call.hasPartialAnswer && isOverdue(call, context.now);
+    const Duration silence = isMovedForSilence ? context.now - call.lastDeliveredAt : Duration(0);
     call.lastProgress = context.now;
-    context.effects.emplace_back(
-        effect::RerouteAttempt { attempt.id, call.id, attempt.chain.hops().front().address, *std::move(chain) });
+    context.effects.emplace_back(effect::RerouteAttempt {
+        attempt.id, call.id, attempt.chain.hops().front().address, *std::move(chain), silence });
     return MoveResult::Ordered;
 }
 
-void RelayReducer::on(const event::RerouteAnswered& answered, Context& context)
-{
-    Call* call = findByAttempt(answered.attempt);
-    if (!call)
-        return;
-    Attempt& attempt = call->attempt(answered.attempt);
-    if (attempt.pendingReroute.hops().empty())
-        return;
-    if (!answered.accepted)
-        ++m_counters.reroutesRefused;
-    m_fleet.unbook(answered.accepted ? attempt.chain : attempt.pendingReroute, call->tokens);
-    if (answered.accepted) {
-        attempt.chain = attempt.pendingReroute;
-        attempt.hasLostStage = hasEndedStage(attempt.chain);
-    }
-    attempt.pendingReroute = Chain();
-    const bool canContinue = answered.accepted || !attempt.hasLostStage || call->second || call->main.unprovenEnd;
-    if (!canContinue)
-        replaceOrEndAttempt(*call, context);
-}
-
 /// @return whether the main attempt has made no progress for longer than its stall limit
 bool RelayReducer::isStalled(const Call& call, TimePoint now) const
 {
--- a/src/relay/ServerFleet.h
+++ b/src/relay/ServerFleet.h
@@ -39,6 +39,7 @@
     TimePoint lastCheckAt; ///< when the last health check or probe was sent
     bool beingChecked = false; ///< whether a health check or probe is in flight
     std::optional<TimePoint> nextProbe; ///< when to repeat a probe that could not tell whether the server is alive
+    TimePoint checkDrawnAt; ///< when this instance last drew whether to check the server, or leave that to others
     TimePoint groupCheckedAt; ///< when this server was last suspected of having died together with another engine
     TimePoint deadUntil; ///< until then, considered dead after an unanswered health check or another instance's report
     std::uint32_t unansweredChecks = 0; ///< consecutive unanswered health checks
