Callers refused without servers return later, and a stream leaves a reported engine only when it is silent

Servers may need 2.5 s after the store, so no return is earlier while no server is known.

Confirmation takes a silent stream again, 2.5 gaps.

--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -207,7 +207,6 @@
     void checkForGroupFailure(FleetServer&, Context&);
     void checkEnginesAfterFailure(bool isCertain, Context&);
     bool findsGroupLosses() const;
-    bool isOverdue(const Call&, TimePoint now) const;
     static StreamSilence silenceOf(const Call&, TimePoint now);
     static Duration firstEventSilence(const Call&);
     void searchLosses(Context&);
--- a/src/relay/RelayReducerChecks.cpp
+++ b/src/relay/RelayReducerChecks.cpp
@@ -63,7 +63,7 @@
 /// searchLosses() does so for all silent streams together.
 void RelayReducer::checkSilentStages(Call& call, Context& context)
 {
-    if (!isStream(call.route->kind) || call.main.chain.hops().empty() || !isOverdue(call, context.now))
+    if (!isStream(call.route->kind) || call.main.chain.hops().empty() || !isSilent(call, context.now))
         return;
     std::vector<BackendId> dead;
     for (const Hop& hop : call.main.chain.hops()) {
--- a/src/relay/RelayReducerLosses.cpp
+++ b/src/relay/RelayReducerLosses.cpp
@@ -115,7 +115,7 @@
     return std::any_of(m_calls.begin(), m_calls.end(), [&](const auto& each) {
         const Call& call = each.second;
         return call.state == CallState::Running && isStream(call.route->kind) && call.main.chain.contains(engine)
-            && isOverdue(call, now);
+            && isSilent(call, now);
     });
 }
 
@@ -126,7 +126,7 @@
         const bool isMovable
             = call.state == CallState::Running && !call.second && call.main.pendingReroute.hops().empty();
         if (isMovable && isRepeatable(call.route->kind) && call.main.chain.contains(engine)
-            && isOverdue(call, context.now))
+            && isSilent(call, context.now))
             abandonStages(call, { engine }, context);
     }
 }
@@ -136,14 +136,6 @@
     return !m_options.without.has(Mechanism::GroupLosses) && !m_options.without.has(Mechanism::EngineChecks);
 }
 
-/// @return whether the next event of a stream is late enough for the stream to leave a stage that is known to be dead
-bool RelayReducer::isOverdue(const Call& call, TimePoint now) const
-{
-    if (!findsGroupLosses() || !call.main.eventsDelivered || call.main.answerHeldUntil || call.main.unprovenEnd)
-        return isSilent(call, now);
-    return SilenceEvidence::classify(now - call.lastProgress, call.meanEventGap) != StreamSilence::Progressing;
-}
-
 /// @return what the silence of a stream says about its stages. A stream without an event since its start or its last
 ///         reroute waits for engines to read its prompt.
 StreamSilence RelayReducer::silenceOf(const Call& call, TimePoint now)
--- a/src/relay/RelayReducerTime.cpp
+++ b/src/relay/RelayReducerTime.cpp
@@ -211,7 +211,7 @@
     // The new stages need the capacity from now on. The old ones are released when the order is answered.
     m_fleet.book(*chain, call.tokens);
     attempt.pendingReroute = *chain;
-    const bool isMovedForSilence = call.hasPartialAnswer && isOverdue(call, context.now);
+    const bool isMovedForSilence = call.hasPartialAnswer && isSilent(call, context.now);
     const Duration silence = isMovedForSilence ? context.now - call.lastDeliveredAt : Duration(0);
     call.lastProgress = context.now;
     context.effects.emplace_back(effect::RerouteAttempt {
--- a/src/relay/StartAdmission.cpp
+++ b/src/relay/StartAdmission.cpp
@@ -293,11 +293,14 @@
     const ServiceId& id, std::size_t held, Duration remaining, double fraction, TimePoint now) const
 {
     Duration rest = unknownFor(id, now);
+    Duration earliest {};
     if (const double perSecond = callsPerSecond(id); perSecond > 0)
         rest = std::max(rest, fromSeconds(std::min(static_cast<double>(held) / perSecond, toSeconds(remaining))));
-    rest = std::max(rest, MinExpectedRest);
+    else
+        earliest = EntryGrace; // Most callers have one return, and servers may take this long after the store.
+    rest = std::max({ rest, earliest, MinExpectedRest });
     const Duration latest = std::min(scaled(rest, MaxRetryFactor), scaled(remaining, MaxRetryShare));
-    const Duration earliest = std::min(scaled(rest, MinRetryFactor), latest / 2);
+    earliest = std::min(std::max(earliest, scaled(rest, MinRetryFactor)), latest / 2);
     return std::max(earliest + scaled(latest - earliest, fraction), MinRetryAfter);
 }
 
--- a/tests/StartAdmissionTest.cpp
+++ b/tests/StartAdmissionTest.cpp
@@ -80,6 +80,7 @@
         LONGS_EQUAL(each.expected.count(), admission.holdTime(each.timeout, each.objective, each.isStream).count());
 }
 
+// Most callers have one return. It must not come before servers can be back.
 TEST(StartAdmission, TheOutageIsExpectedToLastAsLongAgain)
 {
     StartAdmission admission(seconds(2));
@@ -87,7 +88,8 @@
     const auto at = [&](Duration lasted, double fraction, Duration remaining) {
         return admission.retryAfter(Model, 0, remaining, fraction, Start + lasted);
     };
-    CHECK(at(seconds(2), 0, seconds(20)) == seconds(1));
+    CHECK(at(milliseconds(500), 0, seconds(20)) == milliseconds(2500));
+    CHECK(at(seconds(2), 0, seconds(20)) == milliseconds(2500));
     CHECK(at(seconds(2), 0.999, seconds(20)) > seconds(6));
     // Callers accept a third of their remaining time.
     for (const double fraction : { 0.0, 0.5, 0.999 })
