Queue past calls that fit nowhere, refuse hopeless calls at once, give returning callers slots

Dispatch stopped at the first call without capacity; the expected wait was one for all kinds; Retry-After times of the instances had nothing to do with the room that would be free.

PlacingRound passes over calls that fit nowhere (queue-bypass). ServiceQueue foresees when a call's turn comes (wait-forecast). ReturnSlots gives refused callers a slot in the instance's share of the room, and PromisedReturns knows at any instance who keeps to it (return-slots); the promises pass with the load reports.

The whole suite was not run to its end on this commit.

--- a/src/admission/FairQueue.cpp
+++ b/src/admission/FairQueue.cpp
@@ -17,13 +17,17 @@
 
 void FairQueue::push(const WorkspaceId& workspace, std::uint32_t weight, int priority, Waiting waiting)
 {
-    queueOf(workspace, weight, priority).waiting.push_back(waiting);
+    std::deque<Waiting>& queue = queueOf(workspace, weight, priority).waiting;
+    const auto position = waiting.isPreferred
+        ? std::find_if(queue.begin(), queue.end(), [](const Waiting& each) { return !each.isPreferred; })
+        : queue.end();
+    queue.insert(position, waiting);
     ++m_size;
 }
 
 void FairQueue::pushFront(const WorkspaceId& workspace, std::uint32_t weight, int priority, RequestId request)
 {
-    queueOf(workspace, weight, priority).waiting.push_front({ request, 0 });
+    queueOf(workspace, weight, priority).waiting.push_front({ request, 0, true });
     ++m_size;
 }
 
@@ -63,7 +67,51 @@
         m_levels.erase(level);
 }
 
-bool FairQueue::erase(RequestId request)
+std::optional<RequestId> FairQueue::next(const absl::flat_hash_set<RequestId>& passedOver) const
+{
+    for (const auto& [priority, level] : m_levels) {
+        const WorkspaceQueue* best = nullptr;
+        std::optional<RequestId> first;
+        for (const auto& [workspace, queue] : level.queues) {
+            if (best && best->virtualTime <= queue.virtualTime)
+                continue;
+            const auto found = std::find_if(queue.waiting.begin(), queue.waiting.end(),
+                [&](const Waiting& waiting) { return !passedOver.contains(waiting.request); });
+            if (found == queue.waiting.end())
+                continue;
+            best = &queue;
+            first = found->request;
+        }
+        if (first)
+            return first;
+    }
+    return std::nullopt;
+}
+
+std::vector<RequestId> FairQueue::order() const
+{
+    FairQueue copy(*this);
+    std::vector<RequestId> order;
+    order.reserve(m_size);
+    while (const auto next = copy.pop())
+        order.push_back(*next);
+    return order;
+}
+
+std::optional<std::size_t> FairQueue::positionOf(RequestId request) const
+{
+    const std::vector<RequestId> all = order();
+    const auto found = std::find(all.begin(), all.end(), request);
+    if (found == all.end())
+        return std::nullopt;
+    return static_cast<std::size_t>(found - all.begin());
+}
+
+bool FairQueue::serve(RequestId request) { return remove(request, true); }
+
+bool FairQueue::erase(RequestId request) { return remove(request, false); }
+
+bool FairQueue::remove(RequestId request, bool isServed)
 {
     for (auto& [priority, level] : m_levels) {
         for (auto& [workspace, queue] : level.queues) {
@@ -71,6 +119,10 @@
                 [&](const Waiting& waiting) { return waiting.request == request; });
             if (found == queue.waiting.end())
                 continue;
+            if (isServed) {
+                level.virtualTime = std::max(level.virtualTime, queue.virtualTime);
+                queue.virtualTime += found->cost / queue.weight;
+            }
             queue.waiting.erase(found);
             --m_size;
             removeIfEmpty(priority, WorkspaceId(workspace));
--- a/src/edge/PeerDatagramCodec.cpp
+++ b/src/edge/PeerDatagramCodec.cpp
@@ -18,7 +18,38 @@
 
     double fromCount(std::int32_t value) { return std::max(0.0, static_cast<double>(value)); }
 
-    wire::LoadReport toWire(const relay::LoadReport& report)
+    constexpr std::size_t PromiseBytes = 8;
+    constexpr Duration PromiseStep = std::chrono::milliseconds(10);
+    constexpr std::uint64_t MaxPromiseSteps = 0xFFFF;
+
+    std::string toWire(const std::vector<relay::PromisedReturn>& promises, TimePoint now)
+    {
+        std::string bytes;
+        for (const relay::PromisedReturn& each : promises) {
+            const auto steps = static_cast<std::uint64_t>(std::max(Duration(0), each.begin - now) / PromiseStep);
+            const std::uint64_t word
+                = (each.key & relay::PromisedReturn::KeyMask) << 16U | std::min(steps, MaxPromiseSteps);
+            for (unsigned shift = 64; shift > 0; shift -= 8)
+                bytes.push_back(static_cast<char>(word >> (shift - 8)));
+        }
+        return bytes;
+    }
+
+    absl::StatusOr<std::vector<relay::PromisedReturn>> fromWire(const std::string& bytes, TimePoint now)
+    {
+        if (bytes.size() % PromiseBytes)
+            return absl::InvalidArgumentError("promised returns of a load report of unexpected length");
+        std::vector<relay::PromisedReturn> promises;
+        for (std::size_t at = 0; at < bytes.size(); at += PromiseBytes) {
+            std::uint64_t word = 0;
+            for (std::size_t i = 0; i < PromiseBytes; ++i)
+                word = word << 8U | static_cast<unsigned char>(bytes[at + i]);
+            promises.push_back({ word >> 16U, now + PromiseStep * static_cast<std::int64_t>(word & MaxPromiseSteps) });
+        }
+        return promises;
+    }
+
+    wire::LoadReport toWire(const relay::LoadReport& report, TimePoint now)
     {
         wire::LoadReport out;
         out.sender = report.sender.value();
@@ -37,10 +68,11 @@
         out.slices = static_cast<std::int32_t>(report.slices);
         out.silentInstances.assign(report.silentInstances.begin(), report.silentInstances.end());
         out.cutOffInstances.assign(report.cutOffInstances.begin(), report.cutOffInstances.end());
+        out.promisedReturns = toWire(report.promisedReturns, now);
         return out;
     }
 
-    absl::StatusOr<relay::LoadReport> fromWire(const wire::LoadReport& in)
+    absl::StatusOr<relay::LoadReport> fromWire(const wire::LoadReport& in, TimePoint now)
     {
         const std::size_t count = in.engines.size();
         const bool hasContacts = !in.contacts.empty();
@@ -57,6 +89,10 @@
             { in.silentInstances.begin(), in.silentInstances.end() }, static_cast<std::uint32_t>(in.slice),
             static_cast<std::uint32_t>(std::max(1, in.slices)),
             { in.cutOffInstances.begin(), in.cutOffInstances.end() } };
+        auto promises = fromWire(in.promisedReturns, now);
+        if (!promises.ok())
+            return promises.status();
+        report.promisedReturns = *std::move(promises);
         for (std::size_t i = 0; i < count; ++i) {
             report.engines.push_back({ static_cast<std::uint64_t>(in.engines[i]), fromCount(in.tokenLayers[i]),
                 fromCount(in.calls[i]), fromCount(in.avoiders[i]), hasContacts ? fromCount(in.contacts[i]) : 0 });
@@ -245,7 +281,7 @@
 {
     wire::RelayDatagram out;
     if (datagram.loads)
-        out.__set_loads(toWire(*datagram.loads));
+        out.__set_loads(toWire(*datagram.loads, now));
     if (datagram.storeProgress) {
         wire::StoreBeat beat;
         beat.revision = datagram.storeProgress->revision;
@@ -300,7 +336,7 @@
         return in.status();
     PeerDatagram datagram;
     if (in->__isset.loads) {
-        auto loads = fromWire(in->loads);
+        auto loads = fromWire(in->loads, now);
         if (!loads.ok())
             return loads.status();
         datagram.loads = *std::move(loads);
--- a/src/edge/PeerLink.cpp
+++ b/src/edge/PeerLink.cpp
@@ -387,8 +387,8 @@
             "store_follower", { { "watches", m_distributedStoreChanges }, { "instances", m_registry.count() } });
     m_exchange.setCutOff(m_node.reducer().isCutOff());
     for (auto& each : m_exchange.makeRound(m_node.reducer().ownLoads(m_node.now()), m_node.now())) {
-        PeerDatagram datagram { std::move(each.report), std::nullopt, std::nullopt, {} };
-        send(each.address, encode(datagram));
+        const PeerDatagram datagram { std::move(each.report), std::nullopt, std::nullopt, {} };
+        send(each.address, encode(datagram, m_node.now()));
     }
     if (distributesStoreChanges())
         sendToDataCentre(encode(PeerDatagram { std::nullopt, m_mirror.progress(), std::nullopt, {} }));
@@ -402,7 +402,7 @@
     if (loads.has_value() != std::exchange(m_knowsOtherLoads, loads.has_value()))
         relay::DecisionLog::state(
             "loads", { { "known", loads.has_value() }, { "collector", m_exchange.isCollector() } });
-    m_node.post(relay::event::LoadsReported { std::move(loads) });
+    m_node.post(relay::event::LoadsReported { std::move(loads), m_exchange.takeReturns() });
 }
 
 void PeerLink::send(const std::string& address, const std::string& bytes)
--- a/src/edge/PeerLink.h
+++ b/src/edge/PeerLink.h
@@ -70,6 +70,7 @@
     void onShareCrashes(const relay::effect::ShareCrashes&) override;
     void onShareSoundRuns(const relay::effect::ShareSoundRuns&) override;
     void onShareServerLimit(const relay::effect::ShareServerLimit&) override;
+    void onShareReturn(const relay::effect::ShareReturn& share) override { m_exchange.announceReturn(share.promise); }
     void onRequestPermits(const relay::effect::RequestPermits&) override;
     void onAnswerPermits(const relay::effect::AnswerPermits&) override;
     void receivePermitRequest(const relay::PermitRequest&, const Udp::endpoint& from);
--- a/src/edge/RelayMetrics.cpp
+++ b/src/edge/RelayMetrics.cpp
@@ -107,6 +107,18 @@
         "crocusmount_events_cut_off_total", "Streams that ended inside an event", double(counters.eventsCutOff));
     families.addCounter(
         "crocusmount_callers_left_total", "Callers gone before the answer", double(counters.callersLeft));
+    for (std::size_t cause = 0; cause < ShortageCauseCount; ++cause) {
+        families.addCounter("crocusmount_shortages_total", "Refusals for lack of capacity, by cause",
+            double(counters.shortages.at(cause)), { { "cause", toString(static_cast<ShortageCause>(cause)) } });
+    }
+    families.addCounter("crocusmount_return_slots_total", "Refused callers by slot to return in",
+        double(counters.slotsGiven), { { "slot", "given" } });
+    families.addCounter("crocusmount_return_slots_total", "Refused callers by slot to return in",
+        double(counters.slotsFull), { { "slot", "none_with_room" } });
+    families.addCounter("crocusmount_returns_total", "Callers that returned, by their slot",
+        double(counters.returnsOnTime), { { "time", "kept" } });
+    families.addCounter("crocusmount_returns_total", "Callers that returned, by their slot",
+        double(counters.returnsEarly), { { "time", "early" } });
     families.addByReason("crocusmount_refused_total", "Final answers of this instance's own", counters.refused);
     families.addByReason(
         "crocusmount_retried_total", "Further attempts, by the reason of the one before", counters.retried);
@@ -152,6 +164,12 @@
         { { "outcome", "completed" } });
     families.addHistogram("crocusmount_call_seconds", "From arrival to the final answer", latencies.refused,
         { { "outcome", "refused" } });
+    families.addHistogram(
+        "crocusmount_queue_seconds", "Waits for capacity", latencies.startedWaits, { { "outcome", "started" } });
+    families.addHistogram(
+        "crocusmount_queue_seconds", "Waits for capacity", latencies.refusedWaits, { { "outcome", "refused" } });
+    families.addHistogram("crocusmount_return_late_seconds",
+        "Callers that returned in their slot or shortly after: time since the end of the slot", latencies.returnsLate);
     return families.serialize();
 }
 
--- a/src/edge/RelayMetrics.h
+++ b/src/edge/RelayMetrics.h
@@ -47,6 +47,9 @@
     LatencyHistogram longestGap; ///< streams: longest time between two consecutive events
     LatencyHistogram completed; ///< from a call's arrival to the end of a successful answer
     LatencyHistogram refused; ///< from a call's arrival to any other end
+    LatencyHistogram startedWaits; ///< in the queue, of calls that were started from it
+    LatencyHistogram refusedWaits; ///< from arrival to the refusal for lack of capacity
+    LatencyHistogram returnsLate; ///< from the end of a refused caller's slot to its return, if not before the slot
 };
 
 /// @return all metrics in the Prometheus text format
--- a/src/edge/RelayNode.h
+++ b/src/edge/RelayNode.h
@@ -134,6 +134,10 @@
     void on(const effect::AnswerPermits&);
     void on(const effect::ShareServerLimit&);
     void on(const effect::RerouteAttempt&);
+    void on(const effect::LogShortage&);
+    void on(const effect::RecordWait&);
+    void on(const effect::LogReturn&);
+    void on(const effect::ShareReturn&);
     void on(const effect::Refuse&);
     void on(const effect::DeliverServerFailure&);
     void on(const effect::CompleteAnswer&);
--- a/src/idl/peer.thrift
+++ b/src/idl/peer.thrift
@@ -77,6 +77,9 @@
   13: list<i32> contacts
   // Keys of instances that reach no backend server, although others do.
   14: list<i64> cutOffInstances
+  // Calls whose refused callers were given a time to return at, 8 bytes each, big-endian: 6 bytes of the call's key, and
+  // the time until its slot begins in 10 ms. Older receivers ignore it.
+  15: binary promisedReturns
 }
 
 // How far the sender's copy of the platform's store is.
--- a/src/relay/Call.h
+++ b/src/relay/Call.h
@@ -89,6 +89,8 @@
     bool wasHarmless = false; ///< ran to its end, or longer than a request that crashes its server, see MinHarmlessRun
     std::optional<TimePoint> nextHoldCheckAt; ///< set while the call is kept out of the queue for a crash verdict
     std::optional<TimePoint> holdDeadline; ///< the call is queued at this time even without a verdict
+    bool isReturnOnTime = false; ///< its caller was refused before and returned at the time that it was given
+    std::uint32_t overtakenBy = 0; ///< calls that were started before this one, which was ahead but did not fit
     std::vector<BackendId> avoidedServers; ///< servers that failed or rejected this call, or stalled under it
 
     /// The delay of such a call reflects the failure, not the load, so the concurrency limit ignores it.
--- a/src/relay/LoadExchange.cpp
+++ b/src/relay/LoadExchange.cpp
@@ -162,6 +162,7 @@
     const std::size_t memberCount = listed.size() + m_unlisted.size();
     // The limit is shared among all members, because a collector receives the reports of all of them in each round.
     LoadReport ownReport = makeReport(LoadScope::Instance, 1, own, memberCount);
+    ownReport.promisedReturns = m_returns.announced(LoadScope::Instance);
     if (m_isCutOff)
         ownReport.cutOffInstances.push_back(instanceKey(m_self.id));
     m_ownLoads = std::move(own);
@@ -170,6 +171,7 @@
             outgoing.push_back({ collector->address, ownReport });
     }
     if (!isCollector()) {
+        m_returns.endRound(now);
         m_lastHeard.clear();
         return outgoing;
     }
@@ -197,6 +199,7 @@
     LoadReport localReport = makeReport(LoadScope::DataCentre, instances, toVector(sums), receiverCount);
     localReport.silentInstances = silentMembers(now);
     localReport.cutOffInstances = cutOff;
+    localReport.promisedReturns = m_returns.announced(LoadScope::DataCentre);
     for (const auto& [dataCentre, peers] : m_peers) {
         if (dataCentre == m_self.dataCentre)
             continue;
@@ -208,6 +211,8 @@
     LoadReport fleetReport = makeReport(LoadScope::Fleet, instances, fleetLoads, receiverCount);
     fleetReport.silentInstances = localReport.silentInstances;
     fleetReport.cutOffInstances = std::move(cutOff);
+    fleetReport.promisedReturns = m_returns.announced(LoadScope::Fleet);
+    m_returns.endRound(now);
     for (const auto& [dataCentre, sum] : m_dataCentreSums) {
         const auto& silent = sum.silentInstances;
         if (isFresh(sum))
@@ -254,6 +259,7 @@
 {
     if (report.sender != m_self.id)
         m_lastReports[report.sender] = now;
+    m_returns.receive(report, report.sender == m_self.id, now);
     switch (report.scope) {
     case LoadScope::Instance:
     case LoadScope::Fleet: {
--- a/src/relay/LoadExchange.h
+++ b/src/relay/LoadExchange.h
@@ -3,6 +3,7 @@
 #include "crocusmount/Ids.h"
 #include "crocusmount/Time.h"
 #include "relay/LoadReport.h"
+#include "relay/ReturnAnnouncements.h"
 
 #include <map>
 #include <optional>
@@ -83,6 +84,11 @@
     ///         instance if no fresh sum is known
     std::set<std::uint64_t> cutOffInstances(TimePoint now) const;
 
+    /// Announces that the caller of a refused call was given a time to return at.
+    void announceReturn(const PromisedReturn& promise) { m_returns.add(promise); }
+    /// @return such promises of other instances that arrived since the last call
+    std::vector<PromisedReturn> takeReturns() { return m_returns.takeReceived(); }
+
     bool isCollector() const;
     /// @return whether this instance has the lowest id in its data centre
     bool hasLowestId() const;
@@ -119,6 +125,7 @@
     std::map<DataCentreId, std::vector<LoadPeer>> m_peers;
     std::vector<LoadPeer> m_unlisted; ///< instances of this data centre that still report, without this one
     std::map<InstanceId, TimePoint> m_lastReports; ///< when each of the other peers last sent a report of any scope
+    ReturnAnnouncements m_returns;
     bool m_isCutOff = false; ///< see setCutOff()
     bool m_isLeaving = false; ///< see setLeaving()
     std::uint64_t m_sequence = 0; ///< number of the current round
--- a/src/relay/LoadReport.h
+++ b/src/relay/LoadReport.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "crocusmount/Ids.h"
+#include "relay/PromisedReturn.h"
 
 #include <cstdint>
 #include <map>
@@ -41,6 +42,8 @@
     std::uint32_t slices = 1; ///< number of slices, sent in rotation
     /// Keys of instances that reach no backend server, although others do; in the report of an instance, its own key.
     std::vector<std::uint64_t> cutOffInstances {};
+    /// Calls whose refused callers were given a time to return at, see ReturnAnnouncements.
+    std::vector<PromisedReturn> promisedReturns {};
 };
 
 /// @return a key for one start of an instance in reports; every process computes an equal key
--- a/src/relay/Mechanism.cpp
+++ b/src/relay/Mechanism.cpp
@@ -34,6 +34,7 @@
         { "start-admission", Mechanism::StartAdmission },
         { "return-slots", Mechanism::ReturnSlots },
         { "queue-bypass", Mechanism::QueueBypass },
+        { "wait-forecast", Mechanism::WaitForecast },
         { "group-losses", Mechanism::GroupLosses },
         { "store-turns", Mechanism::StoreTurns },
     };
--- a/src/relay/Mechanism.h
+++ b/src/relay/Mechanism.h
@@ -32,6 +32,7 @@
     StartAdmission, ///< admission of calls by what an instance knows after its start or an outage of the store
     ReturnSlots, ///< retry times that spread returning callers over the capacity that will be free
     QueueBypass, ///< placement of waiting calls behind one that has no server with capacity
+    WaitForecast, ///< refusal at once of calls whose turn is expected to come too late
     GroupLosses, ///< search for engines that were lost together, and reroutes that avoid them
     StoreTurns, ///< turns of the instances at a store that does not answer
 };
--- a/src/relay/RelayCounters.h
+++ b/src/relay/RelayCounters.h
@@ -5,6 +5,7 @@
 #include "relay/ClearCause.h"
 #include "relay/ConnectFailure.h"
 #include "relay/RetryLimit.h"
+#include "relay/ShortageCause.h"
 
 #include <array>
 #include <cstdint>
@@ -51,6 +52,11 @@
     std::uint64_t configurationsAccepted = 0;
     std::array<std::uint64_t, ReasonCount> refused {}; ///< final answers given by the relay itself, by reason
     std::array<std::uint64_t, ReasonCount> retried {}; ///< retries, by the reason why the previous attempt failed
+    std::array<std::uint64_t, ShortageCauseCount> shortages {}; ///< refusals for lack of capacity, by cause
+    std::uint64_t slotsGiven = 0; ///< callers refused for lack of capacity that were given a slot to return in
+    std::uint64_t slotsFull = 0; ///< such callers for which no slot within their time had room
+    std::uint64_t returnsEarly = 0; ///< callers that returned before their slot
+    std::uint64_t returnsOnTime = 0; ///< callers that returned in their slot, or shortly after
     /// Calls not retried after a failed attempt, by the limit that prevented the retry.
     std::array<std::uint64_t, RetryLimitCount> retriesDenied {};
 };
--- a/src/relay/RelayEffect.h
+++ b/src/relay/RelayEffect.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/ReturnSlots.h"
 #include "crocusmount/Chain.h"
 #include "crocusmount/Ids.h"
 #include "crocusmount/Reason.h"
@@ -12,8 +13,10 @@
 #include "relay/CrashReport.h"
 #include "relay/PermitAnswer.h"
 #include "relay/PermitRequest.h"
+#include "relay/PromisedReturn.h"
 #include "relay/RetryLimit.h"
 #include "relay/ServerPath.h"
+#include "relay/ShortageCause.h"
 #include "relay/SoundRun.h"
 
 #include <cstdint>
@@ -201,6 +204,36 @@
         Chain chain;
     };
 
+    /// Log a refusal for lack of capacity, with what the time to return was derived from.
+    struct LogShortage {
+        RequestId call;
+        ShortageCause cause = ShortageCause::ForeseenTooLate;
+        Duration waited {}; ///< since the call's arrival
+        std::size_t waiting = 0; ///< calls in the queue, this one perhaps included
+        ReturnSlots::Rates rates; ///< of this instance at present
+        bool usesSlots = false; ///< false if the time follows the age of the shortage, as no rate is known
+        ReturnSlots::Offer offer; ///< meaningful only with usesSlots
+        std::optional<Duration> slotIn; ///< time until the slot begins; nothing if none was given
+    };
+
+    /// Count the wait of a call that was started from the queue.
+    struct RecordWait {
+        RequestId call;
+        Duration waited {};
+    };
+
+    /// Tell the other instances that the caller of a refused call was given a time to return at.
+    struct ShareReturn {
+        PromisedReturn promise;
+    };
+
+    /// Log that the caller of a refused call has returned.
+    struct LogReturn {
+        RequestId call;
+        bool isEarly = false; ///< before its slot, so the call has no precedence
+        Duration late {}; ///< since the end of its slot; zero if before
+    };
+
     /// Refuse a call of which no part of an answer was delivered. This is its final answer.
     struct Refuse {
         RequestId call;
@@ -242,7 +275,8 @@
     effect::ContinueAnswer, effect::AskStalledStage, effect::CheckEngine, effect::ProbeServer, effect::ShareCrashes,
     effect::ShareSoundRuns, effect::LogCrash, effect::QuarantineTrait, effect::ClearTrait, effect::ReportEngineState,
     effect::LogServerPath, effect::LogServerState, effect::LogServerLimit, effect::LogServerBackoff, effect::LogPermits,
-    effect::RequestPermits, effect::AnswerPermits, effect::ShareServerLimit, effect::RerouteAttempt, effect::Refuse,
+    effect::RequestPermits, effect::AnswerPermits, effect::ShareServerLimit, effect::RerouteAttempt,
+    effect::LogShortage, effect::RecordWait, effect::LogReturn, effect::ShareReturn, effect::Refuse,
     effect::DeliverServerFailure, effect::CompleteAnswer, effect::LogEndVerdict, effect::BreakAnswer>;
 using RelayEffects = std::vector<RelayEffect>;
 
--- a/src/relay/RelayEvent.h
+++ b/src/relay/RelayEvent.h
@@ -66,6 +66,7 @@
     /// The other instances' load on the engines was reported, or became unknown.
     struct LoadsReported {
         std::optional<EngineLoads> loads; ///< by engineKey; nothing if unknown
+        std::vector<PromisedReturn> returns {}; ///< times that other instances gave to callers, since the last event
     };
 
     /// The operator switched mechanisms on or off.
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -109,6 +109,7 @@
     const bool isEnabled = !m_options.without.has(Mechanism::LoadExchange);
     m_fleet.setOthersLoad(isEnabled ? reported.loads : std::nullopt, context.now);
     checkAvoidedEngines(context);
+    recordReturnsElsewhere(reported.returns, context);
 }
 
 void RelayReducer::on(const event::DrainRequested&, Context& context)
@@ -191,24 +192,20 @@
         return;
     }
     budgetOf(call.service).addRequest();
+    recordArrival(call, context);
     Call& stored = m_calls.emplace(call.id, std::move(call)).first->second;
     if (awaitsCrashVerdict(stored)) {
         holdCall(stored, context);
         return;
     }
     FairQueue& waiting = queueOf(stored).waiting();
-    if (waiting.empty() && place(stored, context))
+    if (waiting.empty() && place(stored, context) == PlaceResult::Started)
         return;
     if (const auto reason = restrictionOn(stored, waiting.size(), context)) {
         finishUnanswered(stored, *reason, context);
         return;
     }
-    if (context.now + queueOf(stored).expectedWait() > stored.waitUntil) {
-        finishUnanswered(stored, Reason::NoCapacity, context);
-        return;
-    }
-    waiting.push(stored.workspace, 1, -stored.rank, { stored.id, std::max(1.0, stored.tokens) });
-    dispatch(waiting, context);
+    enqueueOrRefuse(stored, context);
 }
 
 void RelayReducer::on(const event::CallerLeft& left, Context& context)
@@ -453,7 +450,7 @@
 {
     call.waitUntil = std::min(call.deadline, context.now + MaxRetryWait);
     call.state = CallState::Waiting;
-    if (!place(call, context))
+    if (place(call, context) != PlaceResult::Started)
         queueOf(call).waiting().pushFront(call.workspace, 1, -call.rank, call.id);
 }
 
@@ -468,9 +465,10 @@
         context.effects.emplace_back(effect::BreakAnswer { call.id, reason, limit });
     } else {
         const RunState run = call.mayHaveRun ? RunState::MayHaveRun : RunState::NotRun;
-        const bool isShortage = reason == Reason::NoCapacity || reason == Reason::LimitReached;
+        const bool isShortage = reason == Reason::NoCapacity || reason == Reason::LimitReached
+            || (reason == Reason::RefusedByBackend && !m_options.without.has(Mechanism::ReturnSlots));
         const Duration retryAfter = reason == Reason::ServersInBackoff ? retryAfterBackoff(call.service, context)
-            : isShortage                                               ? retryAfterShortage(queueOf(call), context)
+            : isShortage                                               ? retryAfterShortage(call, reason, context)
                                                                        : retryAfterFor(reason, context);
         refuse(call, reason, run, retryAfter, limit, context);
     }
@@ -513,7 +511,7 @@
 void RelayReducer::release(Call& call, const Attempt& attempt, Context& context)
 {
     m_attempts.erase(attempt.id);
-    queueOf(call).ended(context.now);
+    queueOf(call).ended(context.now, attempt.answerBegunAt.has_value());
     if (attempt.chain.hops().empty()) {
         if (FleetServer* server = m_fleet.find(attempt.server); server && server->ownCalls)
             --server->ownCalls;
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/PromisedReturns.h"
 #include "admission/RetryBudget.h"
 #include "relay/Call.h"
 #include "relay/CallPlacer.h"
@@ -8,6 +9,7 @@
 #include "relay/EngineCheckBudget.h"
 #include "relay/HarmlessTraits.h"
 #include "relay/PermitIssuer.h"
+#include "relay/PlacingRound.h"
 #include "relay/RelayCounters.h"
 #include "relay/RelayEffect.h"
 #include "relay/RelayEvent.h"
@@ -34,7 +36,8 @@
 ///
 /// Private functions are documented where they are defined:
 /// - RelayReducer.cpp: admission, delivery, the end of attempts, retries and final answers
-/// - RelayReducerPlacing.cpp: queues, placement, Retry-After times, the retry budget
+/// - RelayReducerPlacing.cpp: placement, Retry-After times after other refusals, the retry budget
+/// - RelayReducerQueue.cpp: queues, who waits, who is refused for lack of capacity and when such callers return
 /// - RelayReducerTime.cpp: ticks, deadlines, stalls, reroutes and second attempts
 /// - RelayReducerChecks.cpp: health checks of engines
 /// - RelayReducerServers.cpp: servers that register, restart or end
@@ -123,7 +126,9 @@
     std::optional<Reason> admit(Call&, const Context&) const;
     void dispatchAll(Context&);
     void dispatch(FairQueue&, Context&);
-    bool place(Call&, Context&);
+    void dispatchInOrder(FairQueue&, Context&);
+    bool isLimited(const Call&) const;
+    PlaceResult place(Call&, Context&);
     std::optional<Attempt> startAttempt(Call&, AttemptPurpose, Context&);
     void cancel(Call&, const Attempt&, CancelCause, Context&);
     void release(Call&, const Attempt&, Context&);
@@ -142,6 +147,11 @@
     std::uint32_t countedAttempts(const Call&) const;
     std::optional<RetryLimit> retryLimit(const Call&, const Context&) const;
     void finishUnanswered(Call&, Reason, Context&, std::optional<RetryLimit> = std::nullopt);
+    void recordArrival(Call&, Context&);
+    void recordReturnsElsewhere(const std::vector<PromisedReturn>&, const Context&);
+    void enqueueOrRefuse(Call&, Context&);
+    bool isForeseenTooLate(const Call&, std::size_t ahead, TimePoint now);
+    void refuseForeseen(Context&);
     void refuseOverdue(Context&);
     std::optional<RetryLimit> waitLimit(const Call&, const Context&);
     void recordLateFirstEvent(Call&, Context&);
@@ -240,7 +250,9 @@
     void refuseBeyondRestrictions(Context&);
     Duration retryAfterBackoff(const ServiceId&, const Context&) const;
     Duration retryAfterFor(Reason, const Context&) const;
-    Duration retryAfterShortage(ServiceQueue&, const Context&) const;
+    Duration retryAfterShortage(const Call&, Reason, Context&);
+    Duration retryAfterByAge(ServiceQueue&, const Context&) const;
+    Duration bookReturn(const Call&, effect::LogShortage&, Context&);
     void recordContactAnswered(const BackendId&, TimePoint askedAt, Context&);
     void recordContactFailed(const BackendId&, TimePoint askedAt, Context&);
     PathEvidence pathEvidence(TimePoint now) const;
@@ -268,6 +280,7 @@
     absl::flat_hash_map<AttemptId, RequestId> m_attempts; ///< the call of each running attempt
     std::set<RequestId> m_interrupted; ///< calls with a partial answer that wait for a server to resume at
     std::map<ServiceId, ServiceQueue> m_services;
+    PromisedReturns m_promisedReturns;
     std::map<ServiceId, RetryBudget> m_budgets;
     std::map<BackendId, TimePoint> m_moveOffAt; ///< leaving servers, with the time from which streams are moved off
     std::map<BackendId, RegisteredServer> m_unusable; ///< entries that fit no service of the configuration
--- a/src/relay/RelayReducerMoves.cpp
+++ b/src/relay/RelayReducerMoves.cpp
@@ -142,7 +142,8 @@
     call.nextResumeAt = context.now + ResumeInterval;
     RetryBudget& budget = budgetOf(call.service);
     call.waitsForRetryBudget = !budget.hasToken();
-    if (call.waitsForRetryBudget || awaitsCrashVerdict(call) || retryLimit(call, context) || !place(call, context))
+    if (call.waitsForRetryBudget || awaitsCrashVerdict(call) || retryLimit(call, context)
+        || place(call, context) != PlaceResult::Started)
         return false;
     budget.spend();
     ++m_counters.retried.at(static_cast<std::size_t>(*call.interruptionReason));
--- a/src/relay/RelayReducerPlacing.cpp
+++ b/src/relay/RelayReducerPlacing.cpp
@@ -1,4 +1,4 @@
-// How RelayReducer queues and places calls, and when refused callers should retry.
+// How RelayReducer places calls, and when callers should retry that were not refused for lack of capacity.
 
 #include "relay/RelayReducer.h"
 #include "relay/ScaledDuration.h"
@@ -10,14 +10,6 @@
 
 namespace {
 
-    /// Shortest expected rest of a shortage. About half of the streams in flight end within this time.
-    constexpr Duration MinExpectedShortage = std::chrono::milliseconds(1300);
-    /// Longest expected rest of a shortage. Callers ignore a Retry-After of more than a third of their remaining time,
-    /// which is 20 s at first on the users' platforms.
-    constexpr Duration MaxExpectedShortage = std::chrono::milliseconds(4000);
-    /// Retry-After times are spread between these multiples of the expected rest of a shortage.
-    constexpr double MinRetryAfterFactor = 0.5;
-    constexpr double MaxRetryAfterFactor = 1.5;
     /// Retry-After times after a backoff are spread up to this share of its rest.
     constexpr double MaxBackoffSpread = 0.5;
     constexpr Duration MinRetryAfterBackoff = std::chrono::milliseconds(200);
@@ -26,48 +18,23 @@
 
 } // namespace
 
-/// Places what can be placed. Interrupted answers come before the queues.
-void RelayReducer::dispatchAll(Context& context)
-{
-    resumeInterrupted(context);
-    for (auto& [service, queue] : m_services)
-        dispatch(queue.waiting(), context);
-}
-
-/// Places the calls of a queue in order, up to the first one without capacity.
-void RelayReducer::dispatch(FairQueue& queue, Context& context)
-{
-    while (const auto next = queue.pop()) {
-        const auto found = m_calls.find(*next);
-        if (found == m_calls.end())
-            continue;
-        Call& call = found->second;
-        if (place(call, context))
-            continue;
-        queue.pushFront(call.workspace, 1, -call.rank, call.id);
-        return;
-    }
-}
-
 /// Starts the main attempt of a waiting call.
-/// @return false if the call has to wait for capacity
-bool RelayReducer::place(Call& call, Context& context)
+/// @return whether it was started, or why the call has to wait
+PlaceResult RelayReducer::place(Call& call, Context& context)
 {
-    // The concurrency limit does not apply to partly delivered streams.
-    const bool isLimited = !m_options.without.has(Mechanism::StreamLimit);
-    if (isLimited && isStream(call.route->kind) && !call.hasPartialAnswer && !queueOf(call).hasRoom())
-        return false;
+    if (isLimited(call) && !queueOf(call).hasRoom(call.isReturnOnTime))
+        return PlaceResult::LimitReached;
     const AttemptPurpose purpose = call.hasFailedAttempt() ? AttemptPurpose::Retry : AttemptPurpose::First;
     auto attempt = startAttempt(call, purpose, context);
     if (!attempt)
-        return false;
+        return PlaceResult::NoServer;
     if (call.hasPartialAnswer)
         ++m_counters.resumed;
     call.state = CallState::Running;
     call.main = *std::move(attempt);
     call.lastProgress = context.now;
     call.meanEventGap = Duration(0);
-    return true;
+    return PlaceResult::Started;
 }
 
 /// Chooses servers for an attempt, books their capacity and emits StartAttempt.
@@ -136,20 +103,6 @@
     }
 }
 
-/// Notes a refusal for lack of capacity and returns when the caller should retry.
-///
-/// A shortage is expected to last for as long again as it has lasted, because its causes range from a burst of half a
-/// second to an engine whose layers take five seconds to load elsewhere. Callers retry only once or twice, so one that
-/// retries too early is not served at all. The times are spread so that callers do not return all at once.
-Duration RelayReducer::retryAfterShortage(ServiceQueue& queue, const Context& context) const
-{
-    const Duration shortage = queue.refused(context.now);
-    const Duration lasted = m_options.without.has(Mechanism::ComeBackTime) ? Duration(0) : shortage;
-    const Duration expected = std::clamp(lasted, MinExpectedShortage, MaxExpectedShortage);
-    const double fraction = uniformFraction(context.entropy, static_cast<std::uint64_t>(Reason::NoCapacity));
-    return scaled(expected, MinRetryAfterFactor + fraction * (MaxRetryAfterFactor - MinRetryAfterFactor));
-}
-
 /// @return when callers should retry that were refused because their servers want no requests: after the earliest end,
 ///         spread so that the callers do not return all at once
 Duration RelayReducer::retryAfterBackoff(const ServiceId& service, const Context& context) const
--- a/src/relay/RelayReducerTime.cpp
+++ b/src/relay/RelayReducerTime.cpp
@@ -44,6 +44,7 @@
         checkRunning(call, context);
     }
     dispatchAll(context);
+    refuseForeseen(context);
 }
 
 /// Admits calls that arrived before the first configuration, and refuses those that have waited too long. This happens
@@ -61,24 +62,6 @@
         admitOrRefuse(waiting.arrival, waiting.arrived, context);
 }
 
-/// Ends calls whose deadline has passed, and waiting calls whose longest wait is over.
-void RelayReducer::refuseOverdue(Context& context)
-{
-    std::vector<RequestId> due;
-    for (const auto& [id, call] : m_calls) {
-        const bool hasWaitExpired = call.state == CallState::Waiting && context.now >= call.waitUntil;
-        if (hasWaitExpired || context.now >= call.deadline)
-            due.push_back(id);
-    }
-    for (const RequestId& id : due) {
-        Call& call = m_calls.at(id);
-        const std::optional<RetryLimit> limit = waitLimit(call, context);
-        const Reason shortage = call.interruptionReason.value_or(Reason::NoCapacity);
-        keepOnly(call, AttemptId(), context);
-        finishUnanswered(call, context.now >= call.deadline ? Reason::TimedOut : shortage, context, limit);
-    }
-}
-
 /// @return what kept an overdue call from another attempt, or nothing if no attempt at it failed
 std::optional<RetryLimit> RelayReducer::waitLimit(const Call& call, const Context& context)
 {
--- a/src/relay/ServiceQueue.cpp
+++ b/src/relay/ServiceQueue.cpp
@@ -11,13 +11,40 @@
     /// Bounds on one sample of that rate, for calls that end at nearly the same time.
     constexpr double MaxEndsPerSecond = 200;
     constexpr double MinSecondsBetweenEnds = 1e-3;
+    /// Bounds of an expected wait, while no calls end.
+    constexpr double MinEndsPerSecond = 1e-6;
+    constexpr double MaxExpectedWaitSeconds = 3600;
     /// A shortage is over when no call was refused for this long. Streams last about three seconds.
     constexpr Duration ShortageEndGap = std::chrono::seconds(2);
 
 } // namespace
 
-void ServiceQueue::ended(TimePoint now)
+void ServiceQueue::arrived(int rank, bool isReturn, TimePoint now)
 {
+    m_mostUrgentRank = std::min(m_mostUrgentRank, rank);
+    m_arrivals.add(now);
+    if (!isReturn)
+        m_newcomers.add(now);
+}
+
+ReturnSlots::Rates ServiceQueue::rates(TimePoint now) const
+{
+    return { m_ends.perSecond(now), m_newcomers.perSecond(now), m_arrivals.perSecond(now) };
+}
+
+std::optional<Duration> ServiceQueue::expectedWait(std::size_t ahead, TimePoint now) const
+{
+    if (!m_ends.isKnown())
+        return std::nullopt;
+    const std::chrono::duration<double> wait(std::min(
+        MaxExpectedWaitSeconds, static_cast<double>(ahead) / std::max(MinEndsPerSecond, m_ends.perSecond(now))));
+    return std::chrono::duration_cast<Duration>(wait);
+}
+
+void ServiceQueue::ended(TimePoint now, bool hadBegun)
+{
+    if (hadBegun)
+        m_ends.add(now);
     m_running = std::max(0.0, m_running - 1);
     const double seconds = std::max(MinSecondsBetweenEnds, std::chrono::duration<double>(now - m_lastEnd).count());
     m_lastEnd = now;
--- a/tests/FairQueueTest.cpp
+++ b/tests/FairQueueTest.cpp
@@ -48,3 +48,39 @@
     CHECK_FALSE(queue.pop().has_value());
     CHECK_TRUE(queue.empty());
 }
+
+TEST(FairQueue, ARequestThatIsPassedOverKeepsItsPlaceAndIsNotCharged)
+{
+    queue.push(WorkspaceId("a"), 1, 0, { RequestId(1), 10 });
+    queue.push(WorkspaceId("a"), 1, 0, { RequestId(2), 1 });
+    queue.push(WorkspaceId("b"), 1, 0, { RequestId(3), 5 });
+    queue.push(WorkspaceId("b"), 1, -1, { RequestId(4), 1 });
+    absl::flat_hash_set<RequestId> passedOver;
+    std::vector<std::uint64_t> order;
+    while (const auto next = queue.next(passedOver)) {
+        order.push_back(next->value());
+        passedOver.insert(*next);
+    }
+    CHECK_TRUE((order == std::vector<std::uint64_t> { 1, 2, 3, 4 }));
+    CHECK_EQUAL(4U, queue.size());
+    // Serving the second request of "a" charges it alone.
+    CHECK_TRUE(queue.serve(RequestId(2)));
+    CHECK_FALSE(queue.serve(RequestId(2)));
+    CHECK_EQUAL(3U, queue.next({})->value());
+    CHECK_TRUE(queue.serve(RequestId(3)));
+    CHECK_EQUAL(1U, queue.next({})->value());
+    CHECK_EQUAL(1U, queue.pop()->value());
+}
+
+TEST(FairQueue, APreferredRequestGoesBeforeTheOthersOfItsWorkspaceAndPriority)
+{
+    fill("a", 1, 0, 1, 2);
+    queue.push(WorkspaceId("a"), 1, 0, { RequestId(10), 1, true });
+    queue.push(WorkspaceId("a"), 1, 0, { RequestId(11), 1, true });
+    fill("b", 1, 1, 20, 1);
+    const std::vector<RequestId> expected { RequestId(20), RequestId(10), RequestId(11), RequestId(1), RequestId(2) };
+    CHECK_TRUE(queue.order() == expected);
+    CHECK_EQUAL(2U, *queue.positionOf(RequestId(11)));
+    CHECK_FALSE(queue.positionOf(RequestId(99)).has_value());
+    CHECK_EQUAL(5U, queue.size());
+}
