--- a/src/relay/Call.h
+++ b/src/relay/Call.h
@@ -94,6 +94,8 @@
     /// Set while the call is kept out of the queue because this instance knows too little; it is refused at this time.
     std::optional<TimePoint> startHoldUntil;
     bool isReturning = false; ///< most likely refused before, so it can't be in time any more, see StartAdmission
+    bool isReturnOnTime = false; ///< its caller was refused before and returned at the time that it was given
+    std::uint32_t overtakenBy = 0; ///< calls that were started before this one, which was ahead but did not fit
     std::vector<BackendId> avoidedServers; ///< servers that failed or rejected this call, or stalled under it
 
     /// The delay of such a call reflects the failure, not the load, so the concurrency limit ignores it.
--- a/src/relay/RelayReducerStart.cpp
+++ b/src/relay/RelayReducerStart.cpp
@@ -220,7 +220,7 @@
 bool RelayReducer::placeHeld(Call& call, Context& context)
 {
     Context own { context.now, entropyFor(context.entropy, call.id), context.effects };
-    if (!place(call, own))
+    if (place(call, own) != PlaceResult::Started)
         return false;
     m_start.went(call.service);
     logStartHold(call, StartHoldEnd::Placed, Duration(0), context);
