--- a/src/edge/RelayMetrics.cpp
+++ b/src/edge/RelayMetrics.cpp
@@ -11,6 +11,8 @@
     families.addCounter(
         "crocusmount_calls_completed_total", "Calls answered with a success", double(counters.completed));
     families.addCounter("crocusmount_attempts_total", "Attempts at backend servers", double(counters.attempts));
+    families.addCounter("crocusmount_attempts_predicted_late_total",
+        "Attempts for which no chain was predicted to be on time", double(counters.placedLate));
     families.addCounter(
         "crocusmount_streams_resumed_total", "Streams that went on elsewhere", double(counters.resumed));
     families.addCounter(
--- a/src/edge/RelayNode.cpp
+++ b/src/edge/RelayNode.cpp
@@ -1,5 +1,6 @@
 #include "edge/RelayNode.h"
 
+#include "edge/ChainFields.h"
 #include "edge/DecisionLog.h"
 #include "edge/PeerSink.h"
 #include "edge/QuarantineSink.h"
@@ -20,17 +21,6 @@
     /// Logged as the time since an answer began where no answer began.
     constexpr std::int64_t NotBegunMs = -1;
 
-    /// @return the chain for logs: "id=begin-end,..."
-    std::string chainText(const Chain& chain)
-    {
-        std::string text;
-        for (const Hop& hop : chain.hops()) {
-            text += (text.empty() ? "" : ",") + hop.backend.value() + "=" + std::to_string(hop.layers.begin) + "-"
-                + std::to_string(hop.layers.end);
-        }
-        return text;
-    }
-
     /// @return fields of a log line on how an answer ended; none if no body was read
     boost::json::object endingFields(const std::optional<AnswerEnding>& ending)
     {
@@ -270,12 +260,13 @@
     const auto found = m_openCalls.find(start.call);
     if (found == m_openCalls.end())
         return;
-    DecisionLog::call("attempt", found->second.callId,
-        { { "route", start.route }, { "workspace", start.workspace }, { "server", start.server.value() },
-            { "request", found->second.digest }, { "parts", found->second.promptParts },
-            { "purpose", toString(start.purpose) }, { "address", start.address }, { "chain", chainText(start.chain) },
-            { "remaining_ms", toMs(start.remaining) }, { "resume_after", start.resumeAfter.value_or(0) },
-            { "waited_ms", toMs(now() - found->second.arrivedAt) } });
+    boost::json::object fields { { "route", start.route }, { "workspace", start.workspace },
+        { "server", start.server.value() }, { "request", found->second.digest }, { "parts", found->second.promptParts },
+        { "purpose", toString(start.purpose) }, { "address", start.address }, { "chain", chainText(start.chain) },
+        { "remaining_ms", toMs(start.remaining) }, { "resume_after", start.resumeAfter.value_or(0) },
+        { "waited_ms", toMs(now() - found->second.arrivedAt) } };
+    addPredicted(start.predicted, fields);
+    DecisionLog::call("attempt", found->second.callId, fields);
     auto attempt = std::make_shared<UpstreamAttempt>(m_context, m_headerNames, m_unknownHeaders, start,
         found->second.request, found->second.pipe, [this](RelayEventBody body) { post(std::move(body)); });
     m_runningAttempts[start.attempt] = { start.call, attempt, start.server, start.chain, now(), std::nullopt };
--- a/src/relay/CallPlacer.cpp
+++ b/src/relay/CallPlacer.cpp
@@ -62,7 +62,10 @@
     const Service* service = call.routes->service(call.service);
     if (!service || !service->engine)
         return findServer(call, now, entropy);
-    auto chain = findChain(call, *service->engine, nullptr, now, entropy);
+    const EngineModel& model = *service->engine;
+    if (model.times && !m_options.without.has(Mechanism::PredictedTimes))
+        return findByTimes(call, model, *model.times, now, entropy);
+    auto chain = findChain(call, model, nullptr, now, entropy);
     if (!chain)
         return std::nullopt;
     const Hop& first = chain->hops().front();
--- a/src/relay/CallPlacer.h
+++ b/src/relay/CallPlacer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "relay/Call.h"
+#include "relay/PredictedTimes.h"
 #include "relay/RelayOptions.h"
 #include "relay/ServerFleet.h"
 
@@ -13,8 +14,11 @@
     BackendId server; ///< first stage of the chain, or the only server
     std::string address; ///< of that server, "ip:port"
     Chain chain; ///< empty for a plain service
+    std::optional<PredictedTimes> predicted {}; ///< absent without a model of the engines
 };
 
+class StageTimes;
+
 /// Chooses backend servers for attempts by registered capacity, the load of all instances and recent failures.
 class CallPlacer {
 public:
@@ -39,8 +43,12 @@
 private:
     std::optional<Chain> findChain(
         const Call&, const EngineModel&, const Attempt* running, TimePoint now, std::uint64_t entropy) const;
+    /// Finds a chain for a new attempt by predicted times.
+    std::optional<Placement> findByTimes(
+        const Call&, const EngineModel&, const EngineTimes&, TimePoint now, std::uint64_t entropy) const;
     std::optional<Placement> findServer(const Call&, TimePoint now, std::uint64_t entropy) const;
     EngineLoad estimatedLoad(const FleetServer&, TimePoint now) const;
+    double entryPriceMs(const FleetServer&, const StageTimes&, double calls, double rejectionMs, TimePoint now) const;
     double firstStagePenaltyMs(const FleetServer&, double calls, TimePoint now) const;
     double penaltyMs(const Call&, const FleetServer&, TimePoint now) const;
 
--- a/src/relay/Mechanism.cpp
+++ b/src/relay/Mechanism.cpp
@@ -36,6 +36,7 @@
         { "queue-bypass", Mechanism::QueueBypass },
         { "group-losses", Mechanism::GroupLosses },
         { "store-turns", Mechanism::StoreTurns },
+        { "predicted-times", Mechanism::PredictedTimes },
     };
 
 } // namespace
--- a/src/relay/Mechanism.h
+++ b/src/relay/Mechanism.h
@@ -34,6 +34,7 @@
     QueueBypass, ///< placement of waiting calls behind one that has no server with capacity
     GroupLosses, ///< search for engines that were lost together, and reroutes that avoid them
     StoreTurns, ///< turns of the instances at a store that does not answer
+    PredictedTimes, ///< choice of chains by predicted times of events
 };
 
 /// The set of disabled mechanisms, from the settings or the command line.
--- a/src/relay/RelayCounters.h
+++ b/src/relay/RelayCounters.h
@@ -16,6 +16,7 @@
     std::uint64_t calls = 0; ///< all calls that arrived
     std::uint64_t completed = 0; ///< calls whose answer was delivered completely
     std::uint64_t attempts = 0;
+    std::uint64_t placedLate = 0; ///< attempts at chains that were predicted to be late for their route
     std::uint64_t resumed = 0; ///< streams that continued at another chain after their first event
     std::uint64_t rerouted = 0; ///< orders to continue a running stream over another chain
     std::uint64_t reroutesRefused = 0; ///< reroute orders that the first stage refused
--- a/src/relay/RelayEffect.h
+++ b/src/relay/RelayEffect.h
@@ -12,6 +12,7 @@
 #include "relay/CrashReport.h"
 #include "relay/PermitAnswer.h"
 #include "relay/PermitRequest.h"
+#include "relay/PredictedTimes.h"
 #include "relay/RetryLimit.h"
 #include "relay/ServerPath.h"
 #include "relay/SoundRun.h"
@@ -42,6 +43,7 @@
         StartTime serverStart {}; ///< last known start of the server
         TimePoint startedAt {}; ///< when the attempt was started
         AttemptPurpose purpose = AttemptPurpose::First;
+        std::optional<PredictedTimes> predicted {}; ///< of the chain, for logs; absent if it was not chosen by times
     };
 
     /// Close the attempt's connection, so that the server stops running the call.
--- a/src/relay/RelayReducerPlacing.cpp
+++ b/src/relay/RelayReducerPlacing.cpp
@@ -111,6 +111,9 @@
     start.purpose = purpose;
     start.serverStart = server.entry.startedAt;
     start.startedAt = context.now;
+    start.predicted = placement->predicted;
+    if (placement->predicted && !placement->predicted->meetsRoute)
+        ++m_counters.placedLate;
     context.effects.emplace_back(std::move(start));
     return attempt;
 }
--- a/src/relay/ServiceConfiguration.h
+++ b/src/relay/ServiceConfiguration.h
@@ -39,6 +39,8 @@
     CallKind kind = CallKind::NonIdempotent;
     Duration timeout = std::chrono::seconds(10); ///< maximum time from the arrival of a call to the end of its answer
     Duration objective = std::chrono::milliseconds(500); ///< target latency of the answer, or of a stream's first event
+    /// Longest pause between two events with which a stream is still on time, if it is limited.
+    std::optional<Duration> pauseLimit {};
     int rank = 5; ///< 0 is the most urgent
     std::uint32_t maxAttempts = 1; ///< maximum number of servers that may run one call
     bool anonymous = false; ///< whether calls need no API key
@@ -50,6 +52,21 @@
     std::string name;
     double memoryMb = 0; ///< total memory, in units of 10^6 bytes
     double stepFactor = 1; ///< time of a step as a multiple of EngineModel::stepMs
+    double readFactor = 1; ///< time to read a prompt as a multiple of that on the reference accelerator
+};
+
+/// How the times of an engine depend on its load, all for all layers of the model and the reference accelerator. See
+/// StageTimes.
+struct EngineTimes {
+    double streamMs = 0; ///< added to a step for each stream whose next token the step makes
+    double contextMsPerToken = 0; ///< added to a step for each token in the context of such a stream
+    double readMsPerToken = 0; ///< time to read one token of a prompt
+    double readMsPerPair = 0; ///< added for each pair of a token of a prompt and an earlier one
+    double tokensReadPerStep = 0; ///< maximum number of tokens of prompts that a step reads
+    double usualPromptTokens = 0; ///< prompt tokens of a typical call
+    double usualAnswerTokens = 0; ///< answer tokens of a typical call
+    double crossingMsPerToken = 0; ///< time of one token on the shared pipe between data centres; 0 if unknown
+    double crossingDelayMs = 0; ///< longest delay between two data centres
 };
 
 /// Properties of a model whose layers are distributed over engines.
@@ -62,6 +79,7 @@
     std::uint32_t stride = 1; ///< number of steps in one pass, which produces one event
     double loadSeconds = 0; ///< time to load all layers
     double usualTokens = 1000; ///< prompt and answer tokens of a typical call
+    std::optional<EngineTimes> times {}; ///< absent if the configuration does not give all of them
     std::vector<AcceleratorKind> kinds; ///< all kinds of accelerators that may run the model
 
     /// @return the kind of accelerator with a name, or null
--- a/tests/EdgeTest.cpp
+++ b/tests/EdgeTest.cpp
@@ -175,6 +175,40 @@
         CHECK_FALSE_TEXT(platform::parseConfiguration(invalidText).ok(), invalidText);
 }
 
+// Deployments and platforms that do not give all figures are priced without the model of the engines.
+TEST(Edge, TheTimesOfEnginesAreDecodedIfAllFiguresAreThere)
+{
+    const std::string engine = R"("layers":80,"kinds":[{"name":"l4","size_mb":21600.0,"pace":16.0,"read_x":8.2}],
+        "act_bytes":24600,"pipe_mbps":7680.0,"delays":[{"from":"a","target":"b","delay_ms":0.75}],)";
+    const std::vector<std::string> figures { R"("per_seq_ms":0.004)", R"("context_per_k":0.005)",
+        R"("read_per_s":200000)", R"("pairs_per_m":0.2)", R"("chunk":512)", R"("usual":{"prompt":774,"answer":209})" };
+    const auto decode = [](const std::string& fields) {
+        const auto configuration = platform::parseConfiguration(
+            R"({"version":1,"routes":[{"name":"r","gap_aim_ms":250},{"name":"s"}],"services":[{"name":"a","engine":{)"
+            + fields + "}}]}");
+        CHECK_TRUE(configuration.ok());
+        CHECK_TRUE(configuration->routes.at(0).pauseLimit == std::chrono::milliseconds(250));
+        CHECK_FALSE(configuration->routes.at(1).pauseLimit.has_value());
+        return *configuration->services.at(0).engine;
+    };
+    const EngineModel model = decode(engine + absl::StrJoin(figures, ","));
+    CHECK_TRUE(model.times.has_value());
+    DOUBLES_EQUAL(8.2, model.kinds.at(0).readFactor, 0);
+    DOUBLES_EQUAL(0.005e-3, model.times->contextMsPerToken, 1e-12);
+    DOUBLES_EQUAL(0.005, model.times->readMsPerToken, 1e-12);
+    DOUBLES_EQUAL(0.2e-6, model.times->readMsPerPair, 1e-15);
+    DOUBLES_EQUAL(0.025625, model.times->crossingMsPerToken, 1e-9);
+    DOUBLES_EQUAL(0.75, model.times->crossingDelayMs, 0);
+    for (std::size_t absent = 0; absent < figures.size(); ++absent) {
+        auto rest = figures;
+        rest.erase(rest.begin() + static_cast<std::ptrdiff_t>(absent));
+        CHECK_FALSE_TEXT(decode(engine + absl::StrJoin(rest, ",")).times.has_value(), figures[absent].c_str());
+    }
+    CHECK_FALSE(decode(R"("layers":80,"kinds":[{"name":"l4","size_mb":1,"pace":16}],)" + absl::StrJoin(figures, ","))
+                    .times.has_value());
+    CHECK_FALSE(decode(engine + absl::StrJoin(figures, ",") + R"(,"read_per_s":0)").times.has_value());
+}
+
 TEST(Edge, SettingsErrorsNameTheField)
 {
     const std::string validYaml = "node_name: n\nzone: z\nip: 1.1.1.1\nlisten:\n  front: a\n  ready_addr: b\n"
