--- a/src/relay/CallPlacerTimes.cpp
+++ b/src/relay/CallPlacerTimes.cpp
@@ -187,7 +187,7 @@
         StageTimes stage(model, times, *accelerator, entry.layers.size(), stageLoad);
         engines.servers.push_back(&server);
         engines.calls.push_back(load.calls);
-        engines.stages.push_back(std::move(stage));
+        engines.stages.push_back(stage);
     }
     engines.eventMs = settleEventMs(engines.stages, model.layers);
 
