--- a/src/relay/Mechanism.cpp
+++ b/src/relay/Mechanism.cpp
@@ -32,10 +32,7 @@
         { "path-detection", Mechanism::PathDetection },
         { "store-feed", Mechanism::StoreFeed },
         { "start-admission", Mechanism::StartAdmission },
-        { "return-slots", Mechanism::ReturnSlots },
-        { "queue-bypass", Mechanism::QueueBypass },
         { "group-losses", Mechanism::GroupLosses },
-        { "store-turns", Mechanism::StoreTurns },
     };
 
 } // namespace
--- a/src/relay/Mechanism.h
+++ b/src/relay/Mechanism.h
@@ -30,10 +30,7 @@
     PathDetection, ///< detection that this instance is cut off from all servers
     StoreFeed, ///< updates of the local store copy from another instance
     StartAdmission, ///< admission of calls by what an instance knows after its start or an outage of the store
-    ReturnSlots, ///< retry times that spread returning callers over the capacity that will be free
-    QueueBypass, ///< placement of waiting calls behind one that has no server with capacity
     GroupLosses, ///< search for engines that were lost together, and reroutes that avoid them
-    StoreTurns, ///< turns of the instances at a store that does not answer
 };
 
 /// The set of disabled mechanisms, from the settings or the command line.
