--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -60,10 +60,11 @@
 void RelayReducer::reduce(const RelayEvent& event, RelayEffects& effects)
 {
     Context context { event.now, event.entropy, effects };
-    if (!m_startedAt)
+    if (!m_startedAt) {
         m_startedAt = event.now;
+        m_start.started(event.now);
+    }
     m_now = event.now;
-    m_start.started(event.now);
     std::visit([&](const auto& body) { on(body, context); }, event.body);
 }
 
