Log calls that a stop cuts off, requests and answers cut at the caller's side, and standstills

219 answers that ended at the end of a grace had no line that says how they ended, a connection that ended inside a request left none either, and nothing told for how long the process itself handled no event.

Now: outcomes caller_left with a cause and cut_by_process_stop, lines answer_unwritten, request_cut_off and stood_still, three metrics. An unused constant of the daemon is gone.

--- a/programs/crocusmount-entry.cpp
+++ b/programs/crocusmount-entry.cpp
@@ -48,8 +48,6 @@
 /// Minimum time from the start of a drain to the end of the process: callers that know this instance still connect for
 /// up to three lifetimes of a directory answer.
 constexpr std::chrono::milliseconds MinimumDrainTime { 3500 };
-/// Share of the grace period after which no new call is started.
-constexpr double NewCallCutoffShare = 0.6;
 /// Share of the grace period after which the process stops even if calls are still running.
 constexpr double ForcedStopShare = 0.93;
 
@@ -153,6 +151,8 @@
         gauges.openCalls = reducer.openCalls();
         gauges.waitingCalls = reducer.waitingCalls();
         gauges.connections = m_front->connections();
+        gauges.requestsCutOff = m_front->requestsCutOff();
+        gauges.answersUnwritten = m_front->answersUnwritten();
         gauges.servers = reducer.fleet().servers().size();
         gauges.instances = m_registry.count();
         gauges.isCutOff = reducer.isCutOff();
@@ -233,6 +233,7 @@
                 break;
         }
         relay::DecisionLog::state("stop", { { "open_calls", m_node.reducer().openCalls() } });
+        m_node.recordProcessStop();
         m_context.stop();
     }
 
--- a/src/edge/FrontServer.cpp
+++ b/src/edge/FrontServer.cpp
@@ -90,6 +90,8 @@
     const CallReader& reader;
     std::size_t connectionCount = 0; ///< open connections, and the one that the next accept() will open
     std::size_t busyCalls = 0; ///< calls that were read and whose answers are not yet written
+    std::uint64_t requestsCutOff = 0; ///< connections that ended inside a request
+    std::uint64_t answersUnwritten = 0; ///< final answers that could not be written as a whole
     bool isCloseAnnounced = false; ///< announceClose() was called
     std::set<Connection*> idleConnections; ///< connections that wait for a call
 };
@@ -144,8 +146,12 @@
         const auto error = co_await readRequest(parser, limits);
         // A timeout closes the socket, so that no answer can be written to a caller that sends too slowly.
         if (error == http::error::end_of_stream || error == net::error::connection_reset
-            || error == beast::error::timeout)
+            || error == beast::error::timeout) {
+            ++m_shared->requestsCutOff;
+            DecisionLog::call("request_cut_off", parser.get()[m_shared->node.headerNames().callId],
+                { { "error", error.message() }, { "has_head", parser.is_header_done() } });
             co_return false;
+        }
         if (error) {
             co_await refuseUnreadable(error);
             co_return false;
@@ -221,8 +227,12 @@
         const RelayNode::CallHandle call = m_shared->node.openCall(std::move(request), *std::move(spec));
         watchForClose(call);
         const bool written = co_await relayAnswer(call, callId);
+        if (m_writeError && !m_shared->node.isOpen(call.id)) {
+            ++m_shared->answersUnwritten;
+            DecisionLog::call("answer_unwritten", callId, { { "error", m_writeError.message() } });
+        }
         m_closeWatchCancellation.emit(net::cancellation_type::all);
-        m_shared->node.callerLeft(call.id);
+        m_shared->node.callerLeft(call.id, m_writeError.message());
         --m_shared->busyCalls;
         co_return written;
     }
@@ -240,7 +250,7 @@
                     if (self->m_stream.socket().available(availableError) && !availableError)
                         return;
                     call.pipe->abandon();
-                    self->m_shared->node.callerLeft(call.id);
+                    self->m_shared->node.callerLeft(call.id, "closed");
                 }));
     }
 
@@ -345,6 +355,7 @@
         m_stream.expires_after(WriteTimeout);
         const auto [error, count] = co_await net::async_write(m_stream, net::buffer(out), asTuple);
         m_stream.expires_never();
+        m_writeError = error;
         co_return !error;
     }
 
@@ -352,6 +363,7 @@
     TcpStream m_stream;
     beast::flat_buffer m_buffer;
     net::cancellation_signal m_closeWatchCancellation; ///< ends the wait for the caller's close
+    boost::system::error_code m_writeError; ///< of the latest write
     bool m_closesAfterAnswer = false; ///< the current answer is the last on this connection, and says so
     bool m_acceptsChunks = true; ///< the current caller knows the chunked transfer coding, which HTTP/1.0 lacks
     bool m_resetsOnClose = false; ///< closing the socket resets the connection
@@ -393,6 +405,10 @@
 
 std::size_t FrontServer::busyCalls() const { return m_shared->busyCalls; }
 
+std::uint64_t FrontServer::requestsCutOff() const { return m_shared->requestsCutOff; }
+
+std::uint64_t FrontServer::answersUnwritten() const { return m_shared->answersUnwritten; }
+
 Awaitable<void> FrontServer::acceptLoop(std::shared_ptr<Shared> shared)
 {
     Timer retryTimer(shared->context.get_executor());
--- a/src/edge/FrontServer.h
+++ b/src/edge/FrontServer.h
@@ -4,6 +4,7 @@
 #include "shell/Net.h"
 
 #include <absl/status/statusor.h>
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -33,6 +34,10 @@
     std::size_t connections() const;
     /// @return the number of calls that were read and whose answers are not yet written
     std::size_t busyCalls() const;
+    /// @return the number of connections that ended inside a request
+    std::uint64_t requestsCutOff() const;
+    /// @return the number of final answers that could not be written as a whole
+    std::uint64_t answersUnwritten() const;
 
 private:
     struct Shared;
--- a/src/edge/RelayMetrics.cpp
+++ b/src/edge/RelayMetrics.cpp
@@ -130,6 +130,10 @@
     families.addGauge("crocusmount_open_calls", "Calls without a final answer", double(gauges.openCalls));
     families.addGauge("crocusmount_waiting_calls", "Calls that wait for room", double(gauges.waitingCalls));
     families.addGauge("crocusmount_connections", "Callers' connections", double(gauges.connections));
+    families.addCounter("crocusmount_requests_cut_off_total", "Callers' connections that ended inside a request",
+        double(gauges.requestsCutOff));
+    families.addCounter("crocusmount_answers_unwritten_total",
+        "Final answers that could not be written to the caller as a whole", double(gauges.answersUnwritten));
     families.addGauge("crocusmount_backend_servers", "Registered backend servers", double(gauges.servers));
     families.addGauge("crocusmount_instances", "Live instances", gauges.instances);
     families.addGauge(
@@ -161,6 +165,8 @@
     families.addHistogram(
         "crocusmount_first_event_seconds", "Streams: from arrival to the first event", latencies.firstEvent);
     families.addHistogram("crocusmount_longest_gap_seconds", "Streams: longest pause", latencies.longestGap);
+    families.addHistogram(
+        "crocusmount_standstill_seconds", "Time for which this process handled no event", latencies.standstill);
     families.addHistogram("crocusmount_start_hold_seconds",
         "Calls held while this instance knew too little: from arrival to the end of the hold", latencies.startHold);
     families.addHistogram("crocusmount_moved_silence_seconds", "Streams moved off lost stages: silence until the order",
--- a/src/edge/RelayMetrics.h
+++ b/src/edge/RelayMetrics.h
@@ -17,6 +17,8 @@
     std::size_t openCalls = 0; ///< calls without a final answer
     std::size_t waitingCalls = 0; ///< open calls that wait for capacity
     std::size_t connections = 0; ///< callers' connections
+    std::uint64_t requestsCutOff = 0; ///< callers' connections that ended inside a request
+    std::uint64_t answersUnwritten = 0; ///< final answers that could not be written to the caller as a whole
     std::size_t servers = 0; ///< registered backend servers
     std::uint32_t instances = 0; ///< live instances, this one included
     bool isCutOff = false; ///< this instance reaches no backend server, although others do
@@ -47,6 +49,7 @@
     LatencyHistogram longestGap; ///< streams: longest time between two consecutive events
     LatencyHistogram movedSilence; ///< streams moved off lost stages: from the last event to the order
     LatencyHistogram completed; ///< from a call's arrival to the end of a successful answer
+    LatencyHistogram standstill; ///< by how much ticks ran late: this process handled no event for as long
     LatencyHistogram startHold; ///< calls held while too little was known: from arrival to the end of the hold
     LatencyHistogram refused; ///< from a call's arrival to any other end
 };
--- a/src/edge/RelayNode.cpp
+++ b/src/edge/RelayNode.cpp
@@ -17,6 +17,8 @@
     constexpr std::chrono::milliseconds BusyTickInterval { 20 };
     /// Interval of ticks while no call is open, when no wait, stall or deadline can become due.
     constexpr std::chrono::milliseconds IdleTickInterval { 200 };
+    /// Ticks that are late by less are not logged.
+    constexpr std::chrono::milliseconds MinLoggedStandstill { 100 };
     /// Logged as the time since an answer began where no answer began.
     constexpr std::int64_t NotBegunMs = -1;
 
@@ -156,11 +158,21 @@
     while (true) {
         m_tickTimer.expires_after(m_reducer.openCalls() ? BusyTickInterval : IdleTickInterval);
         const auto [error] = co_await m_tickTimer.async_wait(net::as_tuple(useAwaitable));
-        (void)error; // The first open call cancels the wait, so that the next tick comes sooner.
+        // The first open call cancels the wait, so that the next tick comes sooner.
+        if (!error)
+            recordStandstill(
+                std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - m_tickTimer.expiry()));
         post(event::Tick {});
     }
 }
 
+void RelayNode::recordStandstill(Duration lateness)
+{
+    m_latencies.standstill.observe(lateness);
+    if (lateness >= MinLoggedStandstill)
+        DecisionLog::state("stood_still", { { "lasted_ms", toMs(lateness) }, { "open_calls", m_openCalls.size() } });
+}
+
 RelayNode::CallHandle RelayNode::openCall(std::shared_ptr<const CallerRequest> request, CallSpec spec)
 {
     const RequestId id(m_nextRequestId++);
@@ -174,16 +186,22 @@
     return { id, std::move(pipe) };
 }
 
-void RelayNode::callerLeft(RequestId id)
+void RelayNode::callerLeft(RequestId id, const std::string& cause)
 {
     const auto found = m_openCalls.find(id);
     if (found == m_openCalls.end())
         return;
-    recordAnswer(found->second, "caller_left");
+    recordAnswer(found->second, "caller_left", { { "cause", cause } });
     m_openCalls.erase(found);
     post(event::CallerLeft { id });
 }
 
+void RelayNode::recordProcessStop()
+{
+    for (const auto& [id, call] : m_openCalls)
+        recordAnswer(call, "cut_by_process_stop");
+}
+
 void RelayNode::post(RelayEventBody body)
 {
     m_pendingEvents.push_back(std::move(body));
--- a/src/edge/RelayNode.h
+++ b/src/edge/RelayNode.h
@@ -42,8 +42,13 @@
     /// @param request  as the caller sent it
     /// @param spec     what the relay needs of the request; its content digest is computed here
     CallHandle openCall(std::shared_ptr<const CallerRequest> request, CallSpec spec);
-    /// Ends a call whose caller closed its connection. Does nothing once the call has its final answer.
-    void callerLeft(RequestId);
+    /// Ends a call whose caller is gone. Does nothing once the call has its final answer.
+    /// @param cause  how that showed, for logs: "closed" or the error of a write
+    void callerLeft(RequestId, const std::string& cause);
+    /// Logs each open call as one that the end of the process cuts off.
+    void recordProcessStop();
+    /// @return whether a call has no final answer yet
+    bool isOpen(RequestId id) const { return m_openCalls.contains(id); }
     /// Passes an event to the reducer and carries out the effects.
     void post(RelayEventBody);
 
@@ -92,6 +97,9 @@
 
     /// Posts a Tick event at regular intervals.
     Awaitable<void> tickLoop();
+    /// Records for how long this process handled no event.
+    /// @param lateness  from the time at which a tick was due until it ran
+    void recordStandstill(Duration lateness);
     void recordAnswerBegun(const event::AnswerBegun&);
     void recordEvent(const event::EventDelivered&);
     /// Removes the attempt. Ends its call if the answer is complete, and logs any other end.
