--- a/tests/CutOffInstanceTest.cpp
+++ b/tests/CutOffInstanceTest.cpp
@@ -34,8 +34,96 @@
     CHECK_TRUE_TEXT(others.sent > 0 && others.servedShare() > 0.9, describe(name, cutOff, others).c_str());
 }
 
+/// An instance whose checks and new connections nobody answers, while its servers answer the other instances.
+class SilentServers {
+public:
+    SilentServers()
+    {
+        m_harness.send(relay::event::InstancesCounted { 4 });
+        reportLoads();
+    }
+
+    RelayHarness& harness() { return m_harness; }
+    /// Advances the clock; an attempt that is not `kept` cannot connect.
+    /// @return whether a call was ended, or `kept` was cancelled
+    bool run(Duration span, AttemptId kept)
+    {
+        bool hasEnded = false;
+        for (Duration passed {}; passed < span; passed += Step) {
+            reportLoads();
+            hasEnded = failContacts(kept) || hasEnded;
+            m_harness.tick(Step);
+            hasEnded = failContacts(kept) || hasEnded;
+        }
+        return hasEnded;
+    }
+
+private:
+    static constexpr Duration Step = std::chrono::milliseconds(20);
+
+    void reportLoads()
+    {
+        EngineLoads others;
+        for (const auto& [id, server] : m_harness.reducer().fleet().servers())
+            others[engineKey(id)] = { engineKey(id), 0, 0, 0, 1 };
+        m_harness.send(relay::event::LoadsReported { others });
+    }
+
+    bool failContacts(AttemptId kept)
+    {
+        bool hasEnded = false;
+        for (const RelayEffect& effect : RelayEffects(m_harness.effects())) {
+            if (const auto* check = std::get_if<relay::effect::CheckEngine>(&effect))
+                m_harness.send(relay::event::EngineChecked { check->engine, false, 1, false, check->startedAt });
+            else if (const auto* probe = std::get_if<relay::effect::ProbeServer>(&effect))
+                m_harness.send(
+                    relay::event::ServerProbed { probe->server, relay::event::ServerProbed::Finding::Unknown, false });
+            else if (const auto* started = std::get_if<relay::effect::StartAttempt>(&effect))
+                m_harness.send(relay::event::AttemptEnded { started->attempt, AttemptResult::ConnectFailed });
+            else if (const auto* cancelled = std::get_if<relay::effect::CancelAttempt>(&effect))
+                hasEnded = hasEnded || cancelled->attempt == kept;
+            else if (std::holds_alternative<relay::effect::BreakAnswer>(effect)
+                || std::holds_alternative<relay::effect::Refuse>(effect))
+                hasEnded = true;
+        }
+        return hasEnded;
+    }
+
+    RelayHarness m_harness;
+};
+
 } // namespace
 
+// An instance that took itself for cut off ended all streams that had no event for 450 ms, while their engines ran
+// them.
+TEST(CutOffInstance, SilenceDoesNotEndCallsThatServersAreRunning)
+{
+    const struct {
+        const char* name;
+        const char* path;
+        std::uint64_t events; ///< delivered before the silence
+    } cases[] = {
+        { "a stream", "/draft/1", 5 },
+        { "a stream without an event", "/draft/1", 0 },
+        { "a stream that must not run twice", "/once/1", 5 },
+        { "a call that may be repeated", "/look/1", 0 },
+        { "a call that must not run twice", "/book/1", 0 },
+    };
+    for (const auto& each : cases) {
+        SilentServers silent;
+        RelayHarness& harness = silent.harness();
+        const auto attempt = harness.running(each.path, each.events);
+        CHECK_FALSE_TEXT(silent.run(seconds(4), attempt.attempt), each.name);
+        CHECK_TRUE_TEXT(harness.reducer().isCutOff(), each.name);
+        harness.call(each.path);
+        CHECK_TRUE_TEXT(harness.last<relay::effect::Refuse>().has_value(), each.name);
+        if (each.path != std::string("/look/1") && each.path != std::string("/book/1"))
+            harness.events(attempt.attempt, each.events + 1, each.events + 2);
+        harness.send(relay::event::AttemptEnded { attempt.attempt, AttemptResult::Completed });
+        CHECK_EQUAL_TEXT(1U, harness.reducer().counters().completed, each.name);
+    }
+}
+
 // Instances that had lost their path to all servers stayed in the directory and answered their callers with 503.
 TEST(CutOffInstance, CallersOfInstancesWithoutAPathToTheServersAreServedLikeTheOthers)
 {
