Silence no longer ends calls that a server may be running, at an instance that takes itself for cut off

What callers saw: streams ended midway (status 200, no end) beside configurations, several of one instance in one moment, at different engines that went on working.

Cause: an instance to which no server answered for 0.8 s, while servers seemed to answer others, took itself for cut off and ended each repeatable call without an event for 450 ms, and each interrupted answer. Processes that are short of processor time are silent, too: configurations with many routes keep all instances and their machine busy at once.

(The runner's routes now allow 20 s; with 8 s, part of what it called cut had reached the timeout.) No server failed. The unit tests SilenceDoesNotEndCallsThatServersAreRunning and AnInterruptedAnswerWaitsForThePathAsLongAsItsCallerWaits fail without the change.

Why it works: the verdict now only keeps new work away. What a server may be running ends with its connection, its caller or its deadline; these are facts, not silence. Calls that no server runs are refused as before, so callers of an instance that is really cut off are served as before (CutOffInstance, all tests).

--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -410,7 +410,7 @@
         finishUnanswered(call, Reason::CrashesServers, context);
         return;
     }
-    if (isCutOff()) {
+    if (isCutOff() && !call.hasPartialAnswer) {
         finishUnanswered(call, Reason::NoPathToServers, context, RetryLimit::NoServer);
         return;
     }
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -282,7 +282,7 @@
     void updatePath(Context&);
     void checkPath(const PathEvidence&, Context&);
     bool mayContact(const FleetServer&) const;
-    bool hasLostPath(const Call&, TimePoint now) const;
+    static bool needsOtherInstance(const Call&);
     void endCallsWithoutPath(Context&);
     void remove(RequestId);
     Call* findByAttempt(AttemptId);
--- a/src/relay/RelayReducerPath.cpp
+++ b/src/relay/RelayReducerPath.cpp
@@ -133,23 +133,22 @@
     return service && !service->healthPath.empty();
 }
 
-/// @return whether no server can be expected to answer a running call of a cut-off instance any more. A call that must
-///         not run twice waits for its answer, which may still arrive when the path is back.
-bool RelayReducer::hasLostPath(const Call& call, TimePoint now) const
+/// A path is judged by silence, which servers short of processor time cause, too. So what a server may be running, or
+/// the caller has in part, is not given up: it ends with its connection, its caller or its deadline.
+/// @return whether a call of a cut-off instance can only be served by another instance
+bool RelayReducer::needsOtherInstance(const Call& call)
 {
-    if (call.state == CallState::Waiting)
-        return true;
-    if (!call.main.wasSent)
-        return !call.second;
-    return isRepeatable(call.route->kind) && !call.main.unprovenEnd && isStalled(call, now);
+    if (call.hasPartialAnswer)
+        return false;
+    return call.state == CallState::Waiting || (!call.main.wasSent && !call.second);
 }
 
-/// Ends the calls of a cut-off instance that it cannot serve. Their callers can go to another instance at once.
+/// Refuses the calls of a cut-off instance that no server runs. Their callers can go to another instance at once.
 void RelayReducer::endCallsWithoutPath(Context& context)
 {
     std::vector<RequestId> lost;
     for (const auto& [id, call] : m_calls) {
-        if (hasLostPath(call, context.now))
+        if (needsOtherInstance(call))
             lost.push_back(id);
     }
     for (const RequestId& id : lost) {
--- a/tests/CutOffInstanceTest.cpp
+++ b/tests/CutOffInstanceTest.cpp
@@ -112,6 +112,7 @@
     for (const auto& each : cases) {
         SilentServers silent;
         RelayHarness& harness = silent.harness();
+        harness.running("/draft/2", 1); // Its silence makes the instance check the servers.
         const auto attempt = harness.running(each.path, each.events);
         CHECK_FALSE_TEXT(silent.run(seconds(4), attempt.attempt), each.name);
         CHECK_TRUE_TEXT(harness.reducer().isCutOff(), each.name);
@@ -124,6 +125,21 @@
     }
 }
 
+// An answer whose attempt ended while its instance took itself for cut off was broken off at once.
+TEST(CutOffInstance, AnInterruptedAnswerWaitsForThePathAsLongAsItsCallerWaits)
+{
+    SilentServers silent;
+    RelayHarness& harness = silent.harness();
+    const auto attempt = harness.running("/draft/1", 5);
+    CHECK_FALSE(silent.run(seconds(1), attempt.attempt));
+    harness.events(attempt.attempt, 6, 6);
+    harness.send(relay::event::AttemptEnded { attempt.attempt, AttemptResult::Broken });
+    CHECK_FALSE(harness.last<relay::effect::BreakAnswer>().has_value());
+    CHECK_FALSE(silent.run(std::chrono::milliseconds(1900), attempt.attempt));
+    CHECK_TRUE(harness.reducer().isCutOff());
+    CHECK_TRUE(silent.run(std::chrono::milliseconds(200), attempt.attempt));
+}
+
 // Instances that had lost their path to all servers stayed in the directory and answered their callers with 503.
 TEST(CutOffInstance, CallersOfInstancesWithoutAPathToTheServersAreServedLikeTheOthers)
 {
--- a/tests/soak/planned.py
+++ b/tests/soak/planned.py
@@ -24,7 +24,7 @@
 from soak import Soak, key_of, prompt_parts  # noqa: E402
 
 QUOTA_PERIOD_S = 0.1
-IDLE_HOSTS = 40
+IDLE_HOSTS, TIMEOUT_MS = 40, 20000
 CUT, REFUSED, WHOLE = "cut", "refused", "whole"
 
 
@@ -50,7 +50,8 @@
         super().configure()
         item = self.store.items["op/config"]
         configuration = json.loads(standins.base64.b64decode(item["value"]))
-        route = configuration["routes"][0]
+        for route in configuration["routes"]:
+            route["timeout_ms"] = TIMEOUT_MS
         for number in range(self.arguments.routes):
             configuration["routes"].append(route | {
                 "name": f"idle-{number}", "hostname": f"idle{number % IDLE_HOSTS}.example", "prefix": f"/idle-{number}/"})
@@ -62,7 +63,7 @@
         attempt, events = f"{self.attempts:016x}", self.random.randint(20, 80)
         route = self.random.choice(["draft", "draft", "draft", "once", "book", "look"])
         writer.write((f"POST /{route}/x HTTP/1.1\r\nHost: soak.example\r\nX-Attempt-Id: {attempt}\r\n"
-                      f"Authorization: Bearer {key_of(int(attempt, 16))}\r\nX-Deadline-Ms: 20000\r\nX-Key: k{attempt}\r\n"
+                      f"Authorization: Bearer {key_of(int(attempt, 16))}\r\nX-Deadline-Ms: {TIMEOUT_MS}\r\nX-Key: k{attempt}\r\n"
                       f"X-Events: {events}\r\nX-Token-Usage: 100,{events}\r\n{prompt_parts(attempt)}"
                       "Content-Length: 0\r\n\r\n").encode())
         sent = time.monotonic()
