An instance is not cut off from servers that answer nobody

Cause: the verdict needs servers that answer others, but did not end when they answer nobody any more. With all instances refusing, none sent attempts, so none could show the others that the servers answer.

Now the verdict ends when no server has answered another instance for 1 s, and failures count afresh from then. Tests: rows of ServerPath, CutOffInstance.AnInstanceIsNotCutOffFromServersThatAnswerNobody (fails without the change).

--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -322,6 +322,7 @@
         m_suspects; ///< engines that the latest search for losses suspects on account of several streams
     ServerContacts m_contacts;
     ServerPath m_path = ServerPath::Unknown;
+    std::optional<TimePoint> m_othersAnsweredAt; ///< latest report that a server answers another instance
     TimePoint m_lastPathCheckAt;
     std::uint64_t m_nextAttempt = 1;
     std::optional<TimePoint> m_startedAt; ///< time of the first event
--- a/src/relay/RelayReducerPath.cpp
+++ b/src/relay/RelayReducerPath.cpp
@@ -46,6 +46,7 @@
     evidence.knowsOthers = m_fleet.knowsOthersLoad() && m_placer.instances() > 1;
     if (!evidence.knowsOthers)
         return evidence;
+    evidence.silentForAll = m_othersAnsweredAt ? now - *m_othersAnsweredAt : Duration(0);
     for (const BackendId& id : m_contacts.failed()) {
         const auto server = m_fleet.servers().find(id);
         if (server != m_fleet.servers().end() && server->second.othersLoad.contacts > 0)
@@ -77,10 +78,12 @@
     if (before != m_path && (isCutOff() || before == ServerPath::CutOff)) {
         ++(isCutOff() ? m_counters.pathsLost : m_counters.pathsRestored);
         context.effects.emplace_back(effect::LogServerPath { before, m_path, evidence });
-        if (isCutOff())
+        if (isCutOff()) {
             m_contacts.forgetRecent(); // Answers from before do not show that the path is back.
-        else
+        } else {
+            m_contacts.forgetFailures();
             m_fleet.forgetFailures();
+        }
     }
     checkPath(evidence, context);
     if (isCutOff())
--- a/src/relay/ServerContacts.cpp
+++ b/src/relay/ServerContacts.cpp
@@ -35,6 +35,12 @@
         m_failingSince.reset();
 }
 
+void ServerContacts::forgetFailures()
+{
+    m_failed.clear();
+    m_failingSince.reset();
+}
+
 void ServerContacts::add(Contact contact)
 {
     m_recent.push_back(std::move(contact));
--- a/src/relay/ServerContacts.h
+++ b/src/relay/ServerContacts.h
@@ -29,6 +29,8 @@
     void forget(const BackendId&);
     /// Starts recent() afresh.
     void forgetRecent() { m_recent.clear(); }
+    /// Forgets all failures.
+    void forgetFailures();
 
     /// @return servers that failed to answer since the last answered contact
     const std::set<BackendId>& failed() const { return m_failed; }
--- a/src/relay/ServerPath.cpp
+++ b/src/relay/ServerPath.cpp
@@ -12,6 +12,8 @@
     /// Contacts that show whether the path is back. Some servers may be dead.
     constexpr std::size_t MinContacts = 5;
     constexpr double MinAnsweredShare = 0.65;
+    /// What others heard from servers is reported every few hundred milliseconds.
+    constexpr Duration MaxSilenceForAll = std::chrono::milliseconds(1000);
     /// Checks are answered within milliseconds, so that one dead server does not raise doubts for this long.
     constexpr Duration DoubtTime = std::chrono::milliseconds(250);
 
@@ -32,6 +34,8 @@
 
 ServerPath classifyPath(const PathEvidence& evidence, ServerPath current)
 {
+    if (current == ServerPath::CutOff && evidence.silentForAll >= MaxSilenceForAll)
+        return ServerPath::Unknown;
     if (current == ServerPath::CutOff) {
         const double neededAnswers = MinAnsweredShare * static_cast<double>(evidence.contacts);
         const bool isBack = evidence.contacts >= MinContacts && evidence.answeringServers >= MinServers
--- a/src/relay/ServerPath.h
+++ b/src/relay/ServerPath.h
@@ -26,11 +26,12 @@
     std::size_t contacts = 0; ///< contacts of the last second or so
     std::size_t answered = 0; ///< of those, the ones that were answered
     std::size_t answeringServers = 0; ///< servers that answered them
+    Duration silentForAll {}; ///< since a server last answered another instance; zero if that is not known
 };
 
 /// Unanswered contacts alone do not tell a broken path from servers that are gone, slow or full. The instance is cut
 /// off only if the same servers answer other instances at the same time. Hysteresis keeps an instance from returning to
-/// the directory until most contacts get through.
+/// the directory until most contacts get through, or until the servers answer no instance.
 /// @param current  the result of the previous call
 ServerPath classifyPath(const PathEvidence&, ServerPath current);
 
--- a/tests/CutOffInstanceTest.cpp
+++ b/tests/CutOffInstanceTest.cpp
@@ -44,6 +44,8 @@
     }
 
     RelayHarness& harness() { return m_harness; }
+    /// From now on the servers answer no other instance either.
+    void silenceForAll() { m_answersOthers = false; }
     /// Advances the clock; an attempt that is not `kept` cannot connect.
     /// @return whether a call was ended, or `kept` was cancelled
     bool run(Duration span, AttemptId kept)
@@ -65,7 +67,7 @@
     {
         EngineLoads others;
         for (const auto& [id, server] : m_harness.reducer().fleet().servers())
-            others[engineKey(id)] = { engineKey(id), 0, 0, 0, 1 };
+            others[engineKey(id)] = { engineKey(id), 0, 0, 0, m_answersOthers ? 1.0 : 0.0 };
         m_harness.send(relay::event::LoadsReported { others });
     }
 
@@ -90,6 +92,7 @@
     }
 
     RelayHarness m_harness;
+    bool m_answersOthers = true;
 };
 
 } // namespace
@@ -125,6 +128,23 @@
     }
 }
 
+// Where all processes were short of processor time, all instances took themselves for cut off, refused each call, and
+// stayed so, as nobody had contact with a server any more.
+TEST(CutOffInstance, AnInstanceIsNotCutOffFromServersThatAnswerNobody)
+{
+    SilentServers silent;
+    RelayHarness& harness = silent.harness();
+    const auto attempt = harness.running("/draft/1", 5);
+    silent.run(seconds(2), attempt.attempt);
+    CHECK_TRUE(harness.reducer().isCutOff());
+    silent.silenceForAll();
+    silent.run(std::chrono::milliseconds(1200), attempt.attempt);
+    CHECK_FALSE(harness.reducer().isCutOff());
+    silent.run(seconds(4), attempt.attempt);
+    CHECK_FALSE(harness.reducer().isCutOff());
+    CHECK_EQUAL(1U, harness.reducer().counters().pathsLost);
+}
+
 // An answer whose attempt ended while its instance took itself for cut off was broken off at once.
 TEST(CutOffInstance, AnInterruptedAnswerWaitsForThePathAsLongAsItsCallerWaits)
 {
--- a/tests/ServerPathTest.cpp
+++ b/tests/ServerPathTest.cpp
@@ -37,6 +37,12 @@
             true },
         { "most are answered", { true, 1, 0, shortly, 6, 4, 4 }, ServerPath::CutOff, ServerPath::Reachable, true },
         { "all are answered", { true, 0, 0, {}, 6, 6, 5 }, ServerPath::CutOff, ServerPath::Reachable, true },
+        { "others were answered just now", { true, 5, 0, longer, 5, 0, 0, shortly }, ServerPath::CutOff,
+            ServerPath::CutOff, true },
+        { "nobody is answered any more", { true, 5, 0, longer, 5, 0, 0, longer }, ServerPath::CutOff,
+            ServerPath::Unknown, true },
+        { "nobody is answered, and the path was not in doubt", { true, 5, 0, longer, 5, 0, 0, longer },
+            ServerPath::Reachable, ServerPath::Unknown, true },
     };
     for (const auto& each : cases) {
         CHECK_TRUE_TEXT(each.expected == classifyPath(each.evidence, each.current), each.name);
