An answer to a check counts for the path however late it comes

What callers saw: calls refused as not run, no_path_to_servers, although the servers answered everybody, more slowly than usual.

Cause: a check was given up after 80 ms, and an answer after that was thrown away. That time says whether callers should wait for an engine; that its answer never comes it does not show. An instance whose servers answered in 100 ms never got a contact answered, so it took itself for cut off and could not return.

Now the answer is awaited for a second; late, it counts for the path and for ends that wait for a sign of life, while the engine stays avoided as before. A timeout that fires more than 20 ms late shows that this process stood still, and is waited for once more.

--- a/src/edge/EngineControl.h
+++ b/src/edge/EngineControl.h
@@ -8,6 +8,7 @@
 #include "edge/StalledStage.h"
 #include "shell/Net.h"
 
+#include <chrono>
 #include <string>
 
 namespace crocusmount {
@@ -36,7 +37,11 @@
 
     /// Asks an engine for a report of its health and load.
     /// @param address  of the engine
-    Awaitable<EngineReport> check(std::string address) { return onCheck(std::move(address)); }
+    /// @param timeout  longest time to connect, and after that to get the answer
+    Awaitable<EngineReport> check(std::string address, std::chrono::milliseconds timeout)
+    {
+        return onCheck(std::move(address), timeout);
+    }
 
     /// Asks a plain server to identify itself, to find out whether it was restarted.
     /// @param address  of the server
@@ -56,7 +61,7 @@
     }
 
 private:
-    virtual Awaitable<EngineReport> onCheck(std::string address) = 0;
+    virtual Awaitable<EngineReport> onCheck(std::string address, std::chrono::milliseconds timeout) = 0;
     virtual Awaitable<ServerIdentity> onIdentify(std::string address, std::string path) = 0;
     virtual Awaitable<StalledStage> onStalledStage(std::string address, std::string call) = 0;
     virtual Awaitable<OrderReply> onReroute(std::string address, std::string call, Chain) = 0;
--- a/src/edge/RelayMetrics.cpp
+++ b/src/edge/RelayMetrics.cpp
@@ -28,6 +28,8 @@
     families.addCounter("crocusmount_engine_checks_total", "Engines asked how they are", double(counters.engineChecks));
     families.addCounter("crocusmount_engine_checks_unanswered_total", "Such checks that no engine answered",
         double(counters.deadEngines));
+    families.addCounter("crocusmount_engine_checks_answered_late_total",
+        "Checks that counted as unanswered and were answered afterwards", double(counters.checksAnsweredLate));
     families.addCounter("crocusmount_engines_closed_total", "Engines found to take no new work though they have room",
         double(counters.closedEngines));
     families.addCounter("crocusmount_server_starts_ended_total", "Backend servers replaced by a later start",
--- a/src/edge/RelayNode.cpp
+++ b/src/edge/RelayNode.cpp
@@ -17,6 +17,13 @@
     constexpr std::chrono::milliseconds BusyTickInterval { 20 };
     /// Interval of ticks while no call is open, when no wait, stall or deadline can become due.
     constexpr std::chrono::milliseconds IdleTickInterval { 200 };
+    /// Time after which a check counts as unanswered. A stream may be stalled meanwhile, and callers accept a pause of
+    /// 200 ms.
+    constexpr std::chrono::milliseconds CheckTimeout { 80 };
+    /// A timer that fires later than this after its time shows that the process stood still.
+    constexpr std::chrono::milliseconds MaxTimerLateness { 20 };
+    /// How long the answer to a check is still awaited: it shows that the path and the engine are sound.
+    constexpr std::chrono::milliseconds LateAnswerTimeout { 1000 };
     /// Ticks that are late by less are not logged.
     constexpr std::chrono::milliseconds MinLoggedStandstill { 100 };
     /// Logged as the time since an answer began where no answer began.
@@ -424,8 +431,44 @@
 Awaitable<void> RelayNode::checkEngine(effect::CheckEngine check)
 {
     std::string address = check.address;
-    const TimePoint askedAt = now();
-    const EngineReport report = co_await m_engineControl.check(std::move(address));
+    const auto pending = std::make_shared<PendingCheck>(PendingCheck { check, now(), Timer(m_context.get_executor()) });
+    awaitCheckTimeout(pending);
+    const EngineReport report = co_await m_engineControl.check(std::move(address), LateAnswerTimeout);
+    if (std::exchange(pending->isSettled, true))
+        recordLateAnswer(check, report, pending->askedAt);
+    else
+        recordCheck(check, report, pending->askedAt);
+    pending->timer.cancel();
+}
+
+void RelayNode::awaitCheckTimeout(const std::shared_ptr<PendingCheck>& pending)
+{
+    pending->timer.expires_after(CheckTimeout);
+    pending->timer.async_wait([this, pending](const boost::system::error_code& error) {
+        if (error || pending->isSettled)
+            return;
+        // The answer may wait in the socket of a process that stood still.
+        if (std::chrono::steady_clock::now() - pending->timer.expiry() > MaxTimerLateness) {
+            awaitCheckTimeout(pending);
+            return;
+        }
+        pending->isSettled = true;
+        recordCheck(pending->check, EngineReport { CheckAnswer::Silent }, pending->askedAt);
+    });
+}
+
+void RelayNode::recordLateAnswer(const effect::CheckEngine& check, const EngineReport& report, TimePoint askedAt)
+{
+    if (report.answer != CheckAnswer::Alive)
+        return;
+    DecisionLog::state("engine_answered_late",
+        { { "engine", check.engine.value() }, { "after_ms", toMs(now() - askedAt) },
+            { "started_ms", report.startedAt.value() } });
+    post(event::EngineCheckAnsweredLate { check.engine, report.startedAt, askedAt });
+}
+
+void RelayNode::recordCheck(const effect::CheckEngine& check, const EngineReport& report, TimePoint askedAt)
+{
     const bool answered = report.answer == CheckAnswer::Alive;
     DecisionLog::state("engine_checked",
         { { "engine", check.engine.value() }, { "answered", answered }, { "refused", isRefused(report) },
--- a/src/edge/RelayNode.h
+++ b/src/edge/RelayNode.h
@@ -95,6 +95,14 @@
         std::optional<TimePoint> begunAt; ///< when the head of a successful answer arrived
     };
 
+    /// A check whose answer is awaited.
+    struct PendingCheck {
+        effect::CheckEngine check;
+        TimePoint askedAt;
+        Timer timer; ///< until the check counts as unanswered
+        bool isSettled = false; ///< EngineChecked has been posted
+    };
+
     /// Posts a Tick event at regular intervals.
     Awaitable<void> tickLoop();
     /// Records for how long this process handled no event.
@@ -112,8 +120,12 @@
     void postNotice(const BackendId& server, StartTime startedAt, TimePoint askedAt, const ServerNotice&);
     /// @return the last known start of a server; zero if it is not registered
     StartTime startOf(const BackendId&) const;
-    /// Checks an engine and posts EngineChecked.
+    /// Checks an engine and posts EngineChecked, and EngineCheckAnsweredLate if the answer comes after that.
     Awaitable<void> checkEngine(effect::CheckEngine);
+    /// Posts EngineChecked without an answer once the check has had its time.
+    void awaitCheckTimeout(const std::shared_ptr<PendingCheck>&);
+    void recordCheck(const effect::CheckEngine&, const EngineReport&, TimePoint askedAt);
+    void recordLateAnswer(const effect::CheckEngine&, const EngineReport&, TimePoint askedAt);
     /// Probes a plain server and posts ServerProbed.
     Awaitable<void> probeServer(effect::ProbeServer);
     /// Sends a reroute order and posts RerouteAnswered and EngineStartSeen.
--- a/src/relay/RelayCounters.h
+++ b/src/relay/RelayCounters.h
@@ -27,6 +27,7 @@
     std::uint64_t engineChecks = 0; ///< health checks of engines; the platform counts each one as a probe
     std::uint64_t closedEngines = 0; ///< engines found to accept no new calls despite free capacity
     std::uint64_t deadEngines = 0; ///< health checks that were not answered
+    std::uint64_t checksAnsweredLate = 0; ///< of these, health checks that were answered afterwards
     std::uint64_t startsEnded = 0; ///< starts of backend servers that a later start replaced
     std::uint64_t entriesOutdated = 0; ///< registry entries of ended starts
     std::uint64_t entriesUnusable = 0; ///< registry entries with a service or layers that the configuration lacks
--- a/src/relay/RelayEvent.h
+++ b/src/relay/RelayEvent.h
@@ -162,6 +162,13 @@
         double memoryUsed = 1; ///< fraction of the engine's KV cache memory in use; 1 if unknown
     };
 
+    /// An engine answered a check that had counted as unanswered.
+    struct EngineCheckAnsweredLate {
+        BackendId engine;
+        StartTime answering {}; ///< start that answered; zero if the answer names none
+        TimePoint askedAt; ///< when the check was sent
+    };
+
     /// An engine named its start time in its answer to a placement or reroute order.
     struct EngineStartSeen {
         BackendId engine;
@@ -223,10 +230,10 @@
     event::InstancesCounted, event::StoreCopyChecked, event::LoadsReported, event::CallArrived, event::CallerLeft,
     event::AttemptSent, event::ServerNoticeSeen, event::PermitsRequested, event::PermitsAnswered,
     event::ServerLimitReported, event::AnswerBegun, event::EventDelivered, event::AttemptEnded, event::RerouteAnswered,
-    event::StalledStageReported, event::EngineChecked, event::ServerProbed, event::CrashesReported,
-    event::SoundRunsReported, event::QuarantineListed, event::QuarantineLifted, event::EngineStartSeen,
-    event::EnginesReportedDead, event::EnginesReportedClosed, event::DrainRequested, event::MechanismsChanged,
-    event::Tick>;
+    event::StalledStageReported, event::EngineChecked, event::EngineCheckAnsweredLate, event::ServerProbed,
+    event::CrashesReported, event::SoundRunsReported, event::QuarantineListed, event::QuarantineLifted,
+    event::EngineStartSeen, event::EnginesReportedDead, event::EnginesReportedClosed, event::DrainRequested,
+    event::MechanismsChanged, event::Tick>;
 
 /// An event, with the only time and randomness that the reducer may use to handle it.
 struct RelayEvent {
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -108,6 +108,7 @@
     void on(const event::RerouteAnswered&, Context&);
     void on(const event::StalledStageReported&, Context&);
     void on(const event::EngineChecked&, Context&);
+    void on(const event::EngineCheckAnsweredLate&, Context&);
     void on(const event::EngineStartSeen&, Context&);
     void on(const event::EnginesReportedDead&, Context&);
     void on(const event::EnginesReportedClosed&, Context&);
--- a/src/relay/RelayReducerChecks.cpp
+++ b/src/relay/RelayReducerChecks.cpp
@@ -194,6 +194,21 @@
     dispatchAll(context);
 }
 
+/// An engine that answers late stays avoided like a dead one, as callers would wait for it, but the path to it is
+/// sound, and what it was asked after an end without proof it lived to answer.
+void RelayReducer::on(const event::EngineCheckAnsweredLate& late, Context& context)
+{
+    const FleetServer* server = m_fleet.find(late.engine);
+    if (!server)
+        return;
+    ++m_counters.checksAnsweredLate;
+    recordContactAnswered(late.engine, late.askedAt, context);
+    if (late.answering.value() && late.answering != server->entry.startedAt)
+        return;
+    m_crashEvidence.noteAlive(server->othersLoad.engine);
+    settleUnprovenEnds(late.engine, late.askedAt, LifeSign::Alive, context);
+}
+
 /// Checks engines that rejected calls, to learn whether they had room at that time.
 ///
 /// Load pattern: engines leave while the store does not answer, so their entries do not show that they leave. Each
