A check that is answered late no longer counts as a failed contact beside, nor own standstills as silence of all

What callers saw: an instance that had taken itself for cut off refused them for as long as its servers answered checks in 100 ms or more, and so did a fleet of such instances. One that really was cut off returned to the directory after a standstill of its own of a second, or where the others had no contact for a second.

Now the answer replaces the failure, contacts that may still be answered are left out of the share, and only the time between reports counts, a round at most each.

--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -110,10 +110,7 @@
     const bool isEnabled = !m_options.without.has(Mechanism::LoadExchange);
     m_start.loadsReported(isEnabled && reported.loads.has_value(), context.now);
     m_fleet.setOthersLoad(isEnabled ? reported.loads : std::nullopt, context.now);
-    const auto& servers = m_fleet.servers();
-    if (std::any_of(
-            servers.begin(), servers.end(), [](const auto& each) { return each.second.othersLoad.contacts > 0; }))
-        m_othersAnsweredAt = context.now;
+    recordSilenceForAll(context.now);
     checkAvoidedEngines(context);
 }
 
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -109,6 +109,7 @@
     void on(const event::StalledStageReported&, Context&);
     void on(const event::EngineChecked&, Context&);
     void on(const event::EngineCheckAnsweredLate&, Context&);
+    void recordSilenceForAll(TimePoint now);
     void on(const event::EngineStartSeen&, Context&);
     void on(const event::EnginesReportedDead&, Context&);
     void on(const event::EnginesReportedClosed&, Context&);
@@ -323,7 +324,8 @@
         m_suspects; ///< engines that the latest search for losses suspects on account of several streams
     ServerContacts m_contacts;
     ServerPath m_path = ServerPath::Unknown;
-    std::optional<TimePoint> m_othersAnsweredAt; ///< latest report that a server answers another instance
+    std::optional<TimePoint> m_loadsReportedAt; ///< when the loads of the others were reported last
+    Duration m_silentForAll {}; ///< see PathEvidence
     TimePoint m_lastPathCheckAt;
     std::uint64_t m_nextAttempt = 1;
     std::optional<TimePoint> m_startedAt; ///< time of the first event
--- a/src/relay/RelayReducerPath.cpp
+++ b/src/relay/RelayReducerPath.cpp
@@ -17,6 +17,8 @@
     /// The same while the cause stays unknown, because no other instance has contact with the servers either.
     constexpr Duration LongDoubtCheckInterval = std::chrono::milliseconds(1000);
     constexpr Duration MaxShortDoubt = std::chrono::milliseconds(1500);
+    /// Longest time between two reports of the others' loads, unless this process stands still.
+    constexpr Duration MaxReportInterval = std::chrono::milliseconds(300);
     /// Time between two checks of a cut-off instance whether its path is back.
     constexpr Duration CutOffCheckInterval = std::chrono::milliseconds(200);
 
@@ -34,6 +36,18 @@
     m_contacts.recordFailure(id, askedAt, context.now);
 }
 
+/// Updates for how long no server has answered another instance. A standstill of this process counts as one round, as
+/// it gets no reports meanwhile.
+void RelayReducer::recordSilenceForAll(TimePoint now)
+{
+    const Duration sinceReport = m_loadsReportedAt ? now - *m_loadsReportedAt : Duration(0);
+    m_loadsReportedAt = now;
+    const auto& servers = m_fleet.servers();
+    const bool hasContact = std::any_of(
+        servers.begin(), servers.end(), [](const auto& each) { return each.second.othersLoad.contacts > 0; });
+    m_silentForAll = hasContact ? Duration(0) : m_silentForAll + std::min(sinceReport, MaxReportInterval);
+}
+
 PathEvidence RelayReducer::pathEvidence(TimePoint now) const
 {
     PathEvidence evidence;
@@ -43,10 +57,11 @@
     evidence.contacts = recent.contacts;
     evidence.answered = recent.answered;
     evidence.answeringServers = recent.answeringServers;
+    evidence.awaited = recent.awaited;
     evidence.knowsOthers = m_fleet.knowsOthersLoad() && m_placer.instances() > 1;
     if (!evidence.knowsOthers)
         return evidence;
-    evidence.silentForAll = m_othersAnsweredAt ? now - *m_othersAnsweredAt : Duration(0);
+    evidence.silentForAll = m_silentForAll;
     for (const BackendId& id : m_contacts.failed()) {
         const auto server = m_fleet.servers().find(id);
         if (server != m_fleet.servers().end() && server->second.othersLoad.contacts > 0)
--- a/src/relay/ServerContacts.cpp
+++ b/src/relay/ServerContacts.cpp
@@ -1,11 +1,15 @@
 #include "relay/ServerContacts.h"
 
+#include <algorithm>
+
 namespace crocusmount::relay {
 
 namespace {
 
     /// Covers several checks of an instance that is cut off.
     constexpr Duration RecentTime = std::chrono::milliseconds(1200);
+    /// Longest time until the answer to a check that has counted as unanswered.
+    constexpr Duration MaxAnswerTime = std::chrono::milliseconds(1000);
     /// Bounds the memory of a busy instance, which needs no more to know that it reaches the servers.
     constexpr std::size_t MaxRecent = 64;
 
@@ -17,7 +21,13 @@
         return;
     m_failed.clear();
     m_failingSince.reset();
-    add({ now, server, true });
+    const auto late = std::find_if(m_recent.rbegin(), m_recent.rend(), [&](const Contact& contact) {
+        return contact.server == server && !contact.isAnswered && contact.askedAt <= askedAt;
+    });
+    if (late != m_recent.rend())
+        *late = { askedAt, now, server, true };
+    else
+        add({ askedAt, now, server, true });
 }
 
 void ServerContacts::recordFailure(const BackendId& server, TimePoint askedAt, TimePoint now)
@@ -25,7 +35,7 @@
     if (!m_failingSince)
         m_failingSince = askedAt;
     m_failed.insert(server);
-    add({ now, server, false });
+    add({ askedAt, now, server, false });
 }
 
 void ServerContacts::forget(const BackendId& server)
@@ -57,6 +67,7 @@
             continue;
         ++recent.contacts;
         recent.answered += contact.isAnswered ? 1 : 0;
+        recent.awaited += !contact.isAnswered && now - contact.askedAt < MaxAnswerTime ? 1 : 0;
         if (contact.isAnswered)
             answering.insert(contact.server);
     }
--- a/src/relay/ServerContacts.h
+++ b/src/relay/ServerContacts.h
@@ -17,9 +17,10 @@
         std::size_t contacts = 0;
         std::size_t answered = 0; ///< contacts that were answered
         std::size_t answeringServers = 0; ///< servers that answered at least one
+        std::size_t awaited = 0; ///< contacts that have counted as failed and may still be answered
     };
 
-    /// Records that a server answered a contact.
+    /// Records that a server answered a contact, which may have been recorded as failed before.
     /// @param askedAt  start of the contact; an answer to one that precedes all failed ones shows nothing about the
     ///                 path since
     void recordAnswer(const BackendId&, TimePoint askedAt, TimePoint now);
@@ -40,6 +41,7 @@
 
 private:
     struct Contact {
+        TimePoint askedAt;
         TimePoint endedAt;
         BackendId server;
         bool isAnswered = false;
--- a/src/relay/ServerPath.cpp
+++ b/src/relay/ServerPath.cpp
@@ -1,5 +1,7 @@
 #include "relay/ServerPath.h"
 
+#include <algorithm>
+
 namespace crocusmount::relay {
 
 namespace {
@@ -13,7 +15,7 @@
     constexpr std::size_t MinContacts = 5;
     constexpr double MinAnsweredShare = 0.65;
     /// What others heard from servers is reported every few hundred milliseconds.
-    constexpr Duration MaxSilenceForAll = std::chrono::milliseconds(1000);
+    constexpr Duration MaxSilenceForAll = std::chrono::milliseconds(3000);
     /// Checks are answered within milliseconds, so that one dead server does not raise doubts for this long.
     constexpr Duration DoubtTime = std::chrono::milliseconds(250);
 
@@ -37,8 +39,9 @@
     if (current == ServerPath::CutOff && evidence.silentForAll >= MaxSilenceForAll)
         return ServerPath::Unknown;
     if (current == ServerPath::CutOff) {
-        const double neededAnswers = MinAnsweredShare * static_cast<double>(evidence.contacts);
-        const bool isBack = evidence.contacts >= MinContacts && evidence.answeringServers >= MinServers
+        const std::size_t settled = evidence.contacts - std::min(evidence.awaited, evidence.contacts);
+        const double neededAnswers = MinAnsweredShare * static_cast<double>(settled);
+        const bool isBack = settled >= MinContacts && evidence.answeringServers >= MinServers
             && static_cast<double>(evidence.answered) >= neededAnswers;
         return isBack ? ServerPath::Reachable : ServerPath::CutOff;
     }
--- a/src/relay/ServerPath.h
+++ b/src/relay/ServerPath.h
@@ -26,7 +26,8 @@
     std::size_t contacts = 0; ///< contacts of the last second or so
     std::size_t answered = 0; ///< of those, the ones that were answered
     std::size_t answeringServers = 0; ///< servers that answered them
-    Duration silentForAll {}; ///< since a server last answered another instance; zero if that is not known
+    std::size_t awaited = 0; ///< contacts that have counted as failed and may still be answered
+    Duration silentForAll {}; ///< for how long reports have named no server that answers another instance
 };
 
 /// Unanswered contacts alone do not tell a broken path from servers that are gone, slow or full. The instance is cut
