Read requests with the limits in force, not with those from before the connection's idle time

Callers may reuse a connection that has idled for up to four fifths of the idle timeout in force. A connection kept the limits that were in force when its wait for the next request began: after a configuration that raised the idle timeout, it was still closed at the old one, and a request that crossed this close got no answer and left no line. Larger bodies and heads that the new configuration allows were refused (413, 431) on such connections.

Now the wait looks at the limits in force when its timeout passes, and the limits of head and body are taken when the request begins. A wait that ends by the timeout goes the same way as that of a stop: bytes that have arrived are answered.

Test: FrontServer.RequestsAfterAnIdleTimeAreReadWithTheLimitsInForce failed before (raised idle timeout: 404 expected, closed without an answer; with that row last, raised body limit: 404 expected, 413 answered).

--- a/src/edge/FrontServer.cpp
+++ b/src/edge/FrontServer.cpp
@@ -102,6 +102,7 @@
     explicit Connection(std::shared_ptr<Shared> shared)
         : m_shared(std::move(shared))
         , m_stream(m_shared->context.get_executor())
+        , m_idleTimer(m_shared->context.get_executor())
     {
         ++m_shared->connectionCount;
     }
@@ -131,15 +132,16 @@
     }
 
 private:
+    using Clock = std::chrono::steady_clock;
     using Parser = http::request_parser<http::string_body>;
 
     /// Reads one call and writes its answer.
     /// @return whether the connection stays open
     Awaitable<bool> serveOne()
     {
-        const CallLimits limits = m_shared->node.limits();
-        if (!m_buffer.size() && !co_await waitForCall(limits))
+        if (!m_buffer.size() && !co_await waitForCall())
             co_return false;
+        const CallLimits limits = m_shared->node.limits();
         Parser parser;
         parser.header_limit(limits.headerBytes);
         parser.body_limit(limits.bodyBytes);
@@ -164,18 +166,35 @@
 
     /// Waits for the first bytes of a call.
     /// @return false if the connection is to be closed
-    Awaitable<bool> waitForCall(const CallLimits& limits)
+    Awaitable<bool> waitForCall()
     {
-        m_stream.expires_after(toMilliseconds(limits.idleTimeout));
+        m_stream.expires_never();
+        m_idleSince = Clock::now();
         m_shared->idleConnections.insert(this);
+        watchIdleTimeout();
         const auto [error, count] = co_await m_stream.async_read_some(m_buffer.prepare(4096), asTuple);
         m_shared->idleConnections.erase(this);
+        m_idleTimer.cancel();
         if (error)
             co_return false;
         m_buffer.commit(count);
         co_return true;
     }
 
+    /// Ends the wait for a call when the idle timeout in force has passed. Configurations may raise it during the wait.
+    void watchIdleTimeout()
+    {
+        m_idleTimer.expires_at(m_idleSince + toMilliseconds(m_shared->node.limits().idleTimeout));
+        m_idleTimer.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
+            if (error || !self->m_shared->idleConnections.contains(self.get()))
+                return;
+            if (Clock::now() < self->m_idleSince + toMilliseconds(self->m_shared->node.limits().idleTimeout))
+                self->watchIdleTimeout();
+            else
+                self->cancelIdleWait();
+        });
+    }
+
     /// Reads the head and the body. Sends "100 Continue" between them to a caller that expects it.
     Awaitable<boost::system::error_code> readRequest(Parser& parser, const CallLimits& limits)
     {
@@ -361,6 +380,8 @@
 
     std::shared_ptr<Shared> m_shared;
     TcpStream m_stream;
+    Timer m_idleTimer; ///< ends the wait for a call
+    Clock::time_point m_idleSince; ///< start of the latest wait for a call
     beast::flat_buffer m_buffer;
     net::cancellation_signal m_closeWatchCancellation; ///< ends the wait for the caller's close
     boost::system::error_code m_writeError; ///< of the latest write
