Wait for a sign of life or a proof of death at the end of an answer without length

Callers saw a whole answer broken off, at once where it may not be repeated and 2 s later elsewhere, when its server had missed checks for 0.5 s (0.8 s with one under way): a busy engine, or an instance short of processor time.

Cause: silence, measured by a clock, was taken for the end of the server (decision 0014). Now only a refused connection of a server that isn't leaving, or a later start, ends the wait as broken off; else it lasts until the caller leaves or the deadline passes. A call that may be repeated continues at another server beside the wait, and the sign of life or that attempt's next event or end decides, whichever is first. Such an attempt does not vouch for the answer that it continues: what it delivers does. An attempt that takes over is measured from its own start. Checks of a silent server go on at 100 ms to 1 s. Verdict undecided, attempt purpose unproven_end.

That a server in backoff is not checked is asked for as long as the backoff lasts.

--- a/src/relay/AnswerEnding.cpp
+++ b/src/relay/AnswerEnding.cpp
@@ -23,6 +23,8 @@
         return "verified";
     case EndVerdict::BrokenOff:
         return "broken_off";
+    case EndVerdict::Undecided:
+        return "undecided";
     }
     return "verdict";
 }
--- a/src/relay/AnswerEnding.h
+++ b/src/relay/AnswerEnding.h
@@ -44,9 +44,10 @@
 /// What was found out about an unproven end.
 enum class EndVerdict {
     Verified, ///< complete: the servers that the answer depended on are alive
-    BrokenOff, ///< a server died, or there was no sign of life
+    BrokenOff, ///< a server that it depended on has ended
+    Undecided, ///< neither showed until another attempt continued the answer, the caller left or the deadline passed
 };
-inline constexpr std::size_t EndVerdictCount = 2;
+inline constexpr std::size_t EndVerdictCount = 3;
 
 /// What is known of a server that an unproven end depends on.
 enum class LifeSign {
--- a/src/relay/AttemptPurpose.cpp
+++ b/src/relay/AttemptPurpose.cpp
@@ -15,6 +15,8 @@
         return "leaving";
     case AttemptPurpose::LostStage:
         return "lost_stage";
+    case AttemptPurpose::UnprovenEnd:
+        return "unproven_end";
     }
     return "unknown";
 }
--- a/src/relay/AttemptPurpose.h
+++ b/src/relay/AttemptPurpose.h
@@ -9,6 +9,7 @@
     Stalled, ///< the running attempt has stalled
     Leaving, ///< the first stage of the running attempt gives up layers
     LostStage, ///< a stage of the running attempt has ended and cannot be replaced
+    UnprovenEnd, ///< the main attempt has ended, and its server has shown no sign of life since
 };
 
 /// @return the snake_case name used in logs
--- a/src/relay/Call.h
+++ b/src/relay/Call.h
@@ -22,7 +22,7 @@
 /// The end of a stream that does not show whether the answer is complete.
 struct UnprovenEnd {
     TimePoint endedAt;
-    TimePoint decideBy; ///< latest time until which the end of the answer waits for checks
+    TimePoint continueFrom; ///< earliest time of the next attempt elsewhere, if the call may be repeated
     std::vector<BackendId> unverified; ///< servers that are not known to be alive since endedAt
 };
 
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -237,7 +237,7 @@
     attempt.answerBegunAt = context.now;
     recordContactAnswered(attempt.server, attempt.startedAt, context);
     m_fleet.answerBegun(attempt.server, attempt.chain, context.now);
-    settleUnprovenEnds(attempt.server, attempt.startedAt, LifeSign::Alive, context);
+    settleUnprovenEnds(attempt.server, attempt.startedAt, LifeSign::Alive, context, call->id);
 }
 
 void RelayReducer::on(const event::EventDelivered& delivered, Context& context)
@@ -281,9 +281,13 @@
         completeCall(call, context);
         return;
     }
-    if (ended.result == AttemptResult::Unproven && call.main.id == ended.attempt) {
-        awaitEndProof(call, context);
-        return;
+    if (ended.result == AttemptResult::Unproven) {
+        if (call.main.id != ended.attempt && call.main.unprovenEnd)
+            replaceUnproven(call, context);
+        if (call.main.id == ended.attempt) {
+            awaitEndProof(call, context);
+            return;
+        }
     }
     const bool wasSecond = call.second && call.second->id == ended.attempt;
     const Attempt attempt = wasSecond ? *call.second : call.main;
@@ -301,8 +305,12 @@
     }
     if (call.second) {
         // The other attempt continues.
-        if (!wasSecond)
+        if (!wasSecond) {
             call.main = *call.second;
+            call.lastProgress = std::max(call.lastProgress, call.main.startedAt);
+        } else if (call.main.unprovenEnd) {
+            call.addAvoided(blamedServer(attempt, ended));
+        }
         endSecondAttempt(call, context);
     } else {
         call.addAvoided(blamedServer(attempt, ended));
@@ -498,6 +506,8 @@
     }
     if (call.main.id == kept)
         return;
+    if (call.main.unprovenEnd)
+        noteVerdict(call, EndVerdict::Undecided, context);
     cancel(call, call.main, cause, context);
     if (call.second) {
         call.main = *call.second;
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -153,9 +153,12 @@
     void completeCall(Call&, Context&);
     void awaitEndProof(Call&, Context&);
     void checkUnverified(const UnprovenEnd&, Context&);
-    void settleUnprovenEnds(const BackendId&, TimePoint askedAt, LifeSign, Context&);
+    void settleUnprovenEnds(const BackendId&, TimePoint askedAt, LifeSign, Context&, RequestId answered = {});
     void settleOverdueEnds(Context&);
     void settleEnd(RequestId, EndVerdict, Context&);
+    void noteVerdict(Call&, EndVerdict, Context&);
+    void continueBeside(Call&, Context&);
+    void replaceUnproven(Call&, Context&);
     BackendId blamedServer(const Attempt&, const event::AttemptEnded&);
     bool mayBeDead(const BackendId&, TimePoint now);
     void recordFailedAttempt(const Attempt&, const Call&, const event::AttemptEnded&, Context&);
--- a/src/relay/RelayReducerEndings.cpp
+++ b/src/relay/RelayReducerEndings.cpp
@@ -14,21 +14,29 @@
 
     /// An answer that a busy server begins within this time proves that it is alive, so no check is sent before.
     constexpr Duration CheckDelay = std::chrono::milliseconds(40);
-    /// Longest time that the end of an answer waits for a sign of life.
-    constexpr Duration MaxEndWait = std::chrono::milliseconds(500);
+    /// How long a call that may be repeated waits for a sign of life before it is also sent to another server.
+    constexpr Duration ContinueDelay = std::chrono::milliseconds(500);
     /// Added for a check that is under way then. Checks end earlier, answered or not.
     constexpr Duration MaxCheckTime = std::chrono::milliseconds(300);
+    /// Time between two searches for another server.
+    constexpr Duration ContinueInterval = std::chrono::milliseconds(100);
+    /// Time between two checks of a server that does not answer. It grows with the wait, between these bounds.
+    constexpr Duration MinCheckInterval = std::chrono::milliseconds(100);
+    constexpr Duration MaxCheckInterval = std::chrono::milliseconds(1000);
+    constexpr int CheckIntervalDivisor = 4;
     /// Bytes that a process sent before it died may arrive for as long as TCP repeats lost packets. An event later than
     /// this after the end shows that the process lives.
     constexpr Duration ProgressMargin = std::chrono::milliseconds(250);
 
 } // namespace
 
-/// Keeps a call open until it is known whether its main attempt, which has ended, has answered it completely.
+/// Keeps a call open until it is known whether its main attempt, which has ended, has answered it completely: until a
+/// sign of life or a proof that the server has ended, until the caller leaves or the deadline passes. A call that may
+/// be repeated is continued elsewhere meanwhile, and ends with what comes first.
 void RelayReducer::awaitEndProof(Call& call, Context& context)
 {
     const Attempt& attempt = call.main;
-    UnprovenEnd end { context.now, std::min(context.now + MaxEndWait, call.deadline), { attempt.server } };
+    UnprovenEnd end { context.now, context.now + ContinueDelay, { attempt.server } };
     // A first stage cuts streams off that have waited too long for a stage that died.
     const bool wasPaused = isPause(call, context.now - call.lastDeliveredAt) || !attempt.pendingReroute.hops().empty();
     bool hasDied = attempt.hasLostStage || hasLostServer(attempt);
@@ -42,15 +50,27 @@
         settleEnd(call.id, EndVerdict::BrokenOff, context);
 }
 
+/// Makes the second attempt, which has ended unproven, too, the one that a sign of life completes. Its server was alive
+/// after the first one had become silent.
+void RelayReducer::replaceUnproven(Call& call, Context& context)
+{
+    noteVerdict(call, EndVerdict::Undecided, context);
+    const Attempt replaced = std::exchange(call.main, *call.second);
+    call.second.reset();
+    cancel(call, replaced, CancelCause::Superseded, context);
+}
+
 /// Checks each server that an unproven end depends on, again if it did not answer. A check that was sent before the end
 /// does not count.
 void RelayReducer::checkUnverified(const UnprovenEnd& end, Context& context)
 {
-    if (context.now < end.endedAt + CheckDelay)
+    const Duration waited = context.now - end.endedAt;
+    if (waited < CheckDelay)
         return;
+    const Duration interval = std::clamp(waited / CheckIntervalDivisor, MinCheckInterval, MaxCheckInterval);
     for (const BackendId& id : end.unverified) {
         FleetServer* server = m_fleet.find(id);
-        if (!server || (server->lastCheckAt >= end.endedAt && !server->unansweredChecks))
+        if (!server || (server->lastCheckAt >= end.endedAt && context.now < server->lastCheckAt + interval))
             continue;
         if (server->isEngine())
             checkUrgently(*server, context);
@@ -60,12 +80,14 @@
 }
 
 /// Settles the unproven ends that wait for a server.
-/// @param askedAt  when the server was sent what it has answered now, or has not
-void RelayReducer::settleUnprovenEnds(const BackendId& id, TimePoint askedAt, LifeSign sign, Context& context)
+/// @param askedAt   when the server was sent what it has answered now, or has not
+/// @param answered  the call that it has answered, if any: what follows shows whether its answer was complete
+void RelayReducer::settleUnprovenEnds(
+    const BackendId& id, TimePoint askedAt, LifeSign sign, Context& context, RequestId answered)
 {
     std::vector<std::pair<RequestId, EndVerdict>> settled;
     for (auto& [call, each] : m_calls) {
-        if (each.state != CallState::Running || !each.main.unprovenEnd)
+        if (each.state != CallState::Running || !each.main.unprovenEnd || call == answered)
             continue;
         UnprovenEnd& end = *each.main.unprovenEnd;
         const auto waiting = std::find(end.unverified.begin(), end.unverified.end(), id);
@@ -77,21 +99,37 @@
                 settled.emplace_back(call, EndVerdict::Verified);
             continue;
         }
-        // A busy server may miss a check, and a leaving one stops listening before its answers have ended. An answer
-        // that cannot be continued elsewhere waits for another sign.
+        // A busy server may miss a check, and a leaving one stops listening before its answers have ended.
         const bool mayLive = sign == LifeSign::Silent || mayFinishCalls(id);
-        if (!mayLive || isRepeatable(each.route->kind))
+        if (!mayLive) {
             settled.emplace_back(call, EndVerdict::BrokenOff);
+            continue;
+        }
+        end.continueFrom = std::min(end.continueFrom, context.now);
+        continueBeside(each, context);
     }
     for (const auto& [call, verdict] : settled)
         settleEnd(call, verdict, context);
 }
 
-/// Settles the unproven ends that have waited too long, or whose servers have sent later events, and sends checks that
-/// are due. Without a sign of life the answer counts as broken off.
+/// Continues a call with an unproven end at another server, if it may be repeated, while the end still waits for a sign
+/// of life.
+void RelayReducer::continueBeside(Call& call, Context& context)
+{
+    UnprovenEnd& end = *call.main.unprovenEnd;
+    if (call.second || context.now < end.continueFrom || !isRepeatable(call.route->kind))
+        return;
+    end.continueFrom = context.now + ContinueInterval;
+    for (const BackendId& id : end.unverified)
+        call.addAvoided(id);
+    startSecondAttempt(call, AttemptPurpose::UnprovenEnd, context);
+}
+
+/// Sends checks that are due for unproven ends, settles those whose servers have sent later events, and continues calls
+/// elsewhere whose servers have been silent for long.
 void RelayReducer::settleOverdueEnds(Context& context)
 {
-    std::vector<std::pair<RequestId, EndVerdict>> due;
+    std::vector<RequestId> verified;
     for (auto& [id, call] : m_calls) {
         if (call.state != CallState::Running || !call.main.unprovenEnd)
             continue;
@@ -103,14 +141,21 @@
             isCheckUnderWay = isCheckUnderWay || (server && server->beingChecked);
             return server && server->lastProgress > end.endedAt + ProgressMargin;
         });
-        const TimePoint decideBy = end.decideBy + (isCheckUnderWay ? MaxCheckTime : Duration(0));
         if (end.unverified.empty())
-            due.emplace_back(id, EndVerdict::Verified);
-        else if (context.now >= std::min(decideBy, call.deadline))
-            due.emplace_back(id, EndVerdict::BrokenOff);
+            verified.push_back(id);
+        else if (!isCheckUnderWay || context.now >= end.endedAt + ContinueDelay + MaxCheckTime)
+            continueBeside(call, context);
     }
-    for (const auto& [id, verdict] : due)
-        settleEnd(id, verdict, context);
+    for (const RequestId& id : verified)
+        settleEnd(id, EndVerdict::Verified, context);
+}
+
+/// Counts and logs what was found out about the end of the main attempt, which then waits for nothing more.
+void RelayReducer::noteVerdict(Call& call, EndVerdict verdict, Context& context)
+{
+    ++m_counters.unprovenEnds.at(static_cast<std::size_t>(verdict));
+    call.main.unprovenEnd.reset();
+    context.effects.emplace_back(effect::LogEndVerdict { call.id, call.main.server, verdict });
 }
 
 /// Ends a call whose main attempt has ended unproven as complete, or continues it as after any broken attempt.
@@ -120,9 +165,7 @@
     if (found == m_calls.end() || !found->second.main.unprovenEnd)
         return;
     Call& call = found->second;
-    ++m_counters.unprovenEnds.at(static_cast<std::size_t>(verdict));
-    call.main.unprovenEnd.reset();
-    context.effects.emplace_back(effect::LogEndVerdict { id, call.main.server, verdict });
+    noteVerdict(call, verdict, context);
     if (verdict == EndVerdict::BrokenOff) {
         on(event::AttemptEnded { call.main.id, AttemptResult::Broken }, context);
         return;
--- a/src/relay/RelayReducerTime.cpp
+++ b/src/relay/RelayReducerTime.cpp
@@ -161,7 +161,10 @@
 /// @return whether the attempt was started
 bool RelayReducer::startSecondAttempt(Call& call, AttemptPurpose purpose, Context& context)
 {
-    if (m_options.without.has(Mechanism::SecondAttempts) || call.main.unprovenEnd)
+    const bool isBesideEnd = purpose == AttemptPurpose::UnprovenEnd;
+    if (call.main.unprovenEnd.has_value() != isBesideEnd)
+        return false;
+    if (!isBesideEnd && m_options.without.has(Mechanism::SecondAttempts))
         return false;
     RetryBudget& budget = budgetOf(call.service);
     if (awaitsCrashVerdict(call) || countedAttempts(call) + 1 >= call.route->maxAttempts || retryLimit(call, context)
@@ -171,7 +174,9 @@
     if (!call.second)
         return false;
     budget.spend();
-    const Reason reason = purpose == AttemptPurpose::Leaving ? Reason::Draining : Reason::Stalled;
+    const Reason reason = purpose == AttemptPurpose::Leaving ? Reason::Draining
+        : isBesideEnd                                        ? Reason::ConnectionLost
+                                                             : Reason::Stalled;
     ++m_counters.retried.at(static_cast<std::size_t>(reason));
     return true;
 }
