Count a sign of life for the start of the server that gave it

Cause: an answer to a later call, a health answer or an event named the server's id only, though ids are used again where entries have `born`. Now an unproven end keeps the start that it depends on. With `born`, only a check whose answer names that start counts, or an event of a stream that had begun 250 ms before the end; a later start in the entry or in the answer of a check or probe ends the wait as broken off. Without `born` an id is one start, and all is as before. ServerProbed carries the start that a health answer names in its body.

What it costs: the end of the only stream of a plain server with `born` waits until its caller leaves or its deadline passes, unless the server's health answer names its start (docs/decisions/0014-how-answers-end.md).

--- a/src/edge/RelayNode.cpp
+++ b/src/edge/RelayNode.cpp
@@ -418,7 +418,8 @@
     DecisionLog::state("server_probed",
         { { "server", probe.server.value() }, { "finding", toString(finding) }, { "said", identity.id.value() } });
     postNotice(probe.server, probe.startedAt, askedAt, identity.notice);
-    post(event::ServerProbed { probe.server, finding, identity.answer == CheckAnswer::Alive });
+    const StartTime answering = finding == Finding::Alive ? identity.startedAt : StartTime();
+    post(event::ServerProbed { probe.server, finding, identity.answer == CheckAnswer::Alive, answering });
 }
 
 Awaitable<void> RelayNode::checkEngine(effect::CheckEngine check)
--- a/src/edge/ServerIdentity.h
+++ b/src/edge/ServerIdentity.h
@@ -9,6 +9,7 @@
 struct ServerIdentity {
     CheckAnswer answer = CheckAnswer::Silent;
     BackendId id; ///< empty if the answer does not contain one
+    StartTime startedAt {}; ///< zero if the answer names none
     relay::ServerNotice notice; ///< what the answer states about the server
 };
 
--- a/src/relay/Call.h
+++ b/src/relay/Call.h
@@ -19,18 +19,32 @@
     Running, ///< has at least one attempt in flight
 };
 
-/// The end of a stream that does not show whether the answer is complete.
+/// A server that is not known to be alive since the end of an answer.
+struct UnverifiedServer {
+    BackendId id;
+    StartTime start; ///< the start that the answer depended on; zero if an id is used for one start only
+};
+
+/// The end of an answer that does not show whether the answer is complete.
 struct UnprovenEnd {
     TimePoint endedAt;
     TimePoint continueFrom; ///< earliest time of the next attempt elsewhere, if the call may be repeated
-    std::vector<BackendId> unverified; ///< servers that are not known to be alive since endedAt
+    std::vector<UnverifiedServer> unverified;
+
+    /// @return whether the end depends on a server
+    bool dependsOn(const BackendId& server) const
+    {
+        return std::any_of(unverified.begin(), unverified.end(), [&](const auto& each) { return each.id == server; });
+    }
 };
 
 /// One attempt to run a call at a backend server.
 struct Attempt {
     AttemptId id;
     BackendId server; ///< the first stage of a chain, or the server of a plain service
+    StartTime serverStart; ///< start of `server` that was known when the attempt was started; zero if none
     Chain chain; ///< stages that run the call; empty for a plain service
+    TimePoint chainSince; ///< when the attempt was started, or its last reroute was accepted
     Chain pendingReroute; ///< chain of a reroute that the first stage has not answered yet; empty if there is none
     std::uint32_t rerouteCount = 0; ///< reroutes ordered
     std::uint32_t stallQueries = 0; ///< times the first stage was asked which stage has stalled
--- a/src/relay/RelayEvent.h
+++ b/src/relay/RelayEvent.h
@@ -189,6 +189,7 @@
         BackendId server;
         Finding finding = Finding::Unknown;
         bool responded = false; ///< any process answered, whatever its answer says
+        StartTime answering {}; ///< start that answered; zero if the answer names none
     };
 
     /// Another instance reported servers that ended while they ran requests.
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -237,7 +237,7 @@
     attempt.answerBegunAt = context.now;
     recordContactAnswered(attempt.server, attempt.startedAt, context);
     m_fleet.answerBegun(attempt.server, attempt.chain, context.now);
-    settleUnprovenEnds(attempt.server, attempt.startedAt, LifeSign::Alive, context, call->id);
+    settleUnprovenEnds(attempt.server, attempt.startedAt, LifeSign::Alive, {}, context, call->id);
 }
 
 void RelayReducer::on(const event::EventDelivered& delivered, Context& context)
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -153,7 +153,9 @@
     void completeCall(Call&, Context&);
     void awaitEndProof(Call&, Context&);
     void checkUnverified(const UnprovenEnd&, Context&);
-    void settleUnprovenEnds(const BackendId&, TimePoint askedAt, LifeSign, Context&, RequestId answered = {});
+    void settleUnprovenEnds(
+        const BackendId&, TimePoint askedAt, LifeSign, StartTime answering, Context&, RequestId answered = {});
+    bool hasProgressed(const UnverifiedServer&, const UnprovenEnd&) const;
     void settleOverdueEnds(Context&);
     void settleEnd(RequestId, EndVerdict, Context&);
     void noteVerdict(Call&, EndVerdict, Context&);
--- a/src/relay/RelayReducerChecks.cpp
+++ b/src/relay/RelayReducerChecks.cpp
@@ -165,7 +165,7 @@
         m_fleet.recordAnsweredCheck(checked.engine, checked.slowness);
         m_namedStages.clearEvidence(checked.engine);
         recordClosed(checked, context);
-        settleUnprovenEnds(checked.engine, server->lastCheckAt, LifeSign::Alive, context);
+        settleUnprovenEnds(checked.engine, server->lastCheckAt, LifeSign::Alive, checked.answering, context);
         dispatchAll(context);
         return;
     }
@@ -184,7 +184,7 @@
         checkEnginesAfterFailure(hasEnded, context);
     if (server) {
         const LifeSign sign = hasEnded ? LifeSign::Ended : LifeSign::Silent;
-        settleUnprovenEnds(checked.engine, server->lastCheckAt, sign, context);
+        settleUnprovenEnds(checked.engine, server->lastCheckAt, sign, checked.answering, context);
     }
     // Streams through an ended process hold memory at all other stages until their callers time out.
     if (hasEnded)
--- a/src/relay/RelayReducerCrashes.cpp
+++ b/src/relay/RelayReducerCrashes.cpp
@@ -140,6 +140,11 @@
         recordContactAnswered(probed.server, server->lastCheckAt, context);
     else
         recordContactFailed(probed.server, server->lastCheckAt, context);
+    if (!applyReportedStart(probed.server, probed.answering, {}, context))
+        return;
+    server = m_fleet.find(probed.server); // A new start replaces the fleet's entry.
+    if (!server)
+        return;
     server->nextProbe.reset();
     if (probed.finding == Finding::Alive)
         m_crashEvidence.noteAlive(server->othersLoad.engine);
@@ -150,7 +155,7 @@
     const LifeSign sign = probed.finding == Finding::Alive                           ? LifeSign::Alive
         : probed.finding == Finding::Ended && (probed.responded || !isPathInDoubt()) ? LifeSign::Ended
                                                                                      : LifeSign::Silent;
-    settleUnprovenEnds(probed.server, server->lastCheckAt, sign, context);
+    settleUnprovenEnds(probed.server, server->lastCheckAt, sign, probed.answering, context);
 }
 
 /// Records that a server's process has ended, with the calls that it was running. A leaving server ends on purpose and
--- a/src/relay/RelayReducerEndings.cpp
+++ b/src/relay/RelayReducerEndings.cpp
@@ -36,14 +36,18 @@
 void RelayReducer::awaitEndProof(Call& call, Context& context)
 {
     const Attempt& attempt = call.main;
-    UnprovenEnd end { context.now, context.now + ContinueDelay, { attempt.server } };
+    UnprovenEnd end { context.now, context.now + ContinueDelay, { { attempt.server, attempt.serverStart } } };
     // A first stage cuts streams off that have waited too long for a stage that died.
     const bool wasPaused = isPause(call, context.now - call.lastDeliveredAt) || !attempt.pendingReroute.hops().empty();
+    const auto startOf = [&](const BackendId& id) {
+        const FleetServer* server = m_fleet.find(id);
+        return server ? server->entry.startedAt : StartTime();
+    };
     bool hasDied = attempt.hasLostStage || hasLostServer(attempt);
     for (const Hop& hop : attempt.chain.hops()) {
         hasDied = hasDied || (isGone(hop.backend) && !mayFinishCalls(hop.backend));
         if (wasPaused && hop.backend != attempt.server)
-            end.unverified.push_back(hop.backend);
+            end.unverified.push_back({ hop.backend, startOf(hop.backend) });
     }
     call.main.unprovenEnd = std::move(end);
     if (hasDied)
@@ -68,8 +72,8 @@
     if (waited < CheckDelay)
         return;
     const Duration interval = std::clamp(waited / CheckIntervalDivisor, MinCheckInterval, MaxCheckInterval);
-    for (const BackendId& id : end.unverified) {
-        FleetServer* server = m_fleet.find(id);
+    for (const UnverifiedServer& each : end.unverified) {
+        FleetServer* server = m_fleet.find(each.id);
         if (!server || (server->lastCheckAt >= end.endedAt && context.now < server->lastCheckAt + interval))
             continue;
         if (server->isEngine())
@@ -80,20 +84,24 @@
 }
 
 /// Settles the unproven ends that wait for a server.
-/// @param askedAt   when the server was sent what it has answered now, or has not
-/// @param answered  the call that it has answered, if any: what follows shows whether its answer was complete
+/// @param askedAt    when the server was sent what it has answered now, or has not
+/// @param answering  start that answered; zero if it is not known
+/// @param answered   the call that it has answered, if any: what follows shows whether its answer was complete
 void RelayReducer::settleUnprovenEnds(
-    const BackendId& id, TimePoint askedAt, LifeSign sign, Context& context, RequestId answered)
+    const BackendId& id, TimePoint askedAt, LifeSign sign, StartTime answering, Context& context, RequestId answered)
 {
     std::vector<std::pair<RequestId, EndVerdict>> settled;
     for (auto& [call, each] : m_calls) {
         if (each.state != CallState::Running || !each.main.unprovenEnd || call == answered)
             continue;
         UnprovenEnd& end = *each.main.unprovenEnd;
-        const auto waiting = std::find(end.unverified.begin(), end.unverified.end(), id);
+        const auto waiting = std::find_if(
+            end.unverified.begin(), end.unverified.end(), [&](const auto& server) { return server.id == id; });
         if (askedAt < end.endedAt || waiting == end.unverified.end())
             continue;
         if (sign == LifeSign::Alive) {
+            if (answering != waiting->start)
+                continue; // Another start, or one that is not named, may have begun after the end.
             end.unverified.erase(waiting);
             if (end.unverified.empty())
                 settled.emplace_back(call, EndVerdict::Verified);
@@ -120,34 +128,58 @@
     if (call.second || context.now < end.continueFrom || !isRepeatable(call.route->kind))
         return;
     end.continueFrom = context.now + ContinueInterval;
-    for (const BackendId& id : end.unverified)
-        call.addAvoided(id);
+    for (const UnverifiedServer& each : end.unverified)
+        call.addAvoided(each.id);
     startSecondAttempt(call, AttemptPurpose::UnprovenEnd, context);
 }
 
-/// Sends checks that are due for unproven ends, settles those whose servers have sent later events, and continues calls
-/// elsewhere whose servers have been silent for long.
+/// @return whether an event arrived so late that the start that ran the answer was alive after the answer's end. Where
+///         servers start again under their ids, the event must be of an answer that had begun before that.
+bool RelayReducer::hasProgressed(const UnverifiedServer& server, const UnprovenEnd& end) const
+{
+    const TimePoint provenFrom = end.endedAt + ProgressMargin;
+    const auto known = m_fleet.servers().find(server.id);
+    const bool isOneStart = !server.start.value();
+    if (known == m_fleet.servers().end())
+        return false;
+    if (isOneStart && known->second.lastProgress > provenFrom)
+        return true;
+    return std::any_of(m_calls.begin(), m_calls.end(), [&](const auto& each) {
+        const Call& call = each.second;
+        const Attempt& attempt = call.main;
+        const TimePoint since = std::max(attempt.answerBegunAt.value_or(attempt.startedAt), attempt.chainSince);
+        return call.state == CallState::Running && attempt.eventsDelivered && attempt.usesServer(server.id)
+            && call.lastDeliveredAt > provenFrom && (isOneStart || since + ProgressMargin < end.endedAt);
+    });
+}
+
+/// Sends checks that are due for unproven ends, settles those whose servers have sent later events or have started
+/// again, and continues calls elsewhere whose servers have been silent for long.
 void RelayReducer::settleOverdueEnds(Context& context)
 {
-    std::vector<RequestId> verified;
+    std::vector<std::pair<RequestId, EndVerdict>> settled;
     for (auto& [id, call] : m_calls) {
         if (call.state != CallState::Running || !call.main.unprovenEnd)
             continue;
         UnprovenEnd& end = *call.main.unprovenEnd;
         checkUnverified(end, context);
         bool isCheckUnderWay = false;
-        std::erase_if(end.unverified, [&](const BackendId& each) {
-            const FleetServer* server = m_fleet.find(each);
+        bool hasEnded = false;
+        std::erase_if(end.unverified, [&](const UnverifiedServer& each) {
+            const FleetServer* server = m_fleet.find(each.id);
             isCheckUnderWay = isCheckUnderWay || (server && server->beingChecked);
-            return server && server->lastProgress > end.endedAt + ProgressMargin;
+            hasEnded = hasEnded || (server && each.start.value() && each.start < server->entry.startedAt);
+            return hasProgressed(each, end);
         });
-        if (end.unverified.empty())
-            verified.push_back(id);
+        if (hasEnded)
+            settled.emplace_back(id, EndVerdict::BrokenOff);
+        else if (end.unverified.empty())
+            settled.emplace_back(id, EndVerdict::Verified);
         else if (!isCheckUnderWay || context.now >= end.endedAt + ContinueDelay + MaxCheckTime)
             continueBeside(call, context);
     }
-    for (const RequestId& id : verified)
-        settleEnd(id, EndVerdict::Verified, context);
+    for (const auto& [id, verdict] : settled)
+        settleEnd(id, verdict, context);
 }
 
 /// Counts and logs what was found out about the end of the main attempt, which then waits for nothing more.
--- a/src/relay/RelayReducerServers.cpp
+++ b/src/relay/RelayReducerServers.cpp
@@ -176,9 +176,8 @@
         endSecondAttempt(call, context);
     }
     if (call.main.unprovenEnd) {
-        const auto& unverified = call.main.unprovenEnd->unverified;
-        const bool isUnverified = std::find(unverified.begin(), unverified.end(), lost) != unverified.end();
-        if (isUnverified && !mayFinishCalls(lost))
+        const bool hasEnded = sign == EndSign::LaterStart || !mayFinishCalls(lost);
+        if (call.main.unprovenEnd->dependsOn(lost) && hasEnded)
             settleEnd(call.id, EndVerdict::BrokenOff, context);
         return;
     }
--- a/tests/UnprovenEndTest.cpp
+++ b/tests/UnprovenEndTest.cpp
@@ -568,3 +568,189 @@
         CHECK_EQUAL_TEXT(tally.sent, tally.completed + tally.failed + tally.refusedPermanently, figures.c_str());
     }
 }
+
+namespace {
+
+/// What is seen of a server after the end of an answer.
+enum class Sign { AnswerToNewCall, Check, CheckWithStart, EventOfOldCall, EventOfNewCall };
+
+/// Runs one call whose answer ends unproven, at servers that name their starts or do not, and lets its server end and
+/// start again under its id.
+class RestartedServer {
+public:
+    static constexpr std::int64_t FirstStart = 1000;
+    static constexpr std::int64_t LaterStart = 2000;
+
+    RestartedServer(bool isEngine, bool namesStarts)
+        : m_isEngine(isEngine)
+        , m_namesStarts(namesStarts)
+    {
+        if (namesStarts) {
+            for (const char* id : { "a", "b", "c", "d", "x", "y" })
+                registerServer(BackendId(id), FirstStart);
+        }
+        m_harness.tick(std::chrono::milliseconds(20));
+        m_older = callAt(std::nullopt);
+        m_harness.send(relay::event::AnswerBegun { m_older.attempt });
+        // A silent stream would be checked before the end.
+        if (isEngine)
+            m_harness.events(m_older.attempt, 1, m_olderEvents = 20);
+        else
+            tick(400);
+        m_ending = callAt(m_older.server);
+        m_harness.send(relay::event::AnswerBegun { m_ending.attempt });
+        if (isEngine)
+            m_harness.events(m_ending.attempt, 1, 2);
+        m_harness.send(relay::event::AttemptEnded { m_ending.attempt, AttemptResult::Unproven, 200, "" });
+    }
+
+    void tick(int milliseconds)
+    {
+        for (int waited = 0; waited < milliseconds; waited += 20) {
+            m_harness.tick(std::chrono::milliseconds(20));
+            note();
+        }
+    }
+    /// Shows a sign of the process that is running.
+    /// @param start  of that process
+    void show(Sign sign, std::int64_t start)
+    {
+        const BackendId id = m_ending.server;
+        if (sign == Sign::AnswerToNewCall || sign == Sign::EventOfNewCall) {
+            const relay::effect::StartAttempt later = callAt(id);
+            send(relay::event::AnswerBegun { later.attempt });
+            for (std::uint64_t event = 1; sign == Sign::EventOfNewCall && event < 30; ++event) {
+                send(relay::event::EventDelivered { later.attempt, event });
+                tick(20);
+            }
+        } else if (sign == Sign::EventOfOldCall) {
+            tick(300);
+            send(relay::event::EventDelivered { m_older.attempt, ++m_olderEvents });
+        } else {
+            tick(100);
+            const bool isNamed = m_namesStarts && sign == Sign::CheckWithStart;
+            const StartTime answering(isNamed ? start : 0);
+            if (m_isEngine)
+                send(relay::event::EngineChecked { id, true, 1, false, known(), answering, { 0, 4 } });
+            else
+                send(relay::event::ServerProbed { id, relay::event::ServerProbed::Finding::Alive, true, answering });
+        }
+        tick(20);
+    }
+    /// The entry of the later start arrives.
+    void listLaterStart()
+    {
+        registerServer(m_ending.server, LaterStart);
+        note();
+        tick(20);
+    }
+    Outcome outcome() const { return m_outcome; }
+
+private:
+    StartTime known() const { return m_harness.reducer().fleet().servers().at(m_ending.server).entry.startedAt; }
+    void registerServer(const BackendId& id, std::int64_t start)
+    {
+        RegisteredServer server = id.value() == "x" || id.value() == "y"
+            ? RelayHarness::plain(id.value())
+            : RelayHarness::engine(id.value(), id.value() == "a" || id.value() == "c" ? 0 : 4,
+                id.value() == "a" || id.value() == "c" ? 4 : 8);
+        server.startedAt = StartTime(start);
+        m_harness.send(relay::event::ServerRegistered { server });
+    }
+    /// @return a running attempt, at a certain server if one is given; calls that reach others run on there
+    relay::effect::StartAttempt callAt(const std::optional<BackendId>& server)
+    {
+        for (int tries = 0; tries < 6; ++tries) {
+            const auto start = m_harness.running(absl::StrCat(m_isEngine ? "/once/" : "/book/", ++m_calls));
+            if (!server || start.server == *server)
+                return start;
+        }
+        FAIL("no call reached the server");
+        return {};
+    }
+    void send(RelayEventBody body)
+    {
+        m_harness.send(std::move(body));
+        note();
+    }
+    void note()
+    {
+        for (const RelayEffect& each : m_harness.effects()) {
+            if (const auto* complete = std::get_if<relay::effect::CompleteAnswer>(&each);
+                complete && complete->call == m_ending.call)
+                m_outcome = Outcome::Complete;
+            if (const auto* broken = std::get_if<relay::effect::BreakAnswer>(&each);
+                broken && broken->call == m_ending.call)
+                m_outcome = Outcome::BrokenOff;
+            if (const auto* refused = std::get_if<relay::effect::Refuse>(&each);
+                refused && refused->call == m_ending.call)
+                m_outcome = Outcome::BrokenOff;
+        }
+    }
+
+    mutable RelayHarness m_harness;
+    bool m_isEngine;
+    bool m_namesStarts;
+    int m_calls = 0;
+    std::uint64_t m_olderEvents = 0;
+    relay::effect::StartAttempt m_older;
+    relay::effect::StartAttempt m_ending;
+    Outcome m_outcome = Outcome::Open;
+};
+
+const char* nameOf(Sign sign)
+{
+    switch (sign) {
+    case Sign::AnswerToNewCall:
+        return "answer to a new call";
+    case Sign::Check:
+        return "check that names no start";
+    case Sign::CheckWithStart:
+        return "check";
+    case Sign::EventOfOldCall:
+        return "event of an older call";
+    case Sign::EventOfNewCall:
+        return "events of a new call";
+    }
+    return "sign";
+}
+
+} // namespace
+
+// A server that ended and started again under its id vouched for the answers that its end had cut off.
+TEST(UnprovenEnd, ALaterStartDoesNotVouchForTheAnswersOfTheOneBefore)
+{
+    for (const bool isEngine : { false, true }) {
+        for (const int restartedAfter : { 100, 300, 500, 800, 1200, 2500, 5000 }) {
+            for (const Sign sign : { Sign::AnswerToNewCall, Sign::Check, Sign::CheckWithStart, Sign::EventOfNewCall }) {
+                RestartedServer server(isEngine, true);
+                server.tick(restartedAfter);
+                server.show(sign, RestartedServer::LaterStart);
+                const std::string name
+                    = absl::StrCat(isEngine ? "engine" : "plain server", ", ", restartedAfter, " ms, ", nameOf(sign));
+                const bool isProof = sign == Sign::CheckWithStart;
+                CHECK_TRUE_TEXT(server.outcome() == (isProof ? Outcome::BrokenOff : Outcome::Open), name.c_str());
+                server.listLaterStart();
+                CHECK_TRUE_TEXT(server.outcome() == Outcome::BrokenOff, name.c_str());
+            }
+        }
+    }
+}
+
+TEST(UnprovenEnd, TheStartThatRanAnAnswerVouchesForIt)
+{
+    for (const bool isEngine : { false, true }) {
+        for (const bool namesStarts : { false, true }) {
+            for (const Sign sign : { Sign::AnswerToNewCall, Sign::Check, Sign::CheckWithStart, Sign::EventOfOldCall,
+                     Sign::EventOfNewCall }) {
+                RestartedServer server(isEngine, namesStarts);
+                server.tick(200);
+                server.show(sign, RestartedServer::FirstStart);
+                const std::string name = absl::StrCat(
+                    isEngine ? "engine" : "plain server", ", ", namesStarts ? "with start, " : "", nameOf(sign));
+                const bool vouches = !namesStarts || sign == Sign::CheckWithStart || sign == Sign::EventOfOldCall;
+                CHECK_TRUE_TEXT(server.outcome() == (vouches ? Outcome::Complete : Outcome::Open), name.c_str());
+            }
+        }
+    }
+}
