--- a/src/relay/RelayReducerEndings.cpp
+++ b/src/relay/RelayReducerEndings.cpp
@@ -14,43 +14,67 @@
 
     /// An answer that a busy server begins within this time proves that it is alive, so no check is sent before.
     constexpr Duration CheckDelay = std::chrono::milliseconds(40);
-    /// Longest time that the end of an answer waits for a sign of life.
-    constexpr Duration MaxEndWait = std::chrono::milliseconds(500);
+    /// How long a call that may be repeated waits for a sign of life before it is also sent to another server.
+    constexpr Duration ContinueDelay = std::chrono::milliseconds(500);
     /// Added for a check that is under way then. Checks end earlier, answered or not.
     constexpr Duration MaxCheckTime = std::chrono::milliseconds(300);
+    /// Time between two searches for another server.
+    constexpr Duration ContinueInterval = std::chrono::milliseconds(100);
+    /// Time between two checks of a server that does not answer. It grows with the wait, between these bounds.
+    constexpr Duration MinCheckInterval = std::chrono::milliseconds(100);
+    constexpr Duration MaxCheckInterval = std::chrono::milliseconds(1000);
+    constexpr int CheckIntervalDivisor = 4;
     /// Bytes that a process sent before it died may arrive for as long as TCP repeats lost packets. An event later than
     /// this after the end shows that the process lives.
     constexpr Duration ProgressMargin = std::chrono::milliseconds(250);
 
 } // namespace
 
-/// Keeps a call open until it is known whether its main attempt, which has ended, has answered it completely.
+/// Keeps a call open until it is known whether its main attempt, which has ended, has answered it completely: until a
+/// sign of life or a proof that the server has ended, until the caller leaves or the deadline passes. A call that may
+/// be repeated is continued elsewhere meanwhile, and ends with what comes first.
 void RelayReducer::awaitEndProof(Call& call, Context& context)
 {
     const Attempt& attempt = call.main;
-    UnprovenEnd end { context.now, std::min(context.now + MaxEndWait, call.deadline), { attempt.server } };
+    UnprovenEnd end { context.now, context.now + ContinueDelay, { { attempt.server, attempt.serverStart } } };
     // A first stage cuts streams off that have waited too long for a stage that died.
     const bool wasPaused = isPause(call, context.now - call.lastDeliveredAt) || !attempt.pendingReroute.hops().empty();
+    const auto startOf = [&](const BackendId& id) {
+        const FleetServer* server = m_fleet.find(id);
+        return server ? server->entry.startedAt : StartTime();
+    };
     bool hasDied = attempt.hasLostStage || hasLostServer(attempt);
     for (const Hop& hop : attempt.chain.hops()) {
         hasDied = hasDied || (isGone(hop.backend) && !mayFinishCalls(hop.backend));
         if (wasPaused && hop.backend != attempt.server)
-            end.unverified.push_back(hop.backend);
+            end.unverified.push_back({ hop.backend, startOf(hop.backend) });
     }
     call.main.unprovenEnd = std::move(end);
     if (hasDied)
         settleEnd(call.id, EndVerdict::BrokenOff, context);
 }
 
+/// Makes the second attempt, which has ended unproven, too, the one that a sign of life completes. Its server was alive
+/// after the first one had become silent.
+void RelayReducer::replaceUnproven(Call& call, Context& context)
+{
+    noteVerdict(call, EndVerdict::Undecided, context);
+    const Attempt replaced = std::exchange(call.main, *call.second);
+    call.second.reset();
+    cancel(call, replaced, CancelCause::Superseded, context);
+}
+
 /// Checks each server that an unproven end depends on, again if it did not answer. A check that was sent before the end
 /// does not count.
 void RelayReducer::checkUnverified(const UnprovenEnd& end, Context& context)
 {
-    if (context.now < end.endedAt + CheckDelay)
+    const Duration waited = context.now - end.endedAt;
+    if (waited < CheckDelay)
         return;
-    for (const BackendId& id : end.unverified) {
-        FleetServer* server = m_fleet.find(id);
-        if (!server || (server->lastCheckAt >= end.endedAt && !server->unansweredChecks))
+    const Duration interval = std::clamp(waited / CheckIntervalDivisor, MinCheckInterval, MaxCheckInterval);
+    for (const UnverifiedServer& each : end.unverified) {
+        FleetServer* server = m_fleet.find(each.id);
+        if (!server || (server->lastCheckAt >= end.endedAt && context.now < server->lastCheckAt + interval))
             continue;
         if (server->isEngine())
             checkUrgently(*server, context);
@@ -60,59 +84,112 @@
 }
 
 /// Settles the unproven ends that wait for a server.
-/// @param askedAt  when the server was sent what it has answered now, or has not
-void RelayReducer::settleUnprovenEnds(const BackendId& id, TimePoint askedAt, LifeSign sign, Context& context)
+/// @param askedAt    when the server was sent what it has answered now, or has not
+/// @param answering  start that answered; zero if it is not known
+/// @param answered   the call that it has answered, if any: what follows shows whether its answer was complete
+void RelayReducer::settleUnprovenEnds(
+    const BackendId& id, TimePoint askedAt, LifeSign sign, StartTime answering, Context& context, RequestId answered)
 {
     std::vector<std::pair<RequestId, EndVerdict>> settled;
     for (auto& [call, each] : m_calls) {
-        if (each.state != CallState::Running || !each.main.unprovenEnd)
+        if (each.state != CallState::Running || !each.main.unprovenEnd || call == answered)
             continue;
         UnprovenEnd& end = *each.main.unprovenEnd;
-        const auto waiting = std::find(end.unverified.begin(), end.unverified.end(), id);
+        const auto waiting = std::find_if(
+            end.unverified.begin(), end.unverified.end(), [&](const auto& server) { return server.id == id; });
         if (askedAt < end.endedAt || waiting == end.unverified.end())
             continue;
         if (sign == LifeSign::Alive) {
+            if (answering != waiting->start)
+                continue; // Another start, or one that is not named, may have begun after the end.
             end.unverified.erase(waiting);
             if (end.unverified.empty())
                 settled.emplace_back(call, EndVerdict::Verified);
             continue;
         }
-        // A busy server may miss a check, and a leaving one stops listening before its answers have ended. An answer
-        // that cannot be continued elsewhere waits for another sign.
+        // A busy server may miss a check, and a leaving one stops listening before its answers have ended.
         const bool mayLive = sign == LifeSign::Silent || mayFinishCalls(id);
-        if (!mayLive || isRepeatable(each.route->kind))
+        if (!mayLive) {
             settled.emplace_back(call, EndVerdict::BrokenOff);
+            continue;
+        }
+        end.continueFrom = std::min(end.continueFrom, context.now);
+        continueBeside(each, context);
     }
     for (const auto& [call, verdict] : settled)
         settleEnd(call, verdict, context);
 }
 
-/// Settles the unproven ends that have waited too long, or whose servers have sent later events, and sends checks that
-/// are due. Without a sign of life the answer counts as broken off.
+/// Continues a call with an unproven end at another server, if it may be repeated, while the end still waits for a sign
+/// of life.
+void RelayReducer::continueBeside(Call& call, Context& context)
+{
+    UnprovenEnd& end = *call.main.unprovenEnd;
+    if (call.second || context.now < end.continueFrom || !isRepeatable(call.route->kind))
+        return;
+    end.continueFrom = context.now + ContinueInterval;
+    for (const UnverifiedServer& each : end.unverified)
+        call.addAvoided(each.id);
+    startSecondAttempt(call, AttemptPurpose::UnprovenEnd, context);
+}
+
+/// @return whether an event arrived so late that the start that ran the answer was alive after the answer's end. Where
+///         servers start again under their ids, the event must be of an answer that had begun before that.
+bool RelayReducer::hasProgressed(const UnverifiedServer& server, const UnprovenEnd& end) const
+{
+    const TimePoint provenFrom = end.endedAt + ProgressMargin;
+    const auto known = m_fleet.servers().find(server.id);
+    const bool isOneStart = !server.start.value();
+    if (known == m_fleet.servers().end())
+        return false;
+    if (isOneStart && known->second.lastProgress > provenFrom)
+        return true;
+    return std::any_of(m_calls.begin(), m_calls.end(), [&](const auto& each) {
+        const Call& call = each.second;
+        const Attempt& attempt = call.main;
+        const TimePoint since = std::max(attempt.answerBegunAt.value_or(attempt.startedAt), attempt.chainSince);
+        return call.state == CallState::Running && attempt.eventsDelivered && attempt.usesServer(server.id)
+            && call.lastDeliveredAt > provenFrom && (isOneStart || since + ProgressMargin < end.endedAt);
+    });
+}
+
+/// Sends checks that are due for unproven ends, settles those whose servers have sent later events or have started
+/// again, and continues calls elsewhere whose servers have been silent for long.
 void RelayReducer::settleOverdueEnds(Context& context)
 {
-    std::vector<std::pair<RequestId, EndVerdict>> due;
+    std::vector<std::pair<RequestId, EndVerdict>> settled;
     for (auto& [id, call] : m_calls) {
         if (call.state != CallState::Running || !call.main.unprovenEnd)
             continue;
         UnprovenEnd& end = *call.main.unprovenEnd;
         checkUnverified(end, context);
         bool isCheckUnderWay = false;
-        std::erase_if(end.unverified, [&](const BackendId& each) {
-            const FleetServer* server = m_fleet.find(each);
+        bool hasEnded = false;
+        std::erase_if(end.unverified, [&](const UnverifiedServer& each) {
+            const FleetServer* server = m_fleet.find(each.id);
             isCheckUnderWay = isCheckUnderWay || (server && server->beingChecked);
-            return server && server->lastProgress > end.endedAt + ProgressMargin;
+            hasEnded = hasEnded || (server && each.start.value() && each.start < server->entry.startedAt);
+            return hasProgressed(each, end);
         });
-        const TimePoint decideBy = end.decideBy + (isCheckUnderWay ? MaxCheckTime : Duration(0));
-        if (end.unverified.empty())
-            due.emplace_back(id, EndVerdict::Verified);
-        else if (context.now >= std::min(decideBy, call.deadline))
-            due.emplace_back(id, EndVerdict::BrokenOff);
+        if (hasEnded)
+            settled.emplace_back(id, EndVerdict::BrokenOff);
+        else if (end.unverified.empty())
+            settled.emplace_back(id, EndVerdict::Verified);
+        else if (!isCheckUnderWay || context.now >= end.endedAt + ContinueDelay + MaxCheckTime)
+            continueBeside(call, context);
     }
-    for (const auto& [id, verdict] : due)
+    for (const auto& [id, verdict] : settled)
         settleEnd(id, verdict, context);
 }
 
+/// Counts and logs what was found out about the end of the main attempt, which then waits for nothing more.
+void RelayReducer::noteVerdict(Call& call, EndVerdict verdict, Context& context)
+{
+    ++m_counters.unprovenEnds.at(static_cast<std::size_t>(verdict));
+    call.main.unprovenEnd.reset();
+    context.effects.emplace_back(effect::LogEndVerdict { call.id, call.main.server, verdict });
+}
+
 /// Ends a call whose main attempt has ended unproven as complete, or continues it as after any broken attempt.
 void RelayReducer::settleEnd(RequestId id, EndVerdict verdict, Context& context)
 {
@@ -120,9 +197,7 @@
     if (found == m_calls.end() || !found->second.main.unprovenEnd)
         return;
     Call& call = found->second;
-    ++m_counters.unprovenEnds.at(static_cast<std::size_t>(verdict));
-    call.main.unprovenEnd.reset();
-    context.effects.emplace_back(effect::LogEndVerdict { id, call.main.server, verdict });
+    noteVerdict(call, verdict, context);
     if (verdict == EndVerdict::BrokenOff) {
         on(event::AttemptEnded { call.main.id, AttemptResult::Broken }, context);
         return;
