--- a/src/relay/RelayReducerChecks.cpp
+++ b/src/relay/RelayReducerChecks.cpp
@@ -206,7 +206,7 @@
     if (late.answering.value() && late.answering != server->entry.startedAt)
         return;
     m_crashEvidence.noteAlive(server->othersLoad.engine);
-    settleUnprovenEnds(late.engine, late.askedAt, LifeSign::Alive, context);
+    settleUnprovenEnds(late.engine, late.askedAt, LifeSign::Alive, late.answering, context);
 }
 
 /// Checks engines that rejected calls, to learn whether they had room at that time.
