Take no answer whose transfer coding is unknown for whole

Seen: an answer whose head ends in 'Transfer-Encoding: chu' or 'gzip' and a blank line reached the caller as a 200 with the seal, a Content-Length of what had come and no transfer coding.

Cause: the parser takes a coding that it doesn't know for a body that ends with the connection, and the header is dropped on the way as it belongs to the connection. Such an answer is broken now: neither its end nor its body is known.

--- a/src/edge/UpstreamAttempt.cpp
+++ b/src/edge/UpstreamAttempt.cpp
@@ -5,6 +5,7 @@
 #include "edge/ServerNoticeReader.h"
 #include "edge/UnknownHeaders.h"
 #include "shell/Endpoint.h"
+#include "shell/TransferCoding.h"
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
@@ -212,7 +213,8 @@
     const bool isSuccess = status >= 200 && status < 300;
     if (!isSuccess && (head.count(m_headerNames.notRun) || status == MisdirectedRequest))
         co_return makeEnded(AttemptResult::NotRun, status, std::string(head[m_headerNames.culprit]));
-    if (!head.count(m_headerNames.seal) || head.count(http::field::content_encoding))
+    const bool isReadable = !head.count(http::field::content_encoding) && !hasUnknownTransferCoding(head);
+    if (!head.count(m_headerNames.seal) || !isReadable)
         co_return makeEnded(AttemptResult::Broken, status);
     if (isSuccess)
         m_postEvent(event::AnswerBegun { m_order.attempt });
@@ -290,7 +292,7 @@
 
 Awaitable<bool> UpstreamAttempt::discardBody(Parser& parser)
 {
-    if (parser.need_eof() && !parser.is_done())
+    if ((parser.need_eof() && !parser.is_done()) || hasUnknownTransferCoding(parser.get().base()))
         co_return false;
     std::string_view bytes;
     std::size_t discarded = 0;
--- a/tests/RelayLoopback.cpp
+++ b/tests/RelayLoopback.cpp
@@ -19,30 +19,31 @@
 
     /// Sends one request to the FrontServer, reads until the connection closes, but not longer than five seconds, and
     /// stops the context.
-    /// @param answer  set to the bytes read
+    /// @param outcome  its bytes read, and the end of the connection, are set
     Awaitable<void> sendToFrontServer(
-        net::io_context& context, std::string address, std::string request, std::string& answer)
+        net::io_context& context, std::string address, std::string request, CallOutcome& outcome)
     {
         TcpStream stream(context.get_executor());
         stream.expires_after(std::chrono::seconds(5));
         const auto endpoint = parseEndpoint<Tcp>(address);
         co_await stream.async_connect(*endpoint, asTuple);
         co_await net::async_write(stream, net::buffer(request), asTuple);
-        co_await net::async_read(stream, net::dynamic_buffer(answer), asTuple);
+        const auto [error, count] = co_await net::async_read(stream, net::dynamic_buffer(outcome.answer), asTuple);
+        outcome.hasEndedInOrder = error == net::error::eof;
         context.stop();
     }
 
 } // namespace
 
 CallOutcome runCall(const std::string& request, std::vector<std::string> answers,
-    const std::optional<RequestTrait>& quarantined, CheckAnswer checkAnswer)
+    const std::optional<RequestTrait>& quarantined, CheckAnswer checkAnswer, ConnectionEnd connectionEnd)
 {
     net::io_context context(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE);
-    RefusingEngineControl control(checkAnswer);
+    RefusingEngineControl control(checkAnswer, BackendId("x"));
     RelayOptions options;
     options.dataCentre = DataCentreId("z");
     RelayNode node(context, options, platform::headerNames(), control);
-    ScriptedServer server(context, std::move(answers));
+    ScriptedServer server(context, std::move(answers), connectionEnd);
     RegisteredServer plain = RelayHarness::plain("x");
     plain.address = server.plainAddress();
     RegisteredServer engine = RelayHarness::engine("e", 0, 8);
@@ -61,7 +62,7 @@
     const auto frontServer = FrontServer::make(context, address, node, reader);
     CHECK_TRUE(frontServer.ok());
     CallOutcome result;
-    net::co_spawn(context.get_executor(), sendToFrontServer(context, address, request, result.answer), net::detached);
+    net::co_spawn(context.get_executor(), sendToFrontServer(context, address, request, result), net::detached);
     context.run();
     result.requests = server.requests();
     const FleetServer& known = node.reducer().fleet().servers().at(plain.id);
--- a/tests/RelayLoopback.h
+++ b/tests/RelayLoopback.h
@@ -3,6 +3,7 @@
 #include "edge/EngineReport.h"
 #include "relay/RequestTrait.h"
 #include "shell/Net.h"
+#include "tests/fakes/ConnectionEnd.h"
 
 #include <optional>
 #include <string>
@@ -13,6 +14,7 @@
 /// What one call led to.
 struct CallOutcome {
     std::string answer; ///< bytes that the caller received
+    bool hasEndedInOrder = false; ///< the caller's connection was closed in order, as opposed to reset or left open
     std::size_t requests = 0; ///< requests that reached the backend server
     std::optional<double> limit {}; ///< requests a second that the backend server is known to accept
     Duration backoff {}; ///< time for which the backend server is known to want no requests
@@ -24,9 +26,11 @@
 /// @param request      bytes that the caller sends
 /// @param answers      see ScriptedServer
 /// @param quarantined  trait that the store lists as quarantined, if any
-/// @param checkAnswer  how the engine answers each health check
+/// @param checkAnswer  how the engine and the plain server answer each health check
+/// @param connectionEnd  how the server ends each connection after its answer
 CallOutcome runCall(const std::string& request, std::vector<std::string> answers,
-    const std::optional<RequestTrait>& quarantined = std::nullopt, CheckAnswer checkAnswer = CheckAnswer::Alive);
+    const std::optional<RequestTrait>& quarantined = std::nullopt, CheckAnswer checkAnswer = CheckAnswer::Alive,
+    ConnectionEnd connectionEnd = ConnectionEnd::Closed);
 
 /// @return a request of the caller "me" for a path, the last one on its connection
 std::string requestTo(const char* path);
--- a/tests/fakes/RefusingEngineControl.h
+++ b/tests/fakes/RefusingEngineControl.h
@@ -4,22 +4,30 @@
 
 namespace crocusmount {
 
-/// Engine control that answers every check in the same way and refuses every order with status 409.
+/// Engine control that answers every check in the same way, with the id of a plain server if it has one, and refuses
+/// every order with status 409.
 class RefusingEngineControl final : public EngineControl {
 public:
-    explicit RefusingEngineControl(CheckAnswer checkAnswer = CheckAnswer::Alive)
+    explicit RefusingEngineControl(CheckAnswer checkAnswer = CheckAnswer::Alive, BackendId plainServer = {})
         : m_checkAnswer(checkAnswer)
+        , m_plainServer(std::move(plainServer))
     {
     }
 
 private:
     Awaitable<EngineReport> onCheck(std::string) override { co_return EngineReport { m_checkAnswer }; }
-    Awaitable<ServerIdentity> onIdentify(std::string, std::string) override { co_return ServerIdentity {}; }
+    Awaitable<ServerIdentity> onIdentify(std::string, std::string) override
+    {
+        if (m_plainServer.value().empty())
+            co_return ServerIdentity {};
+        co_return ServerIdentity { m_checkAnswer, m_plainServer, {} };
+    }
     Awaitable<StalledStage> onStalledStage(std::string, std::string) override { co_return StalledStage {}; }
     Awaitable<OrderReply> onReroute(std::string, std::string, Chain) override { co_return refusal(); }
     Awaitable<OrderReply> onPlaceLayers(std::string, LayerRange) override { co_return refusal(); }
 
     CheckAnswer m_checkAnswer;
+    BackendId m_plainServer;
 
     static OrderReply refusal() { return { OrderAnswer::Refused, 409 }; }
 };
--- a/tests/fakes/ScriptedHttpServer.h
+++ b/tests/fakes/ScriptedHttpServer.h
@@ -2,6 +2,7 @@
 
 #include "shell/Endpoint.h"
 #include "shell/Net.h"
+#include "tests/fakes/ConnectionEnd.h"
 
 #include <algorithm>
 #include <string>
@@ -9,13 +10,15 @@
 
 namespace crocusmount {
 
-/// Answers the first request of each connection with the next one of a list of byte sequences, then closes the
-/// connection in order. The last sequence is repeated.
+/// Answers the first request of each connection with the next one of a list of byte sequences, then ends the
+/// connection. The last sequence is repeated.
 class ScriptedHttpServer {
 public:
-    ScriptedHttpServer(net::io_context& context, std::vector<std::string> answers)
+    ScriptedHttpServer(
+        net::io_context& context, std::vector<std::string> answers, ConnectionEnd connectionEnd = ConnectionEnd::Closed)
         : m_acceptor(context.get_executor(), *parseEndpoint<Tcp>("127.0.0.1:0"))
         , m_answers(std::move(answers))
+        , m_connectionEnd(connectionEnd)
     {
         net::co_spawn(context.get_executor(), run(), net::detached);
     }
@@ -39,13 +42,13 @@
             const std::string answer = m_answers.at(std::min(m_targets.size(), m_answers.size() - 1));
             m_targets.emplace_back(request.target());
             co_await net::async_write(stream, net::buffer(answer), asTuple);
-            boost::system::error_code ignored;
-            stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+            endConnection(stream, m_connectionEnd);
         }
     }
 
     net::basic_socket_acceptor<Tcp, Executor> m_acceptor;
     std::vector<std::string> m_answers;
+    ConnectionEnd m_connectionEnd;
     std::vector<std::string> m_targets;
 };
 
--- a/tests/fakes/ScriptedServer.h
+++ b/tests/fakes/ScriptedServer.h
@@ -2,6 +2,7 @@
 
 #include "shell/Endpoint.h"
 #include "shell/Net.h"
+#include "tests/fakes/ConnectionEnd.h"
 
 #include <algorithm>
 #include <string>
@@ -9,15 +10,17 @@
 
 namespace crocusmount {
 
-/// Answers the request of each connection with the next one of a list of byte sequences, then closes the connection.
+/// Answers the request of each connection with the next one of a list of byte sequences, then ends the connection.
 /// The last sequence is repeated. An empty sequence means that the request is never answered. Listens at two addresses,
 /// because the plain server and the engine must not share one.
 class ScriptedServer {
 public:
-    ScriptedServer(net::io_context& context, std::vector<std::string> answers)
+    ScriptedServer(
+        net::io_context& context, std::vector<std::string> answers, ConnectionEnd connectionEnd = ConnectionEnd::Closed)
         : m_plain(context.get_executor(), *parseEndpoint<Tcp>("127.0.0.1:0"))
         , m_engine(context.get_executor(), *parseEndpoint<Tcp>("127.0.0.1:0"))
         , m_answers(std::move(answers))
+        , m_connectionEnd(connectionEnd)
     {
         net::co_spawn(context.get_executor(), run(m_plain), net::detached);
         net::co_spawn(context.get_executor(), run(m_engine), net::detached);
@@ -47,14 +50,14 @@
                 continue;
             }
             co_await net::async_write(stream, net::buffer(answer), net::as_tuple(useAwaitable));
-            boost::system::error_code ignored;
-            stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+            endConnection(stream, m_connectionEnd);
         }
     }
 
     Acceptor m_plain;
     Acceptor m_engine;
     std::vector<std::string> m_answers;
+    ConnectionEnd m_connectionEnd;
     std::vector<TcpStream> m_unanswered; ///< connections that are kept open without an answer
     std::size_t m_requestCount = 0; ///< index of the next answer; the number of requests so far
 };
