Don't take an interim answer for the answer in HttpClient

Seen: after '100 Continue' or '103 Early Hints' a store call, check, probe or call of crocusmountd had an answer of status 100 that counted as whole, also if the connection then closed within the head of the real one; the connection was kept for the next call while the real answer was still to come on it. An answer with an unknown transfer coding passed for one that ends with its connection.

Cause: the first message on the connection was the answer, whatever its status. Interim answers are skipped now, at most eight, and an unknown coding fails the call, as for the relay.

Evidence: CutHead.HttpClientTakesNoAnswerThatIsCutAtAnyByteForWhole failed at byte 25 of an answer after interim ones, and HttpClientTakesNoMalformedHeadForAnAnswer in its row with a cut coding. Without interim answers no row failed before.

--- a/src/shell/HttpClient.cpp
+++ b/src/shell/HttpClient.cpp
@@ -1,9 +1,11 @@
 #include "shell/HttpClient.h"
 
 #include "shell/Endpoint.h"
+#include "shell/TransferCoding.h"
 
 #include <absl/strings/ascii.h>
 #include <netinet/tcp.h>
+#include <optional>
 
 namespace crocusmount {
 
@@ -16,6 +18,8 @@
     constexpr std::size_t MaxReadAheadBytes = 128U << 10U;
     /// Longest body of a streamed answer that is kept because its status is an error.
     constexpr std::size_t MaxErrorBodyBytes = 1U << 20U;
+    constexpr int MaxInterimAnswers = 8;
+    constexpr unsigned FirstFinalStatus = 200; ///< interim answers have a lower one
     constexpr std::chrono::milliseconds ConnectTimeout { 1000 };
 
     /// Makes TCP detect a peer that no longer responds within two to three seconds: by keepalive probes while the
@@ -66,6 +70,30 @@
         return parser.need_eof() ? BodyEnd::ConnectionClosed : BodyEnd::Framed;
     }
 
+    /// Reads the head of the answer, after any interim answers, which are ignored.
+    /// @param parser     set to a new parser, which also reads the body
+    /// @param bodyLimit  longest body that the parser reads, in bytes
+    template <typename Parser>
+    Awaitable<boost::system::error_code> readHead(TcpStream& stream, beast::flat_buffer& buffer, http::verb verb,
+        boost::optional<std::uint64_t> bodyLimit, std::optional<Parser>& parser)
+    {
+        for (int interimAnswers = 0; interimAnswers <= MaxInterimAnswers; ++interimAnswers) {
+            parser.emplace();
+            parser->body_limit(bodyLimit);
+            parser->skip(verb == http::verb::head);
+            const auto [error, count] = co_await http::async_read_header(stream, buffer, *parser, asTuple);
+            if (error)
+                co_return error;
+            const auto& head = parser->get().base();
+            if (head.result() == http::status::switching_protocols)
+                break;
+            if (head.result_int() >= FirstFinalStatus)
+                co_return hasUnknownTransferCoding(head) ? http::error::bad_transfer_encoding
+                                                         : boost::system::error_code();
+        }
+        co_return http::error::bad_status;
+    }
+
 } // namespace
 
 HttpClient::HttpClient(net::io_context& context)
@@ -134,21 +162,21 @@
     stream.expires_after(call.timeout);
     auto [error, count] = co_await http::async_write(stream, request, asTuple);
     beast::flat_buffer buffer(MaxReadAheadBytes);
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(MaxAnswerBytes);
-    parser.skip(call.verb == http::verb::head);
+    std::optional<http::response_parser<http::string_body>> parser;
     if (!error)
-        std::tie(error, count) = co_await http::async_read(stream, buffer, parser, asTuple);
+        error = co_await readHead(stream, buffer, call.verb, MaxAnswerBytes, parser);
+    if (!error && !parser->is_done())
+        std::tie(error, count) = co_await http::async_read(stream, buffer, *parser, asTuple);
     if (error) {
         answer.error = error.message();
         answer.silent = error == beast::error::timeout || error == net::error::timed_out;
         co_return answer;
     }
     answer.phase = CallPhase::Answered;
-    answer.end = endOf(parser);
-    readStatusAndHeaders(parser.get(), answer);
-    answer.body = std::move(parser.get().body());
-    if (parser.get().keep_alive())
+    answer.end = endOf(*parser);
+    readStatusAndHeaders(parser->get(), answer);
+    answer.body = std::move(parser->get().body());
+    if (parser->get().keep_alive())
         keepIdle(call.address, connected.stream);
     co_return answer;
 }
@@ -176,24 +204,22 @@
     stream.expires_after(call.timeout);
     auto [error, count] = co_await http::async_write(stream, request, asTuple);
     beast::flat_buffer buffer(MaxReadAheadBytes);
-    http::response_parser<http::buffer_body> parser;
-    parser.body_limit(boost::none);
-    parser.skip(call.verb == http::verb::head);
+    std::optional<http::response_parser<http::buffer_body>> parser;
     restartTimer();
     if (!error)
-        std::tie(error, count) = co_await http::async_read_header(stream, buffer, parser, asTuple);
+        error = co_await readHead(stream, buffer, call.verb, boost::none, parser);
     if (!error)
-        readStatusAndHeaders(parser.get(), answer);
+        readStatusAndHeaders(parser->get(), answer);
     std::array<char, 16384> chunk {};
     bool wantsMore = true;
-    while (!error && wantsMore && !parser.is_done()) {
-        parser.get().body().data = chunk.data();
-        parser.get().body().size = chunk.size();
+    while (!error && wantsMore && !parser->is_done()) {
+        parser->get().body().data = chunk.data();
+        parser->get().body().size = chunk.size();
         restartTimer();
-        std::tie(error, count) = co_await http::async_read_some(stream, buffer, parser, asTuple);
+        std::tie(error, count) = co_await http::async_read_some(stream, buffer, *parser, asTuple);
         if (error == http::error::need_buffer)
             error = {};
-        const std::string_view received(chunk.data(), chunk.size() - parser.get().body().size);
+        const std::string_view received(chunk.data(), chunk.size() - parser->get().body().size);
         if (handle && handle->m_cancelled)
             error = net::error::operation_aborted;
         else if (answer.status != 200 && answer.body.size() + received.size() > MaxErrorBodyBytes)
@@ -210,8 +236,8 @@
         co_return answer;
     }
     answer.phase = CallPhase::Answered;
-    answer.end = endOf(parser);
-    if (parser.is_done() && parser.get().keep_alive())
+    answer.end = endOf(*parser);
+    if (parser->is_done() && parser->get().keep_alive())
         keepIdle(call.address, connected.stream);
     co_return answer;
 }
--- a/tests/CutHeadTest.cpp
+++ b/tests/CutHeadTest.cpp
@@ -1,5 +1,9 @@
+#include "shell/HttpBackendClient.h"
+#include "shell/HttpClient.h"
+#include "shell/ServiceCall.h"
 #include "tests/RelayLoopback.h"
 #include "tests/Tests.h"
+#include "tests/fakes/ScriptedHttpServer.h"
 
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
@@ -149,6 +153,57 @@
     std::string interim;
 };
 
+/// Runs one attempt at a plain service whose only answer is scripted.
+/// @return the events that were posted
+std::vector<EventBody> callService(const std::string& answer, ConnectionEnd end)
+{
+    net::io_context context(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE);
+    ScriptedHttpServer server(context, { answer }, end);
+    std::vector<EventBody> events;
+    HttpBackendClient client(context, "owner", [&](EventBody event) {
+        const bool isLast = !std::holds_alternative<event::TokenReceived>(event);
+        events.push_back(std::move(event));
+        if (isLast)
+            context.stop();
+    });
+    effect::StartAttempt attempt;
+    attempt.attempt = AttemptId(1);
+    attempt.kind = PipelineKind::Service;
+    attempt.prompt = toJson(ServiceCall());
+    attempt.chain = *Chain::make(1, { { BackendId("x"), server.address(), LayerRange { 0, 1 }, Generation(1) } });
+    BackendClient& starter = client;
+    starter.start(attempt);
+    context.run_for(std::chrono::seconds(3));
+    return events;
+}
+
+/// Sends a request to a server whose only answer is scripted.
+/// @param streams   whether to use stream() instead of call()
+/// @param received  set to the body
+HttpAnswer requestFrom(const std::string& answer, ConnectionEnd end, bool streams, std::string& received)
+{
+    net::io_context context(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE);
+    ScriptedHttpServer server(context, { answer }, end);
+    HttpClient client(context);
+    HttpCall call;
+    call.address = server.address();
+    HttpAnswer result;
+    const auto run = [&]() -> Awaitable<void> {
+        HttpClient::Receive receive = [&](std::string_view bytes) {
+            received.append(bytes);
+            return true;
+        };
+        if (streams)
+            result = co_await client.stream(call, std::chrono::seconds(1), std::move(receive), nullptr);
+        else
+            result = co_await client.call(call);
+    };
+    net::co_spawn(context.get_executor(), run, [&](const std::exception_ptr&) { context.stop(); });
+    context.run_for(std::chrono::seconds(3));
+    received += result.body;
+    return result;
+}
+
 } // namespace
 
 TEST_GROUP(CutHead) {};
@@ -243,3 +298,86 @@
         }
     }
 }
+
+TEST(CutHead, HttpClientTakesNoAnswerThatIsCutAtAnyByteForWhole)
+{
+    const Kind& kind = AllKinds[0];
+    for (const char* version : { "HTTP/1.1", "HTTP/1.0" }) {
+        for (const std::string& interim : { std::string(), Interim }) {
+            for (const Framing framing : AllFramings) {
+                for (const ConnectionEnd end : { ConnectionEnd::Closed, ConnectionEnd::Reset }) {
+                    for (const bool streams : { false, true }) {
+                        const ServerAnswer answer = answerOf(kind, framing, version, interim);
+                        for (std::size_t cut = 0; cut <= answer.bytes.size(); ++cut) {
+                            std::string received;
+                            const HttpAnswer read = requestFrom(answer.bytes.substr(0, cut), end, streams, received);
+                            const std::string row = absl::StrCat(version, " ", interim.size(), " ", nameOf(framing),
+                                end == ConnectionEnd::Reset ? " reset " : " closed ", streams, " ", cut);
+                            const bool isUnproven = framing == Framing::Connection && cut >= answer.headBytes
+                                && end == ConnectionEnd::Closed;
+                            const bool isWhole = framing != Framing::Connection && cut == answer.bytes.size();
+                            const BodyEnd expected = isWhole ? BodyEnd::Framed
+                                : isUnproven                 ? BodyEnd::ConnectionClosed
+                                                             : BodyEnd::Missing;
+                            CHECK_TRUE_TEXT(read.end == expected, row.c_str());
+                            CHECK_EQUAL_TEXT(isWhole || isUnproven, read.phase == CallPhase::Answered, row.c_str());
+                            CHECK_TRUE_TEXT(absl::StartsWith(bodyOf(kind), received), row.c_str());
+                            if (cut < answer.headBytes)
+                                CHECK_EQUAL_TEXT(0U, read.status, row.c_str());
+                            if (isWhole)
+                                CHECK_TRUE_TEXT(read.status == 200 && received == bodyOf(kind), row.c_str());
+                        }
+                    }
+                }
+            }
+        }
+    }
+}
+
+TEST(CutHead, HttpClientTakesNoMalformedHeadForAnAnswer)
+{
+    const std::string head = answerHead("200 OK");
+    for (const std::string& answer : { std::string("HTTP/1.1 200 OK\r\n"), head + "Transfer-Encoding: chu\r\n\r\n",
+             head + "Transfer-Encoding: gzip\r\n\r\nbody", head + "Content-Length: 8\r\nContent-Length: 4\r\n\r\nbody",
+             std::string("HTTP/1.1 200 OK\nContent-Length: 4\n\nbody"), Interim, std::string("\r\n") }) {
+        for (const bool streams : { false, true }) {
+            std::string received;
+            const HttpAnswer read = requestFrom(answer, ConnectionEnd::Closed, streams, received);
+            CHECK_TRUE_TEXT(read.phase == CallPhase::Sent && read.end == BodyEnd::Missing, answer.c_str());
+            CHECK_EQUAL_TEXT(0U, read.status, answer.c_str());
+        }
+    }
+}
+
+TEST(CutHead, HttpBackendClientTakesNoAnswerThatIsCutAtAnyByteForWhole)
+{
+    const Kind& kind = AllKinds[0];
+    for (const std::string& interim : { std::string(), Interim }) {
+        for (const Framing framing : AllFramings) {
+            for (const ConnectionEnd end : { ConnectionEnd::Closed, ConnectionEnd::Reset }) {
+                const ServerAnswer answer = answerOf(kind, framing, "HTTP/1.1", interim);
+                for (std::size_t cut = 1; cut <= answer.bytes.size(); ++cut) {
+                    const std::vector<EventBody> events = callService(answer.bytes.substr(0, cut), end);
+                    const std::string row = absl::StrCat(interim.size(), " ", nameOf(framing),
+                        end == ConnectionEnd::Reset ? " reset " : " closed ", cut);
+                    const bool isUnproven
+                        = framing == Framing::Connection && cut >= answer.headBytes && end == ConnectionEnd::Closed;
+                    const bool isWhole = framing != Framing::Connection && cut == answer.bytes.size();
+                    if (!isWhole && !isUnproven) {
+                        CHECK_EQUAL_TEXT(1U, events.size(), row.c_str());
+                        const auto* failed = std::get_if<event::AttemptFailed>(&events.front());
+                        CHECK_TRUE_TEXT(failed && failed->run == RunState::MayHaveRun, row.c_str());
+                        continue;
+                    }
+                    CHECK_EQUAL_TEXT(2U, events.size(), row.c_str());
+                    const auto* token = std::get_if<event::TokenReceived>(&events.front());
+                    CHECK_TRUE_TEXT(token && std::holds_alternative<event::AttemptEnded>(events.back()), row.c_str());
+                    const ServiceAnswer read = serviceAnswerFromJson(token->text);
+                    CHECK_EQUAL_TEXT(isWhole, read.isEndProven, row.c_str());
+                    CHECK_TRUE_TEXT(absl::StartsWith(bodyOf(kind), read.body), row.c_str());
+                    CHECK_TRUE_TEXT(!isWhole || read.body == bodyOf(kind), row.c_str());
+                }
+            }
+        }
+    }
+}
