Hold an answer without length back until its server shows a sign of life

Seen: a plain server was killed while it answered without length or chunks, or ended right behind its head.

Cause: completenessOf() took the orderly end of the connection for the end of such an answer. The system closes the connections of a process that dies in order, too; streams have waited for a sign of life before, other answers not.

Such a success is unproven now: it is kept in the pipe until the verdict and delivered, or dropped and tried elsewhere if it may be repeated, or answered with a 502 that says it may have run. Its server has finished it, so its capacity is free meanwhile. An answer to a probe that doesn't name its start (a busy server rejects probes as any request) is no sign either way. Failures without length are passed on as before.

The row 'whole answer, closed' of AnswerEnding expects Unproven instead of Complete, which is stricter.

--- a/src/edge/AnswerPipe.h
+++ b/src/edge/AnswerPipe.h
@@ -59,6 +59,18 @@
     {
         update([&] { m_pending.hasEnded = true; });
     }
+    /// Keeps an answer until it is known whether it is whole. Replaces the one that was kept before.
+    void keepUnproven(WholeAnswer answer) { m_unproven = std::move(answer); }
+    /// Forgets the kept answer, which is not whole.
+    void dropUnproven() { m_unproven.reset(); }
+    /// Delivers the kept answer, or ends the stream.
+    void complete()
+    {
+        if (m_unproven)
+            deliver(*std::exchange(m_unproven, std::nullopt));
+        else
+            end();
+    }
     /// Ends the answer so that the caller sees that the answer is incomplete.
     void breakOff()
     {
@@ -114,6 +126,7 @@
     Timer m_changeSignal; ///< never expires; cancelled to wake up next()
     Batch m_pending; ///< not yet taken by next()
     std::optional<WholeAnswer> m_keptFailure;
+    std::optional<WholeAnswer> m_unproven; ///< see keepUnproven()
     bool m_isAbandoned = false;
 };
 
--- a/src/edge/RelayNode.cpp
+++ b/src/edge/RelayNode.cpp
@@ -561,15 +561,19 @@
     if (found == m_openCalls.end())
         return;
     recordAnswer(found->second, "completed");
-    found->second.pipe->end();
+    found->second.pipe->complete();
     m_openCalls.erase(found);
 }
 
 void RelayNode::on(const effect::LogEndVerdict& note)
 {
-    if (const auto found = m_openCalls.find(note.call); found != m_openCalls.end())
-        DecisionLog::call("answer_end_verdict", found->second.callId,
-            { { "server", note.server.value() }, { "verdict", toString(note.verdict) } });
+    const auto found = m_openCalls.find(note.call);
+    if (found == m_openCalls.end())
+        return;
+    DecisionLog::call("answer_end_verdict", found->second.callId,
+        { { "server", note.server.value() }, { "verdict", toString(note.verdict) } });
+    if (note.verdict == EndVerdict::BrokenOff)
+        found->second.pipe->dropUnproven();
 }
 
 void RelayNode::on(const effect::BreakAnswer& broken)
--- a/src/edge/UpstreamAttempt.cpp
+++ b/src/edge/UpstreamAttempt.cpp
@@ -322,6 +322,11 @@
     ended.ending = ending;
     if (!canContinue || completenessOf(ending) == Completeness::BrokenOff)
         co_return ended;
+    if (isSuccess && completenessOf(ending) == Completeness::Unproven) {
+        m_pipe->keepUnproven(std::move(answer));
+        ended.result = AttemptResult::Unproven;
+        co_return ended;
+    }
     if (isSuccess)
         m_pipe->deliver(std::move(answer));
     else
--- a/src/edge/UpstreamAttempt.h
+++ b/src/edge/UpstreamAttempt.h
@@ -63,7 +63,8 @@
     /// @param bytes  set to the bytes read; valid until the next read
     /// @return false on an error or if the attempt was cancelled
     Awaitable<bool> readBodyChunk(Parser&, std::string_view& bytes);
-    /// Reads the whole body, and delivers a success or keeps a failure.
+    /// Reads the whole body, and delivers a success or keeps a failure. A success whose end proves nothing is kept,
+    /// too.
     Awaitable<event::AttemptEnded> relayWholeAnswer(Parser&, bool isSuccess);
     /// Delivers a server-sent event stream, one whole event at a time.
     Awaitable<event::AttemptEnded> relayStream(Parser&);
--- a/src/relay/AnswerEnding.cpp
+++ b/src/relay/AnswerEnding.cpp
@@ -10,9 +10,8 @@
         return Completeness::Complete;
     if (ending.framing != AnswerFraming::Connection)
         return Completeness::BrokenOff;
-    // The orderly end of the connection is all that such an answer has to mark its end, see docs/questions.md.
     if (!ending.isStream)
-        return Completeness::Complete;
+        return Completeness::Unproven;
     return ending.events || ending.isContinuation ? Completeness::Unproven : Completeness::BrokenOff;
 }
 
--- a/src/relay/AnswerEnding.h
+++ b/src/relay/AnswerEnding.h
@@ -34,7 +34,7 @@
 /// What the end of an answer shows.
 enum class Completeness {
     Complete,
-    Unproven, ///< complete, or its server died between two events
+    Unproven, ///< complete, or its server died, between two events if it is a stream
     BrokenOff,
 };
 
--- a/src/relay/Call.h
+++ b/src/relay/Call.h
@@ -19,7 +19,7 @@
     Running, ///< has at least one attempt in flight
 };
 
-/// The end of a stream that does not show whether the answer is complete.
+/// The end of an answer that does not show whether the answer is complete.
 struct UnprovenEnd {
     TimePoint endedAt;
     TimePoint continueFrom; ///< earliest time of the next attempt elsewhere, if the call may be repeated
@@ -46,6 +46,7 @@
     TimePoint nextMoveAt; ///< earliest time of the next search for a way off a leaving stage
     std::optional<TimePoint> answerHeldUntil; ///< latest time until which events are held back for the second attempt
     std::optional<UnprovenEnd> unprovenEnd; ///< set once the attempt has ended that way
+    bool hasFreedCapacity = false; ///< its server has finished it, although the end of its answer is not proven
     TimePoint startedAt;
 
     /// @return whether the server is the attempt's server or one of its stages
--- a/src/relay/RelayCounters.h
+++ b/src/relay/RelayCounters.h
@@ -48,7 +48,7 @@
     std::uint64_t permitsDenied = 0; ///< permits that this instance did not grant as a coordinator
     /// Answers whose body was read, by framing and by what ended the reading.
     std::array<std::array<std::uint64_t, AnswerStopCount>, AnswerFramingCount> answerEndings {};
-    std::array<std::uint64_t, EndVerdictCount> unprovenEnds {}; ///< unproven ends of streams, by what was found out
+    std::array<std::uint64_t, EndVerdictCount> unprovenEnds {}; ///< unproven ends of answers, by what was found out
     std::array<std::uint64_t, ConnectFailureCount> connectFailures {}; ///< attempts that could not connect, by cause
     std::uint64_t pathsLost = 0; ///< times that this instance found itself cut off from all backend servers
     std::uint64_t pathsRestored = 0; ///< times that it reached them again
--- a/src/relay/RelayEffect.h
+++ b/src/relay/RelayEffect.h
@@ -255,7 +255,7 @@
         RequestId call;
     };
 
-    /// End a stream as complete whose last attempt ended as Unproven.
+    /// End the answer as complete whose last attempt ended as Unproven.
     struct CompleteAnswer {
         RequestId call;
     };
--- a/src/relay/RelayEvent.h
+++ b/src/relay/RelayEvent.h
@@ -24,7 +24,7 @@
 /// How an attempt at a backend server ended.
 enum class AttemptResult {
     Completed, ///< a successful answer was delivered completely
-    Unproven, ///< all events received were delivered; the answer is complete, or its server died between two events
+    Unproven, ///< all events received were delivered, or the answer is kept; it is complete, or its server died
     ServerFailure, ///< the server answered with a complete failure, which the shell stores; the call counts as run
     NotRun, ///< the server stated that it did not run the call
     ConnectFailed, ///< no connection, so no byte of the call was sent
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -284,8 +284,11 @@
     if (ended.result == AttemptResult::Unproven) {
         if (call.main.id != ended.attempt && call.main.unprovenEnd)
             replaceUnproven(call, context);
+        if (ended.ending && !ended.ending->isStream)
+            keepUnprovenAnswer(call, ended.attempt, context);
         if (call.main.id == ended.attempt) {
             awaitEndProof(call, context);
+            dispatchAll(context);
             return;
         }
     }
@@ -319,6 +322,17 @@
     dispatchAll(context);
 }
 
+/// Makes the attempt that has answered a call as a whole, without a proof, the main one. Its server has finished it, so
+/// the capacity is free while the end is looked into.
+void RelayReducer::keepUnprovenAnswer(Call& call, AttemptId answered, Context& context)
+{
+    if (call.main.id != answered)
+        std::swap(call.main, *call.second);
+    Attempt& attempt = call.attempt(answered);
+    freeCapacity(call, attempt, context);
+    attempt.hasFreedCapacity = true;
+}
+
 /// Forgets a call whose main attempt, the only one left, has answered it completely.
 void RelayReducer::completeCall(Call& call, Context& context)
 {
@@ -516,10 +530,17 @@
     }
 }
 
-/// Frees the capacity that a finished attempt had booked, including that of an unanswered reroute.
+/// Forgets a finished attempt and frees its capacity.
 void RelayReducer::release(Call& call, const Attempt& attempt, Context& context)
 {
     m_attempts.erase(attempt.id);
+    if (!attempt.hasFreedCapacity)
+        freeCapacity(call, attempt, context);
+}
+
+/// Frees the capacity that an attempt had booked, including that of an unanswered reroute.
+void RelayReducer::freeCapacity(Call& call, const Attempt& attempt, Context& context)
+{
     queueOf(call).ended(context.now);
     if (attempt.chain.hops().empty()) {
         if (FleetServer* server = m_fleet.find(attempt.server); server && server->ownCalls)
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -148,9 +148,11 @@
     std::optional<Attempt> startAttempt(Call&, AttemptPurpose, Context&);
     void cancel(Call&, const Attempt&, CancelCause, Context&);
     void release(Call&, const Attempt&, Context&);
+    void freeCapacity(Call&, const Attempt&, Context&);
     void keepOnly(Call&, AttemptId, Context&);
     void countEnding(const AnswerEnding&);
     void completeCall(Call&, Context&);
+    void keepUnprovenAnswer(Call&, AttemptId answered, Context&);
     void awaitEndProof(Call&, Context&);
     void checkUnverified(const UnprovenEnd&, Context&);
     void settleUnprovenEnds(const BackendId&, TimePoint askedAt, LifeSign, Context&, RequestId answered = {});
--- a/src/relay/RelayReducerCrashes.cpp
+++ b/src/relay/RelayReducerCrashes.cpp
@@ -147,6 +147,9 @@
         recordServerEnded(*server, EndSign::RefusedConnection, context);
     else
         server->nextProbe = context.now + ReprobeInterval;
+    // A busy server rejects a probe as any request, and such an answer doesn't name its start.
+    if (probed.finding == Finding::Unknown && probed.responded)
+        return;
     const LifeSign sign = probed.finding == Finding::Alive                           ? LifeSign::Alive
         : probed.finding == Finding::Ended && (probed.responded || !isPathInDoubt()) ? LifeSign::Ended
                                                                                      : LifeSign::Silent;
