--- a/src/relay/RelayOptions.h
+++ b/src/relay/RelayOptions.h
@@ -25,7 +25,7 @@
     /// Limit of configurationWait as a fraction of the caller's timeout. The rest of the timeout is left for the call
     /// itself, or for a retry at another instance.
     double configurationWaitShare = 0.25;
-    /// Time without a first event after which callers abandon a stream, unless four times the objective is longer.
+    /// Shortest time without an event after which callers abandon a stream, see callerPatience().
     Duration streamPatience = std::chrono::milliseconds(2000);
     /// Maximum number of servers that may reject a call before it is refused. These servers did not run the call, so
     /// Route::maxAttempts does not count them, but the retry budget does.
--- a/src/relay/RelayReducerMoves.cpp
+++ b/src/relay/RelayReducerMoves.cpp
@@ -5,6 +5,7 @@
 // all text written so far, while the old engine sends the next event within tens of milliseconds. The remaining engines
 // are full and reject some of these attempts.
 
+#include "relay/CallerPatience.h"
 #include "relay/RelayReducer.h"
 
 #include <algorithm>
@@ -18,8 +19,6 @@
     /// Longest time that an answer is held back for the attempt that will continue it. Callers wait two seconds for an
     /// event.
     constexpr Duration MaxAnswerHold = std::chrono::milliseconds(1000);
-    /// Shortest pause in an answer after which callers give up.
-    constexpr Duration CallerEventTimeout = std::chrono::milliseconds(2000);
     /// Time between two searches for a server that can continue an interrupted answer.
     constexpr Duration ResumeInterval = std::chrono::milliseconds(20);
 
@@ -127,7 +126,9 @@
 {
     call.state = CallState::Waiting;
     call.interruptionReason = reason;
-    call.waitUntil = std::min(call.deadline, call.lastDeliveredAt + CallerEventTimeout);
+    const Route& route = *call.route;
+    const Duration patience = callerPatience(m_options.streamPatience, route.objective, route.pauseAim);
+    call.waitUntil = std::min(call.deadline, call.lastDeliveredAt + patience);
     call.nextResumeAt = context.now;
     if (!resume(call, context))
         m_interrupted.insert(call.id);
--- a/src/relay/RelayReducerStart.cpp
+++ b/src/relay/RelayReducerStart.cpp
@@ -171,7 +171,8 @@
         return false;
     }
     const Route& route = *call.route;
-    const Duration hold = m_start.holdTime(call.spec.callerTimeout, route.objective, isStream(route.kind));
+    const Duration hold
+        = m_start.holdTime(call.spec.callerTimeout, route.objective, isStream(route.kind), route.pauseAim);
     call.startHoldUntil = std::min(call.deadline, call.arrived + hold);
     call.waitUntil = *call.startHoldUntil;
     const std::size_t ahead = heldBefore(call, context.now);
--- a/src/relay/ServiceConfiguration.h
+++ b/src/relay/ServiceConfiguration.h
@@ -39,6 +39,7 @@
     CallKind kind = CallKind::NonIdempotent;
     Duration timeout = std::chrono::seconds(10); ///< maximum time from the arrival of a call to the end of its answer
     Duration objective = std::chrono::milliseconds(500); ///< target latency of the answer, or of a stream's first event
+    Duration pauseAim {}; ///< longest pause between a stream's events that is on time; zero if the route names none
     int rank = 5; ///< 0 is the most urgent
     std::uint32_t maxAttempts = 1; ///< maximum number of servers that may run one call
     bool anonymous = false; ///< whether calls need no API key
--- a/src/relay/StartAdmission.cpp
+++ b/src/relay/StartAdmission.cpp
@@ -1,5 +1,6 @@
 #include "relay/StartAdmission.h"
 
+#include "relay/CallerPatience.h"
 #include "relay/ScaledDuration.h"
 #include "relay/Spread.h"
 #include "relay/StartHoldEnd.h"
@@ -19,8 +20,6 @@
     /// Share of a stream caller's patience for which a call is held. The rest is what a first event takes on a busy
     /// engine, or what a refusal needs to reach a caller that still waits for it.
     constexpr double HoldShareOfPatience = 0.7;
-    /// Multiple of the objective after which callers abandon a stream without an event, if that is longer.
-    constexpr int PatienceInObjectives = 4;
     /// Share of the caller's timeout for which a call is held. The rest is left for the call, or for a second try.
     constexpr double HoldShareOfTimeout = 0.25;
     /// Longest hold of a call that is no stream. Its caller has no time for a second try after a longer one.
@@ -214,9 +213,9 @@
     return service && service->unknownSince ? now - *service->unknownSince : Duration(0);
 }
 
-Duration StartAdmission::holdTime(Duration timeout, Duration objective, bool isStream) const
+Duration StartAdmission::holdTime(Duration timeout, Duration objective, bool isStream, Duration pauseAim) const
 {
-    const Duration patience = std::max(m_streamPatience, PatienceInObjectives * objective);
+    const Duration patience = callerPatience(m_streamPatience, objective, pauseAim);
     Duration hold = isStream ? scaled(patience, HoldShareOfPatience) : MaxHold;
     if (timeout.count() > 0)
         hold = std::min(hold, scaled(timeout, HoldShareOfTimeout));
--- a/src/relay/StartAdmission.h
+++ b/src/relay/StartAdmission.h
@@ -66,8 +66,9 @@
 
     /// @param timeout    the caller's; zero if unknown
     /// @param objective  of the call's route; zero if unknown
+    /// @param pauseAim   of the call's route; zero if unknown
     /// @return how long a call may be held from its arrival; zero if that would be useless
-    Duration holdTime(Duration timeout, Duration objective, bool isStream) const;
+    Duration holdTime(Duration timeout, Duration objective, bool isStream, Duration pauseAim = {}) const;
     /// @return whether a call that may begin before `until` is begun by then if `ahead` calls go before it
     bool canBegin(const ServiceId&, std::size_t ahead, TimePoint now, TimePoint until) const;
     /// @param isLate  whether the call can't begin within its objective any more; calls in time go first
--- a/tests/RelayReducerTest.cpp
+++ b/tests/RelayReducerTest.cpp
@@ -229,6 +229,35 @@
     CHECK_TRUE(retry->server != start.server);
 }
 
+// A route with long pauses lost answers whose callers still waited.
+TEST(RelayReducer, AnInterruptedStreamIsKeptForAsLongAsItsCallerWaits)
+{
+    const struct {
+        int objectiveMs;
+        int pauseAimMs;
+        int patienceMs;
+    } cases[] = { { 300, 0, 2000 }, { 1000, 0, 4000 }, { 300, 600, 4800 }, { 1000, 300, 4000 } };
+    for (const auto& each : cases) {
+        RelayHarness harness;
+        ServiceConfiguration configuration = RelayHarness::configuration(2);
+        for (Route& route : configuration.routes) {
+            route.objective = std::chrono::milliseconds(each.objectiveMs);
+            route.pauseAim = std::chrono::milliseconds(each.pauseAimMs);
+        }
+        harness.send(relay::event::ConfigurationAccepted { RouteTable::make(configuration) });
+        const auto start = harness.running("/draft/1", 3);
+        const TimePoint lastEventAt = harness.now();
+        for (const char* id : { "a", "b", "c", "d" })
+            harness.send(relay::event::ServerUnregistered { BackendId(id) });
+        harness.send(relay::event::AttemptEnded { start.attempt, AttemptResult::Broken, 200, "" });
+        const std::string name = std::to_string(each.objectiveMs) + ", " + std::to_string(each.pauseAimMs);
+        while (!harness.last<relay::effect::BreakAnswer>() && harness.now() < lastEventAt + std::chrono::seconds(10))
+            harness.tick(std::chrono::milliseconds(20));
+        const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(harness.now() - lastEventAt).count();
+        CHECK_TRUE_TEXT(waited >= each.patienceMs && waited <= each.patienceMs + 20, name.c_str());
+    }
+}
+
 TEST(RelayReducer, AStreamThatRunsOnceIsBrokenOffNotResumed)
 {
     RelayHarness harness;
