--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -62,6 +62,16 @@
     return f"soak-key-{number % WORKSPACES}"
 
 
+async def start_fleet(fleet, net, server_type):
+    """Starts eight engines and three plain servers, each behind a link."""
+    for number in range(8):
+        await server_type(fleet, f"e{number}", "model", ZONES[number % 2], f"{net}.92.{number + 1}:8080",
+                          f"{net}.92.{number + 101}:8080", "card").start()
+    for number in range(3):
+        await server_type(fleet, f"p{number}", "plain", ZONES[number % 2], f"{net}.94.{number + 1}:8080",
+                          f"{net}.94.{number + 101}:8080").start()
+
+
 class Instance:
     """One entry instance, run as a separate process."""
 
@@ -104,9 +114,12 @@
         """Whether the links to the servers held its requests back at some time between `begin` and `end`."""
         return any(start < end and until > begin for start, until in self.cuts)
 
-    def send(self, number):
+    def signal(self, number):
         if self.process and self.process.returncode is None:
             self.process.send_signal(number)
+
+    def send(self, number):
+        self.signal(number)
         self.touch()
 
 
@@ -140,6 +153,9 @@
 
     def configure(self):
         """Writes a new version of the configuration, which must be in force two seconds later."""
+        self.store.put("op/config", json.dumps(self.next_configuration()))
+
+    def next_configuration(self):
         self.version += self.random.randint(1, 5)
         kinds = {"look": ("idempotent", "plain"), "book": ("non_idempotent", "plain"),
                  "draft": ("streaming", "model"), "once": ("streaming", "model"), "extra": ("idempotent", "plain")}
@@ -148,25 +164,23 @@
                    "max_attempts": 2, "backend": kinds[name][1]} for name in sorted(self.routes)]
         engine = {"layers": LAYERS, "layer_mb": LAYER_MB, "kv_token_bytes": KV_TOKEN_BYTES, "step_ms": 1, "stride": 1,
                   "kinds": [{"name": "card", "size_mb": CARD_MB, "pace": 1}], "models": [{"name": "m", "load_s": 0.4}]}
-        self.store.put("op/config", json.dumps({
+        return {
             "version": self.version, "routes": routes, "limits": {},
             "services": [{"name": "plain", "health_check": HEALTH_PATH},
                          {"name": "model", "health_check": HEALTH_PATH, "engine": engine}],
-            "tenants": [{"name": f"w{number}", "api_keys": [key_of(number)]} for number in range(WORKSPACES)]}))
+            "tenants": [{"name": f"w{number}", "api_keys": [key_of(number)]} for number in range(WORKSPACES)]}
 
     async def start(self):
         self.listener = await self.store.start(f"{self.net}.90.1:7000")
         await self.store_link.start()
         self.configure()
-        for number in range(8):
-            await Server(self.fleet, f"e{number}", "model", ZONES[number % 2], f"{self.net}.92.{number + 1}:8080",
-                         f"{self.net}.92.{number + 101}:8080", "card").start()
-        for number in range(3):
-            await Server(self.fleet, f"p{number}", "plain", ZONES[number % 2], f"{self.net}.94.{number + 1}:8080",
-                         f"{self.net}.94.{number + 101}:8080").start()
+        await self.start_servers()
         await asyncio.gather(*(each.start() for each in self.instances))
         await asyncio.sleep(5)  # time to place the layers
 
+    async def start_servers(self):
+        await start_fleet(self.fleet, self.net, Server)
+
     # ---- Callers --------------------------------------------------------------------------------------------------
 
     async def addresses(self):
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -393,12 +393,16 @@
         if cause:
             return await self._crash_under(cause)
         self.fleet.ran(attempt)
-        await asyncio.sleep(0.01)
+        await self.work(0.01)
         body = f"plain {message.headers['x-key']}".encode()
         writer.write(response(200, body, {"X-Attempt-Id": attempt, "X-Server-Seal": self.id}
                               | self.notices(attempt, is_success=True), unframed=self.unframed))
         return not self.unframed
 
+    async def work(self, seconds):
+        """Takes the time that an event or a plain answer needs."""
+        await asyncio.sleep(seconds)
+
     def _reject(self, writer, attempt):
         self.rejections.append((time.monotonic(), attempt, self.retry_after_s, self.start_key))
         writer.write(response(503, headers={"X-Not-Executed": "1", "X-Attempt-Id": attempt,
@@ -461,7 +465,7 @@
                 self.streams[writer] = part
                 if cause:
                     return await self._crash_under(cause)
-                await asyncio.sleep(0.02)
+                await self.work(0.02)
                 if writer.is_closing():
                     return False
                 writer.write(part)
