--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -108,6 +108,7 @@
     void on(const event::RerouteAnswered&, Context&);
     void on(const event::StalledStageReported&, Context&);
     void on(const event::EngineChecked&, Context&);
+    void on(const event::EngineCheckAnsweredLate&, Context&);
     void on(const event::EngineStartSeen&, Context&);
     void on(const event::EnginesReportedDead&, Context&);
     void on(const event::EnginesReportedClosed&, Context&);
@@ -282,7 +283,7 @@
     void updatePath(Context&);
     void checkPath(const PathEvidence&, Context&);
     bool mayContact(const FleetServer&) const;
-    bool hasLostPath(const Call&, TimePoint now) const;
+    static bool needsOtherInstance(const Call&);
     void endCallsWithoutPath(Context&);
     void remove(RequestId);
     Call* findByAttempt(AttemptId);
@@ -322,6 +323,7 @@
         m_suspects; ///< engines that the latest search for losses suspects on account of several streams
     ServerContacts m_contacts;
     ServerPath m_path = ServerPath::Unknown;
+    std::optional<TimePoint> m_othersAnsweredAt; ///< latest report that a server answers another instance
     TimePoint m_lastPathCheckAt;
     std::uint64_t m_nextAttempt = 1;
     std::optional<TimePoint> m_startedAt; ///< time of the first event
--- a/tests/CutOffInstanceTest.cpp
+++ b/tests/CutOffInstanceTest.cpp
@@ -44,6 +44,8 @@
     }
 
     RelayHarness& harness() { return m_harness; }
+    /// From now on the servers answer no other instance either.
+    void silenceForAll() { m_answersOthers = false; }
     /// Advances the clock; an attempt that is not `kept` cannot connect.
     /// @return whether a call was ended, or `kept` was cancelled
     bool run(Duration span, AttemptId kept)
@@ -65,7 +67,7 @@
     {
         EngineLoads others;
         for (const auto& [id, server] : m_harness.reducer().fleet().servers())
-            others[engineKey(id)] = { engineKey(id), 0, 0, 0, 1 };
+            others[engineKey(id)] = { engineKey(id), 0, 0, 0, m_answersOthers ? 1.0 : 0.0 };
         m_harness.send(relay::event::LoadsReported { others });
     }
 
@@ -90,6 +92,7 @@
     }
 
     RelayHarness m_harness;
+    bool m_answersOthers = true;
 };
 
 } // namespace
@@ -112,6 +115,7 @@
     for (const auto& each : cases) {
         SilentServers silent;
         RelayHarness& harness = silent.harness();
+        harness.running("/draft/2", 1); // Its silence makes the instance check the servers.
         const auto attempt = harness.running(each.path, each.events);
         CHECK_FALSE_TEXT(silent.run(seconds(4), attempt.attempt), each.name);
         CHECK_TRUE_TEXT(harness.reducer().isCutOff(), each.name);
@@ -124,6 +128,38 @@
     }
 }
 
+// Where all processes were short of processor time, all instances took themselves for cut off, refused each call, and
+// stayed so, as nobody had contact with a server any more.
+TEST(CutOffInstance, AnInstanceIsNotCutOffFromServersThatAnswerNobody)
+{
+    SilentServers silent;
+    RelayHarness& harness = silent.harness();
+    const auto attempt = harness.running("/draft/1", 5);
+    silent.run(seconds(2), attempt.attempt);
+    CHECK_TRUE(harness.reducer().isCutOff());
+    silent.silenceForAll();
+    silent.run(std::chrono::milliseconds(1200), attempt.attempt);
+    CHECK_FALSE(harness.reducer().isCutOff());
+    silent.run(seconds(4), attempt.attempt);
+    CHECK_FALSE(harness.reducer().isCutOff());
+    CHECK_EQUAL(1U, harness.reducer().counters().pathsLost);
+}
+
+// An answer whose attempt ended while its instance took itself for cut off was broken off at once.
+TEST(CutOffInstance, AnInterruptedAnswerWaitsForThePathAsLongAsItsCallerWaits)
+{
+    SilentServers silent;
+    RelayHarness& harness = silent.harness();
+    const auto attempt = harness.running("/draft/1", 5);
+    CHECK_FALSE(silent.run(seconds(1), attempt.attempt));
+    harness.events(attempt.attempt, 6, 6);
+    harness.send(relay::event::AttemptEnded { attempt.attempt, AttemptResult::Broken });
+    CHECK_FALSE(harness.last<relay::effect::BreakAnswer>().has_value());
+    CHECK_FALSE(silent.run(std::chrono::milliseconds(1900), attempt.attempt));
+    CHECK_TRUE(harness.reducer().isCutOff());
+    CHECK_TRUE(silent.run(std::chrono::milliseconds(200), attempt.attempt));
+}
+
 // Instances that had lost their path to all servers stayed in the directory and answered their callers with 503.
 TEST(CutOffInstance, CallersOfInstancesWithoutAPathToTheServersAreServedLikeTheOthers)
 {
--- a/tests/soak/planned.py
+++ b/tests/soak/planned.py
@@ -139,8 +139,8 @@
     async def call(self, instance, reader, writer, follows):
         if self.idle_s and self.random.random() < 0.3:
             await asyncio.sleep(self.random.random() * IDLE_SHARE * self.idle_s)
-            if reader.at_eof():
-                return False
+        if reader.at_eof():
+            return False
         self.attempts += 1
         attempt, events = f"{self.attempts:016x}", self.random.randint(20, 80)
         route = self.random.choice(["draft", "draft", "draft", "once", "book", "look"])
