--- a/src/relay/RelayReducerChecks.cpp
+++ b/src/relay/RelayReducerChecks.cpp
@@ -198,11 +198,12 @@
 /// sound, and what it was asked after an end without proof it lived to answer.
 void RelayReducer::on(const event::EngineCheckAnsweredLate& late, Context& context)
 {
-    const FleetServer* server = m_fleet.find(late.engine);
+    FleetServer* server = m_fleet.find(late.engine);
     if (!server)
         return;
     ++m_counters.checksAnsweredLate;
-    recordContactAnswered(late.engine, late.askedAt, context);
+    m_contacts.recordLateAnswer(late.engine, late.askedAt, context.now);
+    server->lastContactAt = context.now;
     if (late.answering.value() && late.answering != server->entry.startedAt)
         return;
     m_crashEvidence.noteAlive(server->othersLoad.engine);
--- a/src/relay/ServerContacts.cpp
+++ b/src/relay/ServerContacts.cpp
@@ -1,5 +1,7 @@
 #include "relay/ServerContacts.h"
 
+#include <algorithm>
+
 namespace crocusmount::relay {
 
 namespace {
@@ -17,7 +19,18 @@
         return;
     m_failed.clear();
     m_failingSince.reset();
-    add({ now, server, true });
+    add({ askedAt, now, server, true });
+}
+
+void ServerContacts::recordLateAnswer(const BackendId& server, TimePoint askedAt, TimePoint now)
+{
+    // The time of the failure may be that of the decision to ask, which precedes the question.
+    const auto failure = std::find_if(m_recent.rbegin(), m_recent.rend(), [&](const Contact& contact) {
+        return !contact.isAnswered && contact.server == server && contact.askedAt <= askedAt;
+    });
+    if (failure != m_recent.rend())
+        m_recent.erase(std::next(failure).base());
+    recordAnswer(server, askedAt, now);
 }
 
 void ServerContacts::recordFailure(const BackendId& server, TimePoint askedAt, TimePoint now)
@@ -25,7 +38,7 @@
     if (!m_failingSince)
         m_failingSince = askedAt;
     m_failed.insert(server);
-    add({ now, server, false });
+    add({ askedAt, now, server, false });
 }
 
 void ServerContacts::forget(const BackendId& server)
--- a/src/relay/ServerContacts.h
+++ b/src/relay/ServerContacts.h
@@ -23,6 +23,8 @@
     /// @param askedAt  start of the contact; an answer to one that precedes all failed ones shows nothing about the
     ///                 path since
     void recordAnswer(const BackendId&, TimePoint askedAt, TimePoint now);
+    /// Records an answer to a contact whose failure was recorded before, and takes that failure back.
+    void recordLateAnswer(const BackendId&, TimePoint askedAt, TimePoint now);
     /// Records that a server did not answer a contact, or could not be connected to.
     void recordFailure(const BackendId&, TimePoint askedAt, TimePoint now);
     /// Forgets the failures of a server that is not registered any more.
@@ -40,6 +42,7 @@
 
 private:
     struct Contact {
+        TimePoint askedAt;
         TimePoint endedAt;
         BackendId server;
         bool isAnswered = false;
--- a/tests/ServerPathTest.cpp
+++ b/tests/ServerPathTest.cpp
@@ -73,3 +73,20 @@
     CHECK_TRUE(contacts.failingFor(at(150)) == Duration(0));
     CHECK_EQUAL(0U, contacts.recent(at(5000)).contacts);
 }
+
+// An instance whose servers answered each check late stayed cut off: a check counted as unanswered and as answered.
+TEST(ServerPath, AnInstanceReturnsWhenAllItsChecksAreAnsweredLate)
+{
+    ServerContacts contacts;
+    const auto at = [](int ms) { return timePoint(1000000) + milliseconds(ms); };
+    for (int check = 0; check < 6; ++check) {
+        const BackendId server(check % 2 ? "a" : "b");
+        contacts.recordFailure(server, at(200 * check), at(200 * check + 80));
+        contacts.recordLateAnswer(server, at(200 * check + 1), at(200 * check + 190));
+    }
+    const ServerContacts::Recent recent = contacts.recent(at(1200));
+    CHECK_EQUAL(6U, recent.contacts);
+    CHECK_EQUAL(6U, recent.answered);
+    const PathEvidence evidence { true, 0, 0, {}, recent.contacts, recent.answered, recent.answeringServers };
+    CHECK_TRUE(classifyPath(evidence, ServerPath::CutOff) == ServerPath::Reachable);
+}
