--- a/tests/CutHeadTest.cpp
+++ b/tests/CutHeadTest.cpp
@@ -70,7 +70,7 @@
         const std::size_t first = std::min(body.size(), Events[0].size());
         framed = "0\r\n\r\n";
         for (const std::string& part : { body.substr(first), body.substr(0, first) })
-            framed = (part.empty() ? "" : chunk(part)) + framed;
+            framed.insert(0, part.empty() ? std::string() : chunk(part));
     }
     head += "\r\n";
     return { head + framed, head.size() };
