--- a/tests/UnprovenEndTest.cpp
+++ b/tests/UnprovenEndTest.cpp
@@ -661,7 +661,7 @@
     relay::effect::StartAttempt callAt(const std::optional<BackendId>& server)
     {
         for (int tries = 0; tries < 6; ++tries) {
-            const auto start = m_harness.running(absl::StrCat(m_isEngine ? "/once/" : "/book/", ++m_calls));
+            auto start = m_harness.running(absl::StrCat(m_isEngine ? "/once/" : "/book/", ++m_calls));
             if (!server || start.server == *server)
                 return start;
         }
