Tell what each instance spends of a service's retry budget

The hypotheses on retries beyond the budget could not be told apart: no metric had the tokens left, the share of the instance or what it was computed from, and nothing survived a killed process. A line retry_budget, once a second and service while retries are made, names what was spent, the share, the number of instances that it divides by and the age of the process; metrics crocusmount_retries_spent_total, _retry_tokens and _retry_capacity say the same. No decision changes: the functions of the budget move into a file of their own, and the margin under the platform's limits into RelayOptions, for tests. Test: RelayReducer.WhatIsSpentOfTheRetryBudgetIsLogged.

--- a/programs/crocusmount-entry.cpp
+++ b/programs/crocusmount-entry.cpp
@@ -34,9 +34,6 @@
 constexpr const char* MetricsPort = "9464";
 /// Limit on log lines about individual calls, per second. Lines about the state of the instance do not count.
 constexpr std::uint32_t CallLogLinesPerSecond = 200;
-/// Share of the platform's retry limit that all instances use together. The rest covers instances that are counted
-/// late.
-constexpr double RetryLimitShare = 0.85;
 /// Time without a first event after which the platform's callers abandon a stream.
 constexpr std::chrono::milliseconds StreamPatience { 2000 };
 /// Share of a leaving backend server's drain time after which its running streams are rerouted. Most streams finish
@@ -64,11 +61,10 @@
     relay::RelayOptions options;
     options.without = without.mergedWith(settings.disabledMechanisms);
     options.dataCentre = DataCentreId(settings.dataCentre);
-    options.retryRatio = settings.retryRatio * RetryLimitShare;
-    options.retryBurstRampUp = Duration(static_cast<std::int64_t>(settings.retryWindowSeconds * 1e6));
+    options.setRetryLimits(settings.retryRatio, settings.retrySlack,
+        Duration(static_cast<std::int64_t>(settings.retryWindowSeconds * 1e6)));
     options.rerouteDelay = Duration(static_cast<std::int64_t>(RerouteDelayShare * settings.drainMs * 1000));
     options.streamPatience = StreamPatience;
-    options.retrySlack = settings.retrySlack * RetryLimitShare;
     return options;
 }
 
@@ -164,6 +160,8 @@
         gauges.logLinesDropped = relay::DecisionLog::dropped();
         gauges.quarantined = reducer.quarantine().quarantinedCount(m_node.now());
         gauges.unknownHeaders = m_node.unknownHeaders().counts();
+        for (const auto& [service, budget] : reducer.retryBudgets())
+            gauges.retryBudgets[service.value()] = { budget.spent(), budget.tokens(), budget.capacity() };
         gauges.serversInBackoff = reducer.fleet().backoffCount(m_node.now());
         gauges.limitedServers = reducer.fleet().limitedCount();
         gauges.fedByPeer = m_mirror.isFed();
--- a/src/admission/RetryBudget.h
+++ b/src/admission/RetryBudget.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <cstdint>
 
 namespace crocusmount {
 
@@ -50,17 +51,30 @@
         if (m_tokens < 1)
             return false;
         m_tokens -= 1;
+        ++m_spent;
         return true;
     }
 
     /// Gives a consumed token back, because the retry was not sent.
-    void refund() { m_tokens = std::min(m_capacity, m_tokens + 1); }
+    void refund()
+    {
+        m_tokens = std::min(m_capacity, m_tokens + 1);
+        --m_spent;
+    }
+
+    /// @return tokens consumed and not given back since the start of the process
+    std::uint64_t spent() const { return m_spent; }
+    /// @return tokens in the bucket
+    double tokens() const { return m_tokens; }
+    /// @return capacity of the bucket, in tokens
+    double capacity() const { return m_capacity; }
 
 private:
     double m_tokensPerRequest;
     double m_capacity; ///< in tokens
     double m_grantedShare; ///< share of the capacity granted so far
     double m_tokens; ///< in the bucket
+    std::uint64_t m_spent = 0; ///< see spent()
 };
 
 } // namespace crocusmount
--- a/src/edge/RelayMetrics.cpp
+++ b/src/edge/RelayMetrics.cpp
@@ -129,6 +129,16 @@
         families.addCounter("crocusmount_retries_denied_total", "Failed attempts that no other one followed",
             double(counters.retriesDenied.at(limit)), { { "limit", toString(static_cast<RetryLimit>(limit)) } });
     }
+    for (const auto& [service, budget] : gauges.retryBudgets)
+        families.addCounter("crocusmount_retries_spent_total", "Retries paid for from the service's budget",
+            double(budget.spent), { { "service", service } });
+    for (const auto& [service, budget] : gauges.retryBudgets)
+        families.addGauge("crocusmount_retry_tokens", "Retries that the service's budget allows now", budget.tokens,
+            { { "service", service } });
+    for (const auto& [service, budget] : gauges.retryBudgets)
+        families.addGauge("crocusmount_retry_capacity",
+            "This instance's share of the retries that all instances may make beyond the ratio", budget.capacity,
+            { { "service", service } });
     families.addGauge("crocusmount_open_calls", "Calls without a final answer", double(gauges.openCalls));
     families.addGauge("crocusmount_waiting_calls", "Calls that wait for room", double(gauges.waitingCalls));
     families.addGauge("crocusmount_connections", "Callers' connections", double(gauges.connections));
--- a/src/edge/RelayMetrics.h
+++ b/src/edge/RelayMetrics.h
@@ -12,6 +12,13 @@
 
 namespace crocusmount::relay {
 
+/// Retry budget of one service on this instance, see RetryBudget.
+struct RetryBudgetGauges {
+    std::uint64_t spent = 0; ///< retries since the start of this process
+    double tokens = 0; ///< left
+    double capacity = 0; ///< in tokens
+};
+
 /// Metrics that are not among the reducer's counters, as of the time of their export.
 struct RelayGauges {
     std::size_t openCalls = 0; ///< calls without a final answer
@@ -38,6 +45,7 @@
     std::size_t quarantined = 0; ///< requests that are not sent to any server
     std::uint64_t misdirectedPermitRequests = 0; ///< requests for permits that another instance has to answer
     std::map<std::string, std::uint64_t> unknownHeaders; ///< headers of answers that the relay does not know, by name
+    std::map<std::string, RetryBudgetGauges> retryBudgets; ///< by service
     std::size_t serversInBackoff = 0; ///< backend servers that want no requests from this instance
     std::size_t limitedServers = 0; ///< backend servers that name a limit
     bool fedByPeer = false; ///< another instance forwards the changes of the store to this one
--- a/src/edge/RelayNode.cpp
+++ b/src/edge/RelayNode.cpp
@@ -525,6 +525,14 @@
             { "remaining_ms", toMs(note.remaining) } });
 }
 
+void RelayNode::on(const effect::LogRetryBudget& note)
+{
+    DecisionLog::state("retry_budget",
+        { { "service", note.service }, { "spent", note.spent }, { "spent_in_total", note.spentInTotal },
+            { "tokens", note.tokens }, { "capacity", note.capacity }, { "instances", note.instances },
+            { "age_ms", toMs(note.age) } });
+}
+
 void RelayNode::on(const effect::LogPermits& note)
 {
     DecisionLog::state("permits",
--- a/src/relay/RelayEffect.h
+++ b/src/relay/RelayEffect.h
@@ -169,6 +169,17 @@
         Duration remaining {}; ///< until this instance may send to the server again
     };
 
+    /// Log what was spent of a service's retry budget, see RetryBudget.
+    struct LogRetryBudget {
+        std::string service;
+        std::uint64_t spent = 0; ///< retries since the last such line
+        std::uint64_t spentInTotal = 0; ///< retries since the start of this process
+        double tokens = 0; ///< left
+        double capacity = 0; ///< this instance's share of the retries beyond the ratio, in tokens
+        std::uint32_t instances = 1; ///< that share the budget, as far as known
+        Duration age {}; ///< of this process
+    };
+
     /// Log that permits for a server were granted or denied.
     struct LogPermits {
         BackendId server;
@@ -279,7 +290,7 @@
 using RelayEffect = std::variant<effect::StartAttempt, effect::CancelAttempt, effect::HoldAnswer,
     effect::ContinueAnswer, effect::AskStalledStage, effect::CheckEngine, effect::ProbeServer, effect::ShareCrashes,
     effect::ShareSoundRuns, effect::LogCrash, effect::QuarantineTrait, effect::ClearTrait, effect::ReportEngineState,
-    effect::LogServerPath, effect::LogServerState, effect::LogServerLimit, effect::LogServerBackoff, effect::LogPermits,
+    effect::LogServerPath, effect::LogServerState, effect::LogServerLimit, effect::LogServerBackoff, effect::LogRetryBudget, effect::LogPermits,
     effect::LogStartKnowledge, effect::LogStartHold, effect::RequestPermits, effect::AnswerPermits,
     effect::ShareServerLimit, effect::RerouteAttempt, effect::LogSuspicion, effect::Refuse,
     effect::DeliverServerFailure, effect::CompleteAnswer, effect::LogEndVerdict, effect::BreakAnswer>;
--- a/src/relay/RelayOptions.h
+++ b/src/relay/RelayOptions.h
@@ -54,6 +54,19 @@
     /// Time until an idempotent call without an answer is also sent to another server, as a multiple of the latency
     /// objective.
     double slowCallFactor = 2;
+
+    /// Sets the limits on the retries of all instances together, with a margin for instances that disagree on how many
+    /// share them.
+    /// @param ratio   retries that the platform allows for each call
+    /// @param slack   further retries that it allows within each window
+    /// @param window  the window over which it counts
+    void setRetryLimits(double ratio, double slack, Duration window)
+    {
+        constexpr double UsedShare = 0.85;
+        retryRatio = ratio * UsedShare;
+        retrySlack = slack * UsedShare;
+        retryBurstRampUp = window;
+    }
 };
 
 } // namespace crocusmount::relay
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -41,7 +41,8 @@
 ///
 /// Private functions are documented where they are defined:
 /// - RelayReducer.cpp: admission, delivery, the end of attempts, retries and final answers
-/// - RelayReducerPlacing.cpp: queues, placement, Retry-After times, the retry budget
+/// - RelayReducerPlacing.cpp: queues, placement, Retry-After times
+/// - RelayReducerRetries.cpp: the retry budget
 /// - RelayReducerStart.cpp: calls held while this instance knows too little
 /// - RelayReducerTime.cpp: ticks, deadlines, stalls, reroutes and second attempts
 /// - RelayReducerChecks.cpp: health checks of engines
@@ -77,6 +78,8 @@
     bool isCutOff() const { return m_path == ServerPath::CutOff; }
     /// @return whether this instance may be cut off, so that it must not take servers for dead that do not answer it
     bool isPathInDoubt() const;
+    /// @return the retry budgets of the services that calls have arrived for
+    const std::map<ServiceId, RetryBudget>& retryBudgets() const { return m_budgets; }
     /// @return this instance's load reports about the servers, for the other instances
     std::vector<EngineLoad> ownLoads(TimePoint now) const;
     bool isDraining() const { return m_drainRequestedAt.has_value(); }
@@ -297,6 +300,7 @@
     double retryBurst() const;
     double retryBurstShare() const;
     RetryBudget& budgetOf(const ServiceId&);
+    void logRetryBudgets(Context&);
     bool isKnownFull(const Call&, const Chain&, TimePoint now) const;
 
     RelayOptions m_options;
@@ -314,6 +318,12 @@
     std::set<RequestId> m_interrupted; ///< calls with a partial answer that wait for a server to resume at
     std::map<ServiceId, ServiceQueue> m_services;
     std::map<ServiceId, RetryBudget> m_budgets;
+    /// The last log line about a service's retry budget.
+    struct LoggedBudget {
+        TimePoint at;
+        std::uint64_t spent = 0; ///< see RetryBudget::spent()
+    };
+    std::map<ServiceId, LoggedBudget> m_loggedBudgets;
     std::map<BackendId, TimePoint> m_moveOffAt; ///< leaving servers, with the time from which streams are moved off
     std::map<BackendId, RegisteredServer> m_unusable; ///< entries that fit no service of the configuration
     CrashEvidence m_crashEvidence;
--- a/src/relay/RelayReducerPlacing.cpp
+++ b/src/relay/RelayReducerPlacing.cpp
@@ -172,24 +172,6 @@
     return scaled(std::max(remaining, MinRetryAfterBackoff), 1 + fraction * MaxBackoffSpread);
 }
 
-/// @return this instance's share of the retries that all instances may make beyond the retry ratio
-double RelayReducer::retryBurst() const { return std::max(1.0, m_options.retrySlack / m_placer.instances()); }
-
-/// @return the share of the retry burst, from 0 to 1, that is granted at the present age of the process
-double RelayReducer::retryBurstShare() const
-{
-    if (m_options.retryBurstRampUp.count() <= 0)
-        return 1;
-    const double age = std::chrono::duration<double>(m_now - m_startedAt.value_or(m_now)).count();
-    return std::min(1.0, age / std::chrono::duration<double>(m_options.retryBurstRampUp).count());
-}
-
-/// @return the retry budget of a service, which is created on first use
-RetryBudget& RelayReducer::budgetOf(const ServiceId& service)
-{
-    return m_budgets.try_emplace(service, m_options.retryRatio, retryBurst(), retryBurstShare()).first->second;
-}
-
 /// Keeps a call from a stage that failed or rejected it until the stage's avoidance time is over. Otherwise attempts at
 /// the only engine left would spend retries for nothing. A partly delivered answer waits less, because its caller gives
 /// up within seconds.
--- a/src/shell/MetricFamilies.cpp
+++ b/src/shell/MetricFamilies.cpp
@@ -22,9 +22,11 @@
     family(name, help, prometheus::MetricType::Counter).metric.push_back(std::move(metric));
 }
 
-void MetricFamilies::addGauge(const char* name, const char* help, double value)
+void MetricFamilies::addGauge(const char* name, const char* help, double value, const Labels& labels)
 {
     prometheus::ClientMetric metric;
+    for (const auto& [label, text] : labels)
+        metric.label.push_back({ label, text });
     metric.gauge.value = value;
     family(name, help, prometheus::MetricType::Gauge).metric.push_back(std::move(metric));
 }
--- a/src/shell/MetricFamilies.h
+++ b/src/shell/MetricFamilies.h
@@ -20,7 +20,7 @@
     using Labels = std::vector<std::pair<std::string, std::string>>;
 
     void addCounter(const char* name, const char* help, double value, const Labels& = {});
-    void addGauge(const char* name, const char* help, double value);
+    void addGauge(const char* name, const char* help, double value, const Labels& = {});
     /// Adds a counter with the label "reason" for each reason, also for a count of zero.
     void addByReason(const char* name, const char* help, const std::array<std::uint64_t, ReasonCount>&);
     void addHistogram(const char* name, const char* help, const LatencyHistogram&, const Labels& = {});
--- a/tests/RelayReducerTest.cpp
+++ b/tests/RelayReducerTest.cpp
@@ -218,6 +218,21 @@
     CHECK_TRUE(retries <= 20 / 4 + 200 / 10 + 1);
 }
 
+TEST(RelayReducer, WhatIsSpentOfTheRetryBudgetIsLogged)
+{
+    RelayHarness harness;
+    const auto start = harness.running("/look/1");
+    harness.send(relay::event::AttemptEnded { start.attempt, AttemptResult::Broken, 0, "" });
+    harness.tick(seconds(1));
+    const auto line = harness.last<relay::effect::LogRetryBudget>();
+    CHECK_TRUE(line.has_value());
+    CHECK_EQUAL(std::string("plain"), line->service);
+    CHECK_EQUAL(1U, line->spent);
+    CHECK_EQUAL(1U, line->spentInTotal);
+    harness.tick(seconds(1));
+    CHECK_FALSE(harness.last<relay::effect::LogRetryBudget>().has_value());
+}
+
 TEST(RelayReducer, AResumedStreamContinuesAfterTheLastDeliveredEvent)
 {
     RelayHarness harness;
