Grant an instance its share of the retries when its predecessor's have left the window

Callers' retries piled up beyond the platform's budget when instances were killed while servers failed. Cause: the share of the slack bounded a process, not the place that it takes. A process forgets what it spent when it ends, and its successor's bucket filled again within the window in which that counts; an instance without a list, or dropped from the others', divided by a wrong number. Both are one fault: a share of a total that is held without regard to who may still have spent, or still hold, the rest.

RetryShare decides it now. A process starts with an empty bucket that its own calls fill, and is granted its share a window and a fifth after its entry is listed; tokens it had saved by then are taken off. The largest number of instances of the last three windows divides the total, and a share lapses when the store has not confirmed this instance's entry for two windows. So within any window a place spends one capacity and what its calls earn, whatever ends.

ServerStart.RestartingInstancesUseNoMoreRetriesThanRunningOnes counted only the new process; it begins now with the old one, with the same bounds. The ramp is gone, and with it its test; its successor asks at 0, 5, 10 and 13 s and for an instance that is not listed.

--- a/src/admission/RetryBudget.h
+++ b/src/admission/RetryBudget.h
@@ -6,41 +6,37 @@
 namespace crocusmount {
 
 /// A token bucket that limits retries to a share of the requests, so that retries cannot amplify an outage. Each token
-/// pays for one retry.
+/// pays for one retry. Within any span of time, at most the capacity and the tokens of the requests in it are spent.
 class RetryBudget {
 public:
-    /// @param ratio         tokens added per request
-    /// @param burst         capacity of the bucket, in tokens
-    /// @param initialShare  share of the capacity that is filled at the start, see raiseBurstShare
-    RetryBudget(double ratio, double burst, double initialShare = 1)
+    /// @param ratio     tokens added per request
+    /// @param capacity  of the bucket, in tokens
+    /// @param isFull    whether the bucket is full at the start; otherwise only requests fill it, see setShare()
+    RetryBudget(double ratio, double capacity, bool isFull = true)
         : m_tokensPerRequest(ratio)
-        , m_capacity(burst)
-        , m_grantedShare(initialShare)
-        , m_tokens(burst * initialShare)
+        , m_capacity(capacity)
+        , m_tokens(isFull ? capacity : 0)
+        , m_isGranted(isFull)
     {
     }
 
-    /// Fills the bucket of a process that has just started step by step. A process that is restarted several times
-    /// within the window over which retries are counted thus gets no more retries than one that keeps running.
-    /// @param share  share of the capacity to have been granted by now, from 0 to 1; ignored unless it has grown
-    void raiseBurstShare(double share)
+    /// Changes the capacity, for example because the number of processes that share a total has changed, and fills the
+    /// bucket once it may be full. Tokens that the bucket held before that count as a part of the filling, because
+    /// they may have been spent.
+    /// @param isGranted  whether the bucket may have been filled by other means than requests
+    void setShare(double capacity, bool isGranted)
     {
-        if (share <= m_grantedShare)
-            return;
-        m_tokens = std::min(m_capacity, m_tokens + (share - m_grantedShare) * m_capacity);
-        m_grantedShare = share;
-    }
-
-    /// Changes the capacity of the bucket, for example because the number of instances that share the total has
-    /// changed. The tokens in the bucket are kept, up to the new capacity.
-    void setBurst(double burst)
-    {
-        m_capacity = burst;
-        m_tokens = std::min(m_tokens, burst);
+        m_capacity = capacity;
+        if (isGranted && !m_isGranted)
+            m_tokens += std::max(0.0, m_capacity - m_mostTokens);
+        m_tokens = std::min(m_tokens, m_capacity);
+        if (!isGranted && m_isGranted)
+            m_mostTokens = m_tokens;
+        m_isGranted = isGranted;
     }
 
     /// Adds the tokens for one request.
-    void addRequest() { m_tokens = std::min(m_capacity, m_tokens + m_tokensPerRequest); }
+    void addRequest() { add(m_tokensPerRequest); }
 
     /// @return whether one more retry is allowed
     bool hasToken() const { return m_tokens >= 1; }
@@ -58,7 +54,7 @@
     /// Gives a consumed token back, because the retry was not sent.
     void refund()
     {
-        m_tokens = std::min(m_capacity, m_tokens + 1);
+        add(1);
         --m_spent;
     }
 
@@ -70,10 +66,17 @@
     double capacity() const { return m_capacity; }
 
 private:
+    void add(double tokens)
+    {
+        m_tokens = std::min(m_capacity, m_tokens + tokens);
+        m_mostTokens = std::max(m_mostTokens, m_tokens);
+    }
+
     double m_tokensPerRequest;
     double m_capacity; ///< in tokens
-    double m_grantedShare; ///< share of the capacity granted so far
     double m_tokens; ///< in the bucket
+    double m_mostTokens = 0; ///< the most tokens in the bucket since it may be filled by requests only
+    bool m_isGranted; ///< see setShare()
     std::uint64_t m_spent = 0; ///< see spent()
 };
 
--- a/src/edge/RelayNode.cpp
+++ b/src/edge/RelayNode.cpp
@@ -525,6 +525,13 @@
             { "remaining_ms", toMs(note.remaining) } });
 }
 
+void RelayNode::on(const effect::LogRetryShare& note)
+{
+    DecisionLog::state("retry_share",
+        { { "capacity", note.capacity }, { "granted", note.isGranted }, { "instances", note.instances },
+            { "age_ms", toMs(note.age) } });
+}
+
 void RelayNode::on(const effect::LogRetryBudget& note)
 {
     DecisionLog::state("retry_budget",
--- a/src/edge/RelayNode.h
+++ b/src/edge/RelayNode.h
@@ -149,6 +149,7 @@
     void on(const effect::LogServerPath&);
     void on(const effect::LogServerLimit&);
     void on(const effect::LogServerBackoff&);
+    void on(const effect::LogRetryShare&);
     void on(const effect::LogRetryBudget&);
     void on(const effect::LogPermits&);
     void on(const effect::LogStartKnowledge&);
--- a/src/relay/RelayEffect.h
+++ b/src/relay/RelayEffect.h
@@ -169,6 +169,14 @@
         Duration remaining {}; ///< until this instance may send to the server again
     };
 
+    /// Log that this instance's share of the retries of all has changed, see RetryShare.
+    struct LogRetryShare {
+        double capacity = 1; ///< retries of each service
+        bool isGranted = false; ///< the instance may spend them in addition to those that its calls earn
+        std::uint32_t instances = 0; ///< that share the retries; zero if not known
+        Duration age {}; ///< of this process
+    };
+
     /// Log what was spent of a service's retry budget, see RetryBudget.
     struct LogRetryBudget {
         std::string service;
@@ -290,7 +298,8 @@
 using RelayEffect = std::variant<effect::StartAttempt, effect::CancelAttempt, effect::HoldAnswer,
     effect::ContinueAnswer, effect::AskStalledStage, effect::CheckEngine, effect::ProbeServer, effect::ShareCrashes,
     effect::ShareSoundRuns, effect::LogCrash, effect::QuarantineTrait, effect::ClearTrait, effect::ReportEngineState,
-    effect::LogServerPath, effect::LogServerState, effect::LogServerLimit, effect::LogServerBackoff, effect::LogRetryBudget, effect::LogPermits,
+    effect::LogServerPath, effect::LogServerState, effect::LogServerLimit, effect::LogServerBackoff, effect::LogRetryShare, effect::LogRetryBudget,
+    effect::LogPermits,
     effect::LogStartKnowledge, effect::LogStartHold, effect::RequestPermits, effect::AnswerPermits,
     effect::ShareServerLimit, effect::RerouteAttempt, effect::LogSuspicion, effect::Refuse,
     effect::DeliverServerFailure, effect::CompleteAnswer, effect::LogEndVerdict, effect::BreakAnswer>;
--- a/src/relay/RelayEvent.h
+++ b/src/relay/RelayEvent.h
@@ -55,6 +55,7 @@
     /// Reports how many instances share the backend servers.
     struct InstancesCounted {
         std::uint32_t instances = 1; ///< including this one
+        bool isListed = true; ///< the store's list contains this instance, so the others count it
     };
 
     /// Reports whether the local copy of the store lacks changes that a peer has, or may lack changes because the store
--- a/src/relay/RelayOptions.h
+++ b/src/relay/RelayOptions.h
@@ -15,9 +15,8 @@
     double retryRatio = 0.15;
     /// Additional retries of all instances together within the platform's time window.
     double retrySlack = 100;
-    /// Time from the start of an instance until it may use its whole share of retrySlack. The usable share grows during
-    /// this time, so that an instance in a restart loop does not get the whole share with each start.
-    Duration retryBurstRampUp {};
+    /// The platform's time window; zero: no limit over time, so that shares of retrySlack need not be waited for.
+    Duration retryWindow {};
     /// How long a call waits for the first configuration of an instance that has just started. This covers a power
     /// failure after which all instances start at the same time while the store is still unavailable. By then callers
     /// have used the only retry that they make, and most callers that are refused do not come back.
@@ -65,7 +64,7 @@
         constexpr double UsedShare = 0.85;
         retryRatio = ratio * UsedShare;
         retrySlack = slack * UsedShare;
-        retryBurstRampUp = window;
+        retryWindow = window;
     }
 };
 
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -54,6 +54,7 @@
     : m_options(std::move(options))
     , m_placer(m_options, m_fleet)
     , m_start(m_options.streamPatience)
+    , m_retryShare(m_options.retrySlack, m_options.retryWindow)
 {
 }
 
@@ -65,6 +66,7 @@
         m_start.started(event.now);
     }
     m_now = event.now;
+    updateRetryShare(context);
     std::visit([&](const auto& body) { on(body, context); }, event.body);
 }
 
@@ -101,8 +103,8 @@
 {
     m_start.instancesCounted(counted.instances, context.now);
     m_placer.setInstances(std::max(1U, counted.instances));
-    for (auto& [service, budget] : m_budgets)
-        budget.setBurst(retryBurst());
+    m_retryShare.instancesCounted(counted.instances, counted.isListed, context.now);
+    updateRetryShare(context);
 }
 
 void RelayReducer::on(const event::LoadsReported& reported, Context& context)
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -14,6 +14,7 @@
 #include "relay/RelayEvent.h"
 #include "relay/RelayOptions.h"
 #include "relay/RequestQuarantine.h"
+#include "relay/RetryShare.h"
 #include "relay/ServerContacts.h"
 #include "relay/ServerFleet.h"
 #include "relay/ServerPath.h"
@@ -297,8 +298,8 @@
     void remove(RequestId);
     Call* findByAttempt(AttemptId);
     ServiceQueue& queueOf(const Call& call) { return m_services[call.service]; }
-    double retryBurst() const;
-    double retryBurstShare() const;
+    void updateRetryShare(Context&);
+    Duration processAge(TimePoint now) const;
     RetryBudget& budgetOf(const ServiceId&);
     void logRetryBudgets(Context&);
     bool isKnownFull(const Call&, const Chain&, TimePoint now) const;
@@ -317,6 +318,7 @@
     absl::flat_hash_map<AttemptId, RequestId> m_attempts; ///< the call of each running attempt
     std::set<RequestId> m_interrupted; ///< calls with a partial answer that wait for a server to resume at
     std::map<ServiceId, ServiceQueue> m_services;
+    RetryShare m_retryShare;
     std::map<ServiceId, RetryBudget> m_budgets;
     /// The last log line about a service's retry budget.
     struct LoggedBudget {
--- a/src/relay/RelayReducerRetries.cpp
+++ b/src/relay/RelayReducerRetries.cpp
@@ -2,8 +2,6 @@
 
 #include "relay/RelayReducer.h"
 
-#include <algorithm>
-
 namespace crocusmount::relay {
 
 namespace {
@@ -13,22 +11,25 @@
 
 } // namespace
 
-/// @return this instance's share of the retries that all instances may make beyond the retry ratio
-double RelayReducer::retryBurst() const { return std::max(1.0, m_options.retrySlack / m_placer.instances()); }
-
-/// @return the share of the retry burst, from 0 to 1, that is granted at the present age of the process
-double RelayReducer::retryBurstShare() const
+/// Applies a change of this instance's share of the retries to the budgets of all services.
+void RelayReducer::updateRetryShare(Context& context)
 {
-    if (m_options.retryBurstRampUp.count() <= 0)
-        return 1;
-    const double age = std::chrono::duration<double>(m_now - m_startedAt.value_or(m_now)).count();
-    return std::min(1.0, age / std::chrono::duration<double>(m_options.retryBurstRampUp).count());
+    if (!m_retryShare.advance(context.now))
+        return;
+    for (auto& [service, budget] : m_budgets)
+        budget.setShare(m_retryShare.capacity(), m_retryShare.isGranted());
+    context.effects.emplace_back(effect::LogRetryShare {
+        m_retryShare.capacity(), m_retryShare.isGranted(), m_retryShare.instances(), processAge(context.now) });
 }
 
+/// @return time since the first event
+Duration RelayReducer::processAge(TimePoint now) const { return now - m_startedAt.value_or(now); }
+
 /// @return the retry budget of a service, which is created on first use
 RetryBudget& RelayReducer::budgetOf(const ServiceId& service)
 {
-    return m_budgets.try_emplace(service, m_options.retryRatio, retryBurst(), retryBurstShare()).first->second;
+    return m_budgets.try_emplace(service, m_options.retryRatio, m_retryShare.capacity(), m_retryShare.isGranted())
+        .first->second;
 }
 
 /// Logs how much of the retry budget of each service was spent since the last line about it.
@@ -39,8 +40,7 @@
         if (budget.spent() == logged.spent || context.now < logged.at + BudgetLogInterval)
             continue;
         context.effects.emplace_back(effect::LogRetryBudget { service.value(), budget.spent() - logged.spent,
-            budget.spent(), budget.tokens(), budget.capacity(), m_placer.instances(),
-            context.now - m_startedAt.value_or(context.now) });
+            budget.spent(), budget.tokens(), budget.capacity(), m_retryShare.instances(), processAge(context.now) });
         logged = { context.now, budget.spent() };
     }
 }
--- a/src/relay/RelayReducerStart.cpp
+++ b/src/relay/RelayReducerStart.cpp
@@ -50,6 +50,7 @@
 {
     m_isStoreCopyOutdated = checked.isOutdated;
     m_start.storeCopyChecked(checked.isOutdated, context.now);
+    m_retryShare.storeCopyChecked(checked.isOutdated);
 }
 
 // ---- Before the first configuration --------------------------------------------------------------------------------
--- a/src/relay/RelayReducerTime.cpp
+++ b/src/relay/RelayReducerTime.cpp
@@ -23,8 +23,6 @@
 
 void RelayReducer::on(const event::Tick&, Context& context)
 {
-    for (auto& [service, budget] : m_budgets)
-        budget.raiseBurstShare(retryBurstShare());
     logRetryBudgets(context);
     m_checkBudget.refill(m_fleet.servers().size(), m_placer.instances(), context.now);
     updatePath(context);
--- a/tests/RetryFleet.cpp
+++ b/tests/RetryFleet.cpp
@@ -137,7 +137,7 @@
     std::uint32_t count = 1;
     for (std::size_t i = 0; i < m_instances.size(); ++i)
         count += i != instance && m_instances[i].isListed ? 1 : 0;
-    post(instance, event::InstancesCounted { count });
+    post(instance, event::InstancesCounted { count, reader.isListed });
 }
 
 void RetryFleet::kill(std::size_t count, Duration downtime)
--- a/tests/ServerStartTest.cpp
+++ b/tests/ServerStartTest.cpp
@@ -378,19 +378,16 @@
         int maxRetries;
     } cases[] = { { "no restart", 0, 13 }, { "one start", 1, 13 }, { "five starts", 5, 13 } };
     for (const auto& each : cases) {
-        constexpr double WindowSeconds = 10;
         constexpr double Share = 12;
         constexpr int Steps = 100;
         int retries = 0;
-        int lastStart = 0;
-        RetryBudget budget(0, Share, each.startsInWindow ? 0 : 1);
+        // The process that runs at the beginning of the window has its whole share.
+        RetryBudget budget(0, Share);
         for (int step = 0; step < Steps; ++step) {
-            const bool restarts = each.startsInWindow && step % (Steps / each.startsInWindow) == 0;
-            if (restarts) {
-                budget = RetryBudget(0, Share, 0);
-                lastStart = step;
-            }
-            budget.raiseBurstShare(std::min(1.0, (step - lastStart) * WindowSeconds / Steps / WindowSeconds));
+            const bool restarts = each.startsInWindow && step && step % (Steps / (each.startsInWindow + 1)) == 0;
+            if (restarts)
+                budget = RetryBudget(0, Share, false);
+            budget.setShare(Share, !each.startsInWindow);
             while (budget.spend())
                 ++retries;
         }
@@ -399,19 +396,22 @@
     }
 }
 
-TEST(ServerStart, TheRetryBudgetOfANewInstanceGrowsAfterItsStart)
+TEST(ServerStart, ANewInstanceIsGrantedItsRetriesWhenThoseOfItsPredecessorHaveLeftTheWindow)
 {
     RelayOptions options;
-    options.retryBurstRampUp = std::chrono::seconds(10);
+    options.retryWindow = std::chrono::seconds(10);
     options.retryRatio = 0;
     options.retrySlack = 8;
     const struct {
         int uptimeSeconds;
+        bool isListed;
         bool isRetried;
-    } cases[] = { { 0, false }, { 10, true } };
+    } cases[] = { { 0, true, false }, { 5, true, false }, { 10, true, false }, { 13, true, true }, { 13, false, false } };
     for (const auto& each : cases) {
         RelayHarness harness(options);
-        harness.tick(std::chrono::seconds(each.uptimeSeconds));
+        harness.send(relay::event::InstancesCounted { 4, each.isListed });
+        for (int second = 0; second < each.uptimeSeconds; ++second)
+            harness.tick(std::chrono::seconds(1));
         const auto start = harness.running("/draft/1");
         harness.send(relay::event::AttemptEnded { start.attempt, AttemptResult::NotRun, 503, "" });
         CHECK_EQUAL(each.isRetried, harness.last<relay::effect::StartAttempt>().has_value());
