Reject entries of servers and instances that nothing can be sent to

Other operators report that one odd entry among the servers' made readers end or stop following the rest. Here, deep nesting, numbers too large for their fields and ports above 65535 were already rejected one by one, at the start, in a watch and in a peer's copy (tests/OddEntryTest.cpp, table of kinds by ways). The reader of StoreEntryTest moves into a header of its own, as both tests use it.

--- a/src/edge/InstanceRegistry.cpp
+++ b/src/edge/InstanceRegistry.cpp
@@ -33,8 +33,8 @@
         const boost::json::object value = parseObject(text);
         InstanceRegistry::Entry entry { id, textOf(value, "address"), textOf(value, "data_centre"),
             textOf(value, "peer_address") };
-        const bool hasPeerAddress = entry.peerAddress.empty() || parseEndpoint<Udp>(entry.peerAddress).ok();
-        if (id.empty() || entry.dataCentre.empty() || !hasPeerAddress || !parseEndpoint<Tcp>(entry.address).ok())
+        const bool hasPeerAddress = entry.peerAddress.empty() || isReachableEndpoint<Udp>(entry.peerAddress);
+        if (id.empty() || entry.dataCentre.empty() || !hasPeerAddress || !isReachableEndpoint<Tcp>(entry.address))
             return absl::InvalidArgumentError(
                 "instance " + id.substr(0, MaxLoggedIdLength) + ": the entry lacks a field or has an invalid address");
         return entry;
--- a/src/shell/Endpoint.h
+++ b/src/shell/Endpoint.h
@@ -29,4 +29,12 @@
     return net::ip::basic_endpoint<Protocol>(address, static_cast<unsigned short>(port));
 }
 
+/// @return whether a text is an endpoint to which something can be sent: port 0 only lets the system choose one
+template <typename Protocol>
+bool isReachableEndpoint(const std::string& text)
+{
+    const auto endpoint = parseEndpoint<Protocol>(text);
+    return endpoint.ok() && endpoint->port();
+}
+
 } // namespace crocusmount
--- /dev/null
+++ b/tests/OddEntryTest.cpp
@@ -0,0 +1,173 @@
+#include "edge/PeerDatagram.h"
+#include "edge/StoreCopySource.h"
+#include "platform/WireCodec.h"
+#include "tests/StoreReader.h"
+#include "tests/Tests.h"
+
+using namespace crocusmount;
+using namespace crocusmount::relay;
+
+// Another writer leaves one odd entry among those of the servers or instances. Readers ended, or no longer followed the
+// list.
+TEST_GROUP(OddEntry) {};
+
+namespace {
+
+enum class Way { AtStart, Watched, InPeerCopy };
+constexpr Way Ways[] = { Way::AtStart, Way::Watched, Way::InPeerCopy };
+
+std::string nested(std::size_t depth)
+{
+    std::string text;
+    for (std::size_t i = 0; i < depth; ++i)
+        text += R"({"layers":)";
+    return text + "0" + std::string(depth, '}');
+}
+
+struct OddEntry {
+    std::string key;
+    std::string value;
+};
+
+std::string instanceEntry(const std::string& address, const std::string& peerAddress)
+{
+    return R"({"address":")" + address + R"(","data_centre":"z","peer_address":")" + peerAddress + R"("})";
+}
+
+std::string withRaw(const char* field, const std::string& number)
+{
+    std::string text = validEntryWith(field, "\"RAW\"");
+    return text.replace(text.find("\"RAW\""), 5, number);
+}
+
+std::vector<OddEntry> oddServerEntries()
+{
+    std::vector<OddEntry> entries { { "servers/0", nested(5000) }, { "servers/0", std::string(100000, '[') },
+        { "servers/0", withRaw("layers", nested(60)) }, { "servers/0\r\nX-Another: 1", ValidEntry },
+        { "servers/", ValidEntry } };
+    for (const char* number : { "18446744073709551616", "1e999", "-1e999", "9223372036854775808" }) {
+        for (const char* field : { "slots", "seq", "born" })
+            entries.push_back({ "servers/0", withRaw(field, number) });
+        entries.push_back({ "servers/0", withRaw("layers", R"({"from":0,"target":)" + std::string(number) + "}") });
+    }
+    for (const char* address : { R"("1.2.3.4:65536")", R"("1.2.3.4:99999999999999999999")", R"("1.2.3.4:-1")",
+             R"("1.2.3.4:0")", R"("1.2.3.4:+80")" })
+        entries.push_back({ "servers/0", validEntryWith("address", address) });
+    return entries;
+}
+
+std::vector<OddEntry> oddInstanceEntries()
+{
+    std::vector<OddEntry> entries { { "crocusmount/instances/0", nested(5000) },
+        { "crocusmount/instances/0", std::string(100000, '[') } };
+    for (const char* address : { "1.2.3.4:65536", "1.2.3.4:99999999999999999999", "1.2.3.4:-1", "1.2.3.4:0" }) {
+        entries.push_back({ "crocusmount/instances/0", instanceEntry(address, "") });
+        entries.push_back({ "crocusmount/instances/0", instanceEntry("1.2.3.4:80", address) });
+    }
+    return entries;
+}
+
+/// A store that lists entries, and returns further ones to the first watch.
+class ListingStore final : public StoreClient {
+public:
+    StoreRange listed { 10, {} };
+    StoreWatchBatch watched { 10, {} };
+    bool isReachable = true;
+
+private:
+    Awaitable<absl::StatusOr<StoreRange>> onRange(std::string, std::string) override
+    {
+        if (!isReachable)
+            co_return absl::UnavailableError("no store");
+        co_return listed;
+    }
+    Awaitable<StoreWriteResult> onWrite(StoreWrite) override { co_return StoreWriteResult(); }
+    Awaitable<absl::Status> onWatch(std::string, std::string, std::int64_t, OnWatch onWatch) override
+    {
+        if (!std::exchange(m_wasWatched, true))
+            onWatch(watched);
+        co_return absl::UnavailableError("the watch was cut");
+    }
+
+    bool m_wasWatched = false;
+};
+
+/// Gives a copy as another instance does, encoded and decoded.
+class EncodedCopySource final : public StoreCopySource {
+public:
+    StoreRange range;
+
+private:
+    Awaitable<absl::StatusOr<std::optional<StoreMirror::Copy>>> onCopyNewerThan(std::int64_t) override
+    {
+        StoreMirror::Changes changes { 0, { range.revision, {} } };
+        for (const StoreEntry& entry : range.entries)
+            changes.batch.events.push_back({ entry, false });
+        const auto decoded = decodePeerDatagram(encode(PeerDatagram { std::nullopt, StoreMirror::Progress(), changes }));
+        if (!decoded.ok())
+            co_return decoded.status();
+        StoreMirror::Copy copy { StoreMirror::Progress(), { range.revision, {} } };
+        for (const StoreEvent& event : decoded->storeChanges->batch.events)
+            copy.range.entries.push_back(event.entry);
+        co_return std::optional(std::move(copy));
+    }
+};
+
+/// Lets a reader receive an odd entry, between two others of servers and instances.
+/// @return the reader, once it has received the others or after a second and a half
+std::unique_ptr<StoreReader> readOddEntry(const OddEntry& odd, Way way)
+{
+    const StoreEntry others[] = { { "crocusmount/instances/1", instanceEntry("2.2.2.2:2", "2.2.2.2:3"), 2 },
+        { "servers/a", ValidEntry, 3 }, { "servers/b", validEntryWith("address", R"("1.2.3.5:5")"), 9 } };
+    ListingStore store;
+    EncodedCopySource copies;
+    auto reader = std::make_unique<StoreReader>();
+    StoreMirror mirror(reader->context, store, [&](const StoreEvent& event) { reader->follower.storeChanged(event); });
+    mirror.setCopySource(copies);
+    store.isReachable = way != Way::InPeerCopy;
+    StoreRange& listed = way == Way::InPeerCopy ? copies.range : store.listed;
+    listed.revision = 10;
+    listed.entries = { others[0], others[1] };
+    if (way == Way::Watched) {
+        store.watched = { 13, { { { odd.key, odd.value, 12 }, false }, { others[2], false } } };
+        store.watched.events[1].entry.modRevision = 13;
+    } else {
+        listed.entries.push_back({ odd.key, odd.value, 8 });
+        listed.entries.push_back(others[2]);
+    }
+    mirror.start();
+    const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(1500);
+    while (reader->servers().find('b') == std::string::npos && std::chrono::steady_clock::now() < end)
+        reader->context.run_for(std::chrono::milliseconds(5));
+    reader->context.stop();
+    return reader;
+}
+
+} // namespace
+
+TEST(OddEntry, OfAServerDoesNotKeepReadersFromTheOthers)
+{
+    for (const Way way : Ways) {
+        for (const OddEntry& odd : oddServerEntries()) {
+            const std::string name
+                = std::to_string(static_cast<int>(way)) + " " + odd.key + " " + odd.value.substr(0, 200);
+            const auto reader = readOddEntry(odd, way);
+            CHECK_EQUAL_TEXT(std::string("a b "), reader->servers(), name.c_str());
+            CHECK_EQUAL_TEXT(1U, reader->follower.unreadable(), name.c_str());
+            CHECK_EQUAL_TEXT(2U, reader->registry.count(), name.c_str());
+        }
+    }
+}
+
+TEST(OddEntry, OfAnInstanceDoesNotKeepReadersFromTheOthers)
+{
+    for (const Way way : Ways) {
+        for (const OddEntry& odd : oddInstanceEntries()) {
+            const std::string name = std::to_string(static_cast<int>(way)) + " " + odd.value.substr(0, 200);
+            const auto reader = readOddEntry(odd, way);
+            CHECK_EQUAL_TEXT(std::string("a b "), reader->servers(), name.c_str());
+            CHECK_EQUAL_TEXT(1U, reader->registry.unreadable(), name.c_str());
+            CHECK_EQUAL_TEXT(2U, reader->registry.count(), name.c_str());
+        }
+    }
+}
--- a/tests/StoreEntryTest.cpp
+++ b/tests/StoreEntryTest.cpp
@@ -1,16 +1,9 @@
-#include "edge/InstanceRegistry.h"
 #include "edge/OperatorEndpoints.h"
-#include "edge/PlannerLock.h"
-#include "edge/QuarantineStore.h"
-#include "edge/RelayNode.h"
-#include "platform/PlatformFollower.h"
 #include "platform/WireCodec.h"
-#include "platform/WireNames.h"
 #include "relay/RouteTable.h"
 #include "shell/HttpClient.h"
-#include "tests/RelayHarness.h"
+#include "tests/StoreReader.h"
 #include "tests/Tests.h"
-#include "tests/fakes/RefusingEngineControl.h"
 
 #include <boost/json.hpp>
 
@@ -23,17 +16,6 @@
 
 namespace {
 
-const char* const ValidEntry = R"({"backend":"model","address":"1.2.3.4:5","zone":"z","version":"v1","slots":192,
-    "state":"draining","cold_remaining_ms":0,"seq":3,"born":1768184554039,"route_type":"card",
-    "layers":{"from":2,"target":7,"version":1}})";
-
-std::string validEntryWith(const char* field, const char* json)
-{
-    boost::json::object object = boost::json::parse(ValidEntry).as_object();
-    object[field] = boost::json::parse(json);
-    return boost::json::serialize(object);
-}
-
 std::string validEntryWithout(const char* field)
 {
     boost::json::object object = boost::json::parse(ValidEntry).as_object();
@@ -46,57 +28,6 @@
     return { { "servers/" + id, value, revision }, false };
 }
 
-/// A store that confirms all writes and lease calls and records the writes, but answers no reads or watches.
-class RecordingStore final : public StoreClient, public LeaseClient {
-public:
-    std::vector<StoreWrite> writes;
-
-private:
-    Awaitable<absl::StatusOr<StoreRange>> onRange(std::string, std::string) override { co_return unavailable(); }
-    Awaitable<StoreWriteResult> onWrite(StoreWrite write) override
-    {
-        writes.push_back(std::move(write));
-        co_return StoreWriteResult { WriteOutcome::Committed, 9 };
-    }
-    Awaitable<absl::Status> onWatch(std::string, std::string, std::int64_t, OnWatch) override
-    {
-        co_return unavailable();
-    }
-    Awaitable<absl::StatusOr<Lease>> onGrant(std::chrono::milliseconds) override
-    {
-        co_return Lease { 7, std::chrono::seconds(2) };
-    }
-    Awaitable<absl::Status> onKeep(std::int64_t) override { co_return absl::OkStatus(); }
-    Awaitable<absl::Status> onEnd(std::int64_t) override { co_return absl::OkStatus(); }
-
-    static absl::Status unavailable() { return absl::UnavailableError("no store"); }
-};
-
-/// The parts of an instance that apply changes of the store, with the configuration of RelayHarness in force.
-struct TestInstance {
-    net::io_context context { BOOST_ASIO_CONCURRENCY_HINT_UNSAFE };
-    RefusingEngineControl control;
-    RelayNode node { context, {}, platform::headerNames(), control };
-    RecordingStore store;
-    InstanceRegistry registry { context, store, store, { "self", "1.1.1.1:1", "z", "" } };
-    PlannerLock lock { context, store, store, registry };
-    QuarantineStore quarantine { context, store, node, registry };
-    platform::PlatformFollower follower { node, registry, lock, quarantine };
-
-    TestInstance()
-    {
-        node.post(relay::event::ConfigurationAccepted { RouteTable::make(RelayHarness::configuration()) });
-    }
-
-    std::string servers() const
-    {
-        std::string ids;
-        for (const auto& [id, server] : node.reducer().fleet().servers())
-            ids += id.value() + " ";
-        return ids;
-    }
-};
-
 } // namespace
 
 TEST(StoreEntry, ValidServerEntryIsDecoded)
@@ -145,7 +76,7 @@
     std::string beyondModel = validEntryWith("layers", R"({"from":2,"target":9})"); // The model has only eight layers.
     for (const std::string& invalidEntry : { validEntryWithout("seq"), validEntryWith("state", R"("x")"),
              validEntryWith("backend", R"("x")"), beyondModel }) {
-        TestInstance reader;
+        StoreReader reader;
         reader.follower.storeChanged(serverEvent("a", ValidEntry, 1));
         reader.follower.storeChanged(serverEvent("b", validEntryWith("address", R"("1.2.3.5:5")"), 2));
         CHECK_TEXT("a b ", reader.servers());
@@ -161,7 +92,7 @@
 
 TEST(StoreEntry, ServerIsUsedOnceConfigurationContainsItsService)
 {
-    TestInstance reader;
+    StoreReader reader;
     reader.follower.storeChanged(serverEvent("a", validEntryWith("backend", R"("later")"), 1));
     CHECK_TEXT("", reader.servers());
     ServiceConfiguration next = RelayHarness::configuration(2);
@@ -176,7 +107,7 @@
     for (const char* invalidEntry :
         { "", "{}", "[]", R"({"address":"","data_centre":"z"})", R"({"address":7,"data_centre":"z"})",
             R"({"address":"2.2.2.2:2"})", R"({"address":"2.2.2.2:2","data_centre":"z","peer_address":"nowhere"})" }) {
-        TestInstance reader;
+        StoreReader reader;
         reader.follower.storeChanged({ { "crocusmount/instances/b", validEntry, 1 }, false });
         CHECK_EQUAL_TEXT(2U, reader.registry.callerAddresses().size(), invalidEntry);
         reader.follower.storeChanged({ { "crocusmount/instances/b", invalidEntry, 2 }, false });
@@ -187,7 +118,7 @@
 
 TEST(StoreEntry, InvalidConfigurationLeavesCurrentOneInForce)
 {
-    TestInstance reader;
+    StoreReader reader;
     reader.follower.storeChanged({ { "op/config", "{\"version\":\"x\"}", 1 }, false });
     CHECK_EQUAL(1U, reader.node.reducer().routes()->configuration().version);
     CHECK_EQUAL(1U, reader.follower.unreadable());
@@ -208,7 +139,7 @@
         { "all others are silent", 5, 5, 6 },
     };
     for (const auto& each : cases) {
-        TestInstance reader;
+        StoreReader reader;
         std::set<std::uint64_t> silent;
         for (int i = 0; i < each.listedCount; ++i) {
             const std::string id = std::to_string(i);
@@ -226,7 +157,7 @@
 // store until its lease expires.
 TEST(StoreEntry, CallersAreNotSentToLeavingInstance)
 {
-    TestInstance reader;
+    StoreReader reader;
     const char* const entry = R"({"address":"2.2.2.2:2","data_centre":"z","peer_address":""})";
     reader.follower.storeChanged({ { "crocusmount/instances/b", entry, 1 }, false });
     reader.registry.noteLeaving(instanceKey(InstanceId("b")));
@@ -240,7 +171,7 @@
 // Guards against a planner lock without a holder, which stopped all planning permanently.
 TEST(StoreEntry, LockOfUnknownInstanceIsTakenOver)
 {
-    TestInstance reader;
+    StoreReader reader;
     reader.follower.storeChanged({ { "crocusmount/planner", "no instance", 40 }, false });
     reader.registry.start();
     reader.lock.start();
@@ -274,14 +205,14 @@
     const WorkspaceId workspace("a workspace");
     for (const RequestTrait& trait :
         { RequestTrait { workspace, content }, RequestTrait { workspace, PromptPartId("5c1e07a2") } }) {
-        TestInstance finder;
+        StoreReader finder;
         QuarantineSink& sink = finder.quarantine;
         sink.quarantine({ trait, 3, 6, true });
         finder.context.run_for(std::chrono::milliseconds(20));
         CHECK_EQUAL(1U, finder.store.writes.size());
         CHECK_EQUAL(0, finder.store.writes[0].expectedModRevision);
 
-        TestInstance other;
+        StoreReader other;
         const StoreEvent listedEvent = eventOf(finder.store.writes[0], 9);
         other.follower.storeChanged(listedEvent);
         CHECK_TRUE(other.node.reducer().quarantine().isQuarantined(trait, other.node.now()));
@@ -298,7 +229,7 @@
 
 TEST(StoreEntry, InvalidQuarantineEntriesAreIgnored)
 {
-    TestInstance finder;
+    StoreReader finder;
     const RequestTrait request { WorkspaceId("w"), ContentDigest {} };
     QuarantineSink& sink = finder.quarantine;
     sink.quarantine({ request, 3, 6, true });
@@ -307,7 +238,7 @@
     const std::string values[] = { "", "[]", "{}", "\xff\xfe", validEvent.entry.value.substr(1),
         R"({"workspace":"w","content":"00"})", R"({"workspace":"w","content":7,"since_ms":"x"})",
         R"({"workspace":"v","content":"00000000000000000000000000000000","since_ms":1,"servers":3})" };
-    TestInstance reader;
+    StoreReader reader;
     for (const std::string& value : values)
         reader.follower.storeChanged({ { validEvent.entry.key, value, 9 }, false });
     CHECK_TRUE(reader.quarantine.entries().empty());
@@ -331,12 +262,12 @@
 
 TEST(StoreEntry, OperatorsListAndLiftQuarantines)
 {
-    TestInstance finder;
+    StoreReader finder;
     QuarantineSink& sink = finder.quarantine;
     const RequestTrait request { WorkspaceId("w"), ContentDigest {} };
     sink.quarantine({ request, 3, 6, true });
     finder.context.run_for(std::chrono::milliseconds(20));
-    TestInstance reader;
+    StoreReader reader;
     reader.follower.storeChanged(eventOf(finder.store.writes.at(0), 9));
     NotFoundHandler notFound;
     OperatorEndpoints operators(reader.quarantine, notFound);
