Reject quarantine entries whose time is not in the past

An entry with a since_ms of 2^63 - 1 overflowed when its age was computed, and one with a later date than now kept a request from all servers beyond the lifetime of a verdict; one with a number too large to be read counted as begun in 1970. Test: OddEntry.OfAQuarantineDoesNotOutliveItsLifetime, which failed for all four values.

--- a/src/edge/QuarantineStore.cpp
+++ b/src/edge/QuarantineStore.cpp
@@ -73,6 +73,9 @@
         else
             entry.trait.value = PromptPartId(part);
         entry.sinceMs = numberOf(value, "since_ms");
+        // Clocks differ, but not by as much as an entry lives.
+        if (entry.sinceMs <= 0 || entry.sinceMs > unixMs() + std::chrono::milliseconds(EntryLifetime).count())
+            return absl::InvalidArgumentError("since_ms is not a time in the past");
         entry.servers = static_cast<std::uint32_t>(countOf(value, "servers"));
         entry.revision = stored.modRevision;
         if (QuarantineStore::idOf(entry.trait) != id)
--- a/tests/OddEntryTest.cpp
+++ b/tests/OddEntryTest.cpp
@@ -171,3 +171,18 @@
         }
     }
 }
+
+// A verdict that begins in the far future would keep a request from all servers for ever.
+TEST(OddEntry, OfAQuarantineDoesNotOutliveItsLifetime)
+{
+    const RequestTrait request { WorkspaceId("w"), ContentDigest {} };
+    const std::string id = QuarantineStore::idOf(request);
+    for (const char* since : { "9223372036854775807", "-9223372036854775808", "1e999", "18446744073709551615" }) {
+        StoreReader reader;
+        const std::string value = R"({"workspace":"w","content":"00000000000000000000000000000000","servers":3,"since_ms":)"
+            + std::string(since) + "}";
+        reader.follower.storeChanged({ { "crocusmount/quarantine/" + id, value, 9 }, false });
+        CHECK_EQUAL_TEXT(1U, reader.quarantine.unreadable(), since);
+        CHECK_FALSE_TEXT(reader.node.reducer().quarantine().isQuarantined(request, reader.node.now()), since);
+    }
+}
