Tell a server of the time that is left when its request is sent

Servers were told of the time that was left when an attempt was decided on. The connection may take 400 ms after that and the process may stand still, so a server went on for that much longer than its caller waited; half a second is what the platform tolerates for requests that are sent once more. The deadline is a point in time now, and the header is computed from it when the connection is open. RelayLoopback.AServerIsToldOfTheTimeLeftWhenItsRequestIsSent failed with the time of the decision (2,000 ms told, 1,700 left).

--- a/src/edge/UpstreamAttempt.cpp
+++ b/src/edge/UpstreamAttempt.cpp
@@ -89,6 +89,8 @@
     , m_postEvent(std::move(postEvent))
     , m_stream(context.get_executor())
     , m_readAhead(MaxReadAheadBytes)
+    , m_callDeadline(std::chrono::steady_clock::now() + m_order.remaining)
+    , m_deadline(m_callDeadline + DeadlineSlack)
     , m_lastEventId(m_order.resumeAfter.value_or(0))
     , m_releaseSignal(context.get_executor())
 {
@@ -133,7 +135,7 @@
 }
 
 CallerRequest UpstreamAttempt::buildServerRequest(
-    const HeaderNames& names, const effect::StartAttempt& order, const CallerRequest& request)
+    const HeaderNames& names, const effect::StartAttempt& order, const CallerRequest& request, Duration remaining)
 {
     CallerRequest forwarded(request.method(), request.target(), 11);
     const HopByHop hopByHop(request[http::field::connection]);
@@ -149,8 +151,8 @@
         if (!hopByHop.isHopByHop(name) && !isDropped(name))
             forwarded.insert(field.name_string(), field.value());
     }
-    const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(order.remaining).count();
-    forwarded.set(names.deadlineMs, std::to_string(std::max<std::int64_t>(1, remaining)));
+    const auto remainingMs = std::chrono::duration_cast<std::chrono::milliseconds>(remaining).count();
+    forwarded.set(names.deadlineMs, std::to_string(std::max<std::int64_t>(1, remainingMs)));
     forwarded.set(names.expectedServer, order.server.value());
     if (!order.workspace.empty())
         forwarded.set(names.workspace, order.workspace);
@@ -184,7 +186,6 @@
         co_return false;
     boost::system::error_code ignored;
     m_stream.socket().set_option(Tcp::no_delay(true), ignored);
-    m_deadline = std::chrono::steady_clock::now() + m_order.remaining + DeadlineSlack;
     m_stream.expires_at(m_deadline);
     co_return true;
 }
@@ -193,7 +194,8 @@
 {
     if (!co_await connect())
         co_return makeEnded(AttemptResult::ConnectFailed);
-    const CallerRequest forwarded = buildServerRequest(m_headerNames, m_order, *m_request);
+    const auto remaining = std::chrono::duration_cast<Duration>(m_callDeadline - std::chrono::steady_clock::now());
+    const CallerRequest forwarded = buildServerRequest(m_headerNames, m_order, *m_request, remaining);
     m_postEvent(event::AttemptSent { m_order.attempt });
     const auto [error, count] = co_await http::async_write(m_stream, forwarded, asTuple);
     (void)error; // A server may answer and close before it has read the whole request. Its answer is read below.
--- a/src/edge/UpstreamAttempt.h
+++ b/src/edge/UpstreamAttempt.h
@@ -42,9 +42,10 @@
 
     /// Builds the request for the server: the caller's request without hop-by-hop headers, credentials and headers that
     /// only instances may set, and with the headers of this attempt.
-    /// @param request  as the caller sent it
+    /// @param request    as the caller sent it
+    /// @param remaining  until the call's deadline
     static CallerRequest buildServerRequest(
-        const HeaderNames&, const effect::StartAttempt&, const CallerRequest& request);
+        const HeaderNames&, const effect::StartAttempt&, const CallerRequest& request, Duration remaining);
 
 private:
     using Parser = http::response_parser<http::buffer_body>;
@@ -93,6 +94,7 @@
     /// Limits what the parser leaves unread, such as the extension of a chunk before its end has arrived.
     static constexpr std::size_t MaxReadAheadBytes = 128U << 10U;
     beast::flat_buffer m_readAhead; ///< bytes received and not yet parsed
+    std::chrono::steady_clock::time_point m_callDeadline;
     std::chrono::steady_clock::time_point m_deadline; ///< no bytes are read later
     boost::system::error_code m_readError; ///< of the latest read of a body
     std::array<char, 8192> m_bodyChunk {}; ///< filled by each read of a body
--- a/tests/EdgeTest.cpp
+++ b/tests/EdgeTest.cpp
@@ -67,12 +67,12 @@
     relay::effect::StartAttempt order;
     order.server = BackendId("e1");
     order.workspace = "w";
-    order.remaining = milliseconds(1500);
     order.resumeAfter = 7;
     order.chain = *Chain::make(2,
         { { BackendId("e1"), "1.1.1.1:1", { 0, 1 }, Generation() },
             { BackendId("e2"), "2.2.2.2:2", { 1, 2 }, Generation() } });
-    const CallerRequest out = UpstreamAttempt::buildServerRequest(platform::headerNames(), order, request);
+    const CallerRequest out = UpstreamAttempt::buildServerRequest(
+        platform::headerNames(), order, request, milliseconds(1500));
     const struct {
         const char* name;
         const char* value; ///< empty: absent
--- a/tests/RelayLoopbackTest.cpp
+++ b/tests/RelayLoopbackTest.cpp
@@ -3,11 +3,13 @@
 #include "edge/UnknownHeaders.h"
 #include "edge/UpstreamAttempt.h"
 #include "platform/WireNames.h"
+#include "shell/Endpoint.h"
 #include "tests/Tests.h"
 #include "tests/fakes/ScriptedServer.h"
 
 #include <cstring>
 #include <optional>
+#include <thread>
 
 using namespace crocusmount;
 using namespace crocusmount::relay;
@@ -336,3 +338,44 @@
     CHECK_EQUAL(2U, delivered.size());
     CHECK_EQUAL(2U, delivered.back());
 }
+
+// A server was told of the time that was left when the attempt was decided on, although its process stood still or the
+// connection took long afterwards.
+TEST(RelayLoopback, AServerIsToldOfTheTimeLeftWhenItsRequestIsSent)
+{
+    for (const int standstillMs : { 0, 300 }) {
+        net::io_context context(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE);
+        net::basic_socket_acceptor<Tcp, Executor> acceptor(
+            context.get_executor(), *parseEndpoint<Tcp>("127.0.0.1:0"));
+        relay::effect::StartAttempt order;
+        order.attempt = AttemptId(1);
+        order.address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+        order.remaining = std::chrono::seconds(2);
+        auto request = std::make_shared<CallerRequest>(http::verb::post, "/look/1", 11);
+        const HeaderNames names = platform::headerNames();
+        UnknownHeaders unknown(names);
+        const auto attempt = std::make_shared<UpstreamAttempt>(context, names, unknown, order, request,
+            std::make_shared<AnswerPipe>(context), [](const RelayEventBody&) {});
+        std::this_thread::sleep_for(std::chrono::milliseconds(standstillMs));
+        attempt->start();
+        http::request<http::string_body> received;
+        bool isReceived = false;
+        net::co_spawn(
+            context.get_executor(),
+            [&]() -> Awaitable<void> {
+                TcpStream stream(acceptor.get_executor());
+                co_await acceptor.async_accept(stream.socket(), useAwaitable);
+                beast::flat_buffer buffer;
+                co_await http::async_read(stream, buffer, received, useAwaitable);
+                isReceived = true;
+            },
+            net::detached);
+        while (!isReceived)
+            context.run_one();
+        const int told = std::stoi(std::string(received[names.deadlineMs]));
+        CHECK_TRUE(told <= 2000 - standstillMs);
+        CHECK_TRUE(told > 500);
+        attempt->cancel();
+        context.poll();
+    }
+}
