Give back the retries that are not sent

A retry is paid for when it is decided on. One that found no server in time, or whose caller left while it waited, had used up a token that another call could have used: callers were denied retries needlessly. The token is returned when the call ends without another attempt; nothing of it has arrived anywhere, so the bound on arrivals holds as before (SharedRetryBudget). RelayReducer.ARetryThatIsNotSentDoesNotUseUpTheBudget failed without it.

--- a/src/relay/Call.h
+++ b/src/relay/Call.h
@@ -96,6 +96,7 @@
     std::uint32_t rejections = 0; ///< attempts that could not connect or that the server did not run
     std::optional<Reason> interruptionReason; ///< why a partly delivered answer lost its server; set until it resumes
     TimePoint nextResumeAt; ///< earliest time of the next search for a server to resume at
+    bool holdsRetryToken = false; ///< its next attempt was paid for and has not been started
     bool waitsForRetryBudget = false; ///< the last such search found the service's retry budget empty
     TimePoint lastDeliveredAt; ///< when the caller received the last event
     bool mayHaveRun = false; ///< an ended attempt may have run the call
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -440,6 +440,7 @@
     if (!limit && (isRetryReserved(call.service) || !budgetOf(call.service).spend()))
         limit = RetryLimit::Budget;
     if (!limit) {
+        call.holdsRetryToken = true;
         ++m_counters.retried.at(static_cast<std::size_t>(reason));
         if (awaitsCrashVerdict(call))
             holdCall(call, context);
@@ -542,6 +543,8 @@
         return;
     if (found->second.state == CallState::Waiting)
         queueOf(found->second).waiting().erase(id);
+    if (found->second.holdsRetryToken)
+        budgetOf(found->second.service).refund();
     m_interrupted.erase(id);
     m_heldAtStart.erase(id);
     m_calls.erase(found);
--- a/src/relay/RelayReducerPlacing.cpp
+++ b/src/relay/RelayReducerPlacing.cpp
@@ -108,6 +108,7 @@
     else
         m_fleet.book(attempt.chain, call.tokens);
     ++m_counters.attempts;
+    call.holdsRetryToken = false;
     effect::StartAttempt start;
     start.attempt = attempt.id;
     start.call = call.id;
--- a/tests/RelayReducerTest.cpp
+++ b/tests/RelayReducerTest.cpp
@@ -218,6 +218,31 @@
     CHECK_TRUE(retries <= 20 / 4 + 200 / 10 + 1);
 }
 
+// Retries that found no server in time, or whose caller left, used up the budget of those that could be served.
+TEST(RelayReducer, ARetryThatIsNotSentDoesNotUseUpTheBudget)
+{
+    for (const bool doesCallerLeave : { true, false }) {
+        RelayOptions options;
+        options.retryRatio = 0;
+        options.retrySlack = 1;
+        RelayHarness harness(options);
+        harness.send(relay::event::ServerUnregistered { BackendId("x") });
+        const RequestId first = harness.call("/look/1");
+        const auto start = harness.last<relay::effect::StartAttempt>();
+        harness.send(relay::event::ServerUnregistered { BackendId("y") });
+        harness.send(relay::event::AttemptEnded { start->attempt, AttemptResult::Broken, 0, "" });
+        CHECK_FALSE(harness.last<relay::effect::StartAttempt>().has_value());
+        if (doesCallerLeave)
+            harness.send(relay::event::CallerLeft { first });
+        harness.tick(seconds(1));
+        for (const char* id : { "v", "w" })
+            harness.send(relay::event::ServerRegistered { RelayHarness::plain(id) });
+        const auto second = harness.running("/look/1");
+        harness.send(relay::event::AttemptEnded { second.attempt, AttemptResult::Broken, 0, "" });
+        CHECK_TRUE(harness.last<relay::effect::StartAttempt>().has_value());
+    }
+}
+
 TEST(RelayReducer, WhatIsSpentOfTheRetryBudgetIsLogged)
 {
     RelayHarness harness;
