--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -406,6 +406,31 @@
                 self.report("path", f"{len(cut)} instances cut off served {sum(tries[True])} of {len(tries[True])} first "
                             f"tries, the others {sum(tries[False])} of {len(tries[False])}")
 
+    async def odd_entries(self):
+        """Simulates another writer that leaves odd entries among those of the servers, instances and verdicts.
+
+        It has a generator of its own, like limits().
+        """
+        draws = random.Random(f"odd entries {self.seed}")
+        end = time.monotonic() + self.seconds
+        server = {"backend": "model", "address": f"{self.net}.93.1:8080", "zone": ZONES[0], "version": "v1", "slots": 32,
+                  "state": "ready", "cold_remaining_ms": 0, "seq": 0, "route_type": "card"}
+        odd_ports = [0, -1, 65536, 10 ** 20]
+        values = ["[" * 100000, '{"layers":' * 5000 + "0" + "}" * 5000,
+                  json.dumps(server).replace('"slots": 32', '"slots": 1e999'),
+                  json.dumps(server | {"seq": 2 ** 64, "layers": {"from": 0, "target": 2 ** 63}})]
+        values += [json.dumps(server | {"address": f"{self.net}.93.1:{port}"}) for port in odd_ports]
+        values += [json.dumps({"address": f"{self.net}.93.1:{port}", "data_centre": ZONES[0],
+                               "peer_address": f"{self.net}.93.1:{port}"}) for port in odd_ports]
+        values += [json.dumps({"content": "0" * 32, "workspace": "w0", "servers": 3, "since_ms": 2 ** 63 - 1})]
+        while time.monotonic() < end:
+            prefix = draws.choice(["servers/", "crocusmount/instances/", "crocusmount/quarantine/"])
+            key = prefix + draws.choice(["odd", "odd\r\nX-Another: 1", "0", "~"])
+            self.store.put(key, draws.choice(values))
+            await asyncio.sleep(draws.random())
+            if draws.random() < 0.5:
+                self.store.remove(key)
+
     async def leave_as_announced(self, server, after):
         start = server.start_key
         self.backend_calm = time.monotonic() + 60
@@ -717,7 +742,8 @@
             instance.started_calm = time.monotonic()
         callers = [asyncio.create_task(self.caller()) for _ in range(16)]
         callers += [asyncio.create_task(self.caller(3 if each % 4 == 0 else 1, follows=True)) for each in range(16)]
-        await asyncio.gather(self.faults(), self.limits(), self.notices(), self.path_cuts(), self.crashing_parts())
+        await asyncio.gather(self.faults(), self.limits(), self.notices(), self.path_cuts(), self.crashing_parts(),
+                             self.odd_entries())
         self.faults_over = time.monotonic()
         await asyncio.sleep(6)
         before = self.served()
@@ -728,6 +754,8 @@
         await asyncio.wait(callers, timeout=12)
         watch.cancel()
         for instance in self.instances:
+            if instance.process.returncode is not None:
+                self.report("ended", f"{instance.ip} ended by itself with {instance.process.returncode}")
             instance.send(signal.SIGKILL)
             await instance.process.wait()
         self.judge_runs()
