--- a/src/relay/RetryShare.h
+++ b/src/relay/RetryShare.h
@@ -16,7 +16,8 @@
 ///   the retries that its own calls earn.
 /// - The largest number of instances of the last RetentionWindows windows counts. An instance that the others no longer
 ///   see may still spend its share.
-/// - The share lapses when the store has not confirmed this instance's entry for LapseWindows windows, before the others
+/// - The share lapses when the store has not confirmed this instance's entry for LapseWindows windows, before the
+/// others
 ///   divide it among themselves.
 class RetryShare {
 public:
--- a/tests/EdgeTest.cpp
+++ b/tests/EdgeTest.cpp
@@ -71,8 +71,8 @@
     order.chain = *Chain::make(2,
         { { BackendId("e1"), "1.1.1.1:1", { 0, 1 }, Generation() },
             { BackendId("e2"), "2.2.2.2:2", { 1, 2 }, Generation() } });
-    const CallerRequest out = UpstreamAttempt::buildServerRequest(
-        platform::headerNames(), order, request, milliseconds(1500));
+    const CallerRequest out
+        = UpstreamAttempt::buildServerRequest(platform::headerNames(), order, request, milliseconds(1500));
     const struct {
         const char* name;
         const char* value; ///< empty: absent
--- a/tests/OddEntryTest.cpp
+++ b/tests/OddEntryTest.cpp
@@ -103,7 +103,8 @@
         StoreMirror::Changes changes { 0, { range.revision, {} } };
         for (const StoreEntry& entry : range.entries)
             changes.batch.events.push_back({ entry, false });
-        const auto decoded = decodePeerDatagram(encode(PeerDatagram { std::nullopt, StoreMirror::Progress(), changes }));
+        const auto decoded
+            = decodePeerDatagram(encode(PeerDatagram { std::nullopt, StoreMirror::Progress(), changes }));
         if (!decoded.ok())
             co_return decoded.status();
         StoreMirror::Copy copy { StoreMirror::Progress(), { range.revision, {} } };
@@ -179,7 +180,8 @@
     const std::string id = QuarantineStore::idOf(request);
     for (const char* since : { "9223372036854775807", "-9223372036854775808", "1e999", "18446744073709551615" }) {
         StoreReader reader;
-        const std::string value = R"({"workspace":"w","content":"00000000000000000000000000000000","servers":3,"since_ms":)"
+        const std::string value
+            = R"({"workspace":"w","content":"00000000000000000000000000000000","servers":3,"since_ms":)"
             + std::string(since) + "}";
         reader.follower.storeChanged({ { "crocusmount/quarantine/" + id, value, 9 }, false });
         CHECK_EQUAL_TEXT(1U, reader.quarantine.unreadable(), since);
--- a/tests/RelayLoopbackTest.cpp
+++ b/tests/RelayLoopbackTest.cpp
@@ -345,8 +345,7 @@
 {
     for (const int standstillMs : { 0, 300 }) {
         net::io_context context(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE);
-        net::basic_socket_acceptor<Tcp, Executor> acceptor(
-            context.get_executor(), *parseEndpoint<Tcp>("127.0.0.1:0"));
+        net::basic_socket_acceptor<Tcp, Executor> acceptor(context.get_executor(), *parseEndpoint<Tcp>("127.0.0.1:0"));
         relay::effect::StartAttempt order;
         order.attempt = AttemptId(1);
         order.address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
--- a/tests/RetryFleet.cpp
+++ b/tests/RetryFleet.cpp
@@ -113,8 +113,8 @@
 void RetryFleet::endEntryUnless(std::size_t instance, int start)
 {
     Instance& silent = m_instances[instance];
-    const bool isAllSilent = std::all_of(
-        m_instances.begin(), m_instances.end(), [](const Instance& each) { return each.isStoreSilent; });
+    const bool isAllSilent
+        = std::all_of(m_instances.begin(), m_instances.end(), [](const Instance& each) { return each.isStoreSilent; });
     const bool isAlive = silent.reducer && !silent.isStoreSilent;
     if (silent.starts != start || isAlive || isAllSilent)
         return;
--- a/tests/ServerStartTest.cpp
+++ b/tests/ServerStartTest.cpp
@@ -406,7 +406,8 @@
         int uptimeSeconds;
         bool isListed;
         bool isRetried;
-    } cases[] = { { 0, true, false }, { 5, true, false }, { 10, true, false }, { 13, true, true }, { 13, false, false } };
+    } cases[]
+        = { { 0, true, false }, { 5, true, false }, { 10, true, false }, { 13, true, true }, { 13, false, false } };
     for (const auto& each : cases) {
         RelayHarness harness(options);
         harness.send(relay::event::InstancesCounted { 4, each.isListed });
--- a/tests/StoreReader.h
+++ b/tests/StoreReader.h
@@ -16,8 +16,7 @@
 
 namespace crocusmount::relay {
 
-inline const char* const ValidEntry
-    = R"({"backend":"model","address":"1.2.3.4:5","zone":"z","version":"v1","slots":192,
+inline const char* const ValidEntry = R"({"backend":"model","address":"1.2.3.4:5","zone":"z","version":"v1","slots":192,
     "state":"draining","cold_remaining_ms":0,"seq":3,"born":1768184554039,"route_type":"card",
     "layers":{"from":2,"target":7,"version":1}})";
 
