End a silent attempt only where another one may follow

crocusmountd cancelled a request's only attempt after 400 ms without a token and failed the request, although no further attempt was allowed and the server still ran it. checkStall asks the limits now before it cancels: the route's attempts and the two retry budgets. A retry that the total budget denies no longer takes a token of its workspace either.

--- a/src/requests/RequestTable.cpp
+++ b/src/requests/RequestTable.cpp
@@ -202,8 +202,7 @@
     if (const auto reason = queueRefusalReason(request.spec, pipeline, timeout, retryAfter))
         return refuse(arrival.request, *reason, retryAfter, effects);
     m_retryBudget.addRequest();
-    m_workspaceBudgets.try_emplace(spec.workspace, m_options.retryRatio, m_options.retryBurst)
-        .first->second.addRequest();
+    budgetOf(spec.workspace).addRequest();
     request.arrivedAt = event.now;
     request.deadline = event.now + timeout;
     request.keyHash = keyHash;
@@ -438,14 +437,19 @@
         return fail(request, Reason::NotRepeatable, effects);
     if (request.attempts >= m_options.maxAttempts)
         return fail(request, Reason::RetriesSpent, effects, MinRetryAfter);
-    RetryBudget& workspaceBudget
-        = m_workspaceBudgets.try_emplace(request.spec.workspace, m_options.retryRatio, m_options.retryBurst)
-              .first->second;
-    if (!workspaceBudget.spend() || !m_retryBudget.spend())
+    RetryBudget& workspaceBudget = budgetOf(request.spec.workspace);
+    if (!workspaceBudget.hasToken() || !m_retryBudget.hasToken())
         return fail(request, Reason::RetryBudgetSpent, effects, MinRetryAfter);
+    workspaceBudget.spend();
+    m_retryBudget.spend();
     enqueue(request, true);
 }
 
+RetryBudget& RequestTable::budgetOf(const WorkspaceId& workspace)
+{
+    return m_workspaceBudgets.try_emplace(workspace, m_options.retryRatio, m_options.retryBurst).first->second;
+}
+
 void RequestTable::finish(Request& request, TimePoint now, Effects& effects)
 {
     const auto count = static_cast<std::uint32_t>(request.deliveredTokens.size());
@@ -546,7 +550,10 @@
         = toDuration(m_options.stallFactor * (request.attemptTokens ? stats.tokenGapMicros : stats.firstTokenMicros));
     const Duration limit
         = std::max(request.attemptTokens ? m_options.minStall : m_options.firstTokenStall, typicalStall);
-    if (now - request.lastTokenAt < limit || !request.spec.repeatable)
+    // The backend server may still answer, so an attempt ends only for another one.
+    const bool mayRetry = request.spec.repeatable && request.attempts < m_options.maxAttempts
+        && budgetOf(request.spec.workspace).hasToken() && m_retryBudget.hasToken();
+    if (now - request.lastTokenAt < limit || !mayRetry)
         return;
     effects.push_back(effect::CancelAttempt { request.attempt });
     retryOrFail(request, Reason::Stalled, RunState::MayHaveRun, BackendId(), now, effects);
--- a/src/requests/RequestTable.h
+++ b/src/requests/RequestTable.h
@@ -110,8 +110,10 @@
     void applyClaimDecisions(const std::vector<ClaimDecision>&, Effects&);
     /// Dispatches requests of one queue until one finds no chain with capacity.
     void dispatchQueue(const Pipeline&, Queue&, const Event&, Effects&);
-    /// Retries a repeatable request whose attempt has produced no token for too long.
+    /// Retries a repeatable request whose attempt has produced no token for too long, if it may have another attempt.
     void checkStall(Request&, TimePoint now, Effects&);
+    /// @return the retry budget of a workspace, which is created on first use
+    RetryBudget& budgetOf(const WorkspaceId&);
     /// @return whether the request may have run on a backend server, as reported to the caller
     RunState runStateOf(const Request&) const;
     /// @param ahead  number of requests before a new one
