Take SIGHUP from the start of the process on

The signals are taken before the settings are read, so that a change in between is read, too. The check 'SIGHUP to a process that reads its settings' of tests/process/run failed on (exit 129) and passes.

--- a/programs/crocusmount-entry.cpp
+++ b/programs/crocusmount-entry.cpp
@@ -71,10 +71,11 @@
 /// Owns and connects the components of one entry instance.
 class EntryInstance {
 public:
+    /// @param signals  SIGTERM, SIGINT and SIGHUP; must outlive the instance
     /// @param file     the settings file, which is read again on SIGHUP
     /// @param without  mechanisms that the command line disables
-    EntryInstance(net::io_context& context, const PlatformSettings& settings, std::string file,
-        const relay::DisabledMechanisms& without)
+    EntryInstance(net::io_context& context, net::signal_set& signals, const PlatformSettings& settings,
+        std::string file, const relay::DisabledMechanisms& without)
         : m_context(context)
         , m_settings(settings)
         , m_settingsFile(std::move(file))
@@ -92,7 +93,7 @@
         , m_endpoints(
               { [this] { return ready(); }, [this] { return callerAddresses(); }, [this] { return metrics(); } })
         , m_operators(m_quarantine, m_endpoints)
-        , m_signals(context, SIGTERM, SIGINT, SIGHUP)
+        , m_signals(signals)
     {
     }
 
@@ -251,7 +252,7 @@
     PlacementDriver m_placement;
     platform::PlatformEndpoints m_endpoints;
     OperatorEndpoints m_operators;
-    net::signal_set m_signals;
+    net::signal_set& m_signals;
     std::unique_ptr<relay::FrontServer> m_front;
     std::unique_ptr<PeerLink> m_peerLink;
     std::vector<std::unique_ptr<HttpServer>> m_servers;
@@ -271,6 +272,10 @@
         std::cerr << "crocusmount-entry: unexpected argument; see --help\n";
         return ExitUsage;
     }
+    // Everything except the log runs on this thread, so Asio needs no locks.
+    net::io_context context(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE);
+    // A SIGHUP from now on reads the settings again. Its default action would end the process.
+    net::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
     const auto settings = platform::readPlatformSettings(file);
     if (!settings.ok()) {
         std::cerr << "crocusmount-entry: " << settings.status().message() << "\n";
@@ -287,9 +292,7 @@
     }
     std::signal(SIGPIPE, SIG_IGN);
     relay::DecisionLog::setUp(settings->instanceName, CallLogLinesPerSecond);
-    // Everything except the log runs on this thread, so Asio needs no locks.
-    net::io_context context(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE);
-    EntryInstance instance(context, *settings, file, *without);
+    EntryInstance instance(context, signals, *settings, file, *without);
     if (const absl::Status status = instance.start(); !status.ok()) {
         std::cerr << "crocusmount-entry: " << status.message() << "\n";
         return ExitFailed;
--- a/src/relay/RetryShare.h
+++ b/src/relay/RetryShare.h
@@ -16,9 +16,8 @@
 ///   the retries that its own calls earn.
 /// - The largest number of instances of the last RetentionWindows windows counts. An instance that the others no longer
 ///   see may still spend its share.
-/// - The share lapses when the store has not confirmed this instance's entry for LapseWindows windows, before the
-/// others
-///   divide it among themselves.
+/// - The share lapses when the store has not confirmed this instance's entry for LapseWindows windows. The others
+///   divide it among themselves only later.
 class RetryShare {
 public:
     /// @param slack   retries that all instances may make beyond the ratio within one window
@@ -41,6 +40,7 @@
     /// @return the number of instances by which the total is divided; zero if it is not known
     std::uint32_t instances() const { return m_instances; }
 
+    /// Of these, RetentionWindows must be the larger by one: retries of a share that lapses count for a window more.
     static constexpr int LapseWindows = 2;
     static constexpr int RetentionWindows = 3;
 
