List the latest instance at an address in whatever order entries come

Instances dropped out of each other's lists: an entry of an ended process, which a full read or a late write brought after that of its successor at the same address, replaced it, and when its lease expired nobody was listed there for as long as the successor ran. Callers were not sent to it, and the others divided the retries of all among too few. The registry keeps all entries and lists the one written last at each address; when that ends, the one before it.

--- a/src/edge/InstanceRegistry.cpp
+++ b/src/edge/InstanceRegistry.cpp
@@ -74,14 +74,14 @@
         return;
     }
     if (event.deleted) {
-        m_others.erase(key);
+        removeEntry(key);
         m_leavingInstances.erase(relay::instanceKey(InstanceId(idOf(key))));
     } else {
         auto entry = entryFrom(key, event.entry.value);
         if (!entry.ok()) {
             // Any client of the store can write such an entry. The instance whose entry it replaces is no
             // longer listed.
-            m_others.erase(key);
+            removeEntry(key);
             if (++m_unreadableCount % UnreadableEntriesPerLogLine == 1)
                 relay::DecisionLog::state("instance_unreadable",
                     { { "error", std::string(entry.status().message()) }, { "unreadable", m_unreadableCount } });
@@ -89,15 +89,41 @@
         }
         if (entry->address == m_self.address)
             return; // The entry is from before a restart of this instance.
-        // An instance that restarted replaces its previous entry, whose lease may not have expired yet.
-        std::erase_if(m_others, [&](const auto& other) { return other.second.address == entry->address; });
-        m_others[key] = *std::move(entry);
+        removeEntry(key);
+        m_entries[key] = { *std::move(entry), event.entry.modRevision };
+        listLatest(m_entries[key].entry.address);
     }
     const std::string id = idOf(key);
     event.deleted ? m_changeLog.removed(id, event.entry.modRevision) : m_changeLog.added(id, event.entry.modRevision);
     m_changeLog.write(count(), std::chrono::steady_clock::now());
 }
 
+/// Forgets an entry. An earlier one at its address is listed again, as its process may be the one that runs: a write of
+/// an ended process can be carried out late.
+void InstanceRegistry::removeEntry(const std::string& key)
+{
+    const auto removed = m_entries.extract(key);
+    m_others.erase(key);
+    if (removed)
+        listLatest(removed.mapped().entry.address);
+}
+
+/// Lists the entry that was written last of those at an address. An instance that restarted leaves entries whose leases
+/// have not expired, and a full read returns them in any order.
+void InstanceRegistry::listLatest(const std::string& address)
+{
+    const std::pair<const std::string, StoredEntry>* latest = nullptr;
+    for (const auto& each : m_entries) {
+        if (each.second.entry.address != address)
+            continue;
+        m_others.erase(each.first);
+        if (!latest || each.second.revision > latest->second.revision)
+            latest = &each;
+    }
+    if (latest)
+        m_others[latest->first] = latest->second.entry;
+}
+
 void InstanceRegistry::setSilentInstances(std::set<std::uint64_t> silent)
 {
     if (silent == m_silentInstances)
--- a/src/edge/InstanceRegistry.h
+++ b/src/edge/InstanceRegistry.h
@@ -78,6 +78,8 @@
     Awaitable<bool> maintainRegistration();
     Awaitable<bool> registerSelf();
     void applyInstanceChange(const StoreEvent&);
+    void removeEntry(const std::string& key);
+    void listLatest(const std::string& address);
     Awaitable<void> revokeLease();
 
     net::io_context& m_context;
@@ -85,7 +87,12 @@
     LeaseClient& m_leases;
     Entry m_self;
     std::string m_key; ///< store key of this instance's entry
-    std::map<std::string, Entry> m_others; ///< by store key
+    struct StoredEntry {
+        Entry entry;
+        std::int64_t revision = 0; ///< of the store, when the entry was written
+    };
+    std::map<std::string, StoredEntry> m_entries; ///< of other instances, by store key
+    std::map<std::string, Entry> m_others; ///< the latest of m_entries at each address, by store key
     std::set<std::uint64_t> m_leavingInstances; ///< instance keys of listed instances that are shutting down
     std::set<std::uint64_t> m_silentInstances; ///< instance keys, see setSilentInstances()
     std::set<std::uint64_t> m_cutOffInstances; ///< instance keys, see setCutOffInstances()
--- a/tests/StoreEntryTest.cpp
+++ b/tests/StoreEntryTest.cpp
@@ -5,6 +5,7 @@
 #include "tests/StoreReader.h"
 #include "tests/Tests.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 
 using namespace crocusmount;
@@ -116,6 +117,55 @@
     }
 }
 
+// An entry of an ended process replaced that of its successor at the same address. When its lease expired, the running
+// instance was missing from the lists of the others for as long as it ran.
+TEST(StoreEntry, InstanceIsListedInWhateverOrderEntriesOfItsAddressCome)
+{
+    struct Process {
+        const char* id;
+        std::int64_t revision;
+    };
+    // The ids are in another order than the starts, as they are random.
+    std::vector<Process> processes { { "b", 3 }, { "c", 5 }, { "a", 9 } };
+    const char* const value = R"({"address":"2.2.2.2:2","data_centre":"z","peer_address":"2.2.2.2:3"})";
+    const auto keyOf = [](const Process& process) { return std::string("crocusmount/instances/") + process.id; };
+    std::sort(processes.begin(), processes.end(),
+        [](const Process& a, const Process& b) { return std::string(a.id) < b.id; });
+    do {
+        for (const bool isReversed : { false, true }) {
+            StoreReader reader;
+            std::string order;
+            for (const Process& process : processes) {
+                reader.follower.storeChanged({ { keyOf(process), value, process.revision }, false });
+                order += process.id;
+                CHECK_EQUAL_TEXT(2U, reader.registry.count(), order.c_str());
+            }
+            CHECK_EQUAL_TEXT(std::string("a"), reader.registry.others().at(0).id, order.c_str());
+            for (const char* expired : { isReversed ? "c" : "b", isReversed ? "b" : "c" }) {
+                reader.follower.storeChanged({ { keyOf({ expired, 0 }), "", 10 }, true });
+                CHECK_EQUAL_TEXT(2U, reader.registry.count(), order.c_str());
+                CHECK_EQUAL_TEXT(std::string("a"), reader.registry.others().at(0).id, order.c_str());
+            }
+            reader.follower.storeChanged({ { keyOf({ "a", 0 }), "", 11 }, true });
+            CHECK_EQUAL_TEXT(1U, reader.registry.count(), order.c_str());
+        }
+    } while (std::next_permutation(processes.begin(), processes.end(),
+        [](const Process& a, const Process& b) { return std::string(a.id) < b.id; }));
+}
+
+// A write of an ended process that is carried out late takes the place of its successor only until its lease expires.
+TEST(StoreEntry, InstanceIsListedAgainAfterALateEntryOfItsPredecessor)
+{
+    StoreReader reader;
+    const char* const value = R"({"address":"2.2.2.2:2","data_centre":"z","peer_address":"2.2.2.2:3"})";
+    reader.follower.storeChanged({ { "crocusmount/instances/new", value, 5 }, false });
+    reader.follower.storeChanged({ { "crocusmount/instances/old", value, 6 }, false });
+    CHECK_EQUAL(2U, reader.registry.count());
+    reader.follower.storeChanged({ { "crocusmount/instances/old", "", 7 }, true });
+    CHECK_EQUAL(2U, reader.registry.count());
+    CHECK_EQUAL(std::string("new"), reader.registry.others().at(0).id);
+}
+
 TEST(StoreEntry, InvalidConfigurationLeavesCurrentOneInForce)
 {
     StoreReader reader;
