Keep very high limits of servers from stopping their coordinator

The smaller of both numbers is converted now, and the time to ask again is 5 ms at least. PermitIssuer .AVeryHighLimitNeitherDeniesPermitsNorLetsInstancesAskWithoutAPause failed for the time to ask again; that of the count passes on arm64 without the mend, where the conversion saturates, and was not run on x86-64.

--- a/src/relay/PermitIssuer.cpp
+++ b/src/relay/PermitIssuer.cpp
@@ -17,6 +17,8 @@
     constexpr Duration IdleSpan = std::chrono::seconds(5);
     /// Unused permits are kept for this long.
     constexpr double BucketSeconds = 0.25;
+    /// Instances of a server with a very high limit would otherwise ask without a pause.
+    constexpr Duration MinRetryAfter = std::chrono::milliseconds(5);
     constexpr Duration MaxRetryAfter = std::chrono::seconds(4);
     /// Requests to expect for each permit that becomes available.
     constexpr double RequestsPerPermit = 2;
@@ -44,7 +46,8 @@
     if (!request.count || !bucket.limit.isNamed())
         return answer;
     bucket.requesters[request.sender] = now;
-    answer.granted = std::min(request.count, static_cast<std::uint32_t>(bucket.permits));
+    // Servers may name limits that exceed the type of a count.
+    answer.granted = static_cast<std::uint32_t>(std::min(static_cast<double>(request.count), bucket.permits));
     bucket.permits -= answer.granted;
     if (answer.granted < request.count)
         answer.retryAfter = retryAfter(bucket, entropy);
@@ -81,7 +84,7 @@
     const double turn = static_cast<double>(bucket.requesters.size()) / (RequestsPerPermit * limit);
     const double spread = MinSpread + (MaxSpread - MinSpread) * uniformFraction(entropy, 0);
     const double seconds = std::min(inSeconds(MaxRetryAfter), std::max(untilNextPermit, turn) * spread);
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+    return std::max(MinRetryAfter, std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds)));
 }
 
 } // namespace crocusmount::relay
--- a/tests/PermitIssuerTest.cpp
+++ b/tests/PermitIssuerTest.cpp
@@ -56,6 +56,24 @@
     }
 }
 
+// After a limit of 1e308 no permit was granted, and the instance asked again at once, without end.
+TEST(PermitIssuer, AVeryHighLimitNeitherDeniesPermitsNorLetsInstancesAskWithoutAPause)
+{
+    const struct {
+        double limit;
+        std::uint32_t count;
+        bool grantsAll;
+    } cases[] = { { 1e308, 8, true }, { 1e18, 8, true }, { 5e9, 8, true }, { 1e6, 4000000000U, false } };
+    for (const auto& each : cases) {
+        PermitIssuer issuer;
+        const std::string name = std::to_string(each.limit);
+        issuer.answer(request(each.count, each.limit, Start), Start, 1);
+        const PermitAnswer answer = issuer.answer(request(each.count, each.limit, Start), Start + seconds(1), 1);
+        CHECK_EQUAL_TEXT(each.grantsAll, answer.granted == each.count, name.c_str());
+        CHECK_TRUE_TEXT(each.grantsAll || answer.retryAfter >= milliseconds(1), name.c_str());
+    }
+}
+
 TEST(PermitIssuer, UnusedPermitsAreKeptForAQuarterOfASecond)
 {
     PermitIssuer issuer;
