--- a/src/relay/RelayOptions.h
+++ b/src/relay/RelayOptions.h
@@ -15,7 +15,7 @@
     double retryRatio = 0.15;
     /// Additional retries of all instances together within the platform's time window.
     double retrySlack = 100;
-    /// The platform's time window; zero: no limit over time, so that shares of retrySlack need not be waited for.
+    /// Window over which the platform counts retries; zero: an instance has its share of retrySlack from the start.
     Duration retryWindow {};
     /// How long a call waits for the first configuration of an instance that has just started. This covers a power
     /// failure after which all instances start at the same time while the store is still unavailable. By then callers
