--- a/tests/RetryFleet.cpp
+++ b/tests/RetryFleet.cpp
@@ -110,7 +110,7 @@
     publishList();
 }
 
-void RetryFleet::endEntryUnless(std::size_t instance, int start)
+void RetryFleet::endLapsedEntry(std::size_t instance, int start)
 {
     Instance& silent = m_instances[instance];
     const bool isAllSilent
@@ -153,7 +153,7 @@
         return;
     m_deniedByEnded += killed.reducer->counters().retriesDenied.at(static_cast<std::size_t>(RetryLimit::Budget));
     killed.reducer.reset();
-    at(LeaseLifetime, [this, instance, start = killed.starts] { endEntryUnless(instance, start); });
+    at(LeaseLifetime, [this, instance, start = killed.starts] { endLapsedEntry(instance, start); });
     at(randomUpTo(2 * downtime), [this, instance] { start(instance); });
 }
 
@@ -163,7 +163,7 @@
         Instance& each = m_instances[i];
         const bool wasSilent = std::exchange(each.isStoreSilent, i < count);
         if (each.isStoreSilent && !wasSilent)
-            at(LeaseLifetime, [this, i, start = each.starts] { endEntryUnless(i, start); });
+            at(LeaseLifetime, [this, i, start = each.starts] { endLapsedEntry(i, start); });
         if (!each.isStoreSilent && wasSilent) {
             at(randomUpTo(ListDelay), [this, i] { readList(i); });
             at(RegistrationTime, [this, i, start = each.starts] { registerSelf(i, start); });
--- a/tests/RetryFleet.h
+++ b/tests/RetryFleet.h
@@ -64,7 +64,9 @@
     void start(std::size_t instance);
     void tick(std::size_t instance, int start);
     void registerSelf(std::size_t instance, int start);
-    void endEntryUnless(std::size_t instance, int start);
+    /// Ends the entry of a start whose lease ran out, because the process ended or the store did not answer it.
+    void endLapsedEntry(std::size_t instance, int start);
+    /// Lets each instance read the list after a delay of its own.
     void publishList();
     void readList(std::size_t instance);
     void sendCall();
