Bound what a request takes beside its head and its body

Callers saw an instance end: one connection that sent trailers, a chunk extension or a chunk size without end filled the memory of a machine (341 to 388 MB after 2 x 128 MB, bound 100, on each listener of both daemons).

Cause: the readers gave Beast a buffer without a limit. Its limits count the head and the sizes of chunks, but not the line before a chunk nor the trailers, and its parser asks for more bytes until it has found the end of these.

RequestDecoder now assembles requests for FrontServer and HttpServer. It knows no socket: it is given bytes, hands them to Beast's parser, and rejects a request (431) whose unprocessed part is longer than a head may be. So what it keeps is bounded by its limits, whatever arrives; an announced body takes no memory before it comes. A refused client gets a second to read the answer while what it still sends is discarded, as a close with unread bytes would reset it.

--- a/programs/crocusmount-entry.cpp
+++ b/programs/crocusmount-entry.cpp
@@ -18,6 +18,8 @@
 #include "platform/PlatformSettings.h"
 #include "platform/WireNames.h"
 #include "programs/CommandLine.h"
+#include "shell/ClientConnections.h"
+#include "shell/ProcessLimits.h"
 
 #include <cstdlib>
 #include <iostream>
@@ -36,6 +38,8 @@
 constexpr std::uint32_t CallLogLinesPerSecond = 200;
 /// Time without a first event after which the platform's callers abandon a stream.
 constexpr std::chrono::milliseconds StreamPatience { 2000 };
+/// Descriptors of a process that the platform reserves for files.
+constexpr std::uint32_t FileDescriptors = 200;
 /// Share of a leaving backend server's drain time after which its running streams are rerouted. Most streams finish
 /// earlier. Rerouting a stream moves its KV cache: half a gigabyte for a prompt of 900 tokens.
 constexpr double RerouteDelayShare = 0.5;
@@ -68,6 +72,19 @@
     return options;
 }
 
+/// @return the memory and the sockets that the process may use
+ProcessLimits processLimits(const PlatformSettings& settings)
+{
+    const std::uint32_t sockets
+        = settings.maxDescriptors > FileDescriptors ? settings.maxDescriptors - FileDescriptors : 0;
+    return ProcessLimits::ofSystem().loweredTo(settings.memoryMb << 20U, sockets);
+}
+
+void logRefusal(ClientRefusal refusal, std::uint64_t count)
+{
+    relay::DecisionLog::state("client_refused", { { "reason", toString(refusal) }, { "count", count } });
+}
+
 /// Owns and connects the components of one entry instance.
 class EntryInstance {
 public:
@@ -94,6 +111,7 @@
               { [this] { return ready(); }, [this] { return callerAddresses(); }, [this] { return metrics(); } })
         , m_operators(m_quarantine, m_endpoints)
         , m_signals(signals)
+        , m_clients(std::make_shared<ClientConnections>(processLimits(settings).forClients(), logRefusal))
     {
     }
 
@@ -101,14 +119,14 @@
     /// @return an error if an address cannot be listened on
     absl::Status start()
     {
-        auto front = relay::FrontServer::make(m_context, m_settings.callerAddress, m_node, m_reader);
+        auto front = relay::FrontServer::make(m_context, m_settings.callerAddress, m_node, m_reader, m_clients);
         if (!front.ok())
             return front.status();
         m_front = *std::move(front);
         const std::pair<std::string, HttpHandler*> listeners[] = { { m_settings.readyAddress, &m_endpoints },
             { m_settings.directoryAddress, &m_endpoints }, { m_settings.ip + ":" + MetricsPort, &m_operators } };
         for (const auto& [address, handler] : listeners) {
-            auto server = HttpServer::make(m_context, address, HttpLimits(), *handler);
+            auto server = HttpServer::make(m_context, address, HttpLimits(), *handler, m_clients);
             if (!server.ok())
                 return server.status();
             m_servers.push_back(*std::move(server));
@@ -176,6 +194,7 @@
             gauges.copiesGiven = m_peerLink->copyTraffic().given;
             gauges.copiesFailed = m_peerLink->copyTraffic().failed;
         }
+        gauges.clients = m_clients.get();
         return relay::renderMetrics(reducer.counters(), gauges, m_node.latencies());
     }
 
@@ -253,6 +272,7 @@
     platform::PlatformEndpoints m_endpoints;
     OperatorEndpoints m_operators;
     net::signal_set& m_signals;
+    std::shared_ptr<ClientConnections> m_clients;
     std::unique_ptr<relay::FrontServer> m_front;
     std::unique_ptr<PeerLink> m_peerLink;
     std::vector<std::unique_ptr<HttpServer>> m_servers;
--- a/programs/crocusmountd.cpp
+++ b/programs/crocusmountd.cpp
@@ -2,9 +2,11 @@
 
 #include "programs/CommandLine.h"
 #include "shell/CallerApi.h"
+#include "shell/ClientConnections.h"
 #include "shell/HttpServer.h"
 #include "shell/Node.h"
 #include "shell/OperatorApi.h"
+#include "shell/ProcessLimits.h"
 #include "shell/Settings.h"
 
 #include <iostream>
@@ -125,7 +127,13 @@
         return ExitFailed;
     }
     RequestDispatcher dispatcher(context, **node);
-    const auto server = HttpServer::make(context, settings->listen, settings->http, dispatcher);
+    const ProcessLimits process = ProcessLimits::ofSystem().loweredTo(settings->http.memoryBytes, 0);
+    const auto clients = std::make_shared<ClientConnections>(
+        process.forClients(settings->http.connections), [](ClientRefusal refusal, std::uint64_t count) {
+            spdlog::warn("client_refused reason={} count={}", toString(refusal), count);
+        });
+    (*node)->setClients(*clients);
+    const auto server = HttpServer::make(context, settings->listen, settings->http, dispatcher, clients);
     if (!server.ok()) {
         std::cerr << "crocusmountd: " << server.status().message() << "\n";
         return ExitFailed;
--- a/src/edge/FrontServer.cpp
+++ b/src/edge/FrontServer.cpp
@@ -2,7 +2,11 @@
 
 #include "edge/DecisionLog.h"
 #include "edge/RelayNode.h"
+#include "shell/ClientConnections.h"
 #include "shell/Listener.h"
+#include "shell/ProcessLimits.h"
+#include "shell/RequestDecoder.h"
+#include "shell/RequestReading.h"
 
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
@@ -18,6 +22,10 @@
     constexpr std::chrono::seconds WriteTimeout { 10 };
     /// Delay before the next accept() after one failed, for example for lack of file descriptors.
     constexpr std::chrono::milliseconds AcceptRetryDelay { 50 };
+    /// Longest wait for the call of a connection that is rejected.
+    constexpr std::chrono::seconds RejectionTimeout { 1 };
+    /// When a caller may return whose call found no memory or no connection.
+    constexpr Duration BusyRetryDelay = std::chrono::milliseconds(200);
 
     std::chrono::milliseconds toMilliseconds(Duration duration)
     {
@@ -88,7 +96,8 @@
     Acceptor acceptor;
     RelayNode& node;
     const CallReader& reader;
-    std::size_t connectionCount = 0; ///< open connections, and the one that the next accept() will open
+    std::shared_ptr<ClientConnections> clients;
+    std::size_t connectionCount = 0; ///< open connections
     std::size_t busyCalls = 0; ///< calls that were read and whose answers are not yet written
     std::uint64_t requestsCutOff = 0; ///< connections that ended inside a request
     std::uint64_t answersUnwritten = 0; ///< final answers that could not be written as a whole
@@ -99,18 +108,22 @@
 /// Serves the calls on one caller's connection, one after another.
 class FrontServer::Connection : public std::enable_shared_from_this<FrontServer::Connection> {
 public:
-    explicit Connection(std::shared_ptr<Shared> shared)
+    /// @param isRejected  the only call of the connection is to be refused
+    Connection(std::shared_ptr<Shared> shared, TcpStream::socket_type socket, std::unique_ptr<ClientConnection> client,
+        bool isRejected)
         : m_shared(std::move(shared))
-        , m_stream(m_shared->context.get_executor())
+        , m_stream(std::move(socket))
         , m_idleTimer(m_shared->context.get_executor())
+        , m_client(std::move(client))
+        , m_isRejected(isRejected)
     {
         ++m_shared->connectionCount;
+        m_client->setOnEnded([this] { stopIo(); });
     }
     ~Connection() { --m_shared->connectionCount; }
     Connection(const Connection&) = delete;
     Connection& operator=(const Connection&) = delete;
 
-    TcpStream& stream() { return m_stream; }
     /// Ends the wait for a call and thereby the connection, unless bytes of a call have arrived: that call is answered.
     void cancelIdleWait()
     {
@@ -126,6 +139,8 @@
         bool isOpen = true;
         while (isOpen)
             isOpen = co_await serveOne();
+        if (m_lingers)
+            co_await lingerUntilClosed(m_stream, *m_client);
         if (!m_resetsOnClose)
             m_stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
         m_stream.close();
@@ -133,52 +148,67 @@
 
 private:
     using Clock = std::chrono::steady_clock;
-    using Parser = http::request_parser<http::string_body>;
 
     /// Reads one call and writes its answer.
     /// @return whether the connection stays open
     Awaitable<bool> serveOne()
     {
-        if (!m_buffer.size() && !co_await waitForCall())
+        if (!m_decoder.hasBytes() && !co_await waitForCall())
             co_return false;
+        if (m_isRejected || m_client->isEnded()) {
+            co_await refuseBusy(m_isRejected ? ClientRefusal::ConnectionsFull : m_client->cause());
+            co_return false;
+        }
         const CallLimits limits = m_shared->node.limits();
-        Parser parser;
-        parser.header_limit(limits.headerBytes);
-        parser.body_limit(limits.bodyBytes);
-        const auto error = co_await readRequest(parser, limits);
+        const ClientLimits& processLimits = m_client->limits();
+        m_decoder.begin({ std::min(limits.headerBytes, processLimits.maxHeadBytes()),
+            std::min(limits.bodyBytes, processLimits.maxBodyBytes()) });
+        auto error = co_await readRequest(limits);
         // A timeout closes the socket, so that no answer can be written to a caller that sends too slowly.
-        if (error == http::error::end_of_stream || error == net::error::connection_reset
-            || error == beast::error::timeout) {
+        if (error == net::error::connection_reset || error == beast::error::timeout) {
             ++m_shared->requestsCutOff;
-            DecisionLog::call("request_cut_off", parser.get()[m_shared->node.headerNames().callId],
-                { { "error", error.message() }, { "has_head", parser.is_header_done() } });
+            if (error == beast::error::timeout)
+                m_client->record(ClientRefusal::TooSlow);
+            DecisionLog::call("request_cut_off", m_decoder.request()[m_shared->node.headerNames().callId],
+                { { "error", error.message() }, { "has_head", m_decoder.isHeadDone() } });
+            co_return false;
+        }
+        if (!error && !m_client->run(m_decoder.heldBytes()))
+            error = net::error::no_memory;
+        if (error == net::error::no_memory) {
+            co_await refuseBusy(m_client->cause());
             co_return false;
         }
         if (error) {
             co_await refuseUnreadable(error);
             co_return false;
         }
-        auto request = std::make_shared<CallerRequest>(parser.release());
+        auto request = std::make_shared<CallerRequest>(m_decoder.release());
         const bool keepAlive = request->keep_alive();
         const bool written = co_await answerCall(std::move(request), keepAlive);
-        co_return written&& keepAlive && !m_closesAfterAnswer;
+        co_return written&& keepAlive && !m_closesAfterAnswer && !m_client->isEnded();
     }
 
     /// Waits for the first bytes of a call.
     /// @return false if the connection is to be closed
     Awaitable<bool> waitForCall()
     {
-        m_stream.expires_never();
-        m_idleSince = Clock::now();
-        m_shared->idleConnections.insert(this);
-        watchIdleTimeout();
-        const auto [error, count] = co_await m_stream.async_read_some(m_buffer.prepare(4096), asTuple);
+        m_client->waitForRequest();
+        if (m_isRejected) {
+            m_stream.expires_after(RejectionTimeout);
+        } else {
+            m_stream.expires_never();
+            m_idleSince = Clock::now();
+            m_shared->idleConnections.insert(this);
+            watchIdleTimeout();
+        }
+        const auto [error, count] = co_await m_stream.async_read_some(m_decoder.prepare(), asTuple);
         m_shared->idleConnections.erase(this);
         m_idleTimer.cancel();
-        if (error)
-            co_return false;
-        m_buffer.commit(count);
-        co_return true;
+        if (!error)
+            m_decoder.commit(count);
+        boost::system::error_code ignored;
+        co_return !error || (m_client->isEnded() && m_stream.socket().available(ignored));
     }
 
     /// Ends the wait for a call when the idle timeout in force has passed. Configurations may raise it during the wait.
@@ -196,36 +226,63 @@
     }
 
     /// Reads the head and the body. Sends "100 Continue" between them to a caller that expects it.
-    Awaitable<boost::system::error_code> readRequest(Parser& parser, const CallLimits& limits)
+    Awaitable<boost::system::error_code> readRequest(const CallLimits& limits)
     {
         m_stream.expires_after(toMilliseconds(limits.headerTimeout));
-        auto [error, count] = co_await http::async_read_header(m_stream, m_buffer, parser, asTuple);
-        if (error)
+        boost::system::error_code error = co_await readRequestPart(m_stream, m_decoder, *m_client, RequestPart::Head);
+        if (error || !m_decoder.isBodyDue())
             co_return error;
-        if (parser.get()[http::field::expect] == "100-continue" && !parser.is_done()) {
+        if (!m_client->hasRoomFor(m_decoder.announcedBodyBytes())) {
+            m_client->record(ClientRefusal::MemoryFull);
+            co_return net::error::no_memory;
+        }
+        if (m_decoder.request()[http::field::expect] == "100-continue") {
             static constexpr std::string_view continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
+            std::size_t count = 0;
             std::tie(error, count) = co_await net::async_write(m_stream, net::buffer(continueResponse), asTuple);
         }
         m_stream.expires_after(toMilliseconds(limits.idleTimeout));
-        if (!error && !parser.is_done())
-            std::tie(error, count) = co_await http::async_read(m_stream, m_buffer, parser, asTuple);
+        if (!error)
+            error = co_await readRequestPart(m_stream, m_decoder, *m_client, RequestPart::Whole);
         co_return error;
     }
 
+    /// Refuses a call that was not read as a whole, because other callers hold the memory or the connections.
+    Awaitable<void> refuseBusy(ClientRefusal cause)
+    {
+        if (m_isRejected)
+            m_client->record(cause);
+        const InstanceAnswer answer { 503, std::string(toString(cause)), RunState::NotRun, BusyRetryDelay };
+        co_await refuseUnread(answer);
+    }
+
+    /// Writes the answer to a request that is not read further, and closes the connection after that.
+    Awaitable<void> refuseUnread(const InstanceAnswer& answer)
+    {
+        m_closesAfterAnswer = true;
+        m_client->beginClose();
+        m_decoder.clear();
+        const std::string noCallId;
+        m_lingers = co_await writeInstanceAnswer(answer, noCallId);
+    }
+
     /// Answers a request that could not be read.
     Awaitable<void> refuseUnreadable(const boost::system::error_code& error)
     {
         InstanceAnswer answer;
         answer.reason = "malformed_request";
         answer.status = 400;
-        if (error == http::error::header_limit)
+        ClientRefusal reason = ClientRefusal::Malformed;
+        if (error == http::error::header_limit) {
             answer.status = 431;
-        else if (error == http::error::body_limit)
+            reason = ClientRefusal::HeadTooLong;
+        } else if (error == http::error::body_limit) {
             answer.status = 413;
+            reason = ClientRefusal::BodyTooLong;
+        }
+        m_client->record(reason);
         DecisionLog::call("unread", "-", { { "status", answer.status }, { "error", error.message() } });
-        m_closesAfterAnswer = true;
-        const std::string noCallId;
-        co_await writeInstanceAnswer(answer, noCallId);
+        co_await refuseUnread(answer);
     }
 
     /// Passes a request to the RelayNode and writes the answer.
@@ -245,7 +302,10 @@
         m_stream.expires_never();
         const RelayNode::CallHandle call = m_shared->node.openCall(std::move(request), *std::move(spec));
         watchForClose(call);
+        m_pipe = call.pipe;
+        m_keptBytes = 0;
         const bool written = co_await relayAnswer(call, callId);
+        m_pipe.reset();
         if (m_writeError && !m_shared->node.isOpen(call.id)) {
             ++m_shared->answersUnwritten;
             DecisionLog::call("answer_unwritten", callId, { { "error", m_writeError.message() } });
@@ -273,6 +333,15 @@
                 }));
     }
 
+    /// Ends the read, the write or the wait for an answer that is in progress.
+    void stopIo()
+    {
+        if (m_pipe)
+            m_pipe->abandon();
+        boost::system::error_code ignored;
+        m_stream.socket().cancel(ignored);
+    }
+
     /// Writes the answer that arrives through the call's pipe.
     /// @return whether the whole answer was written
     Awaitable<bool> relayAnswer(const RelayNode::CallHandle& call, const std::string& callId)
@@ -382,9 +451,15 @@
     TcpStream m_stream;
     Timer m_idleTimer; ///< ends the wait for a call
     Clock::time_point m_idleSince; ///< start of the latest wait for a call
-    beast::flat_buffer m_buffer;
+    RequestDecoder m_decoder;
+    std::unique_ptr<ClientConnection> m_client;
+    bool m_isRejected;
+    bool m_lingers = false; ///< the caller may still send; the close waits until it has read the answer
     net::cancellation_signal m_closeWatchCancellation; ///< ends the wait for the caller's close
     boost::system::error_code m_writeError; ///< of the latest write
+    std::shared_ptr<AnswerPipe> m_pipe; ///< of the call that runs; null: none
+    std::size_t m_keptBytes = 0; ///< of the answer, not yet passed to write()
+    std::size_t m_writingBytes = 0; ///< of the answer, in the current write
     bool m_closesAfterAnswer = false; ///< the current answer is the last on this connection, and says so
     bool m_acceptsChunks = true; ///< the current caller knows the chunked transfer coding, which HTTP/1.0 lacks
     bool m_resetsOnClose = false; ///< closing the socket resets the connection
@@ -397,13 +472,15 @@
 
 FrontServer::~FrontServer() { stopAccepting(); }
 
-absl::StatusOr<std::unique_ptr<FrontServer>> FrontServer::make(
-    net::io_context& context, const std::string& address, RelayNode& node, const CallReader& reader)
+absl::StatusOr<std::unique_ptr<FrontServer>> FrontServer::make(net::io_context& context, const std::string& address,
+    RelayNode& node, const CallReader& reader, std::shared_ptr<ClientConnections> clients)
 {
-    auto acceptor = listenOn(context, address, ListenBacklog);
+    if (!clients)
+        clients = std::make_shared<ClientConnections>(ProcessLimits::ofSystem().forClients());
+    auto acceptor = listenOn(context, address, ListenBacklog, clients->limits().receiveBufferBytes);
     if (!acceptor.ok())
         return acceptor.status();
-    auto shared = std::make_shared<Shared>(Shared { context, *std::move(acceptor), node, reader });
+    auto shared = std::make_shared<Shared>(Shared { context, *std::move(acceptor), node, reader, std::move(clients) });
     net::co_spawn(context.get_executor(), acceptLoop(shared), net::detached);
     return std::unique_ptr<FrontServer>(new FrontServer(std::move(shared)));
 }
@@ -434,8 +511,7 @@
 {
     Timer retryTimer(shared->context.get_executor());
     while (shared->acceptor.is_open()) {
-        auto connection = std::make_shared<Connection>(shared);
-        const auto [error] = co_await shared->acceptor.async_accept(connection->stream().socket(), asTuple);
+        auto [error, socket] = co_await shared->acceptor.async_accept(asTuple);
         if (error == net::error::operation_aborted || !shared->acceptor.is_open())
             co_return;
         if (error) {
@@ -445,6 +521,12 @@
             co_await retryTimer.async_wait(asTuple);
             continue;
         }
+        ClientConnections::Opened opened = shared->clients->open();
+        if (!opened.connection)
+            continue;
+        const bool isRejected = opened.entry == ClientAccount::Entry::Rejected;
+        auto connection
+            = std::make_shared<Connection>(shared, std::move(socket), std::move(opened.connection), isRejected);
         net::co_spawn(
             shared->context.get_executor(), [connection]() { return connection->serve(); }, net::detached);
     }
--- a/src/edge/FrontServer.h
+++ b/src/edge/FrontServer.h
@@ -8,6 +8,10 @@
 #include <memory>
 #include <string>
 
+namespace crocusmount {
+class ClientConnections;
+}
+
 namespace crocusmount::relay {
 
 class RelayNode;
@@ -19,9 +23,10 @@
     /// @param address  "ip:port" to listen on
     /// @param node     answers the calls; must outlive the connections
     /// @param reader   reads the calls' heads; must outlive the connections
+    /// @param clients  the connections of all listeners; null: this server's alone, within the limits of the process
     /// @return the listening server, or the reason why it cannot listen
-    static absl::StatusOr<std::unique_ptr<FrontServer>> make(
-        net::io_context&, const std::string& address, RelayNode& node, const CallReader& reader);
+    static absl::StatusOr<std::unique_ptr<FrontServer>> make(net::io_context&, const std::string& address,
+        RelayNode& node, const CallReader& reader, std::shared_ptr<ClientConnections> clients = nullptr);
     ~FrontServer();
 
     /// From now on, closes each connection after its answer and announces that in the answer ("Connection: close").
@@ -30,7 +35,7 @@
     void closeIdle();
     /// Accepts no further connections. Open connections are still served.
     void stopAccepting();
-    /// @return the number of open connections; while the server accepts, includes the connection to be accepted next
+    /// @return the number of open connections
     std::size_t connections() const;
     /// @return the number of calls that were read and whose answers are not yet written
     std::size_t busyCalls() const;
--- a/src/edge/RelayMetrics.cpp
+++ b/src/edge/RelayMetrics.cpp
@@ -1,5 +1,6 @@
 #include "edge/RelayMetrics.h"
 
+#include "shell/ClientConnections.h"
 #include "shell/MetricFamilies.h"
 
 namespace crocusmount::relay {
@@ -142,6 +143,8 @@
     families.addGauge("crocusmount_open_calls", "Calls without a final answer", double(gauges.openCalls));
     families.addGauge("crocusmount_waiting_calls", "Calls that wait for room", double(gauges.waitingCalls));
     families.addGauge("crocusmount_connections", "Callers' connections", double(gauges.connections));
+    if (gauges.clients)
+        gauges.clients->addMetrics(families);
     families.addCounter("crocusmount_requests_cut_off_total", "Callers' connections that ended inside a request",
         double(gauges.requestsCutOff));
     families.addCounter("crocusmount_answers_unwritten_total",
--- a/src/edge/RelayMetrics.h
+++ b/src/edge/RelayMetrics.h
@@ -10,6 +10,10 @@
 #include <map>
 #include <string>
 
+namespace crocusmount {
+class ClientConnections;
+}
+
 namespace crocusmount::relay {
 
 /// Retry budget of one service on this instance, see RetryBudget.
@@ -48,6 +52,7 @@
     std::map<std::string, RetryBudgetGauges> retryBudgets; ///< by service
     std::size_t serversInBackoff = 0; ///< backend servers that want no requests from this instance
     std::size_t limitedServers = 0; ///< backend servers that name a limit
+    const ClientConnections* clients = nullptr; ///< null: not exported
     bool fedByPeer = false; ///< another instance forwards the changes of the store to this one
 };
 
--- a/src/shell/HttpServer.cpp
+++ b/src/shell/HttpServer.cpp
@@ -1,6 +1,10 @@
 #include "shell/HttpServer.h"
 
+#include "shell/ClientConnections.h"
 #include "shell/Listener.h"
+#include "shell/ProcessLimits.h"
+#include "shell/RequestDecoder.h"
+#include "shell/RequestReading.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -10,6 +14,10 @@
 
     constexpr auto asTuple = net::as_tuple(useAwaitable);
     constexpr int ListenBacklog = 4096;
+    /// Longest wait for the request of a connection that is rejected.
+    constexpr std::chrono::milliseconds RejectionTimeout { 1000 };
+    /// Longest time to write a refusal.
+    constexpr std::chrono::milliseconds RefusalTimeout { 1000 };
 
     template <typename Body>
     void setCommonHeaders(http::response<Body>& response, const std::string& contentType)
@@ -36,9 +44,9 @@
 
     /// Reads a request, at most for the given time. The timer of beast::basic_stream is not used because it closes the
     /// connection, and then the caller could not get a response with status 408.
-    /// @return no error, beast::error::timeout, or the error of the parser or the socket
-    Awaitable<boost::system::error_code> readRequest(std::shared_ptr<TcpStream> stream, beast::flat_buffer& buffer,
-        http::request_parser<http::string_body>& parser, std::chrono::milliseconds timeout)
+    /// @return no error, beast::error::timeout, or the error of readRequestPart()
+    Awaitable<boost::system::error_code> readRequest(std::shared_ptr<TcpStream> stream, RequestDecoder& decoder,
+        ClientConnection& client, std::chrono::milliseconds timeout)
     {
         struct ReadState {
             bool isDone = false;
@@ -55,33 +63,66 @@
             stream->socket().cancel(ignored);
         });
         stream->expires_never();
-        const auto [error, count] = co_await http::async_read(*stream, buffer, parser, asTuple);
+        boost::system::error_code error = co_await readRequestPart(*stream, decoder, client, RequestPart::Head);
+        if (!error && !client.hasRoomFor(decoder.announcedBodyBytes()))
+            error = net::error::no_memory;
+        if (!error)
+            error = co_await readRequestPart(*stream, decoder, client, RequestPart::Whole);
         readState->isDone = true;
         if (error && readState->hasTimedOut)
             co_return beast::error::timeout;
         co_return error;
     }
 
-    /// @return the HTTP status for a request that could not be read
-    unsigned statusOfReadError(const boost::system::error_code& error)
+    /// A refusal of a request that could not be read.
+    struct ReadRefusal {
+        unsigned status;
+        ClientRefusal reason;
+    };
+
+    ReadRefusal refusalOf(const boost::system::error_code& error)
     {
         if (error == http::error::header_limit)
-            return 431;
+            return { 431, ClientRefusal::HeadTooLong };
         if (error == http::error::body_limit)
-            return 413;
+            return { 413, ClientRefusal::BodyTooLong };
         if (error == beast::error::timeout)
-            return 408;
-        return 400;
+            return { 408, ClientRefusal::TooSlow };
+        if (error == net::error::no_memory)
+            return { 503, ClientRefusal::MemoryFull };
+        return { 400, ClientRefusal::Malformed };
+    }
+
+    /// Refuses a request that was not read as a whole, and closes the connection once the client has had time to read
+    /// the answer.
+    Awaitable<void> refuse(
+        TcpStream& stream, ClientConnection& client, unsigned status, std::string reason, std::string title)
+    {
+        http::response<http::string_body> response(static_cast<http::status>(status), 11);
+        setCommonHeaders(response, "application/problem+json");
+        if (status == 503)
+            response.set(http::field::retry_after, "1");
+        response.body() = absl::StrCat(
+            R"({"type":"about:blank","title":")", title, R"(","reason":")", reason, R"(","run":"not_run"})");
+        response.keep_alive(false);
+        response.prepare_payload();
+        client.beginClose();
+        stream.expires_after(RefusalTimeout);
+        const auto [error, count] = co_await http::async_write(stream, response, asTuple);
+        if (!error)
+            co_await lingerUntilClosed(stream, client);
     }
 
 } // namespace
 
 // ---- HttpExchange --------------------------------------------------------------------------------------------------
 
-HttpExchange::HttpExchange(TcpStream& stream, Request request, std::chrono::milliseconds writeTimeout)
+HttpExchange::HttpExchange(
+    TcpStream& stream, Request request, std::chrono::milliseconds writeTimeout, ClientConnection& client)
     : m_stream(stream)
     , m_request(std::move(request))
     , m_writeTimeout(writeTimeout)
+    , m_client(client)
     , m_watch(std::make_shared<Watch>())
     , m_keepAlive(m_request.keep_alive())
     , m_acceptsChunks(m_request.version() >= 11)
@@ -146,8 +187,11 @@
     response.body() = std::move(reply.body);
     if (reply.isEndProven)
         response.prepare_payload();
+    if (!m_client.keepAnswer(response.body().size()))
+        co_return false;
     m_stream.expires_after(m_writeTimeout);
     const auto [error, count] = co_await http::async_write(m_stream, response, asTuple);
+    m_client.keepAnswer(0);
     m_isComplete = !error;
     co_return m_isComplete;
 }
@@ -171,12 +215,16 @@
 {
     if (text.empty())
         co_return true; // An empty chunk would end the stream as complete.
+    if (!m_client.keepAnswer(text.size()))
+        co_return false;
     m_stream.expires_after(m_writeTimeout);
-    if (!m_acceptsChunks) {
-        const auto [error, count] = co_await net::async_write(m_stream, net::buffer(text), asTuple);
-        co_return !error;
-    }
-    const auto [error, count] = co_await net::async_write(m_stream, http::make_chunk(net::buffer(text)), asTuple);
+    boost::system::error_code error;
+    std::size_t count = 0;
+    if (m_acceptsChunks)
+        std::tie(error, count) = co_await net::async_write(m_stream, http::make_chunk(net::buffer(text)), asTuple);
+    else
+        std::tie(error, count) = co_await net::async_write(m_stream, net::buffer(text), asTuple);
+    m_client.keepAnswer(0);
     co_return !error;
 }
 
@@ -207,6 +255,7 @@
     Acceptor acceptor;
     HttpLimits limits;
     HttpHandler& handler;
+    std::shared_ptr<ClientConnections> clients;
     std::size_t connections = 0;
     std::size_t busy = 0;
 };
@@ -218,13 +267,19 @@
 
 HttpServer::~HttpServer() { stopAccepting(); }
 
-absl::StatusOr<std::unique_ptr<HttpServer>> HttpServer::make(
-    net::io_context& context, const std::string& address, HttpLimits limits, HttpHandler& handler)
+absl::StatusOr<std::unique_ptr<HttpServer>> HttpServer::make(net::io_context& context, const std::string& address,
+    HttpLimits limits, HttpHandler& handler, std::shared_ptr<ClientConnections> clients)
 {
-    auto acceptor = listenOn(context, address, ListenBacklog);
+    if (!clients) {
+        const ProcessLimits process = ProcessLimits::ofSystem().loweredTo(limits.memoryBytes, 0);
+        clients = std::make_shared<ClientConnections>(process.forClients(limits.connections));
+    }
+    limits.headerBytes = std::min(limits.headerBytes, clients->limits().maxHeadBytes());
+    limits.bodyBytes = std::min(limits.bodyBytes, clients->limits().maxBodyBytes());
+    auto acceptor = listenOn(context, address, ListenBacklog, clients->limits().receiveBufferBytes);
     if (!acceptor.ok())
         return acceptor.status();
-    auto state = std::make_shared<State>(State { context, *std::move(acceptor), limits, handler });
+    auto state = std::make_shared<State>(State { context, *std::move(acceptor), limits, handler, std::move(clients) });
     net::co_spawn(context.get_executor(), acceptLoop(state), net::detached);
     return std::unique_ptr<HttpServer>(new HttpServer(std::move(state)));
 }
@@ -260,57 +315,69 @@
             co_await retryTimer.async_wait(asTuple);
             continue;
         }
+        ClientConnections::Opened opened = state->clients->open();
+        if (!opened.connection)
+            continue;
+        const bool isRejected = opened.entry == ClientAccount::Entry::Rejected;
         boost::system::error_code ignored;
         stream->socket().set_option(Tcp::no_delay(true), ignored);
-        net::co_spawn(state->context.get_executor(), serve(state, stream), net::detached);
+        net::co_spawn(state->context.get_executor(), serve(state, stream, std::move(opened.connection), isRejected),
+            net::detached);
     }
 }
 
-Awaitable<void> HttpServer::serve(std::shared_ptr<State> state, std::shared_ptr<TcpStream> stream)
+Awaitable<void> HttpServer::serve(std::shared_ptr<State> state, std::shared_ptr<TcpStream> stream,
+    std::unique_ptr<ClientConnection> client, bool isRejected)
 {
     const ScopedCount counted(state->connections);
     const HttpLimits& limits = state->limits;
-    beast::flat_buffer buffer;
+    client->setOnEnded([socket = &stream->socket()] {
+        boost::system::error_code ignored;
+        socket->cancel(ignored);
+    });
+    RequestDecoder decoder;
     bool keepAlive = true;
     bool resetsOnClose = false;
     while (keepAlive) {
-        if (!buffer.size()) {
-            stream->expires_after(limits.idleTimeout);
-            const auto [error, count] = co_await stream->async_read_some(buffer.prepare(4096), asTuple);
+        if (!decoder.hasBytes()) {
+            client->waitForRequest();
+            stream->expires_after(isRejected ? RejectionTimeout : limits.idleTimeout);
+            const auto [error, count] = co_await stream->async_read_some(decoder.prepare(), asTuple);
             if (error)
                 break;
-            buffer.commit(count);
+            decoder.commit(count);
         }
-        http::request_parser<http::string_body> parser;
-        parser.header_limit(limits.headerBytes);
-        parser.body_limit(limits.bodyBytes);
+        decoder.begin({ limits.headerBytes, limits.bodyBytes });
+        ReadRefusal refusal { 0, ClientRefusal::ConnectionsFull };
         boost::system::error_code error;
-        if (state->connections > limits.connections)
-            error = net::error::connection_refused;
-        else
-            error = co_await readRequest(stream, buffer, parser, limits.readTimeout);
-        if (error == http::error::end_of_stream || error == net::error::connection_reset)
-            break;
-        HttpExchange exchange(*stream, error ? HttpExchange::Request() : parser.release(), limits.writeTimeout);
-        if (error) {
-            const bool isFull = error == net::error::connection_refused;
-            const std::string body
-                = absl::StrCat(R"({"type":"about:blank","title":")", isFull ? "too many connections" : error.message(),
-                    R"(","reason":")", isFull ? "too_many_connections" : "malformed_request", R"(","run":"not_run"})");
-            HttpReply reply;
-            reply.status = isFull ? 503 : statusOfReadError(error);
-            reply.contentType = "application/problem+json";
-            reply.body = body;
-            reply.headers.emplace_back("Connection", "close");
-            co_await exchange.respond(std::move(reply));
+        if (isRejected) {
+            refusal.status = 503;
+        } else {
+            error = co_await readRequest(stream, decoder, *client, limits.readTimeout);
+            if (error == net::error::connection_reset)
+                break;
+            if (!error && !client->run(decoder.heldBytes()))
+                error = net::error::no_memory;
+            if (error)
+                refusal = refusalOf(error);
+        }
+        if (refusal.status) {
+            if (!client->isEnded())
+                client->record(refusal.reason);
+            const bool isFull = refusal.status == 503;
+            std::string reason = isRejected ? "too_many_connections" : isFull ? "too_much_memory" : "malformed_request";
+            std::string title = isFull ? "too many clients" : error.message();
+            decoder.clear();
+            co_await refuse(*stream, *client, refusal.status, std::move(reason), std::move(title));
             break;
         }
+        HttpExchange exchange(*stream, decoder.release(), limits.writeTimeout, *client);
         stream->expires_never();
         const ScopedCount busy(state->busy);
         exchange.startWatching();
         co_await state->handler.handle(exchange);
         exchange.stopWatching();
-        keepAlive = exchange.keepAlive() && exchange.isComplete() && stream->socket().is_open();
+        keepAlive = exchange.keepAlive() && exchange.isComplete() && !client->isEnded() && stream->socket().is_open();
         resetsOnClose = exchange.resetsOnClose();
     }
     boost::system::error_code ignored;
--- a/src/shell/HttpServer.h
+++ b/src/shell/HttpServer.h
@@ -12,6 +12,9 @@
 
 namespace crocusmount {
 
+class ClientConnection;
+class ClientConnections;
+
 /// Limits of an HTTP server.
 struct HttpLimits {
     std::uint32_t headerBytes = 16384; ///< of one request
@@ -19,7 +22,8 @@
     std::chrono::milliseconds readTimeout { 10000 }; ///< from the first byte of a request to its last
     std::chrono::milliseconds writeTimeout { 10000 }; ///< for one write, which a slow caller delays
     std::chrono::milliseconds idleTimeout { 120000 }; ///< without a byte before a request
-    std::uint32_t connections = 20000; ///< open at once; above this, requests are rejected with status 503
+    std::uint32_t connections = 20000; ///< open at once, see ClientLimits
+    std::uint64_t memoryBytes = 0; ///< memory that the process may use; 0: the machine's
 };
 
 /// A response that is sent whole.
@@ -38,7 +42,7 @@
 public:
     using Request = http::request<http::string_body>;
 
-    HttpExchange(TcpStream&, Request, std::chrono::milliseconds writeTimeout);
+    HttpExchange(TcpStream&, Request, std::chrono::milliseconds writeTimeout, ClientConnection&);
     HttpExchange(const HttpExchange&) = delete;
     HttpExchange& operator=(const HttpExchange&) = delete;
 
@@ -88,6 +92,7 @@
     TcpStream& m_stream;
     Request m_request;
     std::chrono::milliseconds m_writeTimeout;
+    ClientConnection& m_client;
     std::shared_ptr<Watch> m_watch;
     net::cancellation_signal m_cancelWatch;
     bool m_keepAlive;
@@ -111,9 +116,10 @@
 public:
     /// Starts to listen and to accept connections.
     /// @param address  "ip:port"; with port 0 the system chooses a port
+    /// @param clients  the connections of all listeners; null: this server's alone, within the limits of the process
     /// @return the server, or the error of listenOn()
-    static absl::StatusOr<std::unique_ptr<HttpServer>> make(
-        net::io_context&, const std::string& address, HttpLimits, HttpHandler&);
+    static absl::StatusOr<std::unique_ptr<HttpServer>> make(net::io_context&, const std::string& address, HttpLimits,
+        HttpHandler&, std::shared_ptr<ClientConnections> clients = nullptr);
     ~HttpServer();
 
     /// Stops accepting connections. Open connections are still served.
@@ -130,7 +136,8 @@
     struct State;
     explicit HttpServer(std::shared_ptr<State>);
     static Awaitable<void> acceptLoop(std::shared_ptr<State>);
-    static Awaitable<void> serve(std::shared_ptr<State>, std::shared_ptr<TcpStream>);
+    static Awaitable<void> serve(
+        std::shared_ptr<State>, std::shared_ptr<TcpStream>, std::unique_ptr<ClientConnection>, bool isRejected);
 
     std::shared_ptr<State> m_state;
 };
--- a/src/shell/Metrics.cpp
+++ b/src/shell/Metrics.cpp
@@ -1,5 +1,6 @@
 #include "shell/Metrics.h"
 
+#include "shell/ClientConnections.h"
 #include "shell/LatencyHistogram.h"
 #include "shell/MetricFamilies.h"
 
@@ -58,6 +59,8 @@
     families.addCounter("crocusmount_events_total", "Events reduced", number(gauges.events));
     families.addGauge("crocusmount_open_requests", "Requests without a final answer", number(gauges.openRequests));
     families.addGauge("crocusmount_connections", "Connections of callers and operators", number(gauges.connections));
+    if (gauges.clients)
+        gauges.clients->addMetrics(families);
     families.addGauge(
         "crocusmount_members_alive", "Instances believed alive, this one included", number(gauges.membersAlive));
     families.addGauge(
--- a/src/shell/Metrics.h
+++ b/src/shell/Metrics.h
@@ -8,6 +8,8 @@
 
 namespace crocusmount {
 
+class ClientConnections;
+
 /// Records the latencies that the shell observes and renders all metrics of a daemon.
 class Metrics {
 public:
@@ -25,6 +27,7 @@
     struct Gauges {
         std::size_t openRequests = 0;
         std::size_t connections = 0; ///< of callers and operators
+        const ClientConnections* clients = nullptr; ///< null: not exported
         std::size_t membersAlive = 0; ///< instances, this one included
         std::size_t backendsReachable = 0;
         std::int64_t configurationRevision = 0;
--- a/src/shell/Node.cpp
+++ b/src/shell/Node.cpp
@@ -281,6 +281,7 @@
     Metrics::Gauges gauges;
     gauges.openRequests = m_reducer->openRequests();
     gauges.connections = m_connectionCount ? m_connectionCount() : 0;
+    gauges.clients = m_clients;
     for (const MemberUpdate& member : m_reducer->members())
         gauges.membersAlive += member.state == MemberState::Alive;
     for (const BackendNews& news : m_reducer->backends(now()))
--- a/src/shell/Node.h
+++ b/src/shell/Node.h
@@ -19,6 +19,7 @@
 class AnswerChannel;
 class BackendClient;
 class ClaimStore;
+class ClientConnections;
 class ConfigurationFollower;
 class HttpClient;
 class PeerTransport;
@@ -56,6 +57,9 @@
     /// @return all metrics in the text format of Prometheus
     std::string renderMetrics() const;
     /// @param count  returns the number of open connections of callers, for the metrics
+    /// Sets the connections whose metrics are exported.
+    /// @param clients  must outlive this
+    void setClients(const ClientConnections& clients) { m_clients = &clients; }
     void setConnectionCount(std::function<std::size_t()> count) { m_connectionCount = std::move(count); }
     /// @param onDrained  called when a drain has finished
     void setOnDrained(std::function<void()> onDrained) { m_onDrained = std::move(onDrained); }
@@ -116,6 +120,7 @@
     std::chrono::steady_clock::time_point m_steadyClockStart;
     std::ofstream m_recordStream; ///< closed if nothing is recorded
     std::function<std::size_t()> m_connectionCount;
+    const ClientConnections* m_clients = nullptr; ///< null: their metrics are not exported
     std::function<void()> m_onDrained;
     // State that logChanges() has logged last.
     std::map<InstanceId, MemberState> m_loggedMembers;
--- a/src/shell/Settings.cpp
+++ b/src/shell/Settings.cpp
@@ -99,13 +99,16 @@
     void readSections(const json::object& root, Settings& settings)
     {
         ReducerOptions& core = settings.core;
+        std::uint64_t memoryMb = 0;
         Section(root, "http")
             .read("headerBytes", settings.http.headerBytes)
             .read("bodyBytes", settings.http.bodyBytes)
             .readMs("readTimeoutMs", settings.http.readTimeout)
             .readMs("writeTimeoutMs", settings.http.writeTimeout)
             .readMs("idleTimeoutMs", settings.http.idleTimeout)
-            .read("connections", settings.http.connections);
+            .read("connections", settings.http.connections)
+            .read("memoryMb", memoryMb);
+        settings.http.memoryBytes = memoryMb << 20U;
         std::int64_t hopLatencyUs = core.hopLatency.count();
         Section(root, "routing")
             .read("picker", core.picker)
--- a/src/shell/SettingsSchema.cpp
+++ b/src/shell/SettingsSchema.cpp
@@ -29,7 +29,8 @@
       "readTimeoutMs": { "type": "integer", "minimum": 10, "maximum": 600000 },
       "writeTimeoutMs": { "type": "integer", "minimum": 10, "maximum": 600000 },
       "idleTimeoutMs": { "type": "integer", "minimum": 10, "maximum": 3600000 },
-      "connections": { "type": "integer", "minimum": 1, "maximum": 1000000 } } },
+      "connections": { "type": "integer", "minimum": 1, "maximum": 1000000 },
+      "memoryMb": { "type": "integer", "minimum": 16, "maximum": 16777216 } } },
     "routing": { "type": "object", "additionalProperties": false, "properties": {
       "picker": { "enum": ["flow", "random", "round_robin", "least_reported", "power_of_two"] },
       "streamHeadroom": { "type": "number", "minimum": 0.1, "maximum": 10 },
