Read a chunked body without chunks in whatever pieces it arrives

Callers saw both daemons end (SIGABRT) after a sound request: a chunked body of no bytes whose last five bytes arrive one by one. Only builds with assertions end, which the default build is; the deployed one answers.

Cause: Beast's parser marks the last chunk when it has seen its line, and asserts that it is not asked again with fewer than the five bytes that a last chunk and the end of the trailers have at least.

Beast's parser of answers has the same assertion. A server could end a build with assertions in this way; not mended here.

--- a/src/shell/RequestDecoder.cpp
+++ b/src/shell/RequestDecoder.cpp
@@ -123,7 +123,9 @@
 
 std::size_t RequestDecoder::leastBytes() const
 {
-    return 1;
+    // Beast asserts that a part of the last chunk is not offered again with fewer bytes than the shortest one has.
+    constexpr std::size_t ShortestLastChunk = 5;
+    return m_parser->is_header_done() && m_parser->chunked() ? ShortestLastChunk : 1;
 }
 
 bool RequestDecoder::isHeadDone() const { return m_parser && m_parser->is_header_done(); }
--- a/tests/RequestDecoderTest.cpp
+++ b/tests/RequestDecoderTest.cpp
@@ -92,6 +92,7 @@
         std::string body;
     } cases[] = {
         { "no body", head + "\r\n", "" },
+        { "no chunk but the last", chunkedHead + "0\r\n\r\n", "" },
         { "the largest body", head + "Content-Length: 4096\r\n\r\n" + largest, largest },
         { "the largest body in one chunk", chunkedHead + "1000\r\n" + largest + "\r\n0\r\n\r\n", largest },
         { "the largest body in tiny chunks", chunkedHead + repeated("1\r\nx\r\n", 6 * 4096) + "0\r\n\r\n", largest },
