Ignore the trailers of requests

Servers got headers that the caller had not sent in its head, and missed some that it had: a trailer "Connection: X-Model" removed X-Model from the forwarded request, and a trailer X-Late was forwarded. A trailer Host, Authorization or X-Attempt-Id made a sound request malformed (400), and could have supplied these where the head has none.

Cause: Beast adds trailers to the headers, and the request was judged and forwarded after its body had been read.

The decoder takes fields only from the head. Trailers are still checked for their form and length, and then dropped, as RFC 9110, 6.5.1 allows a recipient.

--- a/src/shell/RequestDecoder.cpp
+++ b/src/shell/RequestDecoder.cpp
@@ -53,7 +53,8 @@
     void on_field_impl(http::field name, Text text, Text value, Error& error) override
     {
         error = {};
-        m_request.insert(name, text, value);
+        if (!is_header_done())
+            m_request.insert(name, text, value);
     }
     void on_header_impl(Error& error) override { error = {}; }
     void on_body_init_impl(const boost::optional<std::uint64_t>& length, Error& error) override
--- a/tests/RequestDecoderTest.cpp
+++ b/tests/RequestDecoderTest.cpp
@@ -113,6 +113,21 @@
     }
 }
 
+// A trailer could name another workspace's key, another call's id, and a header that only instances set.
+TEST(RequestDecoder, TrailersSetNoHeader)
+{
+    RequestDecoder decoder;
+    decoder.begin(SmallLimits);
+    std::uint64_t most = 0;
+    const std::string trailers = "Authorization: Bearer other\r\nHost: other\r\nX-New: 1\r\nConnection: close\r\n";
+    CHECK_TRUE(feed(decoder, chunkedHead + "1\r\nx\r\n0\r\n" + trailers + "\r\n", 16, most) == Progress::Done);
+    const RequestDecoder::Request request = decoder.release();
+    CHECK_EQUAL(0U, request.count("Authorization"));
+    CHECK_EQUAL(1U, request.count("Host"));
+    CHECK_EQUAL(0U, request.count("X-New"));
+    CHECK_TRUE(request.keep_alive());
+}
+
 TEST(RequestDecoder, BytesBehindARequestBelongToTheNext)
 {
     RequestDecoder decoder;
