Reject a header field that is longer than can be stored

Callers saw an instance end (SIGABRT, in the deployed build, too) after one request with a header value of 70,000 bytes, where the configuration allows heads of 200,000.

Cause: Beast's fields hold names and values of up to 65,533 bytes and throw std::length_error beyond. Nothing caught it in the coroutine of the connection, so it ended the event loop.

The decoder rejects such a field (431) before it is stored.

--- a/src/shell/RequestDecoder.cpp
+++ b/src/shell/RequestDecoder.cpp
@@ -10,6 +10,8 @@
     constexpr std::size_t LargeRead = 16384;
     /// The line of the last chunk, and the ends of the lines around it, are not counted as trailers.
     constexpr std::size_t FramingSlack = 64;
+    /// Longest name and longest value of a field. Beast throws an exception above 65,533 bytes.
+    constexpr std::size_t MaxFieldBytes = 65000;
 
 } // namespace
 
@@ -53,7 +55,11 @@
     void on_field_impl(http::field name, Text text, Text value, Error& error) override
     {
         error = {};
-        if (!is_header_done())
+        if (is_header_done())
+            return;
+        if (text.size() > MaxFieldBytes || value.size() > MaxFieldBytes)
+            error = http::error::header_limit;
+        else
             m_request.insert(name, text, value);
     }
     void on_header_impl(Error& error) override { error = {}; }
--- a/tests/RequestDecoderTest.cpp
+++ b/tests/RequestDecoderTest.cpp
@@ -128,6 +128,21 @@
     CHECK_TRUE(request.keep_alive());
 }
 
+// A field that is longer than Beast can store ended the process.
+TEST(RequestDecoder, AFieldThatIsTooLongIsRejected)
+{
+    for (const std::size_t bytes : { 65000U, 70000U }) {
+        const std::string fields[] = { "X-Line: " + std::string(bytes, 'a'), std::string(bytes, 'a') + ": a" };
+        for (const std::string& field : fields) {
+            RequestDecoder decoder;
+            decoder.begin({ 200000, 4096 });
+            std::uint64_t most = 0;
+            const Progress expected = bytes > 65000 ? Progress::Failed : Progress::Done;
+            CHECK_TRUE(feed(decoder, head + field + "\r\n\r\n", 16384, most) == expected);
+        }
+    }
+}
+
 TEST(RequestDecoder, BytesBehindARequestBelongToTheNext)
 {
     RequestDecoder decoder;
