--- a/tests/process/clients.py
+++ b/tests/process/clients.py
@@ -256,7 +256,7 @@
             await asyncio.sleep(0.2)
 
     def http_settings(self):
-        return {}
+        return {"memoryMb": MEMORY_MB}
 
     async def stop(self):
         await super().stop()
