Leave descriptors for servers, the store and other instances

Callers timed out at an instance whose descriptors were all held by connections that sent nothing, one byte or half a head; so did its connections to servers and to the store.

Clients may hold half of the descriptors for sockets (limits.max_fds less those for files, or the system's limit). A new connection beyond that closes the one that has waited longest without a request, else refuses the request that has taken longest to arrive (503, not run); connections younger than half a second are left, so that a client inside the limits is not cut off while it sends. If there is none, the new one is refused (503 with Retry-After) within a further eighth of the descriptors, and above that closed at once, unread. http.connections of crocusmountd stays an upper limit.

--- a/src/admission/ClientLimits.cpp
+++ b/src/admission/ClientLimits.cpp
@@ -1,7 +1,6 @@
 #include "admission/ClientLimits.h"
 
 #include <algorithm>
-#include <limits>
 
 namespace crocusmount {
 
@@ -9,6 +8,12 @@
 
     /// The memory of a process, divided by this number, may be held by callers' requests and answers.
     constexpr std::uint64_t MemoryDivisor = 4;
+    /// The descriptors of a process, divided by this number, are left to callers. Each of their requests may need
+    /// another one for the connection to a server.
+    constexpr std::size_t DescriptorDivisor = 2;
+    /// The descriptors, divided by this number, are left to connections that are being refused.
+    constexpr std::size_t RefusalDivisor = 8;
+    constexpr std::size_t MinConnections = 8;
     constexpr std::uint64_t BodyDivisor = 8;
     constexpr std::uint64_t MaxHeadShareDivisor = 64;
     constexpr std::uint64_t MaxHead = 1U << 20U;
@@ -18,12 +23,12 @@
 
 ClientLimits ClientLimits::make(std::uint64_t memoryBytes, std::size_t descriptors, std::size_t connections)
 {
-    (void)descriptors;
-    (void)connections;
     ClientLimits limits;
     limits.memoryBytes = memoryBytes / MemoryDivisor;
-    limits.connections = std::numeric_limits<std::size_t>::max();
-    limits.maxConnections = limits.connections;
+    limits.connections = std::max(MinConnections, descriptors / DescriptorDivisor);
+    if (connections)
+        limits.connections = std::min(limits.connections, connections);
+    limits.maxConnections = limits.connections + std::max(MinConnections, descriptors / RefusalDivisor);
     return limits;
 }
 
--- a/tests/ClientAccountTest.cpp
+++ b/tests/ClientAccountTest.cpp
@@ -162,3 +162,76 @@
     CHECK_EQUAL(0U, account.heldBytes());
     CHECK_EQUAL(0U, account.connections());
 }
+
+// ---- Connections
+// -----------------------------------------------------------------------------------------------------
+
+namespace {
+
+enum class Doing { Waiting, Receiving, Running };
+struct Others {
+    const char* name;
+    Doing doing;
+    Duration sinceMs;
+    ClientAccount::Entry entry; ///< of one more connection than the limit
+};
+
+const Others others[] = {
+    { "old idle ones", Doing::Waiting, 2s, ClientAccount::Entry::Accepted },
+    { "old unfinished ones", Doing::Receiving, 2s, ClientAccount::Entry::Accepted },
+    { "new idle ones", Doing::Waiting, 100ms, ClientAccount::Entry::Rejected },
+    { "new unfinished ones", Doing::Receiving, 100ms, ClientAccount::Entry::Rejected },
+    { "running ones", Doing::Running, 60s, ClientAccount::Entry::Rejected },
+};
+
+} // namespace
+
+TEST(ClientAccount, ANewConnectionReplacesOneThatDoesNothing)
+{
+    for (const Others& other : others) {
+        ClientAccount account(limitsOf(25 * MiB, 100));
+        TimePoint now = timePoint(1);
+        for (const ConnectionId id : openMany(account, 100, now, 0ms)) {
+            if (other.doing != Doing::Waiting)
+                account.receive(id, KiB, now);
+            if (other.doing == Doing::Running)
+                account.run(id, KiB, now);
+        }
+        const ClientAccount::Opened opened = account.open(now + other.sinceMs);
+        CHECK_TEXT("", opened.entry == other.entry ? "" : other.name);
+        const std::size_t expectedEnds = other.entry == ClientAccount::Entry::Accepted ? 1 : 0;
+        CHECK_EQUAL(expectedEnds, opened.ended.size());
+    }
+}
+
+TEST(ClientAccount, AnIdleConnectionIsReplacedBeforeAnUnfinishedRequest)
+{
+    ClientAccount account(limitsOf(25 * MiB, 2));
+    const ConnectionId receiving = account.open(timePoint(1)).id;
+    account.receive(receiving, KiB, timePoint(1));
+    const ConnectionId idle = account.open(timePoint(1000000)).id;
+    const ClientAccount::Opened opened = account.open(timePoint(9000000));
+    CHECK_EQUAL(1U, opened.ended.size());
+    CHECK_TRUE(opened.ended.front() == idle);
+}
+
+TEST(ClientAccount, ConnectionsNeverExceedTheirMaximum)
+{
+    ClientAccount account(limitsOf(25 * MiB, 100));
+    TimePoint now = timePoint(1);
+    for (int each = 0; each < 10000; ++each) {
+        account.open(now);
+        now += 1ms;
+        CHECK_TRUE(account.connections() <= 125);
+    }
+    CHECK_TRUE(account.open(now).entry == ClientAccount::Entry::Dropped);
+}
+
+TEST(ClientAccount, LimitsLeaveDescriptorsForServers)
+{
+    for (const std::size_t descriptors : { 100U, 300U, 3900U, 20000U }) {
+        const ClientLimits limits = ClientLimits::make(260 * MiB, descriptors);
+        CHECK_TRUE(limits.connections <= descriptors / 2);
+        CHECK_TRUE(limits.maxConnections <= descriptors * 5 / 8 + 1);
+    }
+}
