Count answers that callers do not take in the memory of clients

100 callers that asked for answers of 2 MB and read nothing took 256 MB (bound 100).

Cause: an answer waits in the call's pipe, and in the write that its caller holds up for up to ten seconds; nothing added these up. A whole answer is also collected before it is delivered.

The pipe reports what it keeps, and the connection adds what it writes.

--- a/src/edge/AnswerPipe.h
+++ b/src/edge/AnswerPipe.h
@@ -3,6 +3,7 @@
 #include "relay/RelayEffect.h"
 #include "shell/Net.h"
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <utility>
@@ -86,6 +87,15 @@
             breakOff();
     }
 
+    /// Reports bytes of an answer that an attempt keeps until it is complete.
+    void collect(std::size_t bytes)
+    {
+        m_collectedBytes = bytes;
+        reportKept();
+    }
+    /// Sets the function that is told how many bytes of the answer wait to be taken with next().
+    void setOnKept(std::function<void(std::size_t bytes)> report) { m_reportKept = std::move(report); }
+
     /// Ends next(), because the caller has closed its connection.
     void abandon()
     {
@@ -100,7 +110,9 @@
     {
         while (m_pending.empty() && !m_isAbandoned)
             co_await m_changeSignal.async_wait(net::as_tuple(useAwaitable));
-        co_return std::exchange(m_pending, Batch());
+        Batch batch = std::exchange(m_pending, Batch());
+        reportKept();
+        co_return batch;
     }
 
 private:
@@ -108,12 +120,24 @@
     void update(Update&& apply)
     {
         apply();
+        reportKept();
         m_changeSignal.cancel();
     }
 
+    void reportKept()
+    {
+        if (!m_reportKept)
+            return;
+        const std::size_t whole = m_pending.wholeAnswer ? m_pending.wholeAnswer->body.size() : 0;
+        const std::size_t failure = m_keptFailure ? m_keptFailure->body.size() : 0;
+        m_reportKept(m_pending.bytes.size() + whole + failure + m_collectedBytes);
+    }
+
     Timer m_changeSignal; ///< never expires; cancelled to wake up next()
     Batch m_pending; ///< not yet taken by next()
     std::optional<WholeAnswer> m_keptFailure;
+    std::size_t m_collectedBytes = 0; ///< as of the latest collect()
+    std::function<void(std::size_t)> m_reportKept; ///< null: nobody is told
     bool m_isAbandoned = false;
 };
 
--- a/src/edge/FrontServer.cpp
+++ b/src/edge/FrontServer.cpp
@@ -304,7 +304,13 @@
         watchForClose(call);
         m_pipe = call.pipe;
         m_keptBytes = 0;
+        m_pipe->setOnKept([this](std::size_t bytes) {
+            m_keptBytes = bytes;
+            if (!m_client->keepAnswer(m_keptBytes + m_writingBytes))
+                stopIo();
+        });
         const bool written = co_await relayAnswer(call, callId);
+        m_pipe->setOnKept(nullptr);
         m_pipe.reset();
         if (m_writeError && !m_shared->node.isOpen(call.id)) {
             ++m_shared->answersUnwritten;
@@ -440,10 +446,19 @@
     /// @return whether all bytes were written in time
     Awaitable<bool> write(const std::string& out)
     {
+        // A refusal is small, and is written although the connection has been ended.
+        m_writingBytes = m_pipe ? out.size() : 0;
+        if (m_pipe && !m_client->keepAnswer(m_keptBytes + m_writingBytes)) {
+            m_writeError = net::error::no_memory;
+            co_return false;
+        }
         m_stream.expires_after(WriteTimeout);
         const auto [error, count] = co_await net::async_write(m_stream, net::buffer(out), asTuple);
         m_stream.expires_never();
         m_writeError = error;
+        m_writingBytes = 0;
+        if (m_pipe)
+            m_client->keepAnswer(m_keptBytes);
         co_return !error;
     }
 
--- a/src/edge/UpstreamAttempt.cpp
+++ b/src/edge/UpstreamAttempt.cpp
@@ -317,7 +317,9 @@
     while (canContinue && !parser.is_done()) {
         canContinue = co_await readBodyChunk(parser, bytes) && answer.body.size() + bytes.size() <= MaxWholeAnswerBytes;
         answer.body.append(bytes);
+        m_pipe->collect(answer.body.size());
     }
+    m_pipe->collect(0);
     if (canContinue || m_readError)
         ending.stop = stopOf(parser);
     ending.isInsideEvent = isEventStream(parser.get().base()) && endsInsideEvent(answer.body);
