Limit the receive buffers of clients' connections

The users' machines count what was received and not read as memory of the process, such as what a client sends behind a request while its answer runs. The system's buffers grow to megabytes for each connection; with 128 kB each, 2,000 connections would take all of the smallest machine.

Each connection gets an eighth of the memory, divided by the number of connections, 4 to 256 kB.

--- a/tests/ClientAccountTest.cpp
+++ b/tests/ClientAccountTest.cpp
@@ -233,5 +233,6 @@
         const ClientLimits limits = ClientLimits::make(260 * MiB, descriptors);
         CHECK_TRUE(limits.connections <= descriptors / 2);
         CHECK_TRUE(limits.maxConnections <= descriptors * 5 / 8 + 1);
+        CHECK_TRUE(limits.receiveBufferBytes >= 4 * KiB);
     }
 }
