Keep the connections of running requests when connections run short

With the table of connections full, a request whose answer had waited for half a second could have been closed for a new connection, although its answer is promised; by reading, not seen. Only idle connections and unfinished requests are closed for new ones now. A failure that is kept for its caller counts as memory at once.

ClientAccount.ANewConnectionReplacesOneThatDoesNothing has the row.

--- a/src/admission/ClientAccount.cpp
+++ b/src/admission/ClientAccount.cpp
@@ -63,17 +63,11 @@
 
 ClientAccount::Holders::iterator ClientAccount::findReplaceable(TimePoint now)
 {
-    const auto rank = [](const Holder& holder) {
-        if (holder.state == State::Running)
-            return 2;
-        return holder.state == State::Receiving ? 1 : 0;
-    };
+    const auto rank = [](const Holder& holder) { return holder.state == State::Receiving ? 1 : 0; };
     auto best = m_holders.end();
     for (auto each = m_holders.begin(); each != m_holders.end(); ++each) {
         const Holder& holder = each->second;
-        const bool isAnswerUntaken = holder.state == State::Running && holder.unfinishedBytes > 0;
-        const bool isReplaceable
-            = holder.state == State::Waiting || holder.state == State::Receiving || isAnswerUntaken;
+        const bool isReplaceable = holder.state == State::Waiting || holder.state == State::Receiving;
         if (!isReplaceable || now - holder.since < MinTimeInState)
             continue;
         const bool isBetter = best == m_holders.end() || rank(holder) < rank(best->second)
--- a/src/admission/ClientAccount.h
+++ b/src/admission/ClientAccount.h
@@ -18,7 +18,7 @@
 /// When memory runs short, the unfinished requests and untaken answers that have held most bytes for the longest time
 /// are ended: a caller that sends at once keeps its place beside a crowd that does not finish. When connections run
 /// short, the one that has waited longest without a request is closed, and then the one whose request has taken longest
-/// to arrive. Requests that run are never ended.
+/// to arrive. A request that runs is ended only if its answer holds memory that is needed.
 class ClientAccount {
 public:
     explicit ClientAccount(ClientLimits limits)
--- a/src/edge/AnswerPipe.h
+++ b/src/edge/AnswerPipe.h
@@ -77,7 +77,11 @@
     }
 
     /// Keeps a server's failure, to be delivered if no later attempt succeeds.
-    void keepFailure(WholeAnswer failure) { m_keptFailure = std::move(failure); }
+    void keepFailure(WholeAnswer failure)
+    {
+        m_keptFailure = std::move(failure);
+        reportKept();
+    }
     /// Delivers the kept failure, or breaks the answer off if there is none.
     void deliverKeptFailure()
     {
--- a/tests/ClientAccountTest.cpp
+++ b/tests/ClientAccountTest.cpp
@@ -168,7 +168,7 @@
 
 namespace {
 
-enum class Doing { Waiting, Receiving, Running };
+enum class Doing { Waiting, Receiving, Running, Answering };
 struct Others {
     const char* name;
     Doing doing;
@@ -182,6 +182,7 @@
     { "new idle ones", Doing::Waiting, 100ms, ClientAccount::Entry::Rejected },
     { "new unfinished ones", Doing::Receiving, 100ms, ClientAccount::Entry::Rejected },
     { "running ones", Doing::Running, 60s, ClientAccount::Entry::Rejected },
+    { "ones whose answers are not taken", Doing::Answering, 60s, ClientAccount::Entry::Rejected },
 };
 
 } // namespace
@@ -194,8 +195,10 @@
         for (const ConnectionId id : openMany(account, 100, now, 0ms)) {
             if (other.doing != Doing::Waiting)
                 account.receive(id, KiB, now);
-            if (other.doing == Doing::Running)
+            if (other.doing == Doing::Running || other.doing == Doing::Answering)
                 account.run(id, KiB, now);
+            if (other.doing == Doing::Answering)
+                account.keepAnswer(id, KiB, now);
         }
         const ClientAccount::Opened opened = account.open(now + other.sinceMs);
         CHECK_TEXT("", opened.entry == other.entry ? "" : other.name);
