--- a/tests/RequestDecoderTest.cpp
+++ b/tests/RequestDecoderTest.cpp
@@ -95,7 +95,7 @@
         { "no chunk but the last", chunkedHead + "0\r\n\r\n", "" },
         { "the largest body", head + "Content-Length: 4096\r\n\r\n" + largest, largest },
         { "the largest body in one chunk", chunkedHead + "1000\r\n" + largest + "\r\n0\r\n\r\n", largest },
-        { "the largest body in tiny chunks", chunkedHead + repeated("1\r\nx\r\n", 6 * 4096) + "0\r\n\r\n", largest },
+        { "the largest body in tiny chunks", chunkedHead + repeated("1\r\nx\r\n", std::size_t { 6 } * 4096) + "0\r\n\r\n", largest },
         { "long extensions",
             chunkedHead + "1;a=" + std::string(900, 'b') + "\r\nx\r\n0;a=" + std::string(900, 'b') + "\r\n\r\n", "x" },
         { "trailers", chunkedHead + "1\r\nx\r\n0\r\n" + trailers + "\r\n", "x" },
