--- a/tests/process/clients.py
+++ b/tests/process/clients.py
@@ -48,6 +48,7 @@
     async def _answer(self, message, writer):
         if "x-attempt-id" not in message.headers:
             return await super()._answer(message, writer)
+        self.fleet.ran(message.headers["x-attempt-id"])
         await asyncio.sleep(float(message.headers.get("x-work-s", "0")))
         body = hashlib.sha256(message.body).hexdigest().encode() + bytes(int(message.headers.get("x-answer-bytes", "0")))
         seen = {name: message.headers.get(name, "") for name in ("x-tenant", "x-late", "x-model")}
@@ -63,6 +64,7 @@
     def __init__(self, folder, listener):
         self.folder, self.listener, self.process, self.attempts = folder, listener, None, 0
         self.most_sockets, self.most_kb, self.tasks = 0, 0, []
+        self.refused = {}  # by attempt: the status of its answer
 
     async def spawn(self, fds, *command):
         with open(f"{self.folder}/{os.path.basename(command[0])}.log", "ab") as log:
@@ -70,6 +72,10 @@
                 *command, stdout=log, stderr=log,
                 preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (fds, fds)))
 
+    def ran_attempts(self):
+        """Returns the attempts that reached a server."""
+        return set()
+
     def lives(self):
         return self.process.returncode is None
 
@@ -162,6 +168,9 @@
     def service_address(self):
         return f"{NET}.91.1:8227"
 
+    def ran_attempts(self):
+        return self.fleet.runs
+
     def request_line(self):
         return "POST /look/x HTTP/1.1\r\n"
 
@@ -325,6 +334,25 @@
             await asyncio.wait_for(write(writer, b"POST /look/x HTTP/1.1\r\n" + b"x" * (2 << 20)), 10)
 
 
+class Waiting:
+    """Sends a whole request whose answer takes long."""
+
+    async def __call__(self, target, reader, writer, number):
+        writer.write(target.request_line().encode() + REQUEST.format(f"c{number}").encode()
+                     + b"X-Work-S: 20\r\nContent-Length: %d\r\n\r\n" % BODY)
+        for begin in range(0, BODY, 65536):
+            await write(writer, b"x" * 65536)
+        await note_refusal(target, reader, number)
+
+
+async def note_refusal(target, reader, number):
+    """Notes the status if the request is refused while others are sent."""
+    with contextlib.suppress(asyncio.TimeoutError):
+        head = await asyncio.wait_for(read_head(reader), 3)
+        if head:
+            target.refused[f"c{number}"] = head.status
+
+
 class Unread:
     """Asks for a large answer and reads nothing of it."""
 
@@ -395,6 +423,7 @@
     ("no-byte", OPEN, CROWD, Raw(), {}),
     ("bytes-behind-a-request", FRONT, 100, Behind(), {}),
     ("answers-not-read", FRONT, 100, Unread(), {}),
+    ("whole-bodies-that-wait", FRONT, CROWD, Waiting(), {}),
 ]
 
 
@@ -417,11 +446,15 @@
             broken.append("an ordinary request is not answered after the crowd")
         if not target.lives():
             broken.append(f"the process ended with {target.process.returncode}")
+        for attempt, status in target.refused.items():
+            if status in (408, 413, 429, 431, 503) and attempt in target.ran_attempts():
+                broken.append(f"{attempt} was answered {status} and ran")
         if target.most_kb > MEMORY_MB * 1024:
             broken.append(f"{target.most_kb // 1024} MB, bound {MEMORY_MB}")
         if target.most_sockets > target.socket_bound:
             broken.append(f"{target.most_sockets} sockets, bound {target.socket_bound}")
-        print(f"  {target.most_kb // 1024} MB, {target.most_sockets} sockets", flush=True)
+        refused = f", {len(target.refused)} refused" if target.refused else ""
+        print(f"  {target.most_kb // 1024} MB, {target.most_sockets} sockets{refused}", flush=True)
         return broken
     finally:
         await target.stop()
