--- a/tests/OddEntryTest.cpp
+++ b/tests/OddEntryTest.cpp
@@ -194,12 +194,13 @@
 {
     const auto configuration = platform::parseConfiguration(
         R"({"version":2,"routes":[{"name":"r","timeout_ms":1e300,"target_latency_ms":-1e300,"priority_class":1e300}],
-            "limits":{"max_body_bytes":1e300,"idle_timeout_ms":1e300}})");
+            "limits":{"max_header_bytes":1e300,"max_body_bytes":1e300,"idle_timeout_ms":1e300}})");
     CHECK_TRUE(configuration.ok());
     const Route& route = configuration->routes.at(0);
     CHECK_TRUE(route.timeout > std::chrono::hours(1) && route.timeout <= std::chrono::hours(24 * 366));
     CHECK_TRUE(route.objective >= Duration(0));
     CHECK_TRUE(route.rank > 0);
+    CHECK_TRUE(configuration->limits.headerBytes > 16384); // Became 0, so that each request was refused.
     CHECK_TRUE(configuration->limits.bodyBytes > 0);
     CHECK_TRUE(configuration->limits.idleTimeout <= std::chrono::hours(24 * 366));
 }
