Clients in place of callers in the account, and a line at each regression test

Comments and one test's name only: ClientAccount and ClientLimits speak of clients throughout, comments stand above the members that they were wrapped behind, and tests of the faults say in a line what was seen.

--- a/src/admission/ClientAccount.h
+++ b/src/admission/ClientAccount.h
@@ -11,12 +11,12 @@
 
 using ConnectionId = StrongId<struct ConnectionTag, std::uint64_t>;
 
-/// Decides which connections of callers are accepted, and which requests are read further, so that all connections of a
-/// process together stay within ClientLimits. Knows no sockets: the caller reports what connections do, and ends those
+/// Decides which connections of clients are accepted, and which requests are read further, so that all connections of a
+/// process together stay within ClientLimits. Knows no sockets: its user reports what connections do, and ends those
 /// that a decision names.
 ///
 /// When memory runs short, the unfinished requests and untaken answers that have held most bytes for the longest time
-/// are ended: a caller that sends at once keeps its place beside a crowd that does not finish. When connections run
+/// are ended: a client that sends at once keeps its place beside a crowd that does not finish. When connections run
 /// short, the one that has waited longest without a request is closed, and then the one whose request has taken longest
 /// to arrive. A request that runs is ended only if its answer holds memory that is needed.
 class ClientAccount {
@@ -40,8 +40,8 @@
     };
     /// A decision on memory.
     struct Granted {
-        bool isGranted
-            = true; ///< otherwise the request is to be refused, or the connection that takes no answer closed
+        /// Otherwise the request is to be refused, or the connection that takes no answer closed.
+        bool isGranted = true;
         std::vector<ConnectionId> ended; ///< other connections whose request is to be refused, or that are to be closed
     };
 
@@ -58,8 +58,8 @@
     /// The request is complete and begins to run.
     /// @param bytes  that it takes in memory
     Granted run(ConnectionId, std::uint64_t bytes, TimePoint now);
-    /// The answer of the running request has grown, or its caller has taken a part of it.
-    /// @param bytes  of the answer that the caller has not taken; 0: all is taken
+    /// The answer of the running request has grown, or the client has taken a part of it.
+    /// @param bytes  of the answer that the client has not taken; 0: all is taken
     Granted keepAnswer(ConnectionId, std::uint64_t bytes, TimePoint now);
     /// The connection has no request any more, and is closed soon.
     void beginClose(ConnectionId, TimePoint now);
--- a/src/admission/ClientLimits.cpp
+++ b/src/admission/ClientLimits.cpp
@@ -6,11 +6,11 @@
 
 namespace {
 
-    /// The memory of a process, divided by this number, may be held by callers' requests and answers.
+    /// The memory of a process, divided by this number, may be held by clients' requests and answers.
     constexpr std::uint64_t MemoryDivisor = 4;
     /// The memory of a process, divided by this number, may be taken by what was received and is not yet read.
     constexpr std::uint64_t ReceiveMemoryDivisor = 8;
-    /// The descriptors of a process, divided by this number, are left to callers. Each of their requests may need
+    /// The descriptors of a process, divided by this number, are left to clients. Each of their requests may need
     /// another one for the connection to a server.
     constexpr std::size_t DescriptorDivisor = 2;
     /// The descriptors, divided by this number, are left to connections that are being refused.
--- a/src/admission/ClientLimits.h
+++ b/src/admission/ClientLimits.h
@@ -5,15 +5,15 @@
 
 namespace crocusmount {
 
-/// What all connections of callers together may hold of a process.
+/// What all connections of clients together may hold of a process.
 struct ClientLimits {
-    std::uint64_t memoryBytes = 0; ///< requests, and answers that their callers have not taken
+    std::uint64_t memoryBytes = 0; ///< requests, and answers that their clients have not taken
     std::size_t connections = 0; ///< open at once; above this, one is closed or refused for each new one
-    std::size_t maxConnections
-        = 0; ///< open at once, those included that are being refused; a new one is closed at once
+    /// Open at once, including those that are being refused. Above this, a new one is closed at once.
+    std::size_t maxConnections = 0;
     std::size_t receiveBufferBytes = 0; ///< received by the system and not yet read, for each connection
 
-    /// Divides the resources of a process between its callers' connections and everything else.
+    /// Divides the resources of a process between its clients' connections and everything else.
     /// @param memoryBytes  that the process may use
     /// @param descriptors  that the process may use for sockets
     /// @param connections  upper limit of the connections; 0: only the descriptors limit them
--- a/tests/ClientAccountTest.cpp
+++ b/tests/ClientAccountTest.cpp
@@ -34,7 +34,7 @@
 
 } // namespace
 
-// ---- Memory --------------------------------------------------------------------------------------------------------
+// ---- Memory
 
 namespace {
 
@@ -57,6 +57,7 @@
 
 } // namespace
 
+// Requests that never ended took all memory.
 TEST(ClientAccount, ACrowdThatDoesNotFinishStaysWithinTheMemoryAndLeavesOthersRoom)
 {
     for (const Crowd& crowd : crowds) {
@@ -111,7 +112,7 @@
     CHECK_TRUE(account.heldBytes() <= 25 * MiB);
 }
 
-TEST(ClientAccount, ARequestThatRunsIsNeverEnded)
+TEST(ClientAccount, ARequestThatRunsIsNotEndedForOthers)
 {
     ClientAccount account(limitsOf(4 * MiB, 100));
     TimePoint now = timePoint(1);
@@ -128,6 +129,7 @@
     CHECK_TRUE(account.keepAnswer(running, 0, now).isGranted);
 }
 
+// Answers that nobody read took all memory.
 TEST(ClientAccount, AnswersThatAreNotTakenAreEndedBeforeOthersAreRefused)
 {
     ClientAccount account(limitsOf(8 * MiB, 1000));
@@ -164,7 +166,6 @@
 }
 
 // ---- Connections
-// -----------------------------------------------------------------------------------------------------
 
 namespace {
 
@@ -187,6 +188,7 @@
 
 } // namespace
 
+// Connections that did nothing kept all others out.
 TEST(ClientAccount, ANewConnectionReplacesOneThatDoesNothing)
 {
     for (const Others& other : others) {
@@ -230,6 +232,7 @@
     CHECK_TRUE(account.open(now).entry == ClientAccount::Entry::Dropped);
 }
 
+// Clients' connections left no descriptors for servers.
 TEST(ClientAccount, LimitsLeaveDescriptorsForServers)
 {
     for (const std::size_t descriptors : { 100U, 300U, 3900U, 20000U }) {
--- a/tests/RequestDecoderTest.cpp
+++ b/tests/RequestDecoderTest.cpp
@@ -159,6 +159,7 @@
     CHECK_TEXT("b", decoder.release().body());
 }
 
+// The announced length was reserved at once.
 TEST(RequestDecoder, AnAnnouncedBodyTakesNoMemoryBeforeItArrives)
 {
     RequestDecoder decoder;
--- a/tests/process/clients.py
+++ b/tests/process/clients.py
@@ -5,7 +5,8 @@
 
 Each case starts one process, sends a crowd at one of its listeners and checks that the process lives, that its memory and
 its sockets stay under the limits of its machine, and that an ordinary request is answered while the crowd's connections
-are still open and after they are closed. Nothing is judged by time. Cases that FILE lists are left out.
+are still open and after they are closed. A request that is answered as not run must not have run. Nothing is judged by
+time. Cases that FILE lists are left out.
 """
 
 import argparse
@@ -15,7 +16,6 @@
 import json
 import os
 import resource
-import socket
 import sys
 import tempfile
 import time
