Judge the end of an answer by the sending of its request, too

What callers saw: a server answered a long upload at once with 200 and no length, sent a part of the body and reset the connection while the upload was being written. The caller got the part as a complete answer, plain and streamed. Cause: the system reports a reset once. The write of the request took it, UpstreamAttempt dropped the result of the write, and the read that followed found an end in order. HttpClient did not read on after a failed write, so it lost sound answers instead, and nobody read an answer while the server did not read the request. Change: RequestSender sends while the answer is read, and keeps what the sending shows about the end. A write after an orderly close fails with a broken pipe, a reset that comes first with its own error, so an early answer without length that ends in order is still whole. Connections whose request was not sent whole are not used again.

--- a/src/edge/UpstreamAttempt.cpp
+++ b/src/edge/UpstreamAttempt.cpp
@@ -5,6 +5,7 @@
 #include "edge/ServerNoticeReader.h"
 #include "edge/UnknownHeaders.h"
 #include "shell/Endpoint.h"
+#include "shell/RequestSender.h"
 #include "shell/TransferCoding.h"
 
 #include <absl/strings/ascii.h>
@@ -195,11 +196,9 @@
     if (!co_await connect())
         co_return makeEnded(AttemptResult::ConnectFailed);
     const auto remaining = std::chrono::duration_cast<Duration>(m_callDeadline - std::chrono::steady_clock::now());
-    const CallerRequest forwarded = buildServerRequest(m_headerNames, m_order, *m_request, remaining);
     m_postEvent(event::AttemptSent { m_order.attempt });
-    const auto [error, count] = co_await http::async_write(m_stream, forwarded, asTuple);
-    (void)error; // A server may answer and close before it has read the whole request. Its answer is read below.
-    (void)count;
+    m_sender = RequestSender::start(
+        m_stream, shared_from_this(), buildServerRequest(m_headerNames, m_order, *m_request, remaining));
     std::unique_ptr<Parser> parser;
     for (int foreignAnswers = 0;; ++foreignAnswers) {
         if (!co_await readHead(parser) || m_isCancelled)
@@ -257,15 +256,20 @@
     return parser.need_eof() ? AnswerFraming::Connection : AnswerFraming::Length;
 }
 
+AnswerStop UpstreamAttempt::closedStop() const
+{
+    return m_sender->hasConnectionFailed() ? AnswerStop::Aborted : AnswerStop::Closed;
+}
+
 AnswerStop UpstreamAttempt::stopOf(const Parser& parser) const
 {
     const bool isClosed = m_readError == http::error::partial_message || m_readError == http::error::end_of_stream
         || m_readError == net::error::eof;
     if (isClosed)
-        return AnswerStop::Closed;
+        return closedStop();
     if (m_readError || !parser.is_done())
         return AnswerStop::Aborted;
-    return parser.need_eof() ? AnswerStop::Closed : AnswerStop::EndOfMessage;
+    return parser.need_eof() ? closedStop() : AnswerStop::EndOfMessage;
 }
 
 Awaitable<bool> UpstreamAttempt::readHead(std::unique_ptr<Parser>& parser)
--- a/src/edge/UpstreamAttempt.h
+++ b/src/edge/UpstreamAttempt.h
@@ -9,6 +9,10 @@
 #include <functional>
 #include <memory>
 
+namespace crocusmount {
+class RequestSender;
+}
+
 namespace crocusmount::relay {
 
 class UnknownHeaders;
@@ -82,6 +86,8 @@
     static AnswerFraming framingOf(const Parser&);
     /// @return what ended the reading of the answer's body
     AnswerStop stopOf(const Parser&) const;
+    /// @return what an end of the connection is that the read found to be in order
+    AnswerStop closedStop() const;
     event::AttemptEnded makeEnded(AttemptResult, unsigned status = 0, std::string culprit = {}) const;
 
     const HeaderNames& m_headerNames;
@@ -91,6 +97,7 @@
     std::shared_ptr<AnswerPipe> m_pipe;
     PostEvent m_postEvent;
     TcpStream m_stream;
+    std::shared_ptr<RequestSender> m_sender; ///< null until the connection is established
     /// Limits what the parser leaves unread, such as the extension of a chunk before its end has arrived.
     static constexpr std::size_t MaxReadAheadBytes = 128U << 10U;
     beast::flat_buffer m_readAhead; ///< bytes received and not yet parsed
--- a/src/shell/HttpClient.cpp
+++ b/src/shell/HttpClient.cpp
@@ -1,6 +1,7 @@
 #include "shell/HttpClient.h"
 
 #include "shell/Endpoint.h"
+#include "shell/RequestSender.h"
 #include "shell/TransferCoding.h"
 
 #include <absl/strings/ascii.h>
@@ -70,6 +71,16 @@
         return parser.need_eof() ? BodyEnd::ConnectionClosed : BodyEnd::Framed;
     }
 
+    /// @param error  of the last read of an answer
+    /// @return the error, or that of a connection that was reset where the read found an end in order
+    template <typename Parser>
+    boost::system::error_code endError(
+        boost::system::error_code error, const std::optional<Parser>& parser, const RequestSender& sender)
+    {
+        const bool endsWithConnection = !error && parser && endOf(*parser) == BodyEnd::ConnectionClosed;
+        return endsWithConnection && sender.hasConnectionFailed() ? net::error::connection_reset : error;
+    }
+
     /// Reads the head of the answer, after any interim answers, which are ignored.
     /// @param parser     set to a new parser, which also reads the body
     /// @param bodyLimit  longest body that the parser reads, in bytes
@@ -158,26 +169,32 @@
     }
     TcpStream& stream = *connected.stream;
     answer.phase = CallPhase::Sent;
-    const auto request = requestOf(call);
     stream.expires_after(call.timeout);
-    auto [error, count] = co_await http::async_write(stream, request, asTuple);
+    const auto sender = RequestSender::start(stream, connected.stream, requestOf(call));
     beast::flat_buffer buffer(MaxReadAheadBytes);
     std::optional<http::response_parser<http::string_body>> parser;
-    if (!error)
-        error = co_await readHead(stream, buffer, call.verb, MaxAnswerBytes, parser);
-    if (!error && !parser->is_done())
+    auto error = co_await readHead(stream, buffer, call.verb, MaxAnswerBytes, parser);
+    if (!error && !parser->is_done()) {
+        std::size_t count = 0;
         std::tie(error, count) = co_await http::async_read(stream, buffer, *parser, asTuple);
+    }
+    error = endError(error, parser, *sender);
     if (error) {
+        stream.close();
         answer.error = error.message();
-        answer.silent = error == beast::error::timeout || error == net::error::timed_out;
+        // Nothing but the time limit aborts the operations of a call.
+        answer.silent = error == beast::error::timeout || error == net::error::timed_out
+            || error == net::error::operation_aborted;
         co_return answer;
     }
     answer.phase = CallPhase::Answered;
     answer.end = endOf(*parser);
     readStatusAndHeaders(parser->get(), answer);
     answer.body = std::move(parser->get().body());
-    if (parser->get().keep_alive())
+    if (parser->get().keep_alive() && sender->isSent())
         keepIdle(call.address, connected.stream);
+    else
+        stream.close();
     co_return answer;
 }
 
@@ -200,14 +217,14 @@
             stream.expires_never();
     };
     answer.phase = CallPhase::Sent;
-    const auto request = requestOf(call);
     stream.expires_after(call.timeout);
-    auto [error, count] = co_await http::async_write(stream, request, asTuple);
+    const auto sender = RequestSender::start(stream, connected.stream, requestOf(call));
+    // The sending begins when this coroutine waits, so the limits of its writes and of the reads are set apart.
+    co_await net::post(useAwaitable);
     beast::flat_buffer buffer(MaxReadAheadBytes);
     std::optional<http::response_parser<http::buffer_body>> parser;
     restartTimer();
-    if (!error)
-        error = co_await readHead(stream, buffer, call.verb, boost::none, parser);
+    auto error = co_await readHead(stream, buffer, call.verb, boost::none, parser);
     if (!error)
         readStatusAndHeaders(parser->get(), answer);
     std::array<char, 16384> chunk {};
@@ -216,6 +233,7 @@
         parser->get().body().data = chunk.data();
         parser->get().body().size = chunk.size();
         restartTimer();
+        std::size_t count = 0;
         std::tie(error, count) = co_await http::async_read_some(stream, buffer, *parser, asTuple);
         if (error == http::error::need_buffer)
             error = {};
@@ -231,14 +249,18 @@
     }
     if (handle)
         handle->m_stream = nullptr;
+    error = endError(error, parser, *sender);
+    const bool isReusable = !error && parser->is_done() && parser->get().keep_alive() && sender->isSent();
+    if (isReusable)
+        keepIdle(call.address, connected.stream);
+    else
+        stream.close();
     if (error) {
         answer.error = error.message();
         co_return answer;
     }
     answer.phase = CallPhase::Answered;
     answer.end = endOf(*parser);
-    if (parser->is_done() && parser->get().keep_alive())
-        keepIdle(call.address, connected.stream);
     co_return answer;
 }
 
--- a/tests/soak/planned.py
+++ b/tests/soak/planned.py
@@ -213,26 +213,16 @@
             await instance.process.wait()
         await instance.start()
 
-    async def throttle(self, share, send):
-        """Lets a process run for its share of each period."""
-        period_s = self.arguments.period
-        run_s = period_s * share
-        await asyncio.sleep(period_s * self.random.random())
-        while not self.stopping:
-            send(signal.SIGSTOP)
-            await asyncio.sleep(period_s - run_s)
-            send(signal.SIGCONT)
-            await asyncio.sleep(run_s)
-
     async def run(self):
         watch = asyncio.create_task(self.watch_stalls())
         await self.start()
         throttles = []
         if self.arguments.share < 1:
-            throttles += [asyncio.create_task(self.throttle(self.arguments.share, each.signal)) for each in self.instances]
+            throttles += [asyncio.create_task(self.throttle(self.arguments.share, each.signal, self.arguments.period)) for each in self.instances]
         if self.arguments.server_share < 1:
             throttles.append(asyncio.create_task(
-                self.throttle(self.arguments.server_share, lambda number: os.kill(self.servers.pid, number))))
+                self.throttle(self.arguments.server_share, lambda number: os.kill(self.servers.pid, number),
+                              self.arguments.period)))
         callers = [asyncio.create_task(self.caller()) for _ in range(self.arguments.callers)]
         await asyncio.sleep(2)
         busy = [multiprocessing.Process(target=compute, args=(self.seconds,), daemon=True)
--- a/tests/soak/retries.py
+++ b/tests/soak/retries.py
@@ -1,14 +1,18 @@
 #!/usr/bin/env python3
 """Runs entry instances as processes while servers fail in waves, and checks what the servers receive again.
 
-Usage: retries.py [--seeds FIRST-LAST] [--waves N] [--instances N] [--callers N] [--program FILE]
+Usage: retries.py [--seeds FIRST-LAST] [--waves N] [--instances N] [--callers N] [--share X] [--program FILE]
 
 Before each wave the instances run undisturbed until their retry budgets are full. During it nearly all runs fail, and
-instances are killed together or in turn, stopped, paused, or the store is silent. Checked is, for all instances together:
+instances are killed together or in turn, stopped, paused, or the store is silent. In some waves servers ask for times
+without requests instead, or end by requests. With a share below 1, each instance is stopped for a part of each period, as
+by a quota. Checked is, for all instances together:
 - budget: in any WINDOW_S, a service receives no more requests beyond their first arrival than RATIO of its requests, which
   count in that window or up to one before it, and SLACK
 - attempts: no request runs on more servers than its route allows
-- deadline: no server is told of more time than the caller has left, but for DEADLINE_TOLERANCE_S
+- deadline: each server is told of a deadline, of which no more is left than the caller has, but for DEADLINE_TOLERANCE_S
+- backoff: servers that asked an instance for a time without requests get next to none from it, as in soak.py
+- quarantine: requests, and prompts with a part, that end servers are soon sent to none, as in soak.py
 """
 
 import argparse
@@ -32,6 +36,7 @@
 FILL_S = 14  # until the budget of an instance that has started is full
 WAVE_S = 12
 FAILURE_RATE = 0.95
+NO_DEADLINE_MS = 10 ** 9  # stands for a missing deadline
 SERVICES = {"look": "plain", "draft": "model"}
 DEADLINES_MS = {"look": 1000, "draft": 6000}
 
@@ -51,8 +56,8 @@
         attempt = message.headers.get("x-attempt-id")
         if attempt is None:
             return await super()._answer(message, writer)
-        fails = self.draws.random() < self.fleet.failure_rate
-        remaining_s = int(message.headers["x-deadline-ms"]) / 1000
+        fails = not self.retry_after_s and self.draws.random() < self.fleet.failure_rate
+        remaining_s = int(message.headers.get("x-deadline-ms", NO_DEADLINE_MS)) / 1000
         self.arrival = len(self.fleet.received)
         self.fleet.received.append((time.monotonic(), self.service, attempt, self.start_key, remaining_s, fails))
         if message.headers.get("x-expect-instance", self.id) != self.id:
@@ -73,6 +78,7 @@
         super().__init__(seed, 0, folder=folder, program=os.path.abspath(arguments.program), mutate="",
                          net=f"127.{arguments.block}", untimed=True, instances=arguments.instances)
         self.waves, self.callers, self.draws = arguments.waves, arguments.callers, random.Random(f"waves {seed}")
+        self.share = arguments.share
         # Attempt: (service, time sent, seconds that the caller waits).
         # Rejected: numbers of the received requests that did not run.
         self.fleet.failure_rate, self.fleet.received, self.fleet.rejected, self.requests, self.log = 0, [], set(), {}, []
@@ -85,7 +91,9 @@
     async def call(self, instance, reader, writer, follows):
         self.attempts += 1
         attempt, route = f"{self.attempts:016x}", self.random.choice(["look", "draft"])
-        self.requests[attempt] = (SERVICES[route], time.monotonic(), DEADLINES_MS[route] / 1000)
+        sent, patience_s = time.monotonic(), DEADLINES_MS[route] / 1000
+        self.requests[attempt] = (SERVICES[route], sent, patience_s)
+        self.instance_of[attempt], self.sent_at[attempt], self.deadlines_s[attempt] = instance, sent, patience_s
         try:
             writer.write((f"POST /{route}/x HTTP/1.1\r\nHost: soak.example\r\nX-Attempt-Id: {attempt}\r\n"
                           f"Authorization: Bearer {key_of(int(attempt, 16))}\r\nX-Deadline-Ms: {DEADLINES_MS[route]}\r\n"
@@ -144,12 +152,24 @@
         await asyncio.sleep(2)
         self.store.mode = "ok"
 
+    async def servers_ask_for_rest(self):
+        """Lets servers ask for times without requests, while half of the runs at the others fail."""
+        self.fleet.failure_rate, self.seconds = FAILURE_RATE / 2, WAVE_S
+        await asyncio.gather(self.notices(), self.notices())
+
+    async def servers_end_by_requests(self):
+        """Sends requests, and prompts with a part, that end servers. Other runs do not fail."""
+        self.fleet.failure_rate, self.seconds = 0, WAVE_S
+        await asyncio.gather(self.crashing(self.draws), self.crashing_parts())
+
     async def run(self):
         watch = asyncio.create_task(self.watch_stalls())
         await self.start()
+        throttles = [asyncio.create_task(self.throttle(self.share, each.signal)) for each in self.instances
+                     if self.share < 1]
         callers = [asyncio.create_task(self.caller()) for _ in range(self.callers)]
         kinds = [self.kill_all, self.kill_in_turn, self.stop_in_turn, self.pause_some,
-                 self.kill_while_the_store_is_silent]
+                 self.kill_while_the_store_is_silent, self.servers_ask_for_rest, self.servers_end_by_requests]
         first = self.draws.randrange(len(kinds))
         for wave in range(self.waves):
             await asyncio.sleep(FILL_S)
@@ -160,6 +180,7 @@
             self.fleet.failure_rate = 0
         self.stopping = True
         await asyncio.wait(callers, timeout=12)
+        await asyncio.gather(*throttles)
         watch.cancel()
         for instance in self.instances:
             if instance.process.returncode is not None:
@@ -169,6 +190,8 @@
         self.judge_budgets()
         self.judge_attempts()
         self.judge_deadlines()
+        self.judge_backoffs()
+        self.judge_crashing()
         self.close()
         return self.broken
 
@@ -215,6 +238,8 @@
 
     def judge_deadlines(self):
         for at, _, attempt, start, remaining_s, _ in self.fleet.received:
+            if attempt not in self.requests:
+                continue  # of send_crashing()
             _, sent, patience_s = self.requests[attempt]
             late_s = at + remaining_s - (sent + patience_s)
             stood_s = at - sent - self.time_awake(sent, at)
@@ -241,6 +266,7 @@
     parser.add_argument("--waves", type=int, default=5, help="waves of failures in each run")
     parser.add_argument("--instances", type=int, default=4)
     parser.add_argument("--callers", type=int, default=16)
+    parser.add_argument("--share", type=float, default=1.0, help="of each tenth of a second that an instance may run")
     parser.add_argument("--program", default="build/crocusmount-entry")
     parser.add_argument("--block", type=int, default=1, help="second number of the loopback addresses, 1 to 254")
     arguments = parser.parse_args()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -723,6 +723,16 @@
 
     # ---- A run ----------------------------------------------------------------------------------------------------
 
+    async def throttle(self, share, send, period_s=0.1):
+        """Lets a process, to which `send` passes signals, run for its share of each period."""
+        run_s = period_s * share
+        await asyncio.sleep(period_s * self.random.random())
+        while not self.stopping:
+            send(signal.SIGSTOP)
+            await asyncio.sleep(period_s - run_s)
+            send(signal.SIGCONT)
+            await asyncio.sleep(run_s)
+
     async def watch_stalls(self):
         """Records when this process stood still, so that it stamped what servers received too late."""
         while True:
