Take a status outside HTTP's for no answer

What callers saw: an engine in trouble sent status 000; what stood behind that head on the connection was passed on as the answer, 200, for calls that may run once, too. Status 600 and 999 were passed on with their number. Cause: a status below 200 was taken for an interim answer or another call's and read past, by each reader in its own way. Change: kindOfStatus() is the one place that says which status is interim, final or invalid. An attempt with an invalid one is broken, HttpClient reports no status.

--- a/src/edge/UpstreamAttempt.cpp
+++ b/src/edge/UpstreamAttempt.cpp
@@ -4,6 +4,7 @@
 #include "edge/HopByHop.h"
 #include "edge/ServerNoticeReader.h"
 #include "edge/UnknownHeaders.h"
+#include "shell/AnswerHead.h"
 #include "shell/Endpoint.h"
 #include "shell/RequestSender.h"
 #include "shell/TransferCoding.h"
@@ -203,6 +204,9 @@
     for (int foreignAnswers = 0;; ++foreignAnswers) {
         if (!co_await readHead(parser) || m_isCancelled)
             co_return makeEnded(AttemptResult::Broken);
+        const unsigned status = parser->get().result_int();
+        if (kindOfStatus(status) == StatusKind::Invalid)
+            co_return makeEnded(AttemptResult::Broken, status);
         if (isOwnAnswer(*parser))
             break;
         if (foreignAnswers == MaxForeignAnswers || !co_await discardBody(*parser))
@@ -240,7 +244,7 @@
 bool UpstreamAttempt::isOwnAnswer(const Parser& parser) const
 {
     const auto& head = parser.get();
-    if (head.result_int() < 200)
+    if (kindOfStatus(head.result_int()) == StatusKind::Interim)
         return false;
     const std::string_view echoed = head[m_headerNames.callId];
     if (!echoed.empty())
--- a/src/shell/HttpClient.cpp
+++ b/src/shell/HttpClient.cpp
@@ -1,5 +1,6 @@
 #include "shell/HttpClient.h"
 
+#include "shell/AnswerHead.h"
 #include "shell/Endpoint.h"
 #include "shell/RequestSender.h"
 #include "shell/TransferCoding.h"
@@ -20,7 +21,6 @@
     /// Longest body of a streamed answer that is kept because its status is an error.
     constexpr std::size_t MaxErrorBodyBytes = 1U << 20U;
     constexpr int MaxInterimAnswers = 8;
-    constexpr unsigned FirstFinalStatus = 200; ///< interim answers have a lower one
     constexpr std::chrono::milliseconds ConnectTimeout { 1000 };
 
     /// Makes TCP detect a peer that no longer responds within two to three seconds: by keepalive probes while the
@@ -96,9 +96,10 @@
             if (error)
                 co_return error;
             const auto& head = parser->get().base();
-            if (head.result() == http::status::switching_protocols)
+            const StatusKind kind = kindOfStatus(head.result_int());
+            if (kind == StatusKind::Invalid)
                 break;
-            if (head.result_int() >= FirstFinalStatus)
+            if (kind == StatusKind::Final)
                 co_return hasUnknownTransferCoding(head) ? http::error::bad_transfer_encoding
                                                          : boost::system::error_code();
         }
