Believe no field of an answer that contradicts itself

What callers saw: an answer with two X-Attempt-Id, the second of another request, was passed on as their own; likewise two seals and two types. Two Server-Limit counted as the first, and for HttpClient's users the last of any two lines counted. Cause: each reader took the first or the last line of a field. Change: singleValue() and hasConflictingValues(). An answer whose owner, signer or type is contradictory is broken; limits, times, leaves and ids that contradict themselves name nothing and are counted as unreadable. The same value twice is no contradiction. Evidence: OddAnswerHead.WithContradictionsIsNotPassedOn and .WithTwoLimitsOrTimesNamesNone failed before ('X-Attempt-Id: me, X-Attempt-Id: other' came with 200), pass now.

--- a/src/edge/ServerNoticeReader.h
+++ b/src/edge/ServerNoticeReader.h
@@ -11,7 +11,8 @@
 
 struct HeaderNames;
 
-/// Finds a header of an answer by its name, in any case of letters.
+/// Finds a header of an answer by its name, in any case of letters. Returns its value, which is empty if the header
+/// occurs with different values.
 using HeaderLookup = std::function<std::optional<std::string_view>(const std::string& name)>;
 
 /// Reads what the head of an answer states about the server that sent it. The only place that does so, for answers to
--- a/src/edge/UpstreamAttempt.cpp
+++ b/src/edge/UpstreamAttempt.cpp
@@ -31,6 +31,7 @@
     constexpr std::size_t MaxEventBytes = 1U << 20U;
     /// Answers to other calls that are skipped before the attempt fails.
     constexpr int MaxForeignAnswers = 3;
+    constexpr std::string_view ContentType = "Content-Type";
     /// HTTP status of a server that is not the expected one.
     constexpr unsigned MisdirectedRequest = 421;
 
@@ -205,7 +206,7 @@
         if (!co_await readHead(parser) || m_isCancelled)
             co_return makeEnded(AttemptResult::Broken);
         const unsigned status = parser->get().result_int();
-        if (kindOfStatus(status) == StatusKind::Invalid)
+        if (kindOfStatus(status) == StatusKind::Invalid || hasConflictingValues(parser->get(), m_headerNames.callId))
             co_return makeEnded(AttemptResult::Broken, status);
         if (isOwnAnswer(*parser))
             break;
@@ -217,9 +218,11 @@
     postNotice(head);
     const bool isSuccess = status >= 200 && status < 300;
     if (!isSuccess && (head.count(m_headerNames.notRun) || status == MisdirectedRequest))
-        co_return makeEnded(AttemptResult::NotRun, status, std::string(head[m_headerNames.culprit]));
-    const bool isReadable = !head.count(http::field::content_encoding) && !hasUnknownTransferCoding(head);
-    if (!head.count(m_headerNames.seal) || !isReadable)
+        co_return makeEnded(AttemptResult::NotRun, status, std::string(singleValue(head, m_headerNames.culprit)));
+    const bool isReadable = !head.count(http::field::content_encoding) && !hasUnknownTransferCoding(head)
+        && !hasConflictingValues(head, ContentType);
+    const bool isSealed = head.count(m_headerNames.seal) && !hasConflictingValues(head, m_headerNames.seal);
+    if (!isSealed || !isReadable)
         co_return makeEnded(AttemptResult::Broken, status);
     if (isSuccess)
         m_postEvent(event::AnswerBegun { m_order.attempt });
@@ -234,8 +237,7 @@
     for (const auto& field : head)
         m_unknownHeaders.add(field.name_string());
     const ServerNotice notice = readServerNotice(m_headerNames, head.result_int(), [&](const std::string& name) {
-        const auto found = head.find(name);
-        return found == head.end() ? std::nullopt : std::optional<std::string_view>(found->value());
+        return head.count(name) ? std::optional(singleValue(head, name)) : std::nullopt;
     });
     if (notice.hasContent())
         m_postEvent(event::ServerNoticeSeen { m_order.server, m_order.serverStart, m_order.startedAt, notice });
--- a/src/shell/AnswerHead.cpp
+++ b/src/shell/AnswerHead.cpp
@@ -1,5 +1,7 @@
 #include "shell/AnswerHead.h"
 
+#include <algorithm>
+
 namespace crocusmount {
 
 namespace {
@@ -18,4 +20,16 @@
     return status < FirstFinalStatus ? StatusKind::Interim : StatusKind::Final;
 }
 
+bool hasConflictingValues(const http::fields& head, std::string_view name)
+{
+    const auto [first, last] = head.equal_range(name);
+    return first != last
+        && std::any_of(first, last, [&](const auto& field) { return field.value() != first->value(); });
+}
+
+std::string_view singleValue(const http::fields& head, std::string_view name)
+{
+    return hasConflictingValues(head, name) ? std::string_view() : std::string_view(head[name]);
+}
+
 } // namespace crocusmount
--- a/src/shell/HttpClient.cpp
+++ b/src/shell/HttpClient.cpp
@@ -58,9 +58,11 @@
     void readStatusAndHeaders(const Message& message, HttpAnswer& answer)
     {
         answer.status = message.result_int();
-        answer.contentType = std::string(message[http::field::content_type]);
-        for (const auto& field : message)
-            answer.headers[absl::AsciiStrToLower(std::string(field.name_string()))] = std::string(field.value());
+        answer.contentType = std::string(singleValue(message, "Content-Type"));
+        for (const auto& field : message) {
+            const std::string_view name = field.name_string();
+            answer.headers[absl::AsciiStrToLower(std::string(name))] = std::string(singleValue(message, name));
+        }
     }
 
     template <typename Parser>
--- a/src/shell/HttpClient.h
+++ b/src/shell/HttpClient.h
@@ -53,7 +53,7 @@
     BodyEnd end = BodyEnd::Missing; ///< not Missing only if the phase is Answered
     bool refused = false; ///< the host refused the connection, because no process listens at the address
     bool silent = false; ///< after sending, a call() had no answer within the timeout of the call or of TCP
-    std::map<std::string, std::string> headers; ///< by name in lower case
+    std::map<std::string, std::string> headers; ///< by name in lower case; see singleValue()
 };
 
 /// HTTP/1.1 client that keeps idle connections for later calls.
--- a/tests/OddAnswerHeadTest.cpp
+++ b/tests/OddAnswerHeadTest.cpp
@@ -135,3 +135,40 @@
         CHECK_TRUE_TEXT(kept && !kept->ok(), head.name);
     }
 }
+
+// Two lines that name the owner, the signer or the type of an answer differently leave it open whose or what it is.
+TEST(OddAnswerHead, WithContradictionsIsNotPassedOn)
+{
+    for (const char* path : { "/book/1", "/look/1", "/once/1" }) {
+        for (const char* line : { "X-Attempt-Id: other", "X-Server-Seal: t", "Content-Type: text/event-stream" }) {
+            const std::string own = answerHead("200 OK") + "Content-Type: text/plain\r\n";
+            const std::string length = "Content-Length: 4\r\n\r\nodd!";
+            for (const std::string& answer : { absl::StrCat(own, line, "\r\n", length),
+                     absl::StrCat(Ok, line, "\r\n", own.substr(Ok.size()), length) }) {
+                const CallOutcome outcome = runCall(requestTo(path), { answer });
+                CHECK_TRUE_TEXT(hasText(outcome.answer, "HTTP/1.1 502 "), (path + answer + outcome.answer).c_str());
+            }
+        }
+    }
+}
+
+TEST(OddAnswerHead, WithTwoLimitsOrTimesNamesNone)
+{
+    const std::string rest = "Content-Length: 4\r\n\r\nbody";
+    const CallOutcome limits
+        = runCall(requestTo("/look/1"), { answerHead("200 OK") + "Server-Limit: 3\r\nServer-Limit: 9\r\n" + rest });
+    CHECK_TRUE(hasText(limits.answer, "HTTP/1.1 200 "));
+    CHECK_FALSE(limits.limit.has_value());
+    CHECK_EQUAL(1U, limits.unreadable);
+    const CallOutcome times = runCall(requestTo("/book/1"),
+        { answerHead("503 Busy") + "X-Not-Executed: 1\r\nRetry-After: 1\r\nRetry-After: 600\r\n" + rest });
+    CHECK_TRUE(times.backoff == Duration(0));
+}
+
+// The same value twice is no contradiction.
+TEST(OddAnswerHead, WithARepeatedValueIsPassedOn)
+{
+    const CallOutcome outcome = runCall(requestTo("/book/1"),
+        { answerHead("200 OK") + "X-Attempt-Id: me\r\nX-Server-Seal: s\r\nContent-Length: 4\r\n\r\nbody" });
+    CHECK_TRUE(hasText(outcome.answer, "HTTP/1.1 200 "));
+}
