Bound the unfinished answers of servers, the store and engines, each and all together

What operators may see: a faulty engine or store that sends bytes without end grew an instance by 125 MB for one call of the store's client (a machine of the small sites has 260 MB), and several calls run side by side; a line without end of an engine or of the store's watch grew crocusmountd without any bound. Cause: limits were set for a body alone, one for all kinds of calls, nobody summed them, and what attempts keep of an unfinished event was in no account. Lines had no limit. A watch whose report is too long reads the whole store; that path is read, not tested.

--- a/programs/crocusmount.cpp
+++ b/programs/crocusmount.cpp
@@ -63,6 +63,7 @@
         request.target = target;
         request.body = body;
         request.timeout = std::chrono::seconds(30);
+        request.maxAnswerBytes = HttpClient::DefaultMaxKeptBytes;
         request.headers = std::move(headers);
         request.headers.emplace_back("Authorization", "Bearer " + token);
         net::co_spawn(
--- a/src/edge/AnswerPipe.h
+++ b/src/edge/AnswerPipe.h
@@ -94,6 +94,8 @@
     /// Reports bytes of an answer that an attempt keeps until it is complete.
     void collect(std::size_t bytes)
     {
+        if (bytes == m_collectedBytes)
+            return;
         m_collectedBytes = bytes;
         reportKept();
     }
--- a/src/edge/PeerCopies.cpp
+++ b/src/edge/PeerCopies.cpp
@@ -15,6 +15,7 @@
     constexpr const char* CopyPath = "/store-copy";
     /// A copy with 400 routes and 100 engines has about 150 KB, which a healthy peer sends within 50 ms.
     constexpr std::chrono::milliseconds RequestTimeout { 400 };
+    constexpr std::uint64_t MaxCopyBytes = 16U << 20U;
     constexpr unsigned Ok = 200;
     constexpr unsigned NoContent = 204; ///< the copy is not newer than the requested revision
     constexpr unsigned NotFound = 404;
@@ -83,6 +84,7 @@
     call.target = absl::StrCat(CopyPath, "?after=", revision);
     call.timeout = RequestTimeout;
     call.freshConnection = true;
+    call.maxAnswerBytes = MaxCopyBytes;
     const HttpAnswer answer = co_await m_client.call(std::move(call));
     if (answer.status == NoContent)
         co_return std::optional<StoreMirror::Copy>();
--- a/src/edge/UpstreamAttempt.cpp
+++ b/src/edge/UpstreamAttempt.cpp
@@ -327,7 +327,7 @@
     while (canContinue && !parser.is_done()) {
         canContinue = co_await readBodyChunk(parser, bytes) && answer.body.size() + bytes.size() <= MaxWholeAnswerBytes;
         answer.body.append(bytes);
-        m_pipe->collect(answer.body.size());
+        m_pipe->collect(answer.body.size() + m_readAhead.size());
     }
     m_pipe->collect(0);
     if (canContinue || m_readError)
@@ -358,9 +358,11 @@
     while (canContinue && !parser.is_done()) {
         const bool readSucceeded = co_await readBodyChunk(parser, bytes);
         splitter.feed(bytes);
+        m_pipe->collect(splitter.rest().size() + m_readAhead.size());
         canContinue = !m_isCancelled && co_await deliverEvents(splitter, head, ending.events) && readSucceeded
             && splitter.rest().size() <= MaxEventBytes;
     }
+    m_pipe->collect(0);
     if (canContinue || m_readError)
         ending.stop = stopOf(parser);
     ending.isInsideEvent = splitter.isInsideEvent();
--- a/src/shell/EtcdStoreClient.cpp
+++ b/src/shell/EtcdStoreClient.cpp
@@ -13,6 +13,8 @@
 
     namespace json = boost::json;
 
+    /// Longest answer, which may hold the whole store, and longest report of changes.
+    constexpr std::uint64_t MaxStoreBytes = 64U << 20U;
     constexpr std::chrono::milliseconds CallTimeout { 1500 };
     /// A watch without data ends after this time, and the caller starts a new one.
     constexpr std::chrono::milliseconds WatchIdleTimeout { 30000 };
@@ -105,6 +107,7 @@
     call.target = std::move(target);
     call.body = std::move(body);
     call.timeout = CallTimeout;
+    call.maxAnswerBytes = MaxStoreBytes;
     return call;
 }
 
@@ -167,8 +170,10 @@
     std::string pending;
     bool compacted = false;
     const auto receive = [&](std::string_view bytes) {
+        const std::size_t unsearched = pending.size(); // What came before has no line end.
         pending.append(bytes);
-        for (auto newline = pending.find('\n'); newline != std::string::npos; newline = pending.find('\n')) {
+        for (auto newline = pending.find('\n', unsearched); newline != std::string::npos;
+             newline = pending.find('\n')) {
             const json::object message = parseObject(pending.substr(0, newline));
             pending.erase(0, newline + 1);
             const json::object* result = objectOf(message, "result");
@@ -181,7 +186,7 @@
             if (!onWatch(parseBatch(*result)))
                 return false;
         }
-        return true;
+        return pending.size() <= MaxStoreBytes;
     };
     HttpClient::Receive onBytes = receive;
     const HttpAnswer answer = co_await m_client.stream(std::move(call), WatchIdleTimeout, std::move(onBytes), nullptr);
--- a/src/shell/HttpBackendClient.cpp
+++ b/src/shell/HttpBackendClient.cpp
@@ -18,6 +18,7 @@
     constexpr std::size_t FrameBufferBytes = 4096;
     constexpr std::chrono::milliseconds StreamSendTimeout { 2000 }; ///< for sending the request of a stream
     constexpr std::chrono::milliseconds ServiceCallTimeout { 60000 }; ///< for a whole call to a plain service
+    constexpr std::uint64_t MaxServiceAnswerBytes = 64U << 20U; ///< longest answer of a plain service
 
     json::array hopsToJson(const Chain& chain)
     {
@@ -44,7 +45,7 @@
     : m_context(context)
     , m_attemptPrefix(std::move(owner))
     , m_post(std::move(post))
-    , m_client(context)
+    , m_client(context, 2 * MaxServiceAnswerBytes)
 {
 }
 
@@ -165,6 +166,7 @@
     call.body = request.body;
     call.contentType = request.contentType;
     call.timeout = ServiceCallTimeout;
+    call.maxAnswerBytes = MaxServiceAnswerBytes;
     call.freshConnection = !attempt.repeatable;
     const HttpAnswer answer = co_await m_client.call(std::move(call));
     if (answer.phase != CallPhase::Answered) {
--- a/src/shell/HttpClient.cpp
+++ b/src/shell/HttpClient.cpp
@@ -15,7 +15,6 @@
 
     constexpr auto asTuple = net::as_tuple(useAwaitable);
     constexpr std::size_t MaxIdleConnectionsPerAddress = 64;
-    constexpr std::uint64_t MaxAnswerBytes = 64ULL << 20;
     /// Limits what a parser leaves unread, such as the extension of a chunk before its end has arrived.
     constexpr std::size_t MaxReadAheadBytes = 128U << 10U;
     /// Longest body of a streamed answer that is kept because its status is an error.
@@ -110,8 +109,9 @@
 
 } // namespace
 
-HttpClient::HttpClient(net::io_context& context)
+HttpClient::HttpClient(net::io_context& context, std::uint64_t maxKeptBytes)
     : m_context(context)
+    , m_maxKeptBytes(maxKeptBytes)
 {
 }
 
@@ -161,6 +161,26 @@
         idle.push_back(std::move(stream));
 }
 
+Awaitable<boost::system::error_code> HttpClient::readBody(
+    TcpStream& stream, beast::flat_buffer& buffer, http::response_parser<http::string_body>& parser)
+{
+    boost::system::error_code error;
+    std::uint64_t keptBytes = 0;
+    while (!error && !parser.is_done()) {
+        std::size_t count = 0;
+        std::tie(error, count) = co_await http::async_read_some(stream, buffer, parser, asTuple);
+        const std::uint64_t bytes = parser.get().body().size();
+        if (!error && m_keptBytes - keptBytes + bytes > m_maxKeptBytes)
+            error = net::error::no_memory;
+        if (error)
+            break;
+        m_keptBytes += bytes - keptBytes;
+        keptBytes = bytes;
+    }
+    m_keptBytes -= keptBytes;
+    co_return error;
+}
+
 Awaitable<HttpAnswer> HttpClient::call(HttpCall call)
 {
     HttpAnswer answer;
@@ -176,15 +196,14 @@
     const auto sender = RequestSender::start(stream, connected.stream, requestOf(call));
     beast::flat_buffer buffer(MaxReadAheadBytes);
     std::optional<http::response_parser<http::string_body>> parser;
-    auto error = co_await readHead(stream, buffer, call.verb, MaxAnswerBytes, parser);
-    if (!error && !parser->is_done()) {
-        std::size_t count = 0;
-        std::tie(error, count) = co_await http::async_read(stream, buffer, *parser, asTuple);
-    }
+    auto error = co_await readHead(stream, buffer, call.verb, call.maxAnswerBytes, parser);
+    if (!error)
+        error = co_await readBody(stream, buffer, *parser);
     error = endError(error, parser, *sender);
     if (error) {
         stream.close();
         answer.error = error.message();
+        answer.isTooLong = error == http::error::body_limit;
         // Nothing but the time limit aborts the operations of a call.
         answer.silent = error == beast::error::timeout || error == net::error::timed_out
             || error == net::error::operation_aborted;
--- a/src/shell/HttpClient.h
+++ b/src/shell/HttpClient.h
@@ -32,6 +32,7 @@
     /// Enables TCP keepalive on a new connection: it is reset when the peer has been silent for two to three seconds.
     bool probed = false;
     bool freshConnection = false; ///< use no idle connection, because the server may have closed it
+    std::uint64_t maxAnswerBytes = 1U << 20U; ///< longest body that a call() keeps; a longer one is an error
 };
 
 /// What shows that the body of an answer has ended.
@@ -52,6 +53,7 @@
     std::string error; ///< error message; empty if the phase is Answered
     BodyEnd end = BodyEnd::Missing; ///< not Missing only if the phase is Answered
     bool refused = false; ///< the host refused the connection, because no process listens at the address
+    bool isTooLong = false; ///< the body exceeds the limit of the call
     bool silent = false; ///< after sending, a call() had no answer within the timeout of the call or of TCP
     std::map<std::string, std::string> headers; ///< by name in lower case; see singleValue()
 };
@@ -59,9 +61,15 @@
 /// HTTP/1.1 client that keeps idle connections for later calls.
 class HttpClient {
 public:
-    explicit HttpClient(net::io_context&);
+    static constexpr std::uint64_t DefaultMaxKeptBytes = 64U << 20U;
+
+    /// @param maxKeptBytes  that all calls together may keep of answers that are not complete
+    explicit HttpClient(net::io_context&, std::uint64_t maxKeptBytes = DefaultMaxKeptBytes);
     ~HttpClient();
 
+    /// @return the bytes that calls keep of answers that are not complete
+    std::uint64_t keptBytes() const { return m_keptBytes; }
+
     /// Sends a request and reads the whole answer.
     Awaitable<HttpAnswer> call(HttpCall);
 
@@ -101,7 +109,14 @@
     /// Keeps a connection for later calls, up to a limit per address.
     void keepIdle(const std::string& address, std::shared_ptr<TcpStream>);
 
+    /// Reads the rest of a body.
+    /// @return an error of the connection, or of a body that is too long or finds no room beside those of other calls
+    Awaitable<boost::system::error_code> readBody(
+        TcpStream&, beast::flat_buffer&, http::response_parser<http::string_body>&);
+
     net::io_context& m_context;
+    std::uint64_t m_maxKeptBytes;
+    std::uint64_t m_keptBytes = 0; ///< see keptBytes()
     std::map<std::string, std::vector<std::shared_ptr<TcpStream>>>
         m_idle; ///< idle connections by address, the latest last
 };
