Answer every caller of an instance that stops as planned

What callers saw: in a planned stop, in calm, connections that were accepted a moment ago were closed before their first bytes arrived, at any time after 0.7 s; calls that still waited or ran at the end of the grace ended without a word, among them calls that may not be repeated. Cause: closeIdle() took each connection without a call for an idle one, and the end of the process was told to nobody. Change: PlannedStop, in place of a loop in the program. A connection without a first call is kept for a second, as its caller has just connected; the process ends early only when no connection is new, receives a call or answers one; at 0.925 of the grace CallsMustEnd gives each call its final answer: not run if no byte of it was sent, else 'may have run', or a visible break of a stream that has begun. Answers are written until 0.965 of the grace. New connections are accepted until then, and refused by the listener afterwards.

--- a/programs/crocusmount-entry.cpp
+++ b/programs/crocusmount-entry.cpp
@@ -6,6 +6,7 @@
 #include "edge/OperatorEndpoints.h"
 #include "edge/PeerLink.h"
 #include "edge/PlacementDriver.h"
+#include "edge/PlannedStop.h"
 #include "edge/PlannerLock.h"
 #include "edge/QuarantineStore.h"
 #include "edge/RelayMetrics.h"
@@ -43,15 +44,6 @@
 /// Share of a leaving backend server's drain time after which its running streams are rerouted. Most streams finish
 /// earlier. Rerouting a stream moves its KV cache: half a gigabyte for a prompt of 900 tokens.
 constexpr double RerouteDelayShare = 0.5;
-/// Time from the start of a drain until idle connections are closed. By then the other instances send callers
-/// elsewhere, and a call that arrives on a kept-alive connection would start too late to finish.
-constexpr std::chrono::milliseconds IdleCloseDelay { 700 };
-/// Minimum time from the start of a drain to the end of the process: callers that know this instance still connect for
-/// up to three lifetimes of a directory answer.
-constexpr std::chrono::milliseconds MinimumDrainTime { 3500 };
-/// Share of the grace period after which the process stops even if calls are still running.
-constexpr double ForcedStopShare = 0.93;
-
 /// @return the instance name with a random suffix, which differs at each start
 std::string instanceId(const PlatformSettings& settings)
 {
@@ -229,29 +221,16 @@
         relay::DecisionLog::state("reload", { { "changed", isChanged } });
     }
 
-    /// Withdraws this instance, so that callers use other instances, then lets running calls finish before the process
-    /// stops. Calls that still run after ForcedStopShare of the grace period are cut off.
+    /// Withdraws this instance, so that callers use other instances, and ends the process once the callers that still
+    /// know it are answered.
     Awaitable<void> drain()
     {
-        using Clock = std::chrono::steady_clock;
-        const auto start = Clock::now();
-        const auto grace = std::chrono::seconds(m_settings.graceSeconds);
         relay::DecisionLog::state("drain", { { "open_calls", m_node.reducer().openCalls() } });
-        m_node.post(relay::event::DrainRequested {});
         m_lock.release();
         m_registry.withdraw();
-        m_front->announceClose();
-        Timer timer(m_context.get_executor());
-        while (Clock::now() < start + ForcedStopShare * grace) {
-            timer.expires_after(std::chrono::milliseconds(50));
-            co_await timer.async_wait(net::as_tuple(useAwaitable));
-            if (Clock::now() > start + IdleCloseDelay)
-                m_front->closeIdle();
-            if (Clock::now() > start + MinimumDrainTime && !m_front->busyCalls())
-                break;
-        }
-        relay::DecisionLog::state("stop", { { "open_calls", m_node.reducer().openCalls() } });
-        m_node.recordProcessStop();
+        relay::PlannedStop stop(m_context, m_node, *m_front,
+            relay::PlannedStopTimes::within(std::chrono::seconds(m_settings.graceSeconds)));
+        co_await stop.run();
         m_context.stop();
     }
 
--- a/src/edge/FrontServer.cpp
+++ b/src/edge/FrontServer.cpp
@@ -99,6 +99,7 @@
     std::shared_ptr<ClientConnections> clients;
     std::size_t connectionCount = 0; ///< open connections
     std::size_t busyCalls = 0; ///< calls that were read and whose answers are not yet written
+    std::size_t expectantConnections = 0; ///< see FrontServer::expectantConnections()
     std::uint64_t requestsCutOff = 0; ///< connections that ended inside a request
     std::uint64_t answersUnwritten = 0; ///< final answers that could not be written as a whole
     bool isCloseAnnounced = false; ///< announceClose() was called
@@ -118,9 +119,14 @@
         , m_isRejected(isRejected)
     {
         ++m_shared->connectionCount;
+        ++m_shared->expectantConnections;
         m_client->setOnEnded([this] { stopIo(); });
     }
-    ~Connection() { --m_shared->connectionCount; }
+    ~Connection()
+    {
+        setExpectant(false);
+        --m_shared->connectionCount;
+    }
     Connection(const Connection&) = delete;
     Connection& operator=(const Connection&) = delete;
 
@@ -132,6 +138,12 @@
             m_stream.socket().cancel(ignored);
     }
 
+    /// @return whether the connection waits for its first call, and has done so for less than a time
+    bool isNewFor(std::chrono::milliseconds time) const
+    {
+        return !m_hasReceivedCall && Clock::now() < m_idleSince + time;
+    }
+
     Awaitable<void> serve()
     {
         boost::system::error_code ignored;
@@ -139,6 +151,7 @@
         bool isOpen = true;
         while (isOpen)
             isOpen = co_await serveOne();
+        setExpectant(false);
         if (m_lingers)
             co_await lingerUntilClosed(m_stream, *m_client);
         if (!m_resetsOnClose)
@@ -194,6 +207,7 @@
     Awaitable<bool> waitForCall()
     {
         m_client->waitForRequest();
+        setExpectant(!m_hasReceivedCall);
         if (m_isRejected) {
             m_stream.expires_after(RejectionTimeout);
         } else {
@@ -205,12 +219,23 @@
         const auto [error, count] = co_await m_stream.async_read_some(m_decoder.prepare(), asTuple);
         m_shared->idleConnections.erase(this);
         m_idleTimer.cancel();
-        if (!error)
+        if (!error) {
             m_decoder.commit(count);
+            m_hasReceivedCall = true;
+            setExpectant(true);
+        }
         boost::system::error_code ignored;
         co_return !error || (m_client->isEnded() && m_stream.socket().available(ignored));
     }
 
+    /// Notes whether the caller waits for an answer, or may have sent a call.
+    void setExpectant(bool isExpectant)
+    {
+        if (isExpectant == std::exchange(m_isExpectant, isExpectant))
+            return;
+        m_shared->expectantConnections += isExpectant ? 1 : -1;
+    }
+
     /// Ends the wait for a call when the idle timeout in force has passed. Configurations may raise it during the wait.
     void watchIdleTimeout()
     {
@@ -469,6 +494,8 @@
     RequestDecoder m_decoder;
     std::unique_ptr<ClientConnection> m_client;
     bool m_isRejected;
+    bool m_hasReceivedCall = false; ///< bytes of a call have arrived on the connection
+    bool m_isExpectant = true; ///< see FrontServer::expectantConnections()
     bool m_lingers = false; ///< the caller may still send; the close waits until it has read the answer
     net::cancellation_signal m_closeWatchCancellation; ///< ends the wait for the caller's close
     boost::system::error_code m_writeError; ///< of the latest write
@@ -502,10 +529,12 @@
 
 void FrontServer::announceClose() { m_shared->isCloseAnnounced = true; }
 
-void FrontServer::closeIdle()
+void FrontServer::closeIdle(std::chrono::milliseconds firstCallTime)
 {
-    for (Connection* connection : std::set<Connection*>(m_shared->idleConnections))
-        connection->cancelIdleWait();
+    for (Connection* connection : std::set<Connection*>(m_shared->idleConnections)) {
+        if (!connection->isNewFor(firstCallTime))
+            connection->cancelIdleWait();
+    }
 }
 
 void FrontServer::stopAccepting()
@@ -518,6 +547,8 @@
 
 std::size_t FrontServer::busyCalls() const { return m_shared->busyCalls; }
 
+std::size_t FrontServer::expectantConnections() const { return m_shared->expectantConnections; }
+
 std::uint64_t FrontServer::requestsCutOff() const { return m_shared->requestsCutOff; }
 
 std::uint64_t FrontServer::answersUnwritten() const { return m_shared->answersUnwritten; }
--- a/src/edge/FrontServer.h
+++ b/src/edge/FrontServer.h
@@ -32,13 +32,17 @@
     /// From now on, closes each connection after its answer and announces that in the answer ("Connection: close").
     void announceClose();
     /// Closes the connections that wait for a call, so that their callers send the next call to another instance.
-    void closeIdle();
+    /// @param firstCallTime  how long a connection is kept that has carried no call yet: its caller has just connected
+    void closeIdle(std::chrono::milliseconds firstCallTime);
     /// Accepts no further connections. Open connections are still served.
     void stopAccepting();
     /// @return the number of open connections
     std::size_t connections() const;
     /// @return the number of calls that were read and whose answers are not yet written
     std::size_t busyCalls() const;
+    /// @return the number of connections whose callers wait for an answer, or may have sent a call: those that are new,
+    ///         receive a call or answer one
+    std::size_t expectantConnections() const;
     /// @return the number of connections that ended inside a request
     std::uint64_t requestsCutOff() const;
     /// @return the number of final answers that could not be written as a whole
--- a/src/relay/RelayEvent.h
+++ b/src/relay/RelayEvent.h
@@ -223,6 +223,9 @@
     /// This instance was told to finish its calls and exit.
     struct DrainRequested { };
 
+    /// The process is about to exit. No call can be answered later.
+    struct CallsMustEnd { };
+
     /// The periodic timer fired.
     struct Tick { };
 
@@ -235,7 +238,7 @@
     event::StalledStageReported, event::EngineChecked, event::EngineCheckAnsweredLate, event::ServerProbed,
     event::CrashesReported, event::SoundRunsReported, event::QuarantineListed, event::QuarantineLifted,
     event::EngineStartSeen, event::EnginesReportedDead, event::EnginesReportedClosed, event::DrainRequested,
-    event::MechanismsChanged, event::Tick>;
+    event::CallsMustEnd, event::MechanismsChanged, event::Tick>;
 
 /// An event, with the only time and randomness that the reducer may use to handle it.
 struct RelayEvent {
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -116,12 +116,6 @@
     checkAvoidedEngines(context);
 }
 
-void RelayReducer::on(const event::DrainRequested&, Context& context)
-{
-    if (!m_drainRequestedAt)
-        m_drainRequestedAt = context.now;
-}
-
 void RelayReducer::on(const event::MechanismsChanged& changed, Context&) { m_options.without = changed.disabled; }
 
 // ---- Calls and attempts --------------------------------------------------------------------------------------------
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -123,6 +123,7 @@
     void on(const event::QuarantineListed&, Context&);
     void on(const event::QuarantineLifted&, Context&);
     void on(const event::DrainRequested&, Context&);
+    void on(const event::CallsMustEnd&, Context&);
     void on(const event::MechanismsChanged&, Context&);
     void on(const event::Tick&, Context&);
 
