Refuse calls at once that can't end before a draining instance exits

What callers saw: a call of 7 s that came a second after the SIGTERM was sent to a server and cut at the end of the grace. Cause: during a drain calls were accepted by the time of their arrival alone. Change: RunTimes learns how long complete calls of each route take, a moving mean and deviation. While it drains, an instance refuses a call, as not run and with Retry-After, that is likely to end after the calls must: by the mean for calls that may be repeated, as their callers send them again if they are cut, and by a bound that few exceed for others. Without a completed call of the route the time is not known, and it is accepted as before.

--- a/src/edge/PlannedStop.cpp
+++ b/src/edge/PlannedStop.cpp
@@ -53,7 +53,7 @@
 
 Awaitable<void> PlannedStop::run()
 {
-    m_node.post(event::DrainRequested {});
+    m_node.post(event::DrainRequested { m_times.callsEnd });
     m_front.announceClose();
     while (!hasPassed(m_times.callsEnd)) {
         co_await sleep();
--- a/src/relay/RelayEvent.h
+++ b/src/relay/RelayEvent.h
@@ -221,7 +221,9 @@
     };
 
     /// This instance was told to finish its calls and exit.
-    struct DrainRequested { };
+    struct DrainRequested {
+        std::optional<Duration> remaining {}; ///< until CallsMustEnd; nothing: calls may take any time
+    };
 
     /// The process is about to exit. No call can be answered later.
     struct CallsMustEnd { };
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -93,6 +93,7 @@
         return;
     m_routes = accepted.routes;
     m_start.configured(context.now);
+    m_runTimes.forgetOthersThan(m_routes->configuration().routes);
     ++m_counters.configurationsAccepted;
     for (const auto& [id, server] : std::exchange(m_unusable, {}))
         registerServer(server, context);
@@ -131,7 +132,7 @@
     // Callers do not retry after UnknownRoute or UnknownKey, so an outdated configuration must not produce them.
     if (!call.route)
         return m_isStoreCopyOutdated ? Reason::NotConfigured : Reason::UnknownRoute;
-    if (m_drainRequestedAt && context.now > *m_drainRequestedAt + m_options.acceptAfterDrainStart)
+    if (m_drainRequestedAt && !canEndBeforeExit(*call.route, context.now))
         return Reason::Draining;
     call.rank = call.route->rank;
     if (!m_routes->configuration().workspaces.empty() && !call.route->anonymous) {
@@ -320,6 +321,7 @@
 void RelayReducer::completeCall(Call& call, Context& context)
 {
     m_fleet.recordSuccess(call.main.server);
+    m_runTimes.record(call.route->id, context.now - call.arrived);
     recordHarmlessRequest(call, context);
     release(call, call.main, context);
     ++m_counters.completed;
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -15,6 +15,7 @@
 #include "relay/RelayOptions.h"
 #include "relay/RequestQuarantine.h"
 #include "relay/RetryShare.h"
+#include "relay/RunTimes.h"
 #include "relay/ServerContacts.h"
 #include "relay/ServerFleet.h"
 #include "relay/ServerPath.h"
@@ -149,6 +150,7 @@
     void serveHeldAtStart(Context&);
     void logStartHold(const Call&, StartHoldEnd, Duration retryAfter, Context&);
     std::optional<Reason> admit(Call&, const Context&) const;
+    bool canEndBeforeExit(const Route&, TimePoint now) const;
     void dispatchAll(Context&);
     void dispatch(FairQueue&, Context&);
     bool place(Call&, Context&);
@@ -350,6 +352,8 @@
     std::optional<TimePoint> m_lastCertainFailureAt; ///< when a check last showed that an engine's process has ended
     TimePoint m_now; ///< time of the event under way
     std::optional<TimePoint> m_drainRequestedAt;
+    std::optional<TimePoint> m_callsMustEndAt; ///< set while the end of the process is known
+    RunTimes m_runTimes;
 };
 
 } // namespace crocusmount::relay
--- a/tests/RelayReducerDrainTest.cpp
+++ b/tests/RelayReducerDrainTest.cpp
@@ -12,6 +12,16 @@
 
 const char* const AllPaths[] = { "/look/1", "/book/1", "/draft/1", "/once/1" };
 
+/// Completes calls of a route that take a time each.
+void completeCalls(RelayHarness& harness, const char* path, Duration time)
+{
+    for (int i = 0; i < 20; ++i) {
+        const auto start = harness.running(path);
+        harness.tick(time);
+        harness.send(relay::event::AttemptEnded { start.attempt, AttemptResult::Completed });
+    }
+}
+
 } // namespace
 
 TEST_GROUP(RelayReducerDrain) {};
@@ -26,7 +36,7 @@
                 continue;
             RelayHarness harness;
             const auto start = harness.running(path, events);
-            harness.send(relay::event::DrainRequested {});
+            harness.send(relay::event::DrainRequested { seconds(7) });
             harness.tick(milliseconds(100));
             harness.send(relay::event::CallsMustEnd {});
             const std::string text = absl::StrCat(path, ", ", events, " events");
@@ -51,7 +61,7 @@
             harness.send(relay::event::ServerUnregistered { BackendId(id) });
         harness.call(path);
         CHECK_FALSE_TEXT(harness.last<relay::effect::Refuse>().has_value(), path);
-        harness.send(relay::event::DrainRequested {});
+        harness.send(relay::event::DrainRequested { seconds(7) });
         harness.send(relay::event::CallsMustEnd {});
         const auto refusal = harness.last<relay::effect::Refuse>();
         CHECK_TRUE_TEXT(refusal && refusal->reason == Reason::Draining && refusal->run == RunState::NotRun, path);
@@ -66,3 +76,32 @@
     const auto* refusal = effects.empty() ? nullptr : std::get_if<relay::effect::Refuse>(&effects.front());
     CHECK_TRUE(refusal && refusal->run == RunState::NotRun);
 }
+
+// A call that would be cut is refused at once, so that another instance can serve it.
+TEST(RelayReducerDrain, CallsThatTakeLongerThanIsLeftAreRefusedAtOnce)
+{
+    const struct {
+        const char* path;
+        Duration time;
+        bool isAccepted;
+    } cases[] = {
+        { "/look/1", milliseconds(50), true },
+        { "/book/1", milliseconds(50), true },
+        { "/book/1", seconds(5), true },
+        { "/look/1", seconds(8), false },
+        { "/book/1", seconds(8), false },
+        { "/once/1", seconds(8), false },
+    };
+    for (const auto& each : cases) {
+        RelayHarness harness;
+        completeCalls(harness, each.path, each.time);
+        harness.send(relay::event::DrainRequested { seconds(7) });
+        harness.tick(milliseconds(500));
+        harness.call(each.path);
+        const auto refusal = harness.last<relay::effect::Refuse>();
+        const std::string text = absl::StrCat(each.path, ", ", each.time.count(), " us");
+        CHECK_EQUAL_TEXT(each.isAccepted, !refusal.has_value(), text.c_str());
+        if (refusal)
+            CHECK_TRUE_TEXT(refusal->reason == Reason::Draining && refusal->run == RunState::NotRun, text.c_str());
+    }
+}
