Bound the idle connections of a client over all addresses

Cause: connections of calls that asked for a fresh one were kept, though no such call takes one out again, and nothing bounded the sum over addresses. Change: connections of fresh calls are closed after the answer; of all others the 256 that were used last are kept. Evidence: HttpClient.KeepsABoundedNumberOfConnectionsWhateverAddressesComeAndGo; before, by reading, 306 of its 306 addresses kept one each.

--- a/src/shell/HttpClient.cpp
+++ b/src/shell/HttpClient.cpp
@@ -6,6 +6,7 @@
 #include "shell/TransferCoding.h"
 
 #include <absl/strings/ascii.h>
+#include <algorithm>
 #include <netinet/tcp.h>
 #include <optional>
 
@@ -14,7 +15,6 @@
 namespace {
 
     constexpr auto asTuple = net::as_tuple(useAwaitable);
-    constexpr std::size_t MaxIdleConnectionsPerAddress = 64;
     /// Limits what a parser leaves unread, such as the extension of a chunk before its end has arrived.
     constexpr std::size_t MaxReadAheadBytes = 128U << 10U;
     /// Longest body of a streamed answer that is kept because its status is an error.
@@ -126,10 +126,13 @@
 
 Awaitable<HttpClient::ConnectResult> HttpClient::connect(const HttpCall& call)
 {
-    auto& idle = m_idle[call.address];
-    while (!call.freshConnection && !idle.empty()) {
-        auto stream = idle.back();
-        idle.pop_back();
+    const auto isUsable = [&](const IdleConnection& idle) { return idle.address == call.address; };
+    while (!call.freshConnection) {
+        const auto latest = std::find_if(m_idle.rbegin(), m_idle.rend(), isUsable);
+        if (latest == m_idle.rend())
+            break;
+        auto stream = latest->stream;
+        m_idle.erase(std::next(latest).base());
         // An idle connection that the server has closed is readable. It is dropped.
         boost::system::error_code error;
         char byte = 0;
@@ -153,12 +156,16 @@
     co_return ConnectResult { std::move(stream), false, {} };
 }
 
-void HttpClient::keepIdle(const std::string& address, std::shared_ptr<TcpStream> stream)
+void HttpClient::keepIdle(const HttpCall& call, std::shared_ptr<TcpStream> stream)
 {
-    auto& idle = m_idle[address];
+    if (call.freshConnection) {
+        stream->close();
+        return;
+    }
     stream->expires_never();
-    if (idle.size() < MaxIdleConnectionsPerAddress)
-        idle.push_back(std::move(stream));
+    m_idle.push_back({ call.address, std::move(stream) });
+    if (m_idle.size() > MaxIdleConnections)
+        m_idle.erase(m_idle.begin());
 }
 
 Awaitable<boost::system::error_code> HttpClient::readBody(
@@ -214,7 +221,7 @@
     readStatusAndHeaders(parser->get(), answer);
     answer.body = std::move(parser->get().body());
     if (parser->get().keep_alive() && sender->isSent())
-        keepIdle(call.address, connected.stream);
+        keepIdle(call, connected.stream);
     else
         stream.close();
     co_return answer;
@@ -274,7 +281,7 @@
     error = endError(error, parser, *sender);
     const bool isReusable = !error && parser->is_done() && parser->get().keep_alive() && sender->isSent();
     if (isReusable)
-        keepIdle(call.address, connected.stream);
+        keepIdle(call, connected.stream);
     else
         stream.close();
     if (error) {
--- a/src/shell/HttpClient.h
+++ b/src/shell/HttpClient.h
@@ -58,15 +58,18 @@
     std::map<std::string, std::string> headers; ///< by name in lower case; see singleValue()
 };
 
-/// HTTP/1.1 client that keeps idle connections for later calls.
+/// HTTP/1.1 client that keeps a bounded number of idle connections for later calls.
 class HttpClient {
 public:
     static constexpr std::uint64_t DefaultMaxKeptBytes = 64U << 20U;
+    static constexpr std::size_t MaxIdleConnections = 256;
 
     /// @param maxKeptBytes  that all calls together may keep of answers that are not complete
     explicit HttpClient(net::io_context&, std::uint64_t maxKeptBytes = DefaultMaxKeptBytes);
     ~HttpClient();
 
+    /// @return the connections that are kept for later calls, of all addresses
+    std::size_t idleConnections() const { return m_idle.size(); }
     /// @return the bytes that calls keep of answers that are not complete
     std::uint64_t keptBytes() const { return m_keptBytes; }
 
@@ -106,8 +109,8 @@
 
     /// Takes an idle connection or opens a new one.
     Awaitable<ConnectResult> connect(const HttpCall&);
-    /// Keeps a connection for later calls, up to a limit per address.
-    void keepIdle(const std::string& address, std::shared_ptr<TcpStream>);
+    /// Keeps a connection for later calls if another call could use it. Of too many, the one that is idle longest goes.
+    void keepIdle(const HttpCall&, std::shared_ptr<TcpStream>);
 
     /// Reads the rest of a body.
     /// @return an error of the connection, or of a body that is too long or finds no room beside those of other calls
@@ -117,8 +120,11 @@
     net::io_context& m_context;
     std::uint64_t m_maxKeptBytes;
     std::uint64_t m_keptBytes = 0; ///< see keptBytes()
-    std::map<std::string, std::vector<std::shared_ptr<TcpStream>>>
-        m_idle; ///< idle connections by address, the latest last
+    struct IdleConnection {
+        std::string address;
+        std::shared_ptr<TcpStream> stream;
+    };
+    std::vector<IdleConnection> m_idle; ///< the latest last
 };
 
 } // namespace crocusmount
--- a/tests/HttpClientTest.cpp
+++ b/tests/HttpClientTest.cpp
@@ -83,3 +83,30 @@
         }
     }
 }
+
+// Guards against descriptors that were held for each address that a client had ever called.
+TEST(HttpClient, KeepsABoundedNumberOfConnectionsWhateverAddressesComeAndGo)
+{
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody";
+    constexpr std::size_t Addresses = HttpClient::MaxIdleConnections + 50;
+    for (const bool isFresh : { false, true }) {
+        net::io_context context(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE);
+        HttpClient client(context);
+        std::vector<std::unique_ptr<ScriptedHttpServer>> servers;
+        std::size_t answered = 0;
+        const auto run = [&]() -> Awaitable<void> {
+            for (std::size_t i = 0; i < Addresses; ++i) {
+                servers.push_back(std::make_unique<ScriptedHttpServer>(context, std::vector<std::string> { answer }));
+                HttpCall call;
+                call.address = servers.back()->address();
+                call.freshConnection = isFresh;
+                const HttpAnswer got = co_await client.call(std::move(call));
+                answered += got.phase == CallPhase::Answered;
+            }
+        };
+        net::co_spawn(context.get_executor(), run, [&](const std::exception_ptr&) { context.stop(); });
+        context.run_for(std::chrono::seconds(10));
+        CHECK_EQUAL(Addresses, answered);
+        CHECK_EQUAL(isFresh ? 0U : HttpClient::MaxIdleConnections, client.idleConnections());
+    }
+}
