Answer 501 to a method that is unknown

What callers saw: a request with an extension method was passed on with an empty method, and answered as if it were theirs. Cause: the method of the request to the server was taken from an enumeration that has no such value. Evidence: RelayLoopback.UnknownMethodsAreRejectedAndSentNowhere failed before (200, one request sent), passes now.

--- a/src/edge/FrontServer.cpp
+++ b/src/edge/FrontServer.cpp
@@ -318,6 +318,10 @@
         constexpr unsigned Http11 = 11;
         m_acceptsChunks = request->version() >= Http11;
         m_closesAfterAnswer = m_shared->isCloseAnnounced || !keepAlive;
+        if (request->method() == http::verb::unknown) {
+            const InstanceAnswer unknownMethod { 501, "unknown_method", RunState::NotRun, Duration(0) };
+            co_return co_await writeInstanceAnswer(unknownMethod, callId);
+        }
         auto spec = m_shared->reader.read(request->base(), request->target());
         if (!spec.ok()) {
             InstanceAnswer malformed { 400, std::string(spec.status().message()), RunState::NotRun, Duration(0) };
--- a/tests/RelayLoopbackTest.cpp
+++ b/tests/RelayLoopbackTest.cpp
@@ -378,3 +378,16 @@
         context.poll();
     }
 }
+
+// Guards against methods that are passed on as empty text.
+TEST(RelayLoopback, UnknownMethodsAreRejectedAndSentNowhere)
+{
+    for (const char* path : { "/look/1", "/book/1" }) {
+        std::string request = requestTo(path);
+        request.replace(0, 4, "QUERY");
+        const CallOutcome outcome = runCall(request, { answerHead("200 OK") + "Content-Length: 4\r\n\r\nbody" });
+        CHECK_TRUE_TEXT(
+            hasText(outcome.answer, "HTTP/1.1 501 ") && hasText(outcome.answer, "not_run"), outcome.answer.c_str());
+        CHECK_EQUAL_TEXT(0U, outcome.requests, path);
+    }
+}
