--- a/src/planning/LayerPlanner.cpp
+++ b/src/planning/LayerPlanner.cpp
@@ -1,7 +1,6 @@
 #include "planning/LayerPlanner.h"
 
 #include "planning/HolderWeights.h"
-#include "planning/LayerCompletion.h"
 #include "planning/LayerCoverage.h"
 
 #include <algorithm>
@@ -29,9 +28,6 @@
     /// and each order takes capacity away.
     constexpr std::size_t MaxOrdersUnderWay = 2;
 
-    /// The same while a layer has no holder, so that no call can run.
-    constexpr std::size_t MaxCompletionOrdersUnderWay = 6;
-
     /// Maximum share of an engine's KV cache that is in use when the engine is moved. A moved engine serves nothing
     /// until the streams through it have ended, and streams that entered the chain there cannot be rerouted.
     constexpr double MaxKvUseOfMovedEngine = 0.1;
@@ -98,31 +94,6 @@
         return engine.tokenLayers <= MaxKvUseOfMovedEngine * model.kvTokenLayers(*kind, engine.held.size());
     }
 
-    /// @param moved  engines that are ordered to hold other layers now
-    /// @return by layer, the engines that hold it and are to keep it
-    std::vector<int> countHolders(const relay::EngineModel& model, const std::vector<LayerPlanner::Engine>& engines,
-        const std::set<BackendId>& moved)
-    {
-        std::vector<int> holders(model.layers);
-        for (const auto& engine : engines) {
-            if (engine.leaving || engine.ordered || moved.count(engine.id))
-                continue;
-            for (std::uint32_t layer = engine.held.begin; layer < std::min(engine.held.end, model.layers); ++layer)
-                ++holders[layer];
-        }
-        return holders;
-    }
-
-    /// @return whether an engine would give up the only copy of a layer
-    bool givesUpOnlyCopy(const std::vector<int>& holders, const LayerRange& held, const LayerRange& next)
-    {
-        for (std::uint32_t layer = held.begin; layer < std::min<std::uint32_t>(held.end, holders.size()); ++layer) {
-            if ((layer < next.begin || layer >= next.end) && holders[layer] < 2)
-                return true;
-        }
-        return false;
-    }
-
     /// @param alreadyMoved  engines to leave out
     /// @param coverage      unchanged on return
     /// @return the move with the highest gain, if any gains more than MinMoveGain per layer
@@ -132,7 +103,6 @@
     {
         std::optional<LayerPlanner::Order> best;
         double highestGain = 0;
-        const std::vector<int> holders = countHolders(model, engines, alreadyMoved);
         for (const auto& engine : engines) {
             if (alreadyMoved.count(engine.id) || !isMovable(model, engine))
                 continue;
@@ -142,8 +112,7 @@
             const double gain = coverage.marginalValue(engine.dataCentre, range, kind)
                 - coverage.marginalValue(engine.dataCentre, engine.held, kind);
             coverage.add(engine.dataCentre, engine.held, kind);
-            if (gain > MinMoveGain * engine.held.size() && gain > highestGain
-                && !givesUpOnlyCopy(holders, engine.held, range)) {
+            if (gain > MinMoveGain * engine.held.size() && gain > highestGain) {
                 highestGain = gain;
                 best = LayerPlanner::Order { engine.id, range };
             }
@@ -151,29 +120,6 @@
         return best;
     }
 
-    /// @param orders  for engines without layers, given at the same time
-    LayerCompletion makeCompletion(const relay::EngineModel& model, const std::vector<LayerPlanner::Engine>& engines,
-        const std::vector<LayerPlanner::Order>& orders, double kvTarget)
-    {
-        std::vector<LayerCompletion::Engine> staying;
-        for (const auto& engine : engines) {
-            const auto* kind = model.kind(engine.accelerator);
-            if (engine.leaving || !kind)
-                continue;
-            const auto order = std::find_if(
-                orders.begin(), orders.end(), [&](const auto& each) { return each.engine == engine.id; });
-            const bool isOrdered = engine.ordered || order != orders.end();
-            LayerCompletion::Engine each;
-            each.id = engine.id;
-            each.held = isOrdered ? LayerRange() : engine.held;
-            each.planned = order != orders.end() ? order->layers : engine.ordered.value_or(engine.held);
-            each.capacity = std::max(engine.held.size(), LayerPlanner::layersThatFit(model, *kind, kvTarget));
-            each.isMovable = !isOrdered && isMovable(model, engine);
-            staying.push_back(std::move(each));
-        }
-        return LayerCompletion(model.layers, std::move(staying));
-    }
-
 } // namespace
 
 std::uint32_t LayerPlanner::layersThatFit(
@@ -225,28 +171,18 @@
         orders.push_back({ each.engine->id, range });
     }
     std::set<BackendId> moved;
-    const auto move = [&](const BackendId& id, const LayerRange& layers) {
+    const std::size_t maxOrders = disabled.has(relay::Mechanism::Moves) ? 0 : MaxOrdersUnderWay;
+    while (orders.size() + ordersUnderWay < maxOrders) {
+        const auto move = findBestMove(model, weights, engines, moved, coverage);
+        if (!move)
+            break;
         const auto engine
-            = std::find_if(engines.begin(), engines.end(), [&](const Engine& each) { return each.id == id; });
+            = std::find_if(engines.begin(), engines.end(), [&](const Engine& each) { return each.id == move->engine; });
         const std::size_t kind = weights.indexOf(engine->accelerator);
         coverage.add(engine->dataCentre, engine->held, kind, -1);
-        coverage.add(engine->dataCentre, layers, kind);
-        moved.insert(id);
-        orders.push_back({ id, layers });
-    };
-    const bool mayMove = !disabled.has(relay::Mechanism::Moves);
-    LayerCompletion completion = makeCompletion(model, engines, orders, kvTarget);
-    while (mayMove && orders.size() + ordersUnderWay < MaxCompletionOrdersUnderWay) {
-        const auto next = completion.nextMove();
-        if (!next)
-            break;
-        move(next->engine, next->layers);
-    }
-    while (mayMove && completion.isComplete() && orders.size() + ordersUnderWay < MaxOrdersUnderWay) {
-        const auto best = findBestMove(model, weights, engines, moved, coverage);
-        if (!best)
-            break;
-        move(best->engine, best->layers);
+        coverage.add(engine->dataCentre, move->layers, kind);
+        moved.insert(move->engine);
+        orders.push_back(*move);
     }
     return orders;
 }
