--- a/src/edge/FrontServer.cpp
+++ b/src/edge/FrontServer.cpp
@@ -99,7 +99,7 @@
     std::shared_ptr<ClientConnections> clients;
     std::size_t connectionCount = 0; ///< open connections
     std::size_t busyCalls = 0; ///< calls that were read and whose answers are not yet written
-    std::size_t expectantConnections = 0; ///< see FrontServer::expectantConnections()
+    std::size_t activeConnections = 0; ///< see FrontServer::activeConnections()
     std::uint64_t requestsCutOff = 0; ///< connections that ended inside a request
     std::uint64_t answersUnwritten = 0; ///< final answers that could not be written as a whole
     bool isCloseAnnounced = false; ///< announceClose() was called
@@ -119,12 +119,12 @@
         , m_isRejected(isRejected)
     {
         ++m_shared->connectionCount;
-        ++m_shared->expectantConnections;
+        ++m_shared->activeConnections;
         m_client->setOnEnded([this] { stopIo(); });
     }
     ~Connection()
     {
-        setExpectant(false);
+        setActive(false);
         --m_shared->connectionCount;
     }
     Connection(const Connection&) = delete;
@@ -151,7 +151,7 @@
         bool isOpen = true;
         while (isOpen)
             isOpen = co_await serveOne();
-        setExpectant(false);
+        setActive(false);
         if (m_lingers)
             co_await lingerUntilClosed(m_stream, *m_client);
         if (!m_resetsOnClose)
@@ -207,7 +207,7 @@
     Awaitable<bool> waitForCall()
     {
         m_client->waitForRequest();
-        setExpectant(!m_hasReceivedCall);
+        setActive(!m_hasReceivedCall);
         if (m_isRejected) {
             m_stream.expires_after(RejectionTimeout);
         } else {
@@ -222,18 +222,18 @@
         if (!error) {
             m_decoder.commit(count);
             m_hasReceivedCall = true;
-            setExpectant(true);
+            setActive(true);
         }
         boost::system::error_code ignored;
         co_return !error || (m_client->isEnded() && m_stream.socket().available(ignored));
     }
 
-    /// Notes whether the caller waits for an answer, or may have sent a call.
-    void setExpectant(bool isExpectant)
+    /// Counts the connection among the active ones, or no more.
+    void setActive(bool isActive)
     {
-        if (isExpectant == std::exchange(m_isExpectant, isExpectant))
+        if (isActive == std::exchange(m_isActive, isActive))
             return;
-        m_shared->expectantConnections += isExpectant ? 1 : -1;
+        m_shared->activeConnections += isActive ? 1 : -1;
     }
 
     /// Ends the wait for a call when the idle timeout in force has passed. Configurations may raise it during the wait.
@@ -499,7 +499,7 @@
     std::unique_ptr<ClientConnection> m_client;
     bool m_isRejected;
     bool m_hasReceivedCall = false; ///< bytes of a call have arrived on the connection
-    bool m_isExpectant = true; ///< see FrontServer::expectantConnections()
+    bool m_isActive = true; ///< see FrontServer::activeConnections()
     bool m_lingers = false; ///< the caller may still send; the close waits until it has read the answer
     net::cancellation_signal m_closeWatchCancellation; ///< ends the wait for the caller's close
     boost::system::error_code m_writeError; ///< of the latest write
@@ -551,7 +551,7 @@
 
 std::size_t FrontServer::busyCalls() const { return m_shared->busyCalls; }
 
-std::size_t FrontServer::expectantConnections() const { return m_shared->expectantConnections; }
+std::size_t FrontServer::activeConnections() const { return m_shared->activeConnections; }
 
 std::uint64_t FrontServer::requestsCutOff() const { return m_shared->requestsCutOff; }
 
--- a/src/edge/FrontServer.h
+++ b/src/edge/FrontServer.h
@@ -40,9 +40,9 @@
     std::size_t connections() const;
     /// @return the number of calls that were read and whose answers are not yet written
     std::size_t busyCalls() const;
-    /// @return the number of connections whose callers wait for an answer, or may have sent a call: those that are new,
-    ///         receive a call or answer one
-    std::size_t expectantConnections() const;
+    /// @return the number of connections that are new, receive a call or answer one, as opposed to those that are kept
+    ///         for a further call
+    std::size_t activeConnections() const;
     /// @return the number of connections that ended inside a request
     std::uint64_t requestsCutOff() const;
     /// @return the number of final answers that could not be written as a whole
--- a/src/edge/PlannedStop.cpp
+++ b/src/edge/PlannedStop.cpp
@@ -59,12 +59,11 @@
         co_await sleep();
         if (hasPassed(m_times.closeIdle))
             m_front.closeIdle(m_times.firstCall);
-        if (hasPassed(m_times.callersCome) && !m_front.expectantConnections())
+        if (hasPassed(m_times.callersCome) && !m_front.activeConnections())
             break;
     }
     DecisionLog::state("stop",
-        { { "open_calls", m_node.reducer().openCalls() },
-            { "expectant_connections", m_front.expectantConnections() } });
+        { { "open_calls", m_node.reducer().openCalls() }, { "active_connections", m_front.activeConnections() } });
     m_front.stopAccepting();
     m_node.post(event::CallsMustEnd {});
     while (m_front.busyCalls() && !hasPassed(m_times.exit))
--- a/src/shell/AnswerHead.cpp
+++ b/src/shell/AnswerHead.cpp
@@ -22,9 +22,9 @@
 
 bool hasConflictingValues(const http::fields& head, std::string_view name)
 {
-    const auto [first, last] = head.equal_range(name);
-    return first != last
-        && std::any_of(first, last, [&](const auto& field) { return field.value() != first->value(); });
+    const auto fields = head.equal_range(name);
+    return std::any_of(
+        fields.first, fields.second, [&](const auto& field) { return field.value() != fields.first->value(); });
 }
 
 std::string_view singleValue(const http::fields& head, std::string_view name)
--- a/src/shell/RequestSender.cpp
+++ b/src/shell/RequestSender.cpp
@@ -4,7 +4,7 @@
 
 std::shared_ptr<RequestSender> RequestSender::start(TcpStream& stream, std::shared_ptr<void> owner, Request request)
 {
-    const std::shared_ptr<RequestSender> sender(new RequestSender(std::move(request)));
+    std::shared_ptr<RequestSender> sender(new RequestSender(std::move(request)));
     net::co_spawn(
         stream.get_executor(),
         [sender, &stream, owner = std::move(owner)]() -> Awaitable<void> { co_await sender->send(stream); },
