--- a/tests/PlannedStopTest.cpp
+++ b/tests/PlannedStopTest.cpp
@@ -108,7 +108,7 @@
     for (const char* path : { "/look/1", "/book/1" }) {
         std::vector<Caller> callers { { milliseconds(0), milliseconds(0) }, { milliseconds(100), milliseconds(70) } };
         const milliseconds took = stopBeside(callers, path);
-        CHECK_TRUE(took <= Times.exit + milliseconds(500));
+        CHECK_TRUE(took <= Times.exit + milliseconds(100));
         for (const Caller& caller : callers) {
             CHECK_TRUE_TEXT(hasText(caller.answer, "HTTP/1.1 502 ") && hasText(caller.answer, "may_have_run"),
                 caller.answer.c_str());
