--- a/review/common2/engine.py
+++ b/review/common2/engine.py
@@ -13,7 +13,7 @@
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 import lab  # noqa: E402
 
-LOAD_S = 0.2
+LOAD_S = float(os.environ.get("LOAD_S", "0.2"))
 
 
 def tell(**what):
@@ -45,6 +45,7 @@
             writer.write(lab.response(404))
             return True
         self.orders += 1
+        tell(what="order", begin=order["from"], end=order["target"])
         asyncio.get_running_loop().call_later(LOAD_S, self.loaded, (order["from"], order["target"]))
         writer.write(lab.response(202))
         return True
@@ -56,11 +57,11 @@
     async def stream(self, message, writer):
         attempt = message.headers.get("x-attempt-id", "")
         status = 421 if message.headers.get("x-expect-instance", self.id) != self.id else 200
-        for part in message.headers.get("x-hop-count", "").split(","):
-            address, _, span = part.partition("=")
-            begin, end = (int(each) for each in span.split("-")) if span else (0, 0)
-            if not span or address != self.address or begin < self.layers[0] or end > self.layers[1]:
-                status = 421
+        # It is the first part of the path. What the other parts hold is left to them.
+        address, _, span = message.headers.get("x-hop-count", "").split(",")[0].partition("=")
+        begin, end = (int(each) for each in span.split("-")) if span else (0, 0)
+        if not span or address != self.address or begin < self.layers[0] or end > self.layers[1]:
+            status = 421
         if status != 200:
             writer.write(lab.response(status, b"", {"X-Not-Executed": "1", "X-Attempt-Id": attempt,
                                                     "At-Server": self.address}))
--- a/review/common2/lab.py
+++ b/review/common2/lab.py
@@ -219,7 +219,15 @@
 
     def __init__(self):
         self.items, self.leases, self.history, self.revision, self.next_lease = {}, {}, [], 100, 1
-        self.changed = asyncio.Event()
+        self.changed, self.down_since = asyncio.Event(), None
+
+    def go_down(self):
+        """Answers 503 from now on. Leases pause."""
+        self.down_since = time.monotonic()
+
+    def come_back(self):
+        pause, self.down_since = time.monotonic() - self.down_since, None
+        self.leases = {lease: (span, end + pause) for lease, (span, end) in self.leases.items()}
 
     async def start(self, address):
         self.expiry = asyncio.create_task(self._expire())
@@ -246,6 +254,8 @@
     async def _expire(self):
         while True:
             await asyncio.sleep(0.05)
+            if self.down_since:
+                continue
             for lease in [each for each, (_, end) in self.leases.items() if end < time.monotonic()]:
                 self._end(lease)
 
@@ -255,6 +265,9 @@
             self.remove(key)
 
     async def _handle(self, message, writer):
+        if self.down_since:
+            writer.write(json_response(503, {}))
+            return True
         method, target, _ = message.start.split(" ")
         parts = urlsplit(target)
         query = {name: values[0] for name, values in parse_qs(parts.query, keep_blank_values=True).items()}
@@ -262,6 +275,8 @@
         body = json.loads(message.body or b"{}")
         if call == "kv-watch":
             status, result = 200, await self._watch(query)
+            if self.down_since:
+                status, result = 503, {}
         elif call == "kv-range":
             status, result = 200, self._range(query)
         elif call == "kv-key":
@@ -518,8 +533,9 @@
 class EngineHost:
     """Runs the starts of one engine as processes behind a link, and beats for them in the store as they would."""
 
-    def __init__(self, lab, name, zone, address, behind, event_ms):
-        self.lab, self.name, self.zone, self.event_ms = lab, name, zone, event_ms
+    def __init__(self, lab, name, zone, address, behind, event_ms, service="model", kind="card", load_s=0.2):
+        self.lab, self.name, self.zone, self.event_ms, self.service, self.kind = lab, name, zone, event_ms, service, kind
+        self.load_s, self.orders = load_s, []
         self.link, self.behind, self.incarnation, self.process = Link(address, behind), behind, 0, None
         self.layers, self.seq, self.runs, self.beating = (0, 0), 0, [], None
 
@@ -535,7 +551,7 @@
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, os.path.join(os.path.dirname(os.path.abspath(__file__)), "engine.py"), self.behind, self.id,
             str(self.event_ms), stdout=asyncio.subprocess.PIPE,
-            env=dict(os.environ, REACHED_AT=self.link.listen))
+            env=dict(os.environ, REACHED_AT=self.link.listen, LOAD_S=str(self.load_s)))
         await self.process.stdout.readline()
         self.lab.record.write(f"{self.id} starts")
         self.reading = asyncio.create_task(self._read(self.process, self.id))
@@ -550,6 +566,9 @@
             elif said["what"] == "runs":
                 self.runs.append((time.monotonic(), said["attempt"], identity))
                 self.lab.record.write(f"{identity} runs {said['attempt']}")
+            elif said["what"] == "order":
+                self.orders.append((time.monotonic(), said["begin"], said["end"], identity))
+                self.lab.record.write(f"{identity} is ordered to hold layers {said['begin']} to {said['end']}")
             elif said["what"] == "done":
                 self.lab.record.write(f"{identity} has made the last event of {said['attempt']}")
 
@@ -560,12 +579,12 @@
 
     def _register(self):
         """Writes its entry, if the path to the store is there. The store ends an entry after three missed beats."""
-        if self.link.mode != "ok":
+        if self.link.mode != "ok" or self.lab.store.down_since:
             return
         key = f"servers/{self.id}"
         value = json.dumps({
-            "backend": "model", "address": self.link.listen, "zone": self.zone, "version": "v1", "slots": 192,
-            "state": "ready", "cold_remaining_ms": 0, "stage": "unified", "route_type": "card",
+            "backend": self.service, "address": self.link.listen, "zone": self.zone, "version": "v1", "slots": 192,
+            "state": "ready", "cold_remaining_ms": 0, "stage": "unified", "route_type": self.kind,
             "models": [{"name": "m0", "version": 1, "adapters": []}],
             "layers": {"from": self.layers[0], "target": self.layers[1], "version": 1}, "seq": self.seq})
         if key not in self.lab.store.items or self.lab.store.items[key]["value"] != base64.b64encode(value.encode()).decode():
@@ -587,15 +606,15 @@
             await self.process.wait()
 
 
-def model_service(layers, card_mb):
-    return {"name": "model", "health_check": "/health", "max_connections": 988, "protocol": "h1", "tls": False,
+def model_service(layers, card_mb, name="model", kind="card", load_s=0.4):
+    return {"name": name, "health_check": "/health", "max_connections": 988, "protocol": "h1", "tls": False,
             "engine": {"slots": 192, "kv_capacity": 100000, "kv_token_bytes": 8000, "link_mbps": 400000.0, "stride": 4,
-                       "models": [{"name": "m0", "pace": 1.0, "load_s": 0.4, "warm_s": 0.0}], "step_ms": 1.02,
+                       "models": [{"name": "m0", "pace": 1.0, "load_s": load_s, "warm_s": 0.0}], "step_ms": 1.02,
                        "per_seq_ms": 0.00459, "context_per_k": 0.00615, "read_per_s": 164000.0, "pairs_per_m": 0.199,
                        "chunk": 512, "report_lag_ms": 200.0, "loads_per_s": 0.0, "loads_at_once": 6, "delays": [],
                        "usual": {"prompt": 775, "answer": 220}, "layers": layers, "layer_mb": 100.0, "act_bytes": 29500,
                        "pipe_mbps": 16000.0,
-                       "kinds": [{"name": "card", "size_mb": card_mb, "pace": 1.0, "read_x": 1.0}]}}
+                       "kinds": [{"name": kind, "size_mb": card_mb, "pace": 1.0, "read_x": 1.0}]}}
 
 
 def play(folder, scenario, limit_s=115):
