Log what proved an answer complete, and the layers that a checked engine reports

An answer_end_verdict line said that an end was verified, but not by what: an answer to a later call, a report, a health answer, or an event of another stream. An engine_checked line said nothing that tells a process from its successor at the address. The verdict now names its proof, and the check the layers that the report lists: an engine starts without layers.

No decision changes.

--- a/src/edge/RelayNode.cpp
+++ b/src/edge/RelayNode.cpp
@@ -474,7 +474,8 @@
     DecisionLog::state("engine_checked",
         { { "engine", check.engine.value() }, { "answered", answered }, { "refused", isRefused(report) },
             { "slowness", answered ? report.slowness : 0 }, { "queued", report.queued },
-            { "memory_used", report.memoryUsed }, { "started_ms", report.startedAt.value() } });
+            { "memory_used", report.memoryUsed }, { "started_ms", report.startedAt.value() },
+            { "layers", absl::StrCat(report.layers.begin, "-", report.layers.end) } });
     post(event::EngineChecked { check.engine, answered, report.slowness, isRefused(report), check.startedAt,
         report.startedAt, report.layers, report.queued, report.memoryUsed });
     postNotice(check.engine, report.startedAt.value() ? report.startedAt : check.startedAt, askedAt, report.notice);
@@ -628,7 +629,8 @@
 {
     if (const auto found = m_openCalls.find(note.call); found != m_openCalls.end())
         DecisionLog::call("answer_end_verdict", found->second.callId,
-            { { "server", note.server.value() }, { "verdict", toString(note.verdict) } });
+            { { "server", note.server.value() }, { "verdict", toString(note.verdict) },
+                { "proof", toString(note.proof) } });
 }
 
 void RelayNode::on(const effect::BreakAnswer& broken)
--- a/src/relay/RelayEffect.h
+++ b/src/relay/RelayEffect.h
@@ -10,6 +10,7 @@
 #include "relay/CancelCause.h"
 #include "relay/ClearCause.h"
 #include "relay/CrashReport.h"
+#include "relay/EndProof.h"
 #include "relay/PermitAnswer.h"
 #include "relay/PermitRequest.h"
 #include "relay/RetryLimit.h"
@@ -284,6 +285,7 @@
         RequestId call;
         BackendId server; ///< of the attempt that ended
         EndVerdict verdict = EndVerdict::Verified;
+        EndProof proof = EndProof::None;
     };
 
     /// End a partly delivered answer in a way that the caller cannot mistake for its complete end.
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -235,7 +235,8 @@
     attempt.answerBegunAt = context.now;
     recordContactAnswered(attempt.server, attempt.startedAt, context);
     m_fleet.answerBegun(attempt.server, attempt.chain, context.now);
-    settleUnprovenEnds(attempt.server, attempt.startedAt, LifeSign::Alive, {}, context, call->id);
+    settleUnprovenEnds(
+        attempt.server, attempt.startedAt, LifeSign::Alive, {}, EndProof::LaterAnswer, context, call->id);
 }
 
 void RelayReducer::on(const event::EventDelivered& delivered, Context& context)
@@ -507,7 +508,7 @@
     if (call.main.id == kept)
         return;
     if (call.main.unprovenEnd)
-        noteVerdict(call, EndVerdict::Undecided, context);
+        noteVerdict(call, EndVerdict::Undecided, EndProof::None, context);
     cancel(call, call.main, cause, context);
     if (call.second) {
         call.main = *call.second;
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -163,11 +163,11 @@
     void awaitEndProof(Call&, Context&);
     void checkUnverified(const UnprovenEnd&, Context&);
     void settleUnprovenEnds(
-        const BackendId&, TimePoint askedAt, LifeSign, StartTime answering, Context&, RequestId answered = {});
+        const BackendId&, TimePoint askedAt, LifeSign, StartTime answering, EndProof, Context&, RequestId answered = {});
     bool hasProgressed(const UnverifiedServer&, const UnprovenEnd&) const;
     void settleOverdueEnds(Context&);
-    void settleEnd(RequestId, EndVerdict, Context&);
-    void noteVerdict(Call&, EndVerdict, Context&);
+    void settleEnd(RequestId, EndVerdict, EndProof, Context&);
+    void noteVerdict(Call&, EndVerdict, EndProof, Context&);
     void continueBeside(Call&, Context&);
     void replaceUnproven(Call&, Context&);
     BackendId blamedServer(const Attempt&, const event::AttemptEnded&);
--- a/src/relay/RelayReducerChecks.cpp
+++ b/src/relay/RelayReducerChecks.cpp
@@ -165,7 +165,8 @@
         m_fleet.recordAnsweredCheck(checked.engine, checked.slowness);
         m_namedStages.clearEvidence(checked.engine);
         recordClosed(checked, context);
-        settleUnprovenEnds(checked.engine, server->lastCheckAt, LifeSign::Alive, checked.answering, context);
+        settleUnprovenEnds(
+            checked.engine, server->lastCheckAt, LifeSign::Alive, checked.answering, EndProof::Report, context);
         dispatchAll(context);
         return;
     }
@@ -184,7 +185,7 @@
         checkEnginesAfterFailure(hasEnded, context);
     if (server) {
         const LifeSign sign = hasEnded ? LifeSign::Ended : LifeSign::Silent;
-        settleUnprovenEnds(checked.engine, server->lastCheckAt, sign, checked.answering, context);
+        settleUnprovenEnds(checked.engine, server->lastCheckAt, sign, checked.answering, EndProof::Refusal, context);
     }
     // Streams through an ended process hold memory at all other stages until their callers time out.
     if (hasEnded)
@@ -206,7 +207,7 @@
     if (late.answering.value() && late.answering != server->entry.startedAt)
         return;
     m_crashEvidence.noteAlive(server->othersLoad.engine);
-    settleUnprovenEnds(late.engine, late.askedAt, LifeSign::Alive, late.answering, context);
+    settleUnprovenEnds(late.engine, late.askedAt, LifeSign::Alive, late.answering, EndProof::Report, context);
 }
 
 /// Checks engines that rejected calls, to learn whether they had room at that time.
--- a/src/relay/RelayReducerCrashes.cpp
+++ b/src/relay/RelayReducerCrashes.cpp
@@ -155,7 +155,8 @@
     const LifeSign sign = probed.finding == Finding::Alive                           ? LifeSign::Alive
         : probed.finding == Finding::Ended && (probed.responded || !isPathInDoubt()) ? LifeSign::Ended
                                                                                      : LifeSign::Silent;
-    settleUnprovenEnds(probed.server, server->lastCheckAt, sign, probed.answering, context);
+    settleUnprovenEnds(probed.server, server->lastCheckAt, sign, probed.answering,
+        probed.responded ? EndProof::Identity : EndProof::Refusal, context);
 }
 
 /// Records that a server's process has ended, with the calls that it was running. A leaving server ends on purpose and
--- a/src/relay/RelayReducerEndings.cpp
+++ b/src/relay/RelayReducerEndings.cpp
@@ -7,6 +7,7 @@
 #include "relay/RelayReducer.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace crocusmount::relay {
 
@@ -51,14 +52,14 @@
     }
     call.main.unprovenEnd = std::move(end);
     if (hasDied)
-        settleEnd(call.id, EndVerdict::BrokenOff, context);
+        settleEnd(call.id, EndVerdict::BrokenOff, EndProof::LostStage, context);
 }
 
 /// Makes the second attempt, which has ended unproven, too, the one that a sign of life completes. Its server was alive
 /// after the first one had become silent.
 void RelayReducer::replaceUnproven(Call& call, Context& context)
 {
-    noteVerdict(call, EndVerdict::Undecided, context);
+    noteVerdict(call, EndVerdict::Undecided, EndProof::None, context);
     const Attempt replaced = std::exchange(call.main, *call.second);
     call.second.reset();
     cancel(call, replaced, CancelCause::Superseded, context);
@@ -86,9 +87,10 @@
 /// Settles the unproven ends that wait for a server.
 /// @param askedAt    when the server was sent what it has answered now, or has not
 /// @param answering  start that answered; zero if it is not known
+/// @param proof      the kind of message that is the sign
 /// @param answered   the call that it has answered, if any: what follows shows whether its answer was complete
-void RelayReducer::settleUnprovenEnds(
-    const BackendId& id, TimePoint askedAt, LifeSign sign, StartTime answering, Context& context, RequestId answered)
+void RelayReducer::settleUnprovenEnds(const BackendId& id, TimePoint askedAt, LifeSign sign, StartTime answering,
+    EndProof proof, Context& context, RequestId answered)
 {
     std::vector<std::pair<RequestId, EndVerdict>> settled;
     for (auto& [call, each] : m_calls) {
@@ -117,7 +119,7 @@
         continueBeside(each, context);
     }
     for (const auto& [call, verdict] : settled)
-        settleEnd(call, verdict, context);
+        settleEnd(call, verdict, proof, context);
 }
 
 /// Continues a call with an unproven end at another server, if it may be repeated, while the end still waits for a sign
@@ -157,7 +159,7 @@
 /// again, and continues calls elsewhere whose servers have been silent for long.
 void RelayReducer::settleOverdueEnds(Context& context)
 {
-    std::vector<std::pair<RequestId, EndVerdict>> settled;
+    std::vector<std::tuple<RequestId, EndVerdict, EndProof>> settled;
     for (auto& [id, call] : m_calls) {
         if (call.state != CallState::Running || !call.main.unprovenEnd)
             continue;
@@ -172,32 +174,32 @@
             return hasProgressed(each, end);
         });
         if (hasEnded)
-            settled.emplace_back(id, EndVerdict::BrokenOff);
+            settled.emplace_back(id, EndVerdict::BrokenOff, EndProof::LaterStart);
         else if (end.unverified.empty())
-            settled.emplace_back(id, EndVerdict::Verified);
+            settled.emplace_back(id, EndVerdict::Verified, EndProof::LaterEvent);
         else if (!isCheckUnderWay || context.now >= end.endedAt + ContinueDelay + MaxCheckTime)
             continueBeside(call, context);
     }
-    for (const auto& [id, verdict] : settled)
-        settleEnd(id, verdict, context);
+    for (const auto& [id, verdict, proof] : settled)
+        settleEnd(id, verdict, proof, context);
 }
 
 /// Counts and logs what was found out about the end of the main attempt, which then waits for nothing more.
-void RelayReducer::noteVerdict(Call& call, EndVerdict verdict, Context& context)
+void RelayReducer::noteVerdict(Call& call, EndVerdict verdict, EndProof proof, Context& context)
 {
     ++m_counters.unprovenEnds.at(static_cast<std::size_t>(verdict));
     call.main.unprovenEnd.reset();
-    context.effects.emplace_back(effect::LogEndVerdict { call.id, call.main.server, verdict });
+    context.effects.emplace_back(effect::LogEndVerdict { call.id, call.main.server, verdict, proof });
 }
 
 /// Ends a call whose main attempt has ended unproven as complete, or continues it as after any broken attempt.
-void RelayReducer::settleEnd(RequestId id, EndVerdict verdict, Context& context)
+void RelayReducer::settleEnd(RequestId id, EndVerdict verdict, EndProof proof, Context& context)
 {
     const auto found = m_calls.find(id);
     if (found == m_calls.end() || !found->second.main.unprovenEnd)
         return;
     Call& call = found->second;
-    noteVerdict(call, verdict, context);
+    noteVerdict(call, verdict, proof, context);
     if (verdict == EndVerdict::BrokenOff) {
         on(event::AttemptEnded { call.main.id, AttemptResult::Broken }, context);
         return;
--- a/src/relay/RelayReducerServers.cpp
+++ b/src/relay/RelayReducerServers.cpp
@@ -178,7 +178,8 @@
     if (call.main.unprovenEnd) {
         const bool hasEnded = sign == EndSign::LaterStart || !mayFinishCalls(lost);
         if (call.main.unprovenEnd->dependsOn(lost) && hasEnded)
-            settleEnd(call.id, EndVerdict::BrokenOff, context);
+            settleEnd(call.id, EndVerdict::BrokenOff,
+                sign == EndSign::LaterStart ? EndProof::LaterStart : EndProof::Refusal, context);
         return;
     }
     if (!call.main.usesServer(lost) || call.main.mayOutlive(lost, sign)
