Count a sign of life only for the server that is known to have given it

Cause: where entries name no start, the report of any process at the address counted as a sign of life of the engine that was listed there. A report names no engine. In the logs of the verdicts have proof=report, and the report says layers=0-0, which only a new process does.

Now a sign counts if it is identified: the answer to a call that names its server, a health answer that names the id, or a report that names the known start. Engines whose start is not known get a health check in place of a report. Another id at the address breaks the answer off, also at a leaving server. As a health check waits for a slot, its silence alone neither continues a call elsewhere nor marks the engine dead: a report is requested then, and a late health answer counts for one second, for plain servers, too. An event of another stream counts for a later stage only if that stream began before the end and was never rerouted.

Evidence: AnAnswerFromItsAddressDoesNotVouchForAnEngineThatHasEnded and TheSilenceOfAProbeAloneDoesNotContinueAStreamElsewhere fail with the old rule, as does TheStartThatRanAnAnswerVouchesForIt for reports without a start. CrashFleet answers reports by address now, as real engines do.

ServerProbe answers of engines: RefusingEngineControl knows ids by address. WithoutASignOfLifeAnAnswerIsNotComplete lets the stream that is evidence for a later stage begin before the end.

--- a/src/edge/EngineControl.h
+++ b/src/edge/EngineControl.h
@@ -43,13 +43,14 @@
         return onCheck(std::move(address), timeout);
     }
 
-    /// Asks a plain server to identify itself, to find out whether it was restarted.
+    /// Asks a server to identify itself, to find out whether it was restarted.
     /// @param address  of the server
     /// @param path     of its service's health check
+    /// @param timeout  longest time to connect, and after that to get the answer
     /// @return the identity of the server that answers at the address; the id is a new one after a restart
-    Awaitable<ServerIdentity> identify(std::string address, std::string path)
+    Awaitable<ServerIdentity> identify(std::string address, std::string path, std::chrono::milliseconds timeout)
     {
-        return onIdentify(std::move(address), std::move(path));
+        return onIdentify(std::move(address), std::move(path), timeout);
     }
 
     /// Asks the first stage of a running stream which stage has stalled.
@@ -62,7 +63,9 @@
 
 private:
     virtual Awaitable<EngineReport> onCheck(std::string address, std::chrono::milliseconds timeout) = 0;
-    virtual Awaitable<ServerIdentity> onIdentify(std::string address, std::string path) = 0;
+    virtual Awaitable<ServerIdentity> onIdentify(
+        std::string address, std::string path, std::chrono::milliseconds timeout)
+        = 0;
     virtual Awaitable<StalledStage> onStalledStage(std::string address, std::string call) = 0;
     virtual Awaitable<OrderReply> onReroute(std::string address, std::string call, Chain) = 0;
     virtual Awaitable<OrderReply> onPlaceLayers(std::string address, LayerRange) = 0;
--- a/src/edge/RelayNode.cpp
+++ b/src/edge/RelayNode.cpp
@@ -20,6 +20,8 @@
     /// Time after which a check counts as unanswered. A stream may be stalled meanwhile, and callers accept a pause of
     /// 200 ms.
     constexpr std::chrono::milliseconds CheckTimeout { 80 };
+    /// The same for a probe, which waits for a slot like any other request.
+    constexpr std::chrono::milliseconds ProbeTimeout { 150 };
     /// A timer that fires later than this after its time shows that the process stood still.
     constexpr std::chrono::milliseconds MaxTimerLateness { 20 };
     /// How long the answer to a check is still awaited: it shows that the path and the engine are sound.
@@ -420,7 +422,19 @@
     std::string address = probe.address;
     std::string path = probe.path;
     const TimePoint askedAt = now();
-    const ServerIdentity identity = co_await m_engineControl.identify(std::move(address), std::move(path));
+    const auto pending
+        = awaitCheck(ProbeTimeout, [this, probe, askedAt] { recordProbe(probe, ServerIdentity(), askedAt); });
+    const ServerIdentity identity
+        = co_await m_engineControl.identify(std::move(address), std::move(path), LateAnswerTimeout);
+    pending->timer.cancel();
+    if (!std::exchange(pending->isSettled, true))
+        recordProbe(probe, identity, askedAt);
+    else if (findingOf(identity, probe.server) == Finding::Alive)
+        recordLateAnswer({ probe.server, identity.startedAt, askedAt, true });
+}
+
+void RelayNode::recordProbe(const effect::ProbeServer& probe, const ServerIdentity& identity, TimePoint askedAt)
+{
     const Finding finding = findingOf(identity, probe.server);
     DecisionLog::state("server_probed",
         { { "server", probe.server.value() }, { "finding", toString(finding) }, { "said", identity.id.value() } });
@@ -432,19 +446,29 @@
 Awaitable<void> RelayNode::checkEngine(effect::CheckEngine check)
 {
     std::string address = check.address;
-    const auto pending = std::make_shared<PendingCheck>(PendingCheck { check, now(), Timer(m_context.get_executor()) });
-    awaitCheckTimeout(pending);
+    const TimePoint askedAt = now();
+    const auto pending = awaitCheck(
+        CheckTimeout, [this, check, askedAt] { recordCheck(check, EngineReport { CheckAnswer::Silent }, askedAt); });
     const EngineReport report = co_await m_engineControl.check(std::move(address), LateAnswerTimeout);
-    if (std::exchange(pending->isSettled, true))
-        recordLateAnswer(check, report, pending->askedAt);
-    else
-        recordCheck(check, report, pending->askedAt);
     pending->timer.cancel();
+    if (!std::exchange(pending->isSettled, true))
+        recordCheck(check, report, askedAt);
+    else if (report.answer == CheckAnswer::Alive)
+        recordLateAnswer({ check.engine, report.startedAt, askedAt });
+}
+
+std::shared_ptr<RelayNode::PendingCheck> RelayNode::awaitCheck(
+    std::chrono::milliseconds timeout, std::function<void()> recordUnanswered)
+{
+    const auto pending = std::make_shared<PendingCheck>(
+        PendingCheck { timeout, Timer(m_context.get_executor()), std::move(recordUnanswered) });
+    awaitCheckTimeout(pending);
+    return pending;
 }
 
 void RelayNode::awaitCheckTimeout(const std::shared_ptr<PendingCheck>& pending)
 {
-    pending->timer.expires_after(CheckTimeout);
+    pending->timer.expires_after(pending->timeout);
     pending->timer.async_wait([this, pending](const boost::system::error_code& error) {
         if (error || pending->isSettled)
             return;
@@ -454,18 +478,16 @@
             return;
         }
         pending->isSettled = true;
-        recordCheck(pending->check, EngineReport { CheckAnswer::Silent }, pending->askedAt);
+        pending->recordUnanswered();
     });
 }
 
-void RelayNode::recordLateAnswer(const effect::CheckEngine& check, const EngineReport& report, TimePoint askedAt)
+void RelayNode::recordLateAnswer(const event::CheckAnsweredLate& late)
 {
-    if (report.answer != CheckAnswer::Alive)
-        return;
-    DecisionLog::state("engine_answered_late",
-        { { "engine", check.engine.value() }, { "after_ms", toMs(now() - askedAt) },
-            { "started_ms", report.startedAt.value() } });
-    post(event::EngineCheckAnsweredLate { check.engine, report.startedAt, askedAt });
+    DecisionLog::state("server_answered_late",
+        { { "server", late.server.value() }, { "after_ms", toMs(now() - late.askedAt) },
+            { "identified", late.isIdentified }, { "started_ms", late.answering.value() } });
+    post(late);
 }
 
 void RelayNode::recordCheck(const effect::CheckEngine& check, const EngineReport& report, TimePoint askedAt)
--- a/src/edge/RelayNode.h
+++ b/src/edge/RelayNode.h
@@ -12,6 +12,7 @@
 #include <absl/container/flat_hash_map.h>
 #include <boost/json.hpp>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <pcg_random.hpp>
 
@@ -95,12 +96,12 @@
         std::optional<TimePoint> begunAt; ///< when the head of a successful answer arrived
     };
 
-    /// A check whose answer is awaited.
+    /// A check or probe whose answer is awaited.
     struct PendingCheck {
-        effect::CheckEngine check;
-        TimePoint askedAt;
-        Timer timer; ///< until the check counts as unanswered
-        bool isSettled = false; ///< EngineChecked has been posted
+        std::chrono::milliseconds timeout; ///< after which it counts as unanswered
+        Timer timer; ///< until then
+        std::function<void()> recordUnanswered;
+        bool isSettled = false; ///< its result has been posted
     };
 
     /// Posts a Tick event at regular intervals.
@@ -120,13 +121,16 @@
     void postNotice(const BackendId& server, StartTime startedAt, TimePoint askedAt, const ServerNotice&);
     /// @return the last known start of a server; zero if it is not registered
     StartTime startOf(const BackendId&) const;
-    /// Checks an engine and posts EngineChecked, and EngineCheckAnsweredLate if the answer comes after that.
+    /// Checks an engine and posts EngineChecked, and CheckAnsweredLate if the answer comes after that.
     Awaitable<void> checkEngine(effect::CheckEngine);
-    /// Posts EngineChecked without an answer once the check has had its time.
+    /// Begins to wait for the answer to a check or probe.
+    /// @param recordUnanswered  posts that there is no answer; called once the time is over
+    std::shared_ptr<PendingCheck> awaitCheck(std::chrono::milliseconds timeout, std::function<void()> recordUnanswered);
     void awaitCheckTimeout(const std::shared_ptr<PendingCheck>&);
     void recordCheck(const effect::CheckEngine&, const EngineReport&, TimePoint askedAt);
-    void recordLateAnswer(const effect::CheckEngine&, const EngineReport&, TimePoint askedAt);
-    /// Probes a plain server and posts ServerProbed.
+    void recordProbe(const effect::ProbeServer&, const ServerIdentity&, TimePoint askedAt);
+    void recordLateAnswer(const event::CheckAnsweredLate&);
+    /// Probes a server and posts ServerProbed, and CheckAnsweredLate if the server names its id after that.
     Awaitable<void> probeServer(effect::ProbeServer);
     /// Sends a reroute order and posts RerouteAnswered and EngineStartSeen.
     Awaitable<void> sendReroute(effect::RerouteAttempt, std::string callId);
--- a/src/relay/AnswerEnding.h
+++ b/src/relay/AnswerEnding.h
@@ -51,9 +51,10 @@
 
 /// What is known of a server that an unproven end depends on.
 enum class LifeSign {
-    Alive, ///< it answered a request that was sent after the end
+    Alive, ///< its address answered a request that was sent after the end
     Silent, ///< it did not answer a check that was sent after the end
     Ended, ///< its port refuses connections
+    Replaced, ///< another server answered at its address
 };
 
 /// @return the snake_case name for logs and metrics
--- a/src/relay/RelayEffect.h
+++ b/src/relay/RelayEffect.h
@@ -79,7 +79,7 @@
         StartTime startedAt {}; ///< last known start
     };
 
-    /// Probe a plain service's server, which answers no health check of engines, for the start that is running.
+    /// Send a request to a server's health endpoint, whose answer names the id of the server that runs there.
     struct ProbeServer {
         BackendId server;
         std::string address;
--- a/src/relay/RelayEvent.h
+++ b/src/relay/RelayEvent.h
@@ -163,11 +163,12 @@
         double memoryUsed = 1; ///< fraction of the engine's KV cache memory in use; 1 if unknown
     };
 
-    /// An engine answered a check that had counted as unanswered.
-    struct EngineCheckAnsweredLate {
-        BackendId engine;
+    /// A server answered a check or a probe that had counted as unanswered.
+    struct CheckAnsweredLate {
+        BackendId server;
         StartTime answering {}; ///< start that answered; zero if the answer names none
         TimePoint askedAt; ///< when the check was sent
+        bool isIdentified = false; ///< the answer names the server's id
     };
 
     /// An engine named its start time in its answer to a placement or reroute order.
@@ -186,7 +187,7 @@
         std::vector<std::uint64_t> engines; ///< by engineKey
     };
 
-    /// A probe of a plain service's server ended, see effect::ProbeServer.
+    /// A probe of a server ended, see effect::ProbeServer.
     struct ServerProbed {
         enum class Finding {
             Alive, ///< the start that was probed answered
@@ -237,7 +238,7 @@
     event::InstancesCounted, event::StoreCopyChecked, event::LoadsReported, event::CallArrived, event::CallerLeft,
     event::AttemptSent, event::ServerNoticeSeen, event::PermitsRequested, event::PermitsAnswered,
     event::ServerLimitReported, event::AnswerBegun, event::EventDelivered, event::AttemptEnded, event::RerouteAnswered,
-    event::StalledStageReported, event::EngineChecked, event::EngineCheckAnsweredLate, event::ServerProbed,
+    event::StalledStageReported, event::EngineChecked, event::CheckAnsweredLate, event::ServerProbed,
     event::CrashesReported, event::SoundRunsReported, event::QuarantineListed, event::QuarantineLifted,
     event::EngineStartSeen, event::EnginesReportedDead, event::EnginesReportedClosed, event::DrainRequested,
     event::CallsMustEnd, event::MechanismsChanged, event::Tick>;
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -235,8 +235,8 @@
     attempt.answerBegunAt = context.now;
     recordContactAnswered(attempt.server, attempt.startedAt, context);
     m_fleet.answerBegun(attempt.server, attempt.chain, context.now);
-    settleUnprovenEnds(
-        attempt.server, attempt.startedAt, LifeSign::Alive, {}, EndProof::LaterAnswer, context, call->id);
+    const LifeEvidence evidence { LifeSign::Alive, EndProof::LaterAnswer, true };
+    settleUnprovenEnds(attempt.server, attempt.startedAt, evidence, context, call->id);
 }
 
 void RelayReducer::on(const event::EventDelivered& delivered, Context& context)
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -7,6 +7,7 @@
 #include "relay/EndSign.h"
 #include "relay/EngineCheckBudget.h"
 #include "relay/HarmlessTraits.h"
+#include "relay/LifeEvidence.h"
 #include "relay/NamedStages.h"
 #include "relay/PermitIssuer.h"
 #include "relay/RelayCounters.h"
@@ -113,7 +114,7 @@
     void on(const event::RerouteAnswered&, Context&);
     void on(const event::StalledStageReported&, Context&);
     void on(const event::EngineChecked&, Context&);
-    void on(const event::EngineCheckAnsweredLate&, Context&);
+    void on(const event::CheckAnsweredLate&, Context&);
     void recordSilenceForAll(TimePoint now);
     void on(const event::EngineStartSeen&, Context&);
     void on(const event::EnginesReportedDead&, Context&);
@@ -162,8 +163,9 @@
     void completeCall(Call&, Context&);
     void awaitEndProof(Call&, Context&);
     void checkUnverified(const UnprovenEnd&, Context&);
+    void requestLifeSign(FleetServer&, StartTime, Context&);
     void settleUnprovenEnds(
-        const BackendId&, TimePoint askedAt, LifeSign, StartTime answering, EndProof, Context&, RequestId answered = {});
+        const BackendId&, TimePoint askedAt, const LifeEvidence&, Context&, RequestId answered = {});
     bool hasProgressed(const UnverifiedServer&, const UnprovenEnd&) const;
     void settleOverdueEnds(Context&);
     void settleEnd(RequestId, EndVerdict, EndProof, Context&);
--- a/src/relay/RelayReducerChecks.cpp
+++ b/src/relay/RelayReducerChecks.cpp
@@ -165,8 +165,8 @@
         m_fleet.recordAnsweredCheck(checked.engine, checked.slowness);
         m_namedStages.clearEvidence(checked.engine);
         recordClosed(checked, context);
-        settleUnprovenEnds(
-            checked.engine, server->lastCheckAt, LifeSign::Alive, checked.answering, EndProof::Report, context);
+        const LifeEvidence evidence { LifeSign::Alive, EndProof::Report, false, checked.answering };
+        settleUnprovenEnds(checked.engine, server->lastCheckAt, evidence, context);
         dispatchAll(context);
         return;
     }
@@ -184,8 +184,8 @@
     if (server && server->unansweredChecks == 1)
         checkEnginesAfterFailure(hasEnded, context);
     if (server) {
-        const LifeSign sign = hasEnded ? LifeSign::Ended : LifeSign::Silent;
-        settleUnprovenEnds(checked.engine, server->lastCheckAt, sign, checked.answering, EndProof::Refusal, context);
+        const LifeEvidence evidence { hasEnded ? LifeSign::Ended : LifeSign::Silent, EndProof::Refusal };
+        settleUnprovenEnds(checked.engine, server->lastCheckAt, evidence, context);
     }
     // Streams through an ended process hold memory at all other stages until their callers time out.
     if (hasEnded)
@@ -197,17 +197,19 @@
 
 /// An engine that answers late stays avoided like a dead one, as callers would wait for it, but the path to it is
 /// sound, and what it was asked after an end without proof it lived to answer.
-void RelayReducer::on(const event::EngineCheckAnsweredLate& late, Context& context)
+void RelayReducer::on(const event::CheckAnsweredLate& late, Context& context)
 {
-    const FleetServer* server = m_fleet.find(late.engine);
+    const FleetServer* server = m_fleet.find(late.server);
     if (!server)
         return;
     ++m_counters.checksAnsweredLate;
-    recordContactAnswered(late.engine, late.askedAt, context);
+    recordContactAnswered(late.server, late.askedAt, context);
     if (late.answering.value() && late.answering != server->entry.startedAt)
         return;
     m_crashEvidence.noteAlive(server->othersLoad.engine);
-    settleUnprovenEnds(late.engine, late.askedAt, LifeSign::Alive, late.answering, EndProof::Report, context);
+    const EndProof proof = late.isIdentified ? EndProof::Identity : EndProof::Report;
+    const LifeEvidence evidence { LifeSign::Alive, proof, late.isIdentified, late.answering };
+    settleUnprovenEnds(late.server, late.askedAt, evidence, context);
 }
 
 /// Checks engines that rejected calls, to learn whether they had room at that time.
--- a/src/relay/RelayReducerCrashes.cpp
+++ b/src/relay/RelayReducerCrashes.cpp
@@ -110,7 +110,8 @@
     }
 }
 
-/// Sends a health check to a plain server, which answers no engine check. The answer names the start of its process.
+/// Sends a health check to a plain server, which answers no engine check, or to an engine that has to name its id. The
+/// answer may name the start of the process, too.
 void RelayReducer::probe(FleetServer& server, Context& context)
 {
     const Service* service = m_routes ? m_routes->service(server.entry.service) : nullptr;
@@ -135,6 +136,10 @@
     if (!server || !server->beingChecked)
         return; // The server was replaced by a later start.
     using Finding = event::ServerProbed::Finding;
+    if (server->isEngine() && probed.finding == Finding::Ended && !probed.responded) {
+        on(event::EngineChecked { probed.server, false, 1, true, server->entry.startedAt }, context);
+        return;
+    }
     server->beingChecked = false;
     if (probed.responded)
         recordContactAnswered(probed.server, server->lastCheckAt, context);
@@ -150,13 +155,20 @@
         m_crashEvidence.noteAlive(server->othersLoad.engine);
     else if (probed.finding == Finding::Ended && (probed.responded || !isPathInDoubt()))
         recordServerEnded(*server, EndSign::RefusedConnection, context);
-    else
+    else if (!server->isEngine())
         server->nextProbe = context.now + ReprobeInterval;
-    const LifeSign sign = probed.finding == Finding::Alive                           ? LifeSign::Alive
-        : probed.finding == Finding::Ended && (probed.responded || !isPathInDoubt()) ? LifeSign::Ended
-                                                                                     : LifeSign::Silent;
-    settleUnprovenEnds(probed.server, server->lastCheckAt, sign, probed.answering,
-        probed.responded ? EndProof::Identity : EndProof::Refusal, context);
+    LifeEvidence evidence { LifeSign::Silent, EndProof::Identity, true, probed.answering };
+    if (probed.finding == Finding::Alive)
+        evidence.sign = LifeSign::Alive;
+    else if (probed.finding == Finding::Ended && probed.responded)
+        evidence = { LifeSign::Replaced, EndProof::LaterStart };
+    else if (probed.finding == Finding::Ended && !isPathInDoubt())
+        evidence = { LifeSign::Ended, EndProof::Refusal };
+    // A health check waits for a slot of a busy engine, so its silence alone shows nothing.
+    if (!server->isEngine() || evidence.sign != LifeSign::Silent)
+        settleUnprovenEnds(probed.server, server->lastCheckAt, evidence, context);
+    else if (!probed.responded && !server->unansweredChecks)
+        checkUrgently(*server, context);
 }
 
 /// Records that a server's process has ended, with the calls that it was running. A leaving server ends on purpose and
--- a/src/relay/RelayReducerEndings.cpp
+++ b/src/relay/RelayReducerEndings.cpp
@@ -77,20 +77,26 @@
         FleetServer* server = m_fleet.find(each.id);
         if (!server || (server->lastCheckAt >= end.endedAt && context.now < server->lastCheckAt + interval))
             continue;
-        if (server->isEngine())
-            checkUrgently(*server, context);
-        else
-            probe(*server, context);
+        requestLifeSign(*server, each.start, context);
     }
 }
 
+/// Asks a server for an answer that shows which server gave it. The report of an engine names its start at most, and
+/// its successor answers at the same address, so that engines without start times are probed for their id.
+/// @param start  that the answer is needed of; zero if the server's id is used for one start only
+void RelayReducer::requestLifeSign(FleetServer& server, StartTime start, Context& context)
+{
+    if (server.isEngine() && (start.value() || m_options.without.has(Mechanism::EngineChecks)))
+        checkUrgently(server, context);
+    else
+        probe(server, context);
+}
+
 /// Settles the unproven ends that wait for a server.
-/// @param askedAt    when the server was sent what it has answered now, or has not
-/// @param answering  start that answered; zero if it is not known
-/// @param proof      the kind of message that is the sign
-/// @param answered   the call that it has answered, if any: what follows shows whether its answer was complete
-void RelayReducer::settleUnprovenEnds(const BackendId& id, TimePoint askedAt, LifeSign sign, StartTime answering,
-    EndProof proof, Context& context, RequestId answered)
+/// @param askedAt   when the server was sent what it has answered now, or has not
+/// @param answered  the call that it has answered, if any: what follows shows whether its answer was complete
+void RelayReducer::settleUnprovenEnds(
+    const BackendId& id, TimePoint askedAt, const LifeEvidence& evidence, Context& context, RequestId answered)
 {
     std::vector<std::pair<RequestId, EndVerdict>> settled;
     for (auto& [call, each] : m_calls) {
@@ -101,16 +107,18 @@
             end.unverified.begin(), end.unverified.end(), [&](const auto& server) { return server.id == id; });
         if (askedAt < end.endedAt || waiting == end.unverified.end())
             continue;
-        if (sign == LifeSign::Alive) {
-            if (answering != waiting->start)
-                continue; // Another start, or one that is not named, may have begun after the end.
+        if (evidence.sign == LifeSign::Alive) {
+            // Another start, or another server at the address, may have begun after the end.
+            if (evidence.start != waiting->start || !(evidence.isIdentified || evidence.start.value()))
+                continue;
             end.unverified.erase(waiting);
             if (end.unverified.empty())
                 settled.emplace_back(call, EndVerdict::Verified);
             continue;
         }
         // A busy server may miss a check, and a leaving one stops listening before its answers have ended.
-        const bool mayLive = sign == LifeSign::Silent || mayFinishCalls(id);
+        const bool mayLive
+            = evidence.sign == LifeSign::Silent || (evidence.sign == LifeSign::Ended && mayFinishCalls(id));
         if (!mayLive) {
             settled.emplace_back(call, EndVerdict::BrokenOff);
             continue;
@@ -119,7 +127,7 @@
         continueBeside(each, context);
     }
     for (const auto& [call, verdict] : settled)
-        settleEnd(call, verdict, proof, context);
+        settleEnd(call, verdict, evidence.proof, context);
 }
 
 /// Continues a call with an unproven end at another server, if it may be repeated, while the end still waits for a sign
@@ -135,23 +143,25 @@
     startSecondAttempt(call, AttemptPurpose::UnprovenEnd, context);
 }
 
-/// @return whether an event arrived so late that the start that ran the answer was alive after the answer's end. Where
-///         servers start again under their ids, the event must be of an answer that had begun before that.
+/// @return whether an event of another answer arrived so late that the server was alive after the answer's end.
+///
+/// The server itself sends the answers of which it is the first stage. Where it starts again under its id, such an
+/// answer must have begun before the end. So must one of which it is a later stage, as its successor at the address may
+/// run others, and that answer must never have been rerouted: an order without an answer may be carried out.
 bool RelayReducer::hasProgressed(const UnverifiedServer& server, const UnprovenEnd& end) const
 {
-    const TimePoint provenFrom = end.endedAt + ProgressMargin;
-    const auto known = m_fleet.servers().find(server.id);
-    const bool isOneStart = !server.start.value();
-    if (known == m_fleet.servers().end())
+    if (!m_fleet.servers().count(server.id))
         return false;
-    if (isOneStart && known->second.lastProgress > provenFrom)
-        return true;
     return std::any_of(m_calls.begin(), m_calls.end(), [&](const auto& each) {
         const Call& call = each.second;
         const Attempt& attempt = call.main;
-        const TimePoint since = std::max(attempt.answerBegunAt.value_or(attempt.startedAt), attempt.chainSince);
-        return call.state == CallState::Running && attempt.eventsDelivered && attempt.usesServer(server.id)
-            && call.lastDeliveredAt > provenFrom && (isOneStart || since + ProgressMargin < end.endedAt);
+        if (call.state != CallState::Running || !attempt.eventsDelivered
+            || call.lastDeliveredAt <= end.endedAt + ProgressMargin)
+            return false;
+        const bool hasBegunBefore = attempt.answerBegunAt.value_or(attempt.startedAt) + ProgressMargin < end.endedAt;
+        if (attempt.server == server.id)
+            return hasBegunBefore || !server.start.value();
+        return hasBegunBefore && attempt.chain.contains(server.id) && !attempt.rerouteCount;
     });
 }
 
--- a/tests/CrashFleet.cpp
+++ b/tests/CrashFleet.cpp
@@ -126,13 +126,21 @@
         } else if (const auto* cancelled = std::get_if<effect::CancelAttempt>(&effect)) {
             m_attempts.erase({ instance, cancelled->attempt });
         } else if (const auto* check = std::get_if<effect::CheckEngine>(&effect)) {
-            const Engine* engine = findEngine(check->engine);
             event::EngineChecked answer;
             answer.engine = check->engine;
-            answer.answered = engine && engine->isUp;
+            answer.answered = findRunning(check->address); // A report does not name the engine.
             answer.refused = !answer.answered && m_options.crashResetsConnections;
             answer.asked = check->startedAt;
             postLater(answer.answered || answer.refused ? TimeStep : milliseconds(80), instance, answer);
+        } else if (const auto* probe = std::get_if<effect::ProbeServer>(&effect)) {
+            using Finding = event::ServerProbed::Finding;
+            const Engine* engine = findRunning(probe->address);
+            event::ServerProbed answer { probe->server, Finding::Unknown, engine != nullptr };
+            if (engine)
+                answer.finding = engine->entry.id == probe->server ? Finding::Alive : Finding::Ended;
+            else if (m_options.crashResetsConnections)
+                answer.finding = Finding::Ended;
+            postLater(answer.finding == Finding::Unknown ? milliseconds(150) : TimeStep, instance, answer);
         } else if (const auto* reroute = std::get_if<effect::RerouteAttempt>(&effect)) {
             const auto attempt = m_attempts.find({ instance, reroute->attempt });
             const bool accepted = attempt != m_attempts.end() && areAllUp(reroute->chain);
@@ -246,6 +254,13 @@
     return found == m_engines.end() ? nullptr : &*found;
 }
 
+const CrashFleet::Engine* CrashFleet::findRunning(const std::string& address) const
+{
+    const auto found = std::find_if(m_engines.begin(), m_engines.end(),
+        [&](const Engine& each) { return each.entry.address == address && each.isUp; });
+    return found == m_engines.end() ? nullptr : &*found;
+}
+
 bool CrashFleet::areAllUp(const Chain& chain)
 {
     return std::all_of(chain.hops().begin(), chain.hops().end(), [&](const Hop& hop) {
--- a/tests/CrashFleet.h
+++ b/tests/CrashFleet.h
@@ -155,6 +155,8 @@
     void stepAttempts();
     void recordBegun(const RunningAttempt&);
     Engine* findEngine(const BackendId&);
+    /// @return the engine that runs at an address; null if none does
+    const Engine* findRunning(const std::string& address) const;
     bool areAllUp(const Chain&);
     Tally& tallyOf(int crashingNumber)
     {
--- a/tests/EngineControlTest.cpp
+++ b/tests/EngineControlTest.cpp
@@ -28,7 +28,7 @@
 Awaitable<void> identify(EngineControl& control, std::string address, ServerIdentity& identity)
 {
     std::string path = "/health";
-    identity = co_await control.identify(std::move(address), std::move(path));
+    identity = co_await control.identify(std::move(address), std::move(path), std::chrono::milliseconds(150));
 }
 
 Awaitable<void> check(EngineControl& control, std::string address, EngineReport& report)
--- a/tests/LateCheckTest.cpp
+++ b/tests/LateCheckTest.cpp
@@ -69,8 +69,7 @@
             }
         }
         if (!asked.empty() && harness.now() - asked.front().second >= milliseconds(250)) {
-            harness.send(
-                relay::event::EngineCheckAnsweredLate { asked.front().first.engine, {}, asked.front().second });
+            harness.send(relay::event::CheckAnsweredLate { asked.front().first.engine, {}, asked.front().second });
             asked.erase(asked.begin());
         }
         CHECK_FALSE(harness.reducer().isCutOff());
--- a/tests/LateReturnTest.cpp
+++ b/tests/LateReturnTest.cpp
@@ -12,6 +12,7 @@
 
 constexpr Duration Step = milliseconds(20);
 constexpr Duration CheckTimeout = milliseconds(80);
+constexpr Duration ProbeTimeout = milliseconds(150);
 constexpr Duration LateAnswerTimeout = milliseconds(1000);
 
 /// Plays an instance whose checks count as unanswered after 80 ms, and may be answered later.
@@ -75,8 +76,10 @@
 
 private:
     struct Asked {
-        relay::effect::CheckEngine check;
+        BackendId server;
+        StartTime startedAt;
         TimePoint at;
+        bool isProbe = false;
         bool hasFailed = false;
     };
 
@@ -84,10 +87,13 @@
     {
         for (const RelayEffect& effect : RelayEffects(m_harness.effects())) {
             if (const auto* check = std::get_if<relay::effect::CheckEngine>(&effect)) {
-                m_asked.push_back({ *check, m_harness.now() });
+                m_asked.push_back({ check->engine, check->startedAt, m_harness.now() });
             } else if (const auto* probe = std::get_if<relay::effect::ProbeServer>(&effect)) {
-                handle(
-                    relay::event::ServerProbed { probe->server, relay::event::ServerProbed::Finding::Unknown, false });
+                if (m_harness.reducer().fleet().servers().at(probe->server).isEngine())
+                    m_asked.push_back({ probe->server, probe->startedAt, m_harness.now(), true });
+                else
+                    handle(relay::event::ServerProbed {
+                        probe->server, relay::event::ServerProbed::Finding::Unknown, false });
             } else if (const auto* started = std::get_if<relay::effect::StartAttempt>(&effect)) {
                 m_lastAttempt = *started;
                 if (m_failsConnections)
@@ -111,15 +117,20 @@
     {
         std::erase_if(m_asked, [&](const Asked& each) { return m_harness.now() - each.at > LateAnswerTimeout; });
         for (std::size_t i = 0; i < m_asked.size(); ++i) {
-            if (!m_asked[i].hasFailed && m_harness.now() - m_asked[i].at >= CheckTimeout) {
+            const Duration timeout = m_asked[i].isProbe ? ProbeTimeout : CheckTimeout;
+            if (!m_asked[i].hasFailed && m_harness.now() - m_asked[i].at >= timeout) {
                 m_asked[i].hasFailed = true;
-                const auto check = m_asked[i].check;
-                handle(relay::event::EngineChecked { check.engine, false, 1, false, check.startedAt });
+                const Asked asked = m_asked[i];
+                if (asked.isProbe)
+                    handle(relay::event::ServerProbed {
+                        asked.server, relay::event::ServerProbed::Finding::Unknown, false });
+                else
+                    handle(relay::event::EngineChecked { asked.server, false, 1, false, asked.startedAt });
             }
             if (late && m_harness.now() - m_asked[i].at >= *late && m_asked[i].hasFailed) {
                 const Asked asked = m_asked[i];
                 m_asked.erase(m_asked.begin() + static_cast<std::ptrdiff_t>(i--));
-                handle(relay::event::EngineCheckAnsweredLate { asked.check.engine, {}, asked.at });
+                handle(relay::event::CheckAnsweredLate { asked.server, {}, asked.at, asked.isProbe });
             }
         }
     }
--- a/tests/OddAnswerHeadTest.cpp
+++ b/tests/OddAnswerHeadTest.cpp
@@ -125,7 +125,7 @@
             platform::PlatformEngineControl control(context);
             report = co_await control.check(address, seconds(1));
             std::string path = "/health";
-            identity = co_await control.identify(address, std::move(path));
+            identity = co_await control.identify(address, std::move(path), seconds(1));
             platform::KvStoreClient store(context, address);
             kept = co_await store.keepLease(1);
         };
--- a/tests/PlannedStopTest.cpp
+++ b/tests/PlannedStopTest.cpp
@@ -55,7 +55,7 @@
 milliseconds stopBeside(std::vector<Caller>& callers, const char* path)
 {
     net::io_context context(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE);
-    RefusingEngineControl control(CheckAnswer::Alive, BackendId("x"));
+    RefusingEngineControl control(CheckAnswer::Alive);
     RelayOptions options;
     options.dataCentre = DataCentreId("z");
     options.acceptAfterDrainStart = milliseconds(600);
@@ -63,6 +63,7 @@
     ScriptedServer server(context, { "" });
     RegisteredServer plain = RelayHarness::plain("x");
     plain.address = server.plainAddress();
+    control.addServer(plain.address, plain.id);
     node.post(relay::event::ConfigurationAccepted { RouteTable::make(RelayHarness::configuration()) });
     node.post(relay::event::ServerRegistered { plain });
     const platform::PlatformCallReader reader;
--- a/tests/RelayHarness.cpp
+++ b/tests/RelayHarness.cpp
@@ -34,7 +34,7 @@
     model.layerMb = 100;
     model.kvBytesPerToken = 8000;
     model.kinds.push_back({ "card", 1000, 1 });
-    Service engines { ServiceId("model"), model };
+    Service engines { ServiceId("model"), model, "/health" };
     Service plainService { ServiceId("plain"), std::nullopt, "/health" };
     made.services = { engines, plainService };
     made.workspaces.push_back({ WorkspaceId("w"), { "key" }, std::nullopt });
--- a/tests/RelayLoopback.cpp
+++ b/tests/RelayLoopback.cpp
@@ -39,7 +39,7 @@
     const std::optional<RequestTrait>& quarantined, CheckAnswer checkAnswer, ConnectionEnd connectionEnd)
 {
     net::io_context context(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE);
-    RefusingEngineControl control(checkAnswer, BackendId("x"));
+    RefusingEngineControl control(checkAnswer);
     RelayOptions options;
     options.dataCentre = DataCentreId("z");
     RelayNode node(context, options, platform::headerNames(), control);
@@ -48,6 +48,8 @@
     plain.address = server.plainAddress();
     RegisteredServer engine = RelayHarness::engine("e", 0, 8);
     engine.address = server.engineAddress();
+    control.addServer(plain.address, plain.id);
+    control.addServer(engine.address, engine.id);
     node.post(relay::event::ConfigurationAccepted { RouteTable::make(RelayHarness::configuration()) });
     node.post(relay::event::ServerRegistered { plain });
     node.post(relay::event::ServerRegistered { engine });
--- a/tests/UnprovenEndTest.cpp
+++ b/tests/UnprovenEndTest.cpp
@@ -48,14 +48,32 @@
         note();
         tick(50);
     }
-    /// Answers a check.
+    /// Lets a pause pass, after which all stages are in question. The checks for its sake are answered.
+    void pause()
+    {
+        tick(300);
+        answer(firstStage(), true, false);
+        answer(lastStage(), true, false);
+        m_checked.clear();
+        tick(20);
+    }
+    /// Answers the check or the probe under way.
     void answer(const BackendId& engine, bool isAnswered, bool isRefused)
     {
-        relay::event::EngineChecked checked;
-        checked.engine = engine;
-        checked.answered = isAnswered;
-        checked.refused = isRefused;
-        m_harness.send(checked);
+        using Finding = relay::event::ServerProbed::Finding;
+        const auto pending = m_pending.find(engine);
+        if (pending != m_pending.end() && pending->second.isProbe) {
+            const Finding finding = isAnswered ? Finding::Alive : isRefused ? Finding::Ended : Finding::Unknown;
+            m_harness.send(relay::event::ServerProbed { engine, finding, isAnswered });
+        } else {
+            m_harness.send(relay::event::EngineChecked { engine, isAnswered, 1, isRefused });
+        }
+        note();
+    }
+    /// The engine answers, under its id, a probe that is sent now.
+    void proveAlive(const BackendId& engine)
+    {
+        m_harness.send(relay::event::CheckAnsweredLate { engine, {}, m_harness.now(), true });
         note();
     }
     /// After a failure a call may wait for checks of other stages, and for what ended its server.
@@ -64,18 +82,21 @@
         for (int waited = 0; waited < milliseconds && m_outcome == Outcome::Open; waited += 20)
             tick(20);
     }
-    /// Lets time pass in which no check is answered, each after the 80 ms that it has.
+    /// Lets time pass in which no check or probe is answered, each after the time that it has.
     void missChecks(int milliseconds)
     {
         for (int waited = 0; waited < milliseconds; waited += 20) {
             tick(20);
-            for (auto next = m_missedAt.begin(); next != m_missedAt.end();) {
-                if (m_harness.now() < next->second) {
-                    ++next;
-                    continue;
-                }
-                answer(next->first, false, false);
-                next = m_missedAt.erase(next);
+            std::vector<BackendId> missed;
+            for (const auto& [id, pending] : m_pending) {
+                if (m_harness.now() >= pending.missedAt)
+                    missed.push_back(id);
+            }
+            for (const BackendId& id : missed) {
+                const Pending pending = m_pending.at(id);
+                answer(id, false, false);
+                if (m_pending.at(id).missedAt == pending.missedAt)
+                    m_pending.erase(id);
             }
         }
     }
@@ -112,7 +133,11 @@
         for (const RelayEffect& each : m_harness.effects()) {
             if (const auto* check = std::get_if<relay::effect::CheckEngine>(&each)) {
                 m_checked.push_back(check->engine);
-                m_missedAt[check->engine] = m_harness.now() + std::chrono::milliseconds(80);
+                m_pending[check->engine] = { m_harness.now() + std::chrono::milliseconds(80), false };
+            }
+            if (const auto* probe = std::get_if<relay::effect::ProbeServer>(&each)) {
+                m_checked.push_back(probe->server);
+                m_pending[probe->server] = { m_harness.now() + std::chrono::milliseconds(150), true };
             }
             if (std::holds_alternative<relay::effect::CompleteAnswer>(each))
                 m_outcome = Outcome::Complete;
@@ -133,7 +158,12 @@
     std::vector<BackendId> m_checked;
     std::optional<relay::effect::StartAttempt> m_beside;
     std::vector<AttemptId> m_cancelled;
-    std::map<BackendId, TimePoint> m_missedAt;
+    /// A check or a probe that is not answered yet.
+    struct Pending {
+        TimePoint missedAt;
+        bool isProbe = false;
+    };
+    std::map<BackendId, Pending> m_pending;
 };
 
 /// Milliseconds until the deadline of a call of the harness.
@@ -190,7 +220,7 @@
 {
     for (const bool isLastStageAlive : { true, false }) {
         UnprovenStream stream("/once/1");
-        stream.tick(300);
+        stream.pause();
         stream.end();
         CHECK_TRUE(stream.hasChecked(stream.firstStage()) && stream.hasChecked(stream.lastStage()));
         stream.answer(stream.firstStage(), true, false);
@@ -246,6 +276,7 @@
             relay::effect::StartAttempt other = ending;
             for (int tries = 0; tries < 8 && (!tries || other.server != ending.server); ++tries)
                 other = harness.running("/once/2", 1);
+            harness.events(other.attempt, 2, 20); // A pause of the other stream puts all its stages in question.
             ServerNotice notice;
             notice.retryAfter = std::chrono::seconds(9);
             if (obstacle == Obstacle::Backoff)
@@ -261,10 +292,12 @@
                 isComplete = harness.last<relay::effect::CompleteAnswer>().has_value();
                 isBrokenOff = harness.last<relay::effect::BreakAnswer>().has_value();
                 const auto check = harness.last<relay::effect::CheckEngine>();
+                const auto probe = harness.last<relay::effect::ProbeServer>();
                 const bool isInBackoff = obstacle == Obstacle::Backoff && waited < 8900;
                 CHECK_FALSE(isInBackoff && check && check->engine == ending.server);
+                CHECK_FALSE(isInBackoff && probe && probe->server == ending.server);
                 if (hasLaterEvents)
-                    harness.send(relay::event::EventDelivered { other.attempt, 2U + unsigned(waited) / 20 });
+                    harness.send(relay::event::EventDelivered { other.attempt, 21U + unsigned(waited) / 20 });
             }
             const bool hasEvidence = hasLaterEvents && obstacle != Obstacle::NoEntry;
             CHECK_EQUAL(hasEvidence, isComplete);
@@ -337,12 +370,12 @@
         stream.goOn();
         switch (each.first) {
         case First::SignOfLife:
-            stream.send(relay::event::EngineChecked { stream.firstStage(), true });
+            stream.proveAlive(stream.firstStage());
             CHECK_TRUE_TEXT(stream.hasCancelled(other.attempt), each.name);
             break;
         case First::Event:
             stream.send(relay::event::EventDelivered { other.attempt, 4 });
-            stream.send(relay::event::EngineChecked { stream.firstStage(), true });
+            stream.proveAlive(stream.firstStage());
             CHECK_FALSE_TEXT(stream.hasCancelled(other.attempt), each.name);
             break;
         case First::End:
@@ -352,11 +385,11 @@
         case First::UnprovenEnd:
             stream.send(relay::event::AnswerBegun { other.attempt });
             stream.send(relay::event::AttemptEnded { other.attempt, AttemptResult::Unproven, 200, "" });
-            stream.send(relay::event::EngineChecked { stream.firstStage(), true });
+            stream.proveAlive(stream.firstStage());
             CHECK_TRUE_TEXT(stream.outcome() == Outcome::Open, each.name);
             stream.tick(60);
             for (const Hop& hop : other.chain.hops())
-                stream.send(relay::event::EngineChecked { hop.backend, true });
+                stream.proveAlive(hop.backend);
             CHECK_TRUE_TEXT(stream.outcome() == Outcome::Complete, each.name);
             stream.goOn();
             break;
@@ -366,7 +399,7 @@
                 other.attempt, each.first == First::Failure ? AttemptResult::Broken : AttemptResult::NotRun, 503, "" });
             stream.missChecks(4000);
             CHECK_TRUE_TEXT(stream.outcome() != Outcome::BrokenOff, each.name);
-            stream.send(relay::event::EngineChecked { stream.firstStage(), true });
+            stream.proveAlive(stream.firstStage());
             CHECK_TRUE_TEXT(stream.outcome() == Outcome::Complete, each.name);
             stream.goOn();
             break;
@@ -402,7 +435,7 @@
         stream.end();
         stream.missChecks(6000);
         CHECK_TRUE(stream.outcome() == Outcome::Open);
-        stream.send(relay::event::EngineChecked { stream.firstStage(), true });
+        stream.proveAlive(stream.firstStage());
         CHECK_TRUE(stream.outcome() == Outcome::Complete);
     }
 }
@@ -446,7 +479,7 @@
         harness.send(relay::event::AnswerBegun { other.attempt });
         CHECK_EQUAL(isLater, harness.last<relay::effect::CompleteAnswer>().has_value());
         harness.tick(std::chrono::milliseconds(50));
-        CHECK_EQUAL(!isLater, harness.last<relay::effect::CheckEngine>().has_value());
+        CHECK_EQUAL(!isLater, harness.last<relay::effect::ProbeServer>().has_value());
     }
 }
 
@@ -572,7 +605,7 @@
 namespace {
 
 /// What is seen of a server after the end of an answer.
-enum class Sign { AnswerToNewCall, Check, CheckWithStart, EventOfOldCall, EventOfNewCall };
+enum class Sign { AnswerToNewCall, Check, CheckWithStart, HealthAnswer, EventOfOldCall, EventOfNewCall };
 
 /// Runs one call whose answer ends unproven, at servers that name their starts or do not, and lets its server end and
 /// start again under its id.
@@ -630,7 +663,7 @@
             tick(100);
             const bool isNamed = m_namesStarts && sign == Sign::CheckWithStart;
             const StartTime answering(isNamed ? start : 0);
-            if (m_isEngine)
+            if (m_isEngine && sign != Sign::HealthAnswer)
                 send(relay::event::EngineChecked { id, true, 1, false, known(), answering, { 0, 4 } });
             else
                 send(relay::event::ServerProbed { id, relay::event::ServerProbed::Finding::Alive, true, answering });
@@ -705,6 +738,8 @@
         return "answer to a new call";
     case Sign::Check:
         return "check that names no start";
+    case Sign::HealthAnswer:
+        return "health answer that names the id";
     case Sign::CheckWithStart:
         return "check";
     case Sign::EventOfOldCall:
@@ -722,7 +757,8 @@
 {
     for (const bool isEngine : { false, true }) {
         for (const int restartedAfter : { 100, 300, 500, 800, 1200, 2500, 5000 }) {
-            for (const Sign sign : { Sign::AnswerToNewCall, Sign::Check, Sign::CheckWithStart, Sign::EventOfNewCall }) {
+            for (const Sign sign : { Sign::AnswerToNewCall, Sign::Check, Sign::CheckWithStart, Sign::HealthAnswer,
+                     Sign::EventOfNewCall }) {
                 RestartedServer server(isEngine, true);
                 server.tick(restartedAfter);
                 server.show(sign, RestartedServer::LaterStart);
@@ -741,16 +777,143 @@
 {
     for (const bool isEngine : { false, true }) {
         for (const bool namesStarts : { false, true }) {
-            for (const Sign sign : { Sign::AnswerToNewCall, Sign::Check, Sign::CheckWithStart, Sign::EventOfOldCall,
-                     Sign::EventOfNewCall }) {
+            for (const Sign sign : { Sign::AnswerToNewCall, Sign::Check, Sign::CheckWithStart, Sign::HealthAnswer,
+                     Sign::EventOfOldCall, Sign::EventOfNewCall }) {
                 RestartedServer server(isEngine, namesStarts);
                 server.tick(200);
                 server.show(sign, RestartedServer::FirstStart);
                 const std::string name = absl::StrCat(
                     isEngine ? "engine" : "plain server", ", ", namesStarts ? "with start, " : "", nameOf(sign));
-                const bool vouches = !namesStarts || sign == Sign::CheckWithStart || sign == Sign::EventOfOldCall;
+                // The report of an engine names neither its id nor, here, its start.
+                const bool isAnonymous
+                    = isEngine && !namesStarts && (sign == Sign::Check || sign == Sign::CheckWithStart);
+                const bool vouches
+                    = namesStarts ? sign == Sign::CheckWithStart || sign == Sign::EventOfOldCall : !isAnonymous;
                 CHECK_TRUE_TEXT(server.outcome() == (vouches ? Outcome::Complete : Outcome::Open), name.c_str());
             }
         }
     }
 }
+
+namespace {
+
+/// What comes from the address of an engine that has ended, where another engine runs now.
+enum class SuccessorSign { Report, LateReport, RejectedHealthCheck, EventThroughChain, OtherId };
+
+const struct {
+    const char* name;
+    SuccessorSign sign;
+    Outcome outcome;
+} SuccessorSigns[] = {
+    { "report", SuccessorSign::Report, Outcome::Open },
+    { "late report", SuccessorSign::LateReport, Outcome::Open },
+    { "rejected health check", SuccessorSign::RejectedHealthCheck, Outcome::Open },
+    { "event of a stream through a chain with the engine", SuccessorSign::EventThroughChain, Outcome::Open },
+    { "health answer with another id", SuccessorSign::OtherId, Outcome::BrokenOff },
+};
+
+/// Sends a sign of another engine at the address of a stage of a stream that has ended unproven.
+void showSuccessor(UnprovenStream& stream, SuccessorSign sign, const BackendId& stage)
+{
+    using Finding = relay::event::ServerProbed::Finding;
+    switch (sign) {
+    case SuccessorSign::Report:
+        stream.send(relay::event::EngineChecked { stage, true });
+        break;
+    case SuccessorSign::LateReport:
+        stream.send(relay::event::CheckAnsweredLate { stage, {}, stream.harness().now() });
+        break;
+    case SuccessorSign::RejectedHealthCheck:
+        stream.send(relay::event::ServerProbed { stage, Finding::Unknown, true });
+        break;
+    case SuccessorSign::OtherId:
+        stream.send(relay::event::ServerProbed { stage, Finding::Ended, true });
+        break;
+    case SuccessorSign::EventThroughChain:
+        for (int tries = 0; tries < 8; ++tries) {
+            const relay::effect::StartAttempt other = stream.harness().running(absl::StrCat("/once/", tries + 2));
+            if (other.server == stage || !other.chain.contains(stage))
+                continue;
+            for (std::uint64_t event = 1; event < 30; ++event) {
+                stream.send(relay::event::EventDelivered { other.attempt, event });
+                stream.tick(20);
+            }
+            return;
+        }
+        FAIL("no stream has the stage");
+    }
+}
+
+} // namespace
+
+// Streams of an engine that had ended behind a partition were complete once its successor had answered a check.
+TEST(UnprovenEnd, AnAnswerFromItsAddressDoesNotVouchForAnEngineThatHasEnded)
+{
+    for (const bool isLastStage : { false, true }) {
+        for (const bool isLeaving : { false, true }) {
+            for (const auto& each : SuccessorSigns) {
+                // A first stage sends its streams itself, and a leaving stage gets no new ones.
+                if ((!isLastStage || isLeaving) && each.sign == SuccessorSign::EventThroughChain)
+                    continue;
+                const std::string name = absl::StrCat(
+                    each.name, isLastStage ? ", last stage" : ", first stage", isLeaving ? ", leaving" : "");
+                UnprovenStream stream("/once/1");
+                const BackendId stage = isLastStage ? stream.lastStage() : stream.firstStage();
+                RegisteredServer entry = RelayHarness::engine(stage.value(), isLastStage ? 4 : 0, isLastStage ? 8 : 4);
+                entry.leaving = isLeaving;
+                if (isLeaving)
+                    stream.send(relay::event::ServerRegistered { entry });
+                stream.pause();
+                stream.end();
+                if (isLastStage)
+                    stream.proveAlive(stream.firstStage());
+                CHECK_TRUE_TEXT(stream.hasChecked(stage), name.c_str());
+                showSuccessor(stream, each.sign, stage);
+                CHECK_TRUE_TEXT(stream.outcome() == each.outcome, name.c_str());
+                RegisteredServer successor = entry;
+                successor.id = BackendId("successor");
+                successor.leaving = false;
+                successor.layers = {};
+                stream.send(relay::event::ServerRegistered { successor });
+                CHECK_TRUE_TEXT(stream.outcome() == Outcome::BrokenOff, name.c_str());
+            }
+        }
+    }
+}
+
+// The end of each stream without length is delayed by the proof, so it must come soon where the engine lives.
+TEST(UnprovenEnd, TheOnlyStreamOfALivingEngineIsCompleteWithinASecond)
+{
+    for (const int answeredAfter : { 0, 100, 140, 300, 600, 900 }) {
+        for (const bool hasMissedCheck : { false, true }) {
+            UnprovenStream stream("/once/1");
+            stream.end();
+            CHECK_TRUE(stream.hasChecked(stream.firstStage()));
+            if (hasMissedCheck)
+                stream.missChecks(answeredAfter);
+            else
+                stream.tick(answeredAfter);
+            CHECK_TRUE(stream.outcome() == Outcome::Open);
+            stream.proveAlive(stream.firstStage());
+            CHECK_TRUE(stream.outcome() == Outcome::Complete);
+            CHECK_EQUAL(0U, stream.harness().reducer().openCalls());
+        }
+    }
+}
+
+// A health check waits for a slot, so a busy engine lost no answer, and a second one was not started, for its silence.
+TEST(UnprovenEnd, TheSilenceOfAProbeAloneDoesNotContinueAStreamElsewhere)
+{
+    UnprovenStream stream("/draft/1");
+    stream.end();
+    stream.tick(160);
+    stream.answer(stream.firstStage(), false, false);
+    CHECK_FALSE(stream.beside().has_value());
+    // Its report, which needs no slot, is asked for instead.
+    CHECK_EQUAL(2U, stream.checksOf(stream.firstStage()));
+    stream.answer(stream.firstStage(), true, false);
+    CHECK_TRUE(stream.outcome() == Outcome::Open);
+    stream.tick(140);
+    stream.answer(stream.firstStage(), true, false);
+    CHECK_TRUE(stream.outcome() == Outcome::Complete);
+}
--- a/tests/fakes/LateEngineControl.h
+++ b/tests/fakes/LateEngineControl.h
@@ -24,7 +24,10 @@
         co_await timer.async_wait(net::as_tuple(useAwaitable));
         co_return EngineReport { m_delay < timeout ? CheckAnswer::Alive : CheckAnswer::Silent };
     }
-    Awaitable<ServerIdentity> onIdentify(std::string, std::string) override { co_return ServerIdentity {}; }
+    Awaitable<ServerIdentity> onIdentify(std::string, std::string, std::chrono::milliseconds) override
+    {
+        co_return ServerIdentity {};
+    }
     Awaitable<StalledStage> onStalledStage(std::string, std::string) override { co_return StalledStage {}; }
     Awaitable<OrderReply> onReroute(std::string, std::string, Chain) override { co_return OrderReply {}; }
     Awaitable<OrderReply> onPlaceLayers(std::string, LayerRange) override { co_return OrderReply {}; }
