Give a copy of the store without the entries that it has deleted

Cause: an instance that defers deletions gave a copy with the revision of after a removal and with the entry. The receiver went on from that revision, so that it never heard of the removal. Beside it, an instance that alone had lost the store deferred deletions, as a peer's answer counted only with a newer copy, and as an outage was dated 2 s back.

Now a copy is the store's state at its revision, and entries whose deletion is deferred are listed apart; the receiver defers the deletions that it finds until the giver's grace time ends. Only a process without any copy takes the listed entries, for that time. Deferred deletions are applied after the first answer of the store, to whomever, that follows the grace time. An answer to the request for a copy always says when the store last answered the peer; an outage is one in which it answered nobody for 2 s, and the grace time begins with the first answer after it. Changes and full reads that are older than the copy are skipped: both brought entries back.

--- a/src/edge/PeerCopies.cpp
+++ b/src/edge/PeerCopies.cpp
@@ -2,7 +2,7 @@
 
 #include "edge/DecisionLog.h"
 #include "edge/InstanceRegistry.h"
-#include "edge/PeerDatagram.h"
+#include "edge/PeerCopyCodec.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
@@ -17,33 +17,9 @@
     constexpr std::chrono::milliseconds RequestTimeout { 400 };
     constexpr std::uint64_t MaxCopyBytes = 16U << 20U;
     constexpr unsigned Ok = 200;
-    constexpr unsigned NoContent = 204; ///< the copy is not newer than the requested revision
     constexpr unsigned NotFound = 404;
     constexpr unsigned Unavailable = 503; ///< the copy of the asked instance is not current
 
-    /// Encodes a copy like a datagram, as the changes after revision 0.
-    std::string encodeCopy(const StoreMirror::Copy& copy)
-    {
-        StoreMirror::Changes changes { 0, { copy.range.revision, {} } };
-        changes.batch.events.reserve(copy.range.entries.size());
-        for (const StoreEntry& entry : copy.range.entries)
-            changes.batch.events.push_back({ entry, false });
-        return encode(PeerDatagram { std::nullopt, copy.progress, std::move(changes), {} });
-    }
-
-    absl::StatusOr<StoreMirror::Copy> decodeCopy(const std::string& bytes)
-    {
-        auto datagram = decodePeerDatagram(bytes);
-        if (!datagram.ok())
-            return datagram.status();
-        if (!datagram->storeProgress || !datagram->storeChanges || datagram->storeChanges->after != 0)
-            return absl::InvalidArgumentError("the answer does not contain a copy of the store");
-        StoreMirror::Copy copy { *datagram->storeProgress, { datagram->storeChanges->batch.revision, {} } };
-        for (StoreEvent& event : datagram->storeChanges->batch.events)
-            copy.range.entries.push_back(std::move(event.entry));
-        return copy;
-    }
-
 } // namespace
 
 PeerCopies::PeerCopies(net::io_context& context, const InstanceRegistry& registry, const StoreMirror& mirror)
@@ -53,7 +29,7 @@
 {
 }
 
-Awaitable<absl::StatusOr<std::optional<StoreMirror::Copy>>> PeerCopies::onCopyNewerThan(std::int64_t revision)
+Awaitable<absl::StatusOr<StoreMirror::PeerCopy>> PeerCopies::onCopyNewerThan(std::int64_t revision)
 {
     std::vector<std::string> peers;
     for (const InstanceRegistry::Entry& entry : m_registry.others()) {
@@ -76,8 +52,7 @@
     co_return copy;
 }
 
-Awaitable<absl::StatusOr<std::optional<StoreMirror::Copy>>> PeerCopies::requestCopy(
-    std::string address, std::int64_t revision)
+Awaitable<absl::StatusOr<StoreMirror::PeerCopy>> PeerCopies::requestCopy(std::string address, std::int64_t revision)
 {
     HttpCall call;
     call.address = address;
@@ -86,18 +61,17 @@
     call.freshConnection = true;
     call.maxAnswerBytes = MaxCopyBytes;
     const HttpAnswer answer = co_await m_client.call(std::move(call));
-    if (answer.status == NoContent)
-        co_return std::optional<StoreMirror::Copy>();
     if (answer.status != Ok)
         co_return absl::UnavailableError(absl::StrCat(address, ": ", answer.status, " ", answer.error));
-    auto copy = decodeCopy(answer.body);
-    if (!copy.ok())
-        co_return copy.status();
+    auto copy = decodePeerCopy(answer.body);
+    if (!copy.ok() || !copy->newer)
+        co_return copy;
     ++m_traffic.taken;
     relay::DecisionLog::state("store_copy_taken",
-        { { "from", address }, { "revision", copy->range.revision }, { "own_revision", revision },
-            { "age_ms", copy->progress.age.count() } });
-    co_return std::optional(*std::move(copy));
+        { { "from", address }, { "revision", copy->newer->range.revision }, { "own_revision", revision },
+            { "age_ms", copy->progress.age.count() }, { "deferred", copy->newer->deferred.size() },
+            { "grace_ms", copy->progress.lapseGrace.count() } });
+    co_return copy;
 }
 
 void PeerCopies::noteFailure(const absl::Status& status)
@@ -115,12 +89,14 @@
         reply.status = NotFound;
     } else if (!m_mirror.isCurrent()) {
         reply.status = Unavailable;
-    } else if (m_mirror.revision() <= revision) {
-        reply.status = NoContent;
     } else {
-        ++m_traffic.given;
+        StoreMirror::PeerCopy copy { m_mirror.progress(), {} };
+        if (m_mirror.revision() > revision) {
+            copy.newer = m_mirror.copy();
+            ++m_traffic.given;
+        }
         reply.contentType = "application/octet-stream";
-        reply.body = encodeCopy(m_mirror.copy());
+        reply.body = encodePeerCopy(copy);
     }
     return reply;
 }
--- a/src/edge/PeerCopies.h
+++ b/src/edge/PeerCopies.h
@@ -33,9 +33,9 @@
     const Traffic& traffic() const { return m_traffic; }
 
 private:
-    Awaitable<absl::StatusOr<std::optional<StoreMirror::Copy>>> onCopyNewerThan(std::int64_t revision) override;
+    Awaitable<absl::StatusOr<StoreMirror::PeerCopy>> onCopyNewerThan(std::int64_t revision) override;
     Awaitable<void> onExchange(HttpExchange&) override;
-    Awaitable<absl::StatusOr<std::optional<StoreMirror::Copy>>> requestCopy(std::string address, std::int64_t revision);
+    Awaitable<absl::StatusOr<StoreMirror::PeerCopy>> requestCopy(std::string address, std::int64_t revision);
     HttpReply replyTo(const std::string& path, const std::string& after);
     void noteFailure(const absl::Status&);
 
--- a/src/edge/StoreCopySource.h
+++ b/src/edge/StoreCopySource.h
@@ -5,7 +5,6 @@
 
 #include <absl/status/statusor.h>
 #include <cstdint>
-#include <optional>
 
 namespace crocusmount {
 
@@ -16,16 +15,17 @@
 
     /// Requests the copy of one of the other instances.
     /// @param revision  revision of the caller's own copy
-    /// @return the copy, or std::nullopt if it is not newer than `revision`; NotFound if no other instance is known,
-    ///         Unavailable if the instance does not answer or does not have a current copy, InvalidArgument if the
-    ///         answer cannot be decoded
-    Awaitable<absl::StatusOr<std::optional<StoreMirror::Copy>>> copyNewerThan(std::int64_t revision)
+    /// @return the copy and its progress, or the progress alone if the copy is not newer than `revision`; NotFound if
+    /// no
+    ///         other instance is known, Unavailable if the instance does not answer or does not have a current copy,
+    ///         InvalidArgument if the answer cannot be decoded
+    Awaitable<absl::StatusOr<StoreMirror::PeerCopy>> copyNewerThan(std::int64_t revision)
     {
         return onCopyNewerThan(revision);
     }
 
 private:
-    virtual Awaitable<absl::StatusOr<std::optional<StoreMirror::Copy>>> onCopyNewerThan(std::int64_t revision) = 0;
+    virtual Awaitable<absl::StatusOr<StoreMirror::PeerCopy>> onCopyNewerThan(std::int64_t revision) = 0;
 };
 
 } // namespace crocusmount
--- a/src/edge/StoreMirror.cpp
+++ b/src/edge/StoreMirror.cpp
@@ -19,8 +19,9 @@
     constexpr std::chrono::milliseconds MaxDistributorRetryPause { 1500 };
     /// Outages that are longer than this may let other clients' leases expire. Shorter ones only cause retries.
     constexpr std::chrono::milliseconds MinOutage { 1000 };
-    /// Time after which a call to a store that has become silent fails.
-    constexpr std::chrono::milliseconds SilentCallTimeout { 2000 };
+    /// The same for the time between two answers of the store to peers. They are asked from a second after the store's
+    /// last answer on.
+    constexpr std::chrono::milliseconds MaxPeerGap { 2000 };
     /// After an outage, deletions are deferred for this time. Live owners of entries whose leases expired write them
     /// again within about two seconds.
     constexpr std::chrono::milliseconds DeletionGrace { 2300 };
@@ -93,8 +94,11 @@
     std::chrono::milliseconds pause = MinRetryPause;
     while (true) {
         absl::Status status;
-        if (m_needsFullRead)
+        if (m_needsFullRead) {
             status = co_await readAll();
+            if (status.ok() && m_needsFullRead)
+                continue; // A later copy had arrived meanwhile.
+        }
         const bool isFedByPeer = isFed() && !isBehindPeer();
         m_isWatching = !isFedByPeer && shouldWatch();
         if (!m_needsFullRead && !m_isWatching) {
@@ -155,6 +159,7 @@
         timer.expires_after(pause);
         co_await timer.async_wait(net::as_tuple(useAwaitable));
         pause = PollInterval;
+        applyDueDeletions();
         const auto now = std::chrono::steady_clock::now();
         if (!m_isComplete || !m_watchStartedAt || now < std::max(*m_watchStartedAt, m_advancedAt) + WatchStallTimeout
             || !isBehindPeer())
@@ -194,18 +199,63 @@
 {
     const auto requestedAt = std::chrono::steady_clock::now();
     const auto copy = co_await m_copySource->copyNewerThan(m_needsFullRead ? 0 : m_revision);
-    if (!copy.ok() || !*copy)
+    if (!copy.ok())
         co_return; // The source logs and counts failed requests.
-    const Copy& newer = **copy;
-    if (newer.range.revision < m_revision)
-        co_return; // The store answered meanwhile.
-    m_deferDeletionsUntil = std::max(m_deferDeletionsUntil, requestedAt + newer.progress.lapseGrace);
-    m_peerLastAnswer = std::max(m_peerLastAnswer, requestedAt - newer.progress.age);
-    m_lastAnswer = std::max(m_lastAnswer, m_peerLastAnswer);
-    replaceWith(newer.range);
+    adoptGrace(copy->progress, requestedAt);
+    if (copy->newer)
+        applyPeerCopy(*copy->newer);
+    notePeerAnswer(copy->progress, requestedAt);
     applyDueDeletions();
 }
 
+/// Applies another instance's copy, unless the store answered meanwhile with a later revision.
+void StoreMirror::applyPeerCopy(const Copy& copy)
+{
+    const bool wasComplete = m_isComplete;
+    if (!replaceWith(copy.range) || wasComplete)
+        return;
+    // A copy that was complete before has either processed these deletions or has deferred them now.
+    for (const StoreEntry& entry : copy.deferred) {
+        if (!m_entries.count(entry.key)) {
+            applyEvent({ entry, false });
+            m_deferredDeletions.insert(entry.key);
+        }
+    }
+}
+
+/// Defers deletions for as long as a peer does.
+/// @param reportedAt  when the peer reported it, or earlier
+void StoreMirror::adoptGrace(const Progress& peer, std::chrono::steady_clock::time_point reportedAt)
+{
+    if (peer.lapseGrace.count())
+        m_deferDeletionsUntil = std::max(m_deferDeletionsUntil, reportedAt + peer.lapseGrace);
+}
+
+/// Takes note of the store's last answer to a peer.
+/// @param reportedAt  when the peer reported it, or earlier
+void StoreMirror::notePeerAnswer(const Progress& peer, std::chrono::steady_clock::time_point reportedAt)
+{
+    const auto answeredAt = reportedAt - peer.age;
+    if (!m_isStoreReachable && answeredAt > m_peerLastAnswer.value_or(m_storeLostAt)) {
+        noteReturn(answeredAt, MaxPeerGap);
+        m_peerLastAnswer = answeredAt;
+    }
+    if (peer.revision <= m_revision)
+        m_lastAnswer = std::max(m_lastAnswer, answeredAt);
+}
+
+/// Defers deletions if the store answered nobody for long. If it answered peers meanwhile, only this instance had lost
+/// it, and no leases expired: deletions that were deferred in that case, here and through the reported grace at the
+/// peers, let calls reach a server 2.1 s after it had left.
+/// @param answeredAt  when the store answered this instance or a peer, which it had not done since the last known
+/// answer
+/// @param maxSilence  time without an answer in which no leases expire
+void StoreMirror::noteReturn(std::chrono::steady_clock::time_point answeredAt, std::chrono::milliseconds maxSilence)
+{
+    if (m_isComplete && answeredAt - m_peerLastAnswer.value_or(m_storeLostAt) > maxSilence)
+        m_deferDeletionsUntil = std::max(m_deferDeletionsUntil, answeredAt + DeletionGrace);
+}
+
 Awaitable<absl::Status> StoreMirror::readAll()
 {
     std::string begin;
@@ -219,8 +269,11 @@
 }
 
 /// Replaces the copy with a complete one, and reports the differences as changes.
-void StoreMirror::replaceWith(const StoreRange& range)
+/// @return false if the copy is later: going back would skip the changes between the two in a watch that is under way
+bool StoreMirror::replaceWith(const StoreRange& range)
 {
+    if (m_isComplete && range.revision < m_revision)
+        return false;
     std::set<std::string> present;
     for (const StoreEntry& entry : range.entries) {
         present.insert(entry.key);
@@ -238,6 +291,7 @@
     m_needsFullRead = false;
     if (!std::exchange(m_isComplete, true))
         m_feedValidUntil = std::chrono::steady_clock::now() + StartupDelay;
+    return true;
 }
 
 Awaitable<absl::Status> StoreMirror::watchOnce()
@@ -247,9 +301,7 @@
     StoreClient::OnWatch onWatch = [this](const StoreWatchBatch& batch) {
         noteStoreAnswer();
         const std::int64_t before = m_revision;
-        for (const StoreEvent& event : batch.events)
-            applyEvent(event);
-        setRevision(std::max(m_revision, batch.revision));
+        applyBatch(batch);
         applyDueDeletions();
         if (m_onBatch && !batch.events.empty())
             m_onBatch({ before, batch });
@@ -286,10 +338,12 @@
 
 StoreMirror::Copy StoreMirror::copy() const
 {
-    Copy copy { progress(), { m_revision, {} } };
+    Copy copy { { m_revision, {} } };
     copy.range.entries.reserve(m_entries.size());
-    for (const auto& [key, cached] : m_entries)
-        copy.range.entries.push_back({ key, cached.value, cached.revision });
+    for (const auto& [key, cached] : m_entries) {
+        std::vector<StoreEntry>& entries = m_deferredDeletions.count(key) ? copy.deferred : copy.range.entries;
+        entries.push_back({ key, cached.value, cached.revision });
+    }
     return copy;
 }
 
@@ -328,14 +382,12 @@
     if (!m_isFeedAllowed || !m_isComplete || peer.age > MaxPeerAnswerAge)
         return;
     m_wasEverFed = true;
-    m_peerLastAnswer = std::max(m_peerLastAnswer, now - peer.age);
     m_feedValidUntil = now + std::min(PeerProgressLifetime, MaxPeerAnswerAge - peer.age);
-    m_deferDeletionsUntil = std::max(m_deferDeletionsUntil, now + peer.lapseGrace);
+    adoptGrace(peer, now);
     if (peer.revision > m_revision && m_peerRevision <= m_revision)
         m_behindPeerSince = now;
     m_peerRevision = std::max(m_peerRevision, peer.revision);
-    if (peer.revision <= m_revision)
-        m_lastAnswer = std::max(m_lastAnswer, now - peer.age);
+    notePeerAnswer(peer, now);
 }
 
 void StoreMirror::applyPeerChanges(const Changes& changes)
@@ -348,7 +400,7 @@
             m_pendingChanges.erase(std::prev(m_pendingChanges.end()));
         return;
     }
-    applyChanges(changes);
+    applyBatch(changes.batch);
     applyPendingChanges();
     applyDueDeletions();
 }
@@ -357,16 +409,20 @@
 {
     while (!m_pendingChanges.empty() && m_pendingChanges.begin()->first <= m_revision) {
         const Changes next = std::move(m_pendingChanges.extract(m_pendingChanges.begin()).mapped());
-        if (next.batch.revision > m_revision)
-            applyChanges(next);
+        applyBatch(next.batch);
     }
 }
 
-void StoreMirror::applyChanges(const Changes& changes)
+/// Applies the changes that are later than the copy. Others are a part of it: applied again, an earlier one would bring
+/// an entry back that was deleted since.
+void StoreMirror::applyBatch(const StoreWatchBatch& batch)
 {
-    for (const StoreEvent& event : changes.batch.events)
-        applyEvent(event);
-    setRevision(changes.batch.revision);
+    const std::int64_t known = m_revision;
+    for (const StoreEvent& event : batch.events) {
+        if (event.entry.modRevision > known)
+            applyEvent(event);
+    }
+    setRevision(std::max(known, batch.revision));
 }
 
 void StoreMirror::setRevision(std::int64_t revision)
@@ -416,7 +472,7 @@
         if (known == m_entries.end())
             return;
         if (std::chrono::steady_clock::now() < m_deferDeletionsUntil) {
-            m_deferredDeletions.try_emplace(key, m_deferDeletionsUntil);
+            m_deferredDeletions.insert(key);
             return;
         }
         removeEntry(known);
@@ -434,15 +490,13 @@
     m_onChange(event);
 }
 
+/// Applies the deferred deletions once the store has answered, this instance or a peer, after the end of the grace
+/// time: the entries are still missing then.
 void StoreMirror::applyDueDeletions()
 {
-    const auto now = std::chrono::steady_clock::now();
-    std::vector<std::string> due;
-    for (const auto& [key, time] : m_deferredDeletions) {
-        if (now >= time)
-            due.push_back(key);
-    }
-    for (const std::string& key : due)
+    if (m_lastAnswer < m_deferDeletionsUntil)
+        return;
+    for (const std::string& key : std::exchange(m_deferredDeletions, {}))
         applyEvent({ { key, {}, m_revision }, true });
 }
 
@@ -453,7 +507,8 @@
     m_isStoreReachable = false;
     const auto now = std::chrono::steady_clock::now();
     // A broken connection is noticed immediately, a silent store only after the timeout of the call.
-    m_storeLostAt = absl::IsDeadlineExceeded(status) ? now - SilentCallTimeout : now;
+    m_storeLostAt = absl::IsDeadlineExceeded(status) ? m_lastAnswer : now;
+    m_peerLastAnswer.reset();
     relay::DecisionLog::state("store_lost",
         { { "silent_ms", age().count() }, { "revision", m_revision }, { "error", std::string(status.message()) } });
 }
@@ -462,12 +517,10 @@
 {
     const auto now = std::chrono::steady_clock::now();
     if (!m_isStoreReachable && m_isComplete) {
-        // If the store answered peers, only this instance had lost it, and no leases expired. When deletions were
-        // deferred in that case too, here and through the reported grace at the peers, calls reached a server 2.1 s
-        // after it had left.
-        if (now - m_storeLostAt > MinOutage && now - m_peerLastAnswer > MinOutage)
-            m_deferDeletionsUntil = now + DeletionGrace;
-        relay::DecisionLog::state("store_regained", { { "silent_ms", age().count() }, { "revision", m_revision } });
+        noteReturn(now, m_peerLastAnswer ? MaxPeerGap : MinOutage);
+        relay::DecisionLog::state("store_regained",
+            { { "silent_ms", age().count() }, { "revision", m_revision },
+                { "grace_ms", progress().lapseGrace.count() } });
     }
     m_isStoreReachable = true;
     m_lastAnswer = now;
--- a/src/edge/StoreMirror.h
+++ b/src/edge/StoreMirror.h
@@ -6,7 +6,9 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <vector>
 
 namespace crocusmount {
 
@@ -48,10 +50,17 @@
     /// @return at least one part
     static std::vector<Changes> split(const Changes&, std::size_t maxBytes);
 
-    /// All entries of a copy and the copy's progress.
+    /// A whole copy as it is given to another instance.
     struct Copy {
+        StoreRange range; ///< the store's entries at the revision of the range
+        /// Entries that the store has deleted since, and that the giver keeps until its lapse grace ends.
+        std::vector<StoreEntry> deferred {};
+    };
+
+    /// What another instance says of its copy.
+    struct PeerCopy {
         Progress progress;
-        StoreRange range;
+        std::optional<Copy> newer; ///< nothing if the copy is not newer than the receiver's
     };
 
     StoreMirror(net::io_context&, StoreClient&, OnChange);
@@ -87,7 +96,7 @@
     /// Sets the source of peers' copies, which this mirror uses while the store does not answer.
     /// @param source  must outlive this mirror
     void setCopySource(StoreCopySource& source) { m_copySource = &source; }
-    /// @return all entries of this copy, including those whose deletion is deferred
+    /// @return the entries of the store as of this copy's revision, and those whose deletion is deferred
     Copy copy() const;
     /// @return whether the copy is complete and fresh enough to be given to other instances
     bool isCurrent() const;
@@ -116,16 +125,20 @@
     Awaitable<void> fetchPeerCopy();
     Awaitable<absl::Status> readAll();
     Awaitable<absl::Status> watchOnce();
-    void replaceWith(const StoreRange&);
+    bool replaceWith(const StoreRange&);
     void cacheEntry(const StoreEntry&);
     void removeEntry(std::map<std::string, CachedEntry>::iterator);
     void applyEvent(const StoreEvent&);
-    void applyChanges(const Changes&);
+    void applyBatch(const StoreWatchBatch&);
+    void applyPeerCopy(const Copy&);
     void applyPendingChanges();
     void setRevision(std::int64_t revision);
     void noteStoreLost(const absl::Status&);
     void noteStoreAnswer();
+    void noteReturn(std::chrono::steady_clock::time_point answeredAt, std::chrono::milliseconds maxSilence);
     void applyDueDeletions();
+    void adoptGrace(const Progress&, std::chrono::steady_clock::time_point reportedAt);
+    void notePeerAnswer(const Progress&, std::chrono::steady_clock::time_point reportedAt);
     bool isBehindPeer() const;
     bool shouldWatch() const;
     std::chrono::milliseconds watchDelay() const;
@@ -141,12 +154,12 @@
     std::map<std::string, CachedEntry> m_entries; ///< by key; all entries that were reported and not deleted since
     std::size_t m_valueBytes = 0; ///< total size of the values, including omitted ones
     std::size_t m_omittedValues = 0; ///< number of omitted values; above 0, the copy must not be given to others
-    /// By key, the time from which a deferred deletion is applied.
-    std::map<std::string, std::chrono::steady_clock::time_point> m_deferredDeletions;
+    std::set<std::string> m_deferredDeletions; ///< keys of entries that the store has deleted, kept for a grace time
     std::chrono::steady_clock::time_point m_lastAnswer; ///< of the store, see age()
-    std::chrono::steady_clock::time_point m_peerLastAnswer; ///< latest known answer of the store to a peer
     std::chrono::steady_clock::time_point m_storeLostAt; ///< when the store stopped answering
-    std::chrono::steady_clock::time_point m_deferDeletionsUntil;
+    /// Latest known answer of the store to a peer since m_storeLostAt; nothing if none is known.
+    std::optional<std::chrono::steady_clock::time_point> m_peerLastAnswer;
+    std::chrono::steady_clock::time_point m_deferDeletionsUntil; ///< end of the grace time
     /// Until then this copy does not watch the store, unless a peer is ahead. Extended by peers' progress, and set once
     /// at the start to delay the first watch.
     std::chrono::steady_clock::time_point m_feedValidUntil;
--- a/src/idl/peer.thrift
+++ b/src/idl/peer.thrift
@@ -86,6 +86,7 @@
   3: i64 lapseGraceMs
 }
 
+// In a whole copy, a deletion with a value is an entry that the sender keeps until its lapse grace ends.
 struct StoreChange {
   1: string key
   2: string value
