--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -124,18 +124,19 @@
 
 
 class Soak:
-    def __init__(self, seed, seconds, program, folder, mutate, net, untimed, instances):
+    def __init__(self, seed, seconds, program, folder, mutate, net, untimed, instances, names_starts=True, cuts_store=False):
         self.untimed = untimed
         self.seed, self.seconds, self.folder, self.mutate = seed, seconds, folder, mutate
         self.random = random.Random(f"callers {seed}")
         self.store, self.broken, self.answers = Store(), [], {}
-        self.net, self.fleet = net, Fleet(self.store, seed)
+        self.net, self.fleet = net, Fleet(self.store, seed, names_starts)
         self.store_link = Link(store_link(net), f"{net}.90.1:7000")
         self.instances = [Instance(each, program, folder, net) for each in range(instances)]
         # By attempt: its instance, when its caller sent it, and how long the caller waits. Stalls: see watch_stalls().
         self.store_faults, self.instance_of, self.sent_at, self.deadlines_s, self.stalls = [], {}, {}, {}, []
         # Cuts: (begin, end, instances). Calls of callers that follow the directory: (time, instance, whether served).
         self.path_cut, self.cuts, self.first_tries = PathCut(lambda: [each.link for each in self.fleet.servers.values()]), [], []
+        self.store_cut = PathCut(lambda: [self.store_link]) if cuts_store else None
         if mutate == "path":
             for instance in self.instances:
                 instance.without = "path-detection"
@@ -387,6 +388,27 @@
             self.cuts.append((begin, time.monotonic(), cut))
             self.backend_calm = time.monotonic() + 2
 
+    async def store_cuts(self):
+        """Cuts one instance after the other off from the store, and ends entries of servers that serve on meanwhile.
+
+        It has a generator of its own, like limits().
+        """
+        draws = random.Random(f"store {self.seed}")
+        end = time.monotonic() + self.seconds
+        leaving = []
+        while self.store_cut and time.monotonic() < end:
+            await asyncio.sleep(draws.random() * 0.6)
+            instance = draws.choice(self.instances)
+            instance.touch()
+            self.store_cut.begin([instance], "silent")
+            await asyncio.sleep(draws.random())
+            if draws.random() < 0.5:
+                leaving.append(asyncio.create_task(self.drain(draws, is_announced=False)))
+            await asyncio.sleep(0.5 + draws.random() * 1.4)
+            self.store_cut.end()
+            instance.touch()
+        await asyncio.gather(*leaving)
+
     def judge_cuts(self):
         """Checks that callers of instances that were cut off were served like those of the others."""
         for begin, end, cut in self.cuts:
@@ -598,7 +620,9 @@
         way = draws.choice(["listed", "lapsed", "cut"])
         if way == "cut":
             server.link.set_mode("silent")
-        await server.crash(0.3 if way == "lapsed" else 4)
+        # A process whose connections end in order is not told from one whose streams have ended.
+        in_order = not self.fleet.names_starts and draws.random() < 0.7
+        await server.crash(0.3 if way == "lapsed" else 4, in_order)
         await asyncio.sleep(0.1 if way == "listed" else 1)
         await server.start(keeps_id=True)
         if way == "cut":
@@ -623,11 +647,11 @@
             server.register()
         self.backend_calm = time.monotonic()
 
-    async def drain(self, draws):
+    async def drain(self, draws, is_announced=True):
         server = draws.choice(list(self.fleet.servers.values()))
         if server.alive and server.state == "ready" and time.monotonic() - self.store_calm > 3:
             self.backend_calm = time.monotonic()
-            server.drain()
+            server.drain(is_announced)
             await asyncio.sleep(6)
             await server.crash(0)
             await server.start()
@@ -753,7 +777,7 @@
         callers = [asyncio.create_task(self.caller()) for _ in range(16)]
         callers += [asyncio.create_task(self.caller(3 if each % 4 == 0 else 1, follows=True)) for each in range(16)]
         await asyncio.gather(self.faults(), self.limits(), self.notices(), self.path_cuts(), self.crashing_parts(),
-                             self.odd_entries())
+                             self.odd_entries(), self.store_cuts())
         self.faults_over = time.monotonic()
         await asyncio.sleep(6)
         before = self.served()
@@ -779,6 +803,8 @@
 
     def close(self):
         self.path_cut.table.close()
+        if self.store_cut:
+            self.store_cut.table.close()
         listeners = [self.listener, self.store_link.server]
         for server in self.fleet.servers.values():
             listeners += [server.listener] + ([server.link.server] if server.link.server else [])
@@ -817,7 +843,7 @@
     folder = tempfile.mkdtemp(prefix=f"soak-{seed}-")
     net = f"127.{arguments.block}"
     soak = Soak(seed, arguments.seconds, os.path.abspath(arguments.program), folder, arguments.mutate, net,
-                arguments.untimed, arguments.instances)
+                arguments.untimed, arguments.instances, not arguments.unnamed_starts, arguments.store_cuts)
     broken = await soak.run()
     print(f"seed {seed}: {soak.attempts} requests, {soak.served()} served, {len(broken)} broken promises", flush=True)
     for promise, text in broken[:10]:
@@ -833,6 +859,8 @@
     parser.add_argument("--program", default="build/crocusmount-entry")
     parser.add_argument("--block", type=int, default=1, help="second number of the loopback addresses, 1 to 254")
     parser.add_argument("--untimed", action="store_true", help="leave out promises with a bound in time")
+    parser.add_argument("--unnamed-starts", action="store_true", help="servers do not publish when they started, and take a new id at each start")
+    parser.add_argument("--store-cuts", action="store_true", help="single instances lose the store in turn, while servers leave without notice")
     parser.add_argument("--mutate", default="", help="breaks one promise on purpose: announced, backoff, body, config, crashes, cut, leaving, limits, parts, path, runs")
     arguments = parser.parse_args()
     if "-" in arguments.seeds:
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -230,8 +230,9 @@
 class Fleet:
     """All backend servers, the number of runs of each attempt, and the promises that the servers saw violated."""
 
-    def __init__(self, store, seed):
+    def __init__(self, store, seed, names_starts=True):
         self.seed, self.store, self.servers, self.runs, self.wrong = seed, store, {}, {}, []
+        self.names_starts = names_starts  # whether servers publish when they started; else each start has a new id
         # By body or prompt part that crashes servers: (time, attempt) of each arrival, and the time of each crash.
         self.reached, self.crashed = {}, {}
         self.deadly_from = {}  # by part that crashes engines: when it begins to
@@ -289,9 +290,9 @@
         if self.alive or self.is_starting:
             return
         self.is_starting = True
-        if keeps_id and self.lapse:
+        if keeps_id and self.lapse and self.fleet.names_starts:
             self.lapse.cancel()  # Its heartbeats resume before the entry expires.
-        self.incarnation += 0 if keeps_id else 1
+        self.incarnation += 0 if keeps_id and self.fleet.names_starts else 1
         self.born_ms = max(self.born_ms + 1, int(time.time() * 1000))
         self.state, self.layers, self.left_at, self.orders = "ready", (0, 0), None, 0
         self.set_limit(None)
@@ -306,9 +307,14 @@
         self.fleet.servers[self.name] = self
         self.register()
 
+    def start_time(self):
+        return {"born": self.born_ms} if self.fleet.names_starts else {}
+
     def register(self):
+        if self.state == "gone":
+            return
         entry = {"backend": self.service, "address": self.address, "zone": self.zone, "version": "v1", "slots": 32,
-                 "state": "ready" if self.state == "announced" else self.state, "cold_remaining_ms": 0, "seq": self.orders, "born": self.born_ms}
+                 "state": "ready" if self.state == "announced" else self.state, "cold_remaining_ms": 0, "seq": self.orders} | self.start_time()
         if self.kind:
             entry |= {"route_type": self.kind, "layers": self.held()}
         self.fleet.store.put(f"servers/{self.id}", json.dumps(entry))
@@ -337,9 +343,12 @@
     def held(self):
         return {"from": self.layers[0], "target": self.layers[1]}
 
-    def drain(self):
-        self.state, self.left_at = "draining", time.monotonic()
+    def drain(self, is_announced=True):
+        """Begins to leave: by an entry that says so, or by the end of the entry. It serves on."""
+        self.state, self.left_at = "draining" if is_announced else "gone", time.monotonic()
         self.register()
+        if not is_announced:
+            self.fleet.store.remove(f"servers/{self.id}")
 
     async def crash(self, silent_for, in_order=False, written=0.0):
         """Ends the server: first its listener, then each connection, by a reset or closed in order.
@@ -366,7 +375,7 @@
     async def _answer(self, message, writer):
         target = message.start.split(" ")[1]
         if target == "/crocusmount/report":
-            said = {"stalled": [], "born": self.born_ms, "layers": self.held(), "seq": self.orders}
+            said = {"stalled": [], "layers": self.held(), "seq": self.orders} | self.start_time()
             writer.write(response(200, json.dumps(said).encode(), self.notices("")))
             return True
         if target == "/crocusmount/order":
