Name the engine that an order is for

Orders named no engine, and the entry of the one that had ended is kept for 2.3 s after an outage of the store.

This is the same cause as with signs of life: a message to an address meets whoever is there. PROTOCOL.md: an order is answered 421 "under the same conditions as for requests", which are those of X-Expect-Instance. Orders to place layers and to reroute carry it now.

--- a/src/edge/EngineControl.h
+++ b/src/edge/EngineControl.h
@@ -20,13 +20,14 @@
 
     /// Orders an engine to hold a range of layers and no others. The engine accepts no new calls for the layers that it
     /// gives up. It loads the new layers after the running calls through those layers have ended or moved elsewhere.
+    /// @param engine   the only engine that may carry out the order; its successor at the address refuses it
     /// @param address  of the engine
-    Awaitable<OrderReply> placeLayers(std::string address, LayerRange layers)
+    Awaitable<OrderReply> placeLayers(BackendId engine, std::string address, LayerRange layers)
     {
-        return onPlaceLayers(std::move(address), layers);
+        return onPlaceLayers(std::move(engine), std::move(address), layers);
     }
 
-    /// Orders the first stage of a running stream to continue the stream over another chain.
+    /// Orders the first stage of a running stream, and no other engine, to continue the stream over another chain.
     /// @param address  of the first stage
     /// @param call     the caller's id of the call, by which the engine identifies the stream
     /// @param chain    begins with the same first stage
@@ -68,7 +69,7 @@
         = 0;
     virtual Awaitable<StalledStage> onStalledStage(std::string address, std::string call) = 0;
     virtual Awaitable<OrderReply> onReroute(std::string address, std::string call, Chain) = 0;
-    virtual Awaitable<OrderReply> onPlaceLayers(std::string address, LayerRange) = 0;
+    virtual Awaitable<OrderReply> onPlaceLayers(BackendId engine, std::string address, LayerRange) = 0;
 };
 
 } // namespace crocusmount
--- a/src/edge/PlacementDriver.cpp
+++ b/src/edge/PlacementDriver.cpp
@@ -102,9 +102,10 @@
 Awaitable<void> PlacementDriver::sendOrder(
     LayerPlanner::Order order, relay::FleetServer engine, std::chrono::milliseconds expected)
 {
+    BackendId id = order.engine;
     std::string address = engine.entry.address;
     const TimePoint askedAt = m_node.now();
-    const OrderReply reply = co_await m_engineControl.placeLayers(std::move(address), order.layers);
+    const OrderReply reply = co_await m_engineControl.placeLayers(std::move(id), std::move(address), order.layers);
     relay::DecisionLog::state("order",
         { { "engine", order.engine.value() }, { "from", order.layers.begin }, { "to", order.layers.end },
             { "held_from", engine.entry.layers.begin }, { "held_to", engine.entry.layers.end },
--- a/tests/EngineControlTest.cpp
+++ b/tests/EngineControlTest.cpp
@@ -80,6 +80,33 @@
     }
 }
 
+// An order for an engine that had ended reached the next engine at its address, which had too little memory for it.
+TEST(EngineControl, OrdersNameTheEngineThatTheyAreFor)
+{
+    const BackendId engine("i-1");
+    const Chain chain = *Chain::make(8, { { engine, "127.0.0.1:1", { 0, 8 }, {} } });
+    for (const bool isReroute : { false, true }) {
+        net::io_context context(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE);
+        platform::PlatformEngineControl control(context);
+        ScriptedHttpServer server(context, { "HTTP/1.1 421 -\r\nContent-Length: 0\r\n\r\n" });
+        OrderReply reply;
+        const auto order = [&]() -> Awaitable<void> {
+            std::string address = server.address();
+            std::string call = "call";
+            BackendId id = engine;
+            if (isReroute)
+                reply = co_await control.reroute(std::move(address), std::move(call), chain);
+            else
+                reply = co_await control.placeLayers(std::move(id), std::move(address), { 0, 8 });
+        };
+        net::co_spawn(context.get_executor(), order(), [&](const std::exception_ptr&) { context.stop(); });
+        context.run_for(std::chrono::seconds(2));
+        CHECK_TEXT("i-1", server.headers("X-Expect-Instance"));
+        CHECK_TRUE(reply.answer == OrderAnswer::Refused);
+        CHECK_EQUAL(421U, reply.status);
+    }
+}
+
 TEST(EngineControl, RefusedConnectionIsReportedAsRefused)
 {
     net::io_context context(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE);
--- a/tests/fakes/LateEngineControl.h
+++ b/tests/fakes/LateEngineControl.h
@@ -30,7 +30,7 @@
     }
     Awaitable<StalledStage> onStalledStage(std::string, std::string) override { co_return StalledStage {}; }
     Awaitable<OrderReply> onReroute(std::string, std::string, Chain) override { co_return OrderReply {}; }
-    Awaitable<OrderReply> onPlaceLayers(std::string, LayerRange) override { co_return OrderReply {}; }
+    Awaitable<OrderReply> onPlaceLayers(BackendId, std::string, LayerRange) override { co_return OrderReply {}; }
 
     net::io_context& m_context;
     std::chrono::milliseconds m_delay;
--- a/tests/fakes/RefusingEngineControl.h
+++ b/tests/fakes/RefusingEngineControl.h
@@ -32,7 +32,7 @@
     }
     Awaitable<StalledStage> onStalledStage(std::string, std::string) override { co_return StalledStage {}; }
     Awaitable<OrderReply> onReroute(std::string, std::string, Chain) override { co_return refusal(); }
-    Awaitable<OrderReply> onPlaceLayers(std::string, LayerRange) override { co_return refusal(); }
+    Awaitable<OrderReply> onPlaceLayers(BackendId, std::string, LayerRange) override { co_return refusal(); }
 
     CheckAnswer m_checkAnswer;
     std::map<std::string, BackendId> m_ids; ///< by address
--- a/tests/fakes/ScriptedHttpServer.h
+++ b/tests/fakes/ScriptedHttpServer.h
@@ -26,6 +26,14 @@
     std::string address() const { return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()); }
     /// @return the targets of the requests so far
     const std::vector<std::string>& targets() const { return m_targets; }
+    /// @return the values of a header in the requests so far, without a separator
+    std::string headers(std::string_view name) const
+    {
+        std::string values;
+        for (const auto& request : m_requests)
+            values += std::string(request[name]);
+        return values;
+    }
 
 private:
     Awaitable<void> run()
@@ -41,6 +49,7 @@
             co_await http::async_read(stream, buffer, request, asTuple);
             const std::string answer = m_answers.at(std::min(m_targets.size(), m_answers.size() - 1));
             m_targets.emplace_back(request.target());
+            m_requests.push_back(request);
             co_await net::async_write(stream, net::buffer(answer), asTuple);
             endConnection(stream, m_connectionEnd);
         }
@@ -50,6 +59,7 @@
     std::vector<std::string> m_answers;
     ConnectionEnd m_connectionEnd;
     std::vector<std::string> m_targets;
+    std::vector<http::request<http::string_body>> m_requests;
 };
 
 } // namespace crocusmount
