--- a/src/edge/RelayNode.cpp
+++ b/src/edge/RelayNode.cpp
@@ -460,7 +460,7 @@
 std::shared_ptr<RelayNode::PendingCheck> RelayNode::awaitCheck(
     std::chrono::milliseconds timeout, std::function<void()> recordUnanswered)
 {
-    const auto pending = std::make_shared<PendingCheck>(
+    auto pending = std::make_shared<PendingCheck>(
         PendingCheck { timeout, Timer(m_context.get_executor()), std::move(recordUnanswered) });
     awaitCheckTimeout(pending);
     return pending;
--- a/src/relay/Call.h
+++ b/src/relay/Call.h
@@ -44,7 +44,6 @@
     BackendId server; ///< the first stage of a chain, or the server of a plain service
     StartTime serverStart; ///< start of `server` that was known when the attempt was started; zero if none
     Chain chain; ///< stages that run the call; empty for a plain service
-    TimePoint chainSince; ///< when the attempt was started, or its last reroute was accepted
     Chain pendingReroute; ///< chain of a reroute that the first stage has not answered yet; empty if there is none
     std::uint32_t rerouteCount = 0; ///< reroutes ordered
     std::uint32_t stallQueries = 0; ///< times the first stage was asked which stage has stalled
--- a/src/relay/RelayReducerLosses.cpp
+++ b/src/relay/RelayReducerLosses.cpp
@@ -255,7 +255,6 @@
     const Chain ordered = std::exchange(attempt.pendingReroute, Chain());
     if (answered.accepted) {
         attempt.chain = ordered;
-        attempt.chainSince = context.now;
         attempt.hasLostStage = hasEndedStage(attempt.chain);
     } else if (findsGroupLosses()) {
         recordRefusedReroute(*call, attempt, ordered, answered, context);
--- a/src/relay/RelayReducerPlacing.cpp
+++ b/src/relay/RelayReducerPlacing.cpp
@@ -95,7 +95,6 @@
     attempt.server = placement->server;
     attempt.chain = std::move(placement->chain);
     attempt.startedAt = context.now;
-    attempt.chainSince = context.now;
     attempt.serverStart = m_fleet.find(attempt.server)->entry.startedAt;
     m_attempts[attempt.id] = call.id;
     queueOf(call).started();
