Date the loss of the store by the start at first; check engines without a health path

A process that started without the store and took another instance's copy at once told the others to defer deletions for 2.3 s: the time of the loss was not set, so that any answer to a peer seemed to follow an outage. Found by reading; AStartedInstanceThatTakesACopyAtOnceDefersNoDeletions failed before (304 ms left after 1.4 s). Where a service names no health check, an engine is asked for its report as before, which at least shows that it has ended.

--- a/src/edge/StoreMirror.cpp
+++ b/src/edge/StoreMirror.cpp
@@ -71,6 +71,7 @@
     , m_store(store)
     , m_onChange(std::move(onChange))
     , m_lastAnswer(std::chrono::steady_clock::now())
+    , m_storeLostAt(m_lastAnswer)
 {
 }
 
--- a/src/edge/StoreMirror.h
+++ b/src/edge/StoreMirror.h
@@ -156,7 +156,7 @@
     std::size_t m_omittedValues = 0; ///< number of omitted values; above 0, the copy must not be given to others
     std::set<std::string> m_deferredDeletions; ///< keys of entries that the store has deleted, kept for a grace time
     std::chrono::steady_clock::time_point m_lastAnswer; ///< of the store, see age()
-    std::chrono::steady_clock::time_point m_storeLostAt; ///< when the store stopped answering
+    std::chrono::steady_clock::time_point m_storeLostAt; ///< when the store stopped answering; at first, the start
     /// Latest known answer of the store to a peer since m_storeLostAt; nothing if none is known.
     std::optional<std::chrono::steady_clock::time_point> m_peerLastAnswer;
     std::chrono::steady_clock::time_point m_deferDeletionsUntil; ///< end of the grace time
--- a/src/relay/RelayReducerEndings.cpp
+++ b/src/relay/RelayReducerEndings.cpp
@@ -86,7 +86,9 @@
 /// @param start  that the answer is needed of; zero if the server's id is used for one start only
 void RelayReducer::requestLifeSign(FleetServer& server, StartTime start, Context& context)
 {
-    if (server.isEngine() && (start.value() || m_options.without.has(Mechanism::EngineChecks)))
+    const Service* service = m_routes ? m_routes->service(server.entry.service) : nullptr;
+    const bool canIdentify = service && !service->healthPath.empty();
+    if (server.isEngine() && (start.value() || !canIdentify || m_options.without.has(Mechanism::EngineChecks)))
         checkUrgently(server, context);
     else
         probe(server, context);
--- a/tests/StoreMirrorTest.cpp
+++ b/tests/StoreMirrorTest.cpp
@@ -256,6 +256,21 @@
     }
 }
 
+// A process that started without the store, and took a copy, would have told the others to defer deletions, too.
+TEST(StoreMirror, AStartedInstanceThatTakesACopyAtOnceDefersNoDeletions)
+{
+    CopyFixture fixture;
+    MirrorGroup& group = fixture.group;
+    group.restart(1);
+    group.at(1).client().setCut(true);
+    runFor(fixture.context, milliseconds(1400));
+    CHECK_TRUE(group.at(1).mirror().isComplete());
+    CHECK_EQUAL(0, group.at(1).mirror().progress().lapseGrace.count());
+    group.store().remove("servers/a");
+    runFor(fixture.context, AnswerInterval);
+    CHECK_FALSE(group.at(1).has("servers/a"));
+}
+
 // What a watch reports late, after the copy of another instance was taken, is older than that copy.
 TEST(StoreMirror, AnEarlierChangeDoesNotBringADeletedEntryBack)
 {
