Log and count what a sign of life drops as evidence of a crash

When a server answers after calls broke off there, those calls stop being suspects. No decision changes.

--- a/src/edge/RelayMetrics.cpp
+++ b/src/edge/RelayMetrics.cpp
@@ -45,6 +45,14 @@
         double(counters.crashesCounted));
     families.addCounter("crocusmount_crashes_in_groups_total",
         "Ends of servers under a request as others ended in the same moment", double(counters.crashesInGroups));
+    families.addCounter("crocusmount_crash_suspects_cleared_total",
+        "Attempts that broke off and whose server answered afterwards", double(counters.suspectsCleared));
+    families.addCounter("crocusmount_crash_suspects_dropped_total",
+        "Attempts that broke off and are not held against their request", double(counters.suspectsExpired),
+        { { "cause", "no_answer" } });
+    families.addCounter("crocusmount_crash_suspects_dropped_total",
+        "Attempts that broke off and are not held against their request", double(counters.suspectsLate),
+        { { "cause", "known_too_late" } });
     families.addCounter("crocusmount_requests_quarantined_total",
         "Requests and parts of prompts found to end the servers that run them", double(counters.quarantined));
     for (std::size_t cause = 0; cause < ClearCauseCount; ++cause) {
--- a/src/edge/RelayNode.cpp
+++ b/src/edge/RelayNode.cpp
@@ -393,6 +393,13 @@
             { "just_begun", suspect.sign == CrashSign::JustBegun } });
 }
 
+void RelayNode::on(const effect::LogSuspectsCleared& note)
+{
+    DecisionLog::state("crash_suspects_cleared",
+        { { "server", note.server.value() }, { "started_ms", note.startedAt.value() }, { "suspects", note.suspects },
+            { "proof", toString(note.proof) } });
+}
+
 void RelayNode::on(const effect::QuarantineTrait& verdict)
 {
     DecisionLog::state("request_quarantined",
--- a/src/edge/RelayNode.h
+++ b/src/edge/RelayNode.h
@@ -146,6 +146,7 @@
     void on(const effect::ShareCrashes&);
     void on(const effect::ShareSoundRuns&);
     void on(const effect::LogCrash&);
+    void on(const effect::LogSuspectsCleared&);
     void on(const effect::QuarantineTrait&);
     void on(const effect::ClearTrait&);
     void on(const effect::ReportEngineState&);
--- a/src/relay/CrashEvidence.cpp
+++ b/src/relay/CrashEvidence.cpp
@@ -49,6 +49,7 @@
         const bool isConfirmed = end != m_ends.end() && end->second.confirmedAt;
         if (isConfirmed && !end->second.isSettled)
             end->second.addSuspect(suspect);
+        m_lateCount += isConfirmed && end->second.isSettled ? 1 : 0;
         return isConfirmed;
     });
     if (servers.empty())
@@ -58,14 +59,16 @@
         m_lostAttempts.pop_front();
 }
 
-void CrashEvidence::noteAlive(std::uint64_t server)
+std::size_t CrashEvidence::noteAlive(std::uint64_t server)
 {
     m_areOpenEndCountsOutdated = true;
+    std::size_t cleared = 0;
     for (LostAttempt& lost : m_lostAttempts)
-        std::erase(lost.servers, server);
+        cleared += std::erase(lost.servers, server);
     std::erase_if(m_lostAttempts, [](const LostAttempt& lost) { return lost.servers.empty(); });
     if (const auto end = m_ends.find(server); end != m_ends.end() && !end->second.confirmedAt)
         m_ends.erase(end);
+    return cleared;
 }
 
 bool CrashEvidence::ServerEnd::mayHaveEndedTogether(const ServerEnd& other) const
@@ -164,6 +167,7 @@
     while (!m_lostAttempts.empty() && now >= m_lostAttempts.front().lostAt + LostAttemptLifetime) {
         m_areOpenEndCountsOutdated = true;
         m_lostAttempts.pop_front();
+        ++m_expiredCount;
     }
     std::erase_if(m_ends, [&](const auto& each) { return now >= each.second.detectedAt + ServerEndLifetime; });
 }
--- a/src/relay/CrashEvidence.h
+++ b/src/relay/CrashEvidence.h
@@ -28,7 +28,8 @@
     void noteLost(const CrashSuspect&, std::vector<std::uint64_t> servers, TimePoint now);
 
     /// Records that a server answered, so the server had not ended when earlier attempts were lost there.
-    void noteAlive(std::uint64_t server);
+    /// @return the number of lost attempts that the server cannot have ended under any more
+    std::size_t noteAlive(std::uint64_t server);
 
     /// Records that a server does not answer. The server may have ended or be cut off by the network.
     /// @param lastAliveAt  when the server was last known to be alive
@@ -52,6 +53,11 @@
     ///         check has to be sent after that time to show whether the server was still alive.
     std::map<std::uint64_t, TimePoint> unsettledServers() const;
 
+    /// @return the number of lost attempts that were dropped before it was known whether a server had ended
+    std::uint64_t expiredCount() const { return m_expiredCount; }
+    /// @return the number of lost attempts at servers whose end had been classified by then
+    std::uint64_t lateCount() const { return m_lateCount; }
+
 private:
     /// An attempt that ended before its answer was complete, at a server whose end is not confirmed.
     struct LostAttempt {
@@ -85,6 +91,8 @@
 
     std::deque<LostAttempt> m_lostAttempts; ///< oldest first
     std::map<std::uint64_t, ServerEnd> m_ends; ///< by key of the server
+    std::uint64_t m_expiredCount = 0;
+    std::uint64_t m_lateCount = 0;
     mutable std::map<RequestTrait, std::size_t> m_openEndCounts; ///< see unclassifiedEndCount
     mutable bool m_areOpenEndCountsOutdated = false;
 };
--- a/src/relay/RelayCounters.h
+++ b/src/relay/RelayCounters.h
@@ -33,6 +33,9 @@
     std::uint64_t entriesUnusable = 0; ///< registry entries with a service or layers that the configuration lacks
     std::uint64_t crashesCounted = 0; ///< server crashes counted as evidence against a request
     std::uint64_t crashesInGroups = 0; ///< crashes that count for less, because other servers ended at that moment, too
+    std::uint64_t suspectsCleared = 0; ///< broken attempts that no longer count as suspects, as their server answered
+    std::uint64_t suspectsExpired = 0; ///< such attempts of which it did not become known whether a server had ended
+    std::uint64_t suspectsLate = 0; ///< such attempts at servers whose end had been judged by then
     std::uint64_t quarantined = 0; ///< requests that were quarantined, so they are sent to no server
     std::array<std::uint64_t, ClearCauseCount> cleared {}; ///< traits of which evidence was dropped, by cause
     std::uint64_t suspectsRanLately = 0; ///< traits in crash reports of which requests ran lately
--- a/src/relay/RelayEffect.h
+++ b/src/relay/RelayEffect.h
@@ -103,6 +103,14 @@
         CrashReport crash;
     };
 
+    /// Log that a server answered, so it had not ended under the requests that it was suspected to have ended under.
+    struct LogSuspectsCleared {
+        BackendId server;
+        StartTime startedAt {}; ///< known start of the server; zero if none
+        std::size_t suspects = 0; ///< attempts that had broken off
+        EndProof proof = EndProof::None; ///< the answer
+    };
+
     /// Quarantine a trait: from now on requests with it are sent to no server.
     struct QuarantineTrait {
         RequestTrait trait;
@@ -299,7 +307,7 @@
 
 using RelayEffect = std::variant<effect::StartAttempt, effect::CancelAttempt, effect::HoldAnswer,
     effect::ContinueAnswer, effect::AskStalledStage, effect::CheckEngine, effect::ProbeServer, effect::ShareCrashes,
-    effect::ShareSoundRuns, effect::LogCrash, effect::QuarantineTrait, effect::ClearTrait, effect::ReportEngineState,
+    effect::ShareSoundRuns, effect::LogCrash, effect::LogSuspectsCleared, effect::QuarantineTrait, effect::ClearTrait, effect::ReportEngineState,
     effect::LogServerPath, effect::LogServerState, effect::LogServerLimit, effect::LogServerBackoff,
     effect::LogRetryShare, effect::LogRetryBudget, effect::LogPermits, effect::LogStartKnowledge, effect::LogStartHold,
     effect::RequestPermits, effect::AnswerPermits, effect::ShareServerLimit, effect::RerouteAttempt,
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -254,6 +254,7 @@
     void checkUnsettledServers(Context&);
     void probe(FleetServer&, Context&);
     void sendProbe(FleetServer&, Context&);
+    void clearSuspects(const FleetServer&, EndProof, Context&);
     void recordServerEnded(const FleetServer&, EndSign, Context&);
     void settleCrashes(Context&);
     void countCrash(const CrashReport&, bool isOwn, Context&);
--- a/src/relay/RelayReducerChecks.cpp
+++ b/src/relay/RelayReducerChecks.cpp
@@ -161,7 +161,7 @@
     if (!server)
         return;
     if (checked.answered) {
-        m_crashEvidence.noteAlive(server->othersLoad.engine);
+        clearSuspects(*server, EndProof::Report, context);
         m_fleet.recordAnsweredCheck(checked.engine, checked.slowness);
         m_namedStages.clearEvidence(checked.engine);
         recordClosed(checked, context);
@@ -206,8 +206,8 @@
     recordContactAnswered(late.server, late.askedAt, context);
     if (late.answering.value() && late.answering != server->entry.startedAt)
         return;
-    m_crashEvidence.noteAlive(server->othersLoad.engine);
     const EndProof proof = late.isIdentified ? EndProof::Identity : EndProof::Report;
+    clearSuspects(*server, proof, context);
     const LifeEvidence evidence { LifeSign::Alive, proof, late.isIdentified, late.answering };
     settleUnprovenEnds(late.server, late.askedAt, evidence, context);
 }
--- a/src/relay/RelayReducerCrashes.cpp
+++ b/src/relay/RelayReducerCrashes.cpp
@@ -152,7 +152,7 @@
         return;
     server->nextProbe.reset();
     if (probed.finding == Finding::Alive)
-        m_crashEvidence.noteAlive(server->othersLoad.engine);
+        clearSuspects(*server, EndProof::Identity, context);
     else if (probed.finding == Finding::Ended && (probed.responded || !isPathInDoubt()))
         recordServerEnded(*server, EndSign::RefusedConnection, context);
     else if (!server->isEngine())
@@ -171,6 +171,16 @@
         checkUrgently(*server, context);
 }
 
+/// Drops the suspicion that a server, which has answered, ended under the attempts that broke off there.
+void RelayReducer::clearSuspects(const FleetServer& server, EndProof proof, Context& context)
+{
+    const std::size_t cleared = m_crashEvidence.noteAlive(server.othersLoad.engine);
+    m_counters.suspectsCleared += cleared;
+    if (cleared)
+        context.effects.emplace_back(
+            effect::LogSuspectsCleared { server.entry.id, server.entry.startedAt, cleared, proof });
+}
+
 /// Records that a server's process has ended, with the calls that it was running. A leaving server ends on purpose and
 /// is not counted.
 void RelayReducer::recordServerEnded(const FleetServer& server, EndSign sign, Context& context)
@@ -204,6 +214,8 @@
 {
     checkUnsettledServers(context);
     std::vector<CrashReport> reports = m_crashEvidence.classifyEnds(context.now);
+    m_counters.suspectsExpired = m_crashEvidence.expiredCount();
+    m_counters.suspectsLate = m_crashEvidence.lateCount();
     for (const CrashReport& report : reports) {
         countCrash(report, true, context);
         planSoundRuns(report.suspect.traits, context);
