Failing test: a crash that the answer of a successor hides

CrashFleet starts engines again before their entry changes (registrationDelay) and tells instances of a crash late (resetDelay).

--- a/tests/CrashFleet.cpp
+++ b/tests/CrashFleet.cpp
@@ -26,6 +26,9 @@
     /// Time until all instances have read a value that was written to the store.
     constexpr Duration StoreDelay = milliseconds(500);
 
+    /// HTTP status of an engine that is not the one for which a request is.
+    constexpr unsigned Misdirected = 421;
+
     std::string keyOf(std::size_t workspace) { return workspace ? "key" + std::to_string(workspace) : "key"; }
 
 } // namespace
@@ -40,6 +43,7 @@
         engine.entry = RelayHarness::engine("e" + std::to_string(i) + "-0", isFirstHalf ? 0 : 4, isFirstHalf ? 4 : 8);
         engine.entry.address = "10.0.1." + std::to_string(i) + ":80";
         engine.entry.slots = SlotsPerEngine;
+        engine.runningId = engine.entry.id;
         m_engines.push_back(engine);
     }
     m_instances.resize(options.instances);
@@ -137,7 +141,7 @@
             const Engine* engine = findRunning(probe->address);
             event::ServerProbed answer { probe->server, Finding::Unknown, engine != nullptr };
             if (engine)
-                answer.finding = engine->entry.id == probe->server ? Finding::Alive : Finding::Ended;
+                answer.finding = engine->runningId == probe->server ? Finding::Alive : Finding::Ended;
             else if (m_options.crashResetsConnections)
                 answer.finding = Finding::Ended;
             postLater(answer.finding == Finding::Unknown ? milliseconds(150) : TimeStep, instance, answer);
@@ -196,6 +200,10 @@
     attempt.sentAt = m_now;
     attempt.nextEvent = started.resumeAfter.value_or(0) + 1;
     Engine* engine = findEngine(started.server);
+    if (const Engine* running = findRunning(started.address); running && running->runningId != started.server) {
+        postLater(TimeStep, instance, event::AttemptEnded { started.attempt, AttemptResult::NotRun, Misdirected, "" });
+        return;
+    }
     if (!engine || !engine->isUp) {
         postLater(TimeStep, instance, event::AttemptEnded { started.attempt, AttemptResult::ConnectFailed, 0, "" });
         return;
@@ -250,7 +258,7 @@
 CrashFleet::Engine* CrashFleet::findEngine(const BackendId& id)
 {
     const auto found
-        = std::find_if(m_engines.begin(), m_engines.end(), [&](const Engine& each) { return each.entry.id == id; });
+        = std::find_if(m_engines.begin(), m_engines.end(), [&](const Engine& each) { return each.runningId == id; });
     return found == m_engines.end() ? nullptr : &*found;
 }
 
@@ -276,9 +284,9 @@
     engine.entryExpiresAt = m_now + EntryLifetime;
     std::vector<std::pair<AttemptKey, RunningAttempt>> broken;
     for (auto& [key, attempt] : m_attempts) {
-        if (!attempt.chain.contains(engine.entry.id))
+        if (!attempt.chain.contains(engine.runningId))
             continue;
-        const bool isFirst = attempt.chain.hops().front().backend == engine.entry.id;
+        const bool isFirst = attempt.chain.hops().front().backend == engine.runningId;
         attempt.endsUnproven = m_options.streamsHaveNoLength && attempt.nextEvent > 1;
         if (isFirst && m_options.crashResetsConnections)
             broken.emplace_back(key, attempt);
@@ -287,7 +295,7 @@
     }
     for (const auto& [key, attempt] : broken) {
         m_attempts.erase(key);
-        postLater(TimeStep, key.first,
+        postLater(m_options.resetDelay, key.first,
             event::AttemptEnded { key.second, attempt.endsUnproven ? AttemptResult::Unproven : AttemptResult::Broken,
                 attempt.begunAt ? 200U : 0U, "" });
     }
@@ -319,23 +327,35 @@
 void CrashFleet::stepEngines()
 {
     for (Engine& engine : m_engines) {
-        if (engine.isUp)
-            continue;
-        if (engine.isListed && m_now >= engine.entryExpiresAt) {
+        const bool isListedAsEnded = engine.isListed && (!engine.isUp || engine.runningId != engine.entry.id);
+        if (isListedAsEnded && m_now >= engine.entryExpiresAt) {
             engine.isListed = false;
             for (std::size_t i = 0; i < m_instances.size(); ++i)
                 post(i, event::ServerUnregistered { engine.entry.id });
         }
-        if (m_now < engine.restartsAt)
-            continue;
-        engine.isUp = engine.isListed = true;
-        const std::string name = engine.entry.id.value().substr(0, engine.entry.id.value().find('-'));
-        engine.entry.id = BackendId(name + "-" + std::to_string(++engine.startCount));
-        for (std::size_t i = 0; i < m_instances.size(); ++i)
-            post(i, event::ServerRegistered { engine.entry });
+        if (!engine.isUp && m_now >= engine.restartsAt)
+            start(engine);
+        if (engine.isUp && engine.runningId != engine.entry.id && m_now >= engine.registersAt)
+            list(engine);
     }
 }
 
+void CrashFleet::start(Engine& engine)
+{
+    const std::string name = engine.runningId.value().substr(0, engine.runningId.value().find('-'));
+    engine.runningId = BackendId(name + "-" + std::to_string(++engine.startCount));
+    engine.isUp = true;
+    engine.registersAt = m_now + m_options.registrationDelay;
+}
+
+void CrashFleet::list(Engine& engine)
+{
+    engine.entry.id = engine.runningId;
+    engine.isListed = true;
+    for (std::size_t i = 0; i < m_instances.size(); ++i)
+        post(i, event::ServerRegistered { engine.entry });
+}
+
 void CrashFleet::recordBegun(const RunningAttempt& attempt)
 {
     const auto& open = m_instances[attempt.instance].openCalls;
--- a/tests/CrashFleet.h
+++ b/tests/CrashFleet.h
@@ -26,6 +26,10 @@
         std::size_t enginesPerHalf = 8; ///< number of engines for each half of the layers
         double messageLossRate = 0; ///< share of the messages between instances that is lost, from 0 to 1
         Duration restartDelay = std::chrono::milliseconds(3000); ///< from the crash of an engine to its next start
+        /// From the next start of an engine to its entry. Until then its predecessor is listed at its address.
+        Duration registrationDelay {};
+        /// From the crash of an engine until instances are told that their connections to it were reset.
+        Duration resetDelay = std::chrono::milliseconds(5);
         /// Whether the connections to a crashed engine are reset. Otherwise callers only see that it stops answering.
         bool crashResetsConnections = true;
         /// Whether streams end with their connections, in order also when their engine crashes, between two events.
@@ -67,6 +71,11 @@
     {
         send(instance, number, m_options.workspaces - 1, number);
     }
+    /// Sends a crashing request of a workspace.
+    void sendCrashingFrom(std::size_t workspace, std::size_t instance, std::uint8_t number)
+    {
+        send(instance, number, workspace, number);
+    }
     /// Crashes the first engines of one half of the layers at one time. Engines that are down already stay down.
     /// @param isFirstHalf  whether the engines hold the first half of the layers, or the second
     void crashEngines(std::size_t count, bool isFirstHalf);
@@ -90,11 +99,13 @@
 
 private:
     struct Engine {
-        RegisteredServer entry;
+        RegisteredServer entry; ///< as listed
+        BackendId runningId; ///< of the process at the address
         bool isUp = true;
         bool isListed = true;
         int startCount = 0;
         TimePoint restartsAt; ///< when a crashed engine is up again
+        TimePoint registersAt; ///< when the latest start is listed
         TimePoint entryExpiresAt; ///< when the entry of a crashed engine is removed from the registry
     };
     /// An attempt that engines are running.
@@ -152,6 +163,10 @@
     void crash(Engine&);
     void step();
     void stepEngines();
+    /// Starts a crashed engine again, under a new id.
+    void start(Engine&);
+    /// Replaces an engine's entry by one of its latest start.
+    void list(Engine&);
     void stepAttempts();
     void recordBegun(const RunningAttempt&);
     Engine* findEngine(const BackendId&);
