Count a server's answer against the suspicion of a crash only if it names the server

Callers saw their streams end, since requests that end each engine that runs them were sent on: after a call breaks off, the instance asked the engine for a report, which names no engine. An answer to a check from before the call broke off dropped it, too.

Engines whose start is not known are asked by their health check, which names the id; an answer that a call got from the engine counts, too. Without a health path no answer can name the server, and any answer counts as before.

CrashFleet has a health path now; without the change of the product its tests fail as before.

--- a/src/relay/CrashEvidence.cpp
+++ b/src/relay/CrashEvidence.cpp
@@ -59,16 +59,21 @@
         m_lostAttempts.pop_front();
 }
 
-std::size_t CrashEvidence::noteAlive(std::uint64_t server)
+std::size_t CrashEvidence::noteAlive(std::uint64_t server, TimePoint askedAt)
 {
     m_areOpenEndCountsOutdated = true;
     std::size_t cleared = 0;
     for (LostAttempt& lost : m_lostAttempts)
-        cleared += std::erase(lost.servers, server);
+        cleared += lost.lostAt <= askedAt ? std::erase(lost.servers, server) : 0;
     std::erase_if(m_lostAttempts, [](const LostAttempt& lost) { return lost.servers.empty(); });
+    noteAnswered(server);
+    return cleared;
+}
+
+void CrashEvidence::noteAnswered(std::uint64_t server)
+{
     if (const auto end = m_ends.find(server); end != m_ends.end() && !end->second.confirmedAt)
         m_ends.erase(end);
-    return cleared;
 }
 
 bool CrashEvidence::ServerEnd::mayHaveEndedTogether(const ServerEnd& other) const
--- a/src/relay/CrashEvidence.h
+++ b/src/relay/CrashEvidence.h
@@ -28,8 +28,12 @@
     void noteLost(const CrashSuspect&, std::vector<std::uint64_t> servers, TimePoint now);
 
     /// Records that a server answered, so the server had not ended when earlier attempts were lost there.
+    /// @param askedAt  when the server was asked for the answer; attempts that were lost later stay suspects
     /// @return the number of lost attempts that the server cannot have ended under any more
-    std::size_t noteAlive(std::uint64_t server);
+    std::size_t noteAlive(std::uint64_t server, TimePoint askedAt);
+
+    /// Records that something answered at the address of a server, which was silent before.
+    void noteAnswered(std::uint64_t server);
 
     /// Records that a server does not answer. The server may have ended or be cut off by the network.
     /// @param lastAliveAt  when the server was last known to be alive
--- a/src/relay/LifeEvidence.h
+++ b/src/relay/LifeEvidence.h
@@ -14,6 +14,10 @@
     /// address of a server that has ended may be used by its successor.
     bool isIdentified = false;
     StartTime start {}; ///< start that answered; zero if the answer names none
+
+    /// @param known  start that a server is known to have; zero if its id is used for one start only
+    /// @return whether the answer can only have come from that start of the server
+    bool identifies(StartTime known) const { return start == known && (isIdentified || start.value()); }
 };
 
 } // namespace crocusmount::relay
--- a/src/relay/RelayReducer.cpp
+++ b/src/relay/RelayReducer.cpp
@@ -236,6 +236,8 @@
     recordContactAnswered(attempt.server, attempt.startedAt, context);
     m_fleet.answerBegun(attempt.server, attempt.chain, context.now);
     const LifeEvidence evidence { LifeSign::Alive, EndProof::LaterAnswer, true };
+    if (FleetServer* server = m_fleet.find(attempt.server); server && evidence.identifies(server->entry.startedAt))
+        recordLifeSign(*server, attempt.startedAt, evidence, context);
     settleUnprovenEnds(attempt.server, attempt.startedAt, evidence, context, call->id);
 }
 
--- a/src/relay/RelayReducer.h
+++ b/src/relay/RelayReducer.h
@@ -254,7 +254,8 @@
     void checkUnsettledServers(Context&);
     void probe(FleetServer&, Context&);
     void sendProbe(FleetServer&, Context&);
-    void clearSuspects(const FleetServer&, EndProof, Context&);
+    bool canProbe(const FleetServer&) const;
+    void recordLifeSign(FleetServer&, TimePoint askedAt, const LifeEvidence&, Context&);
     void recordServerEnded(const FleetServer&, EndSign, Context&);
     void settleCrashes(Context&);
     void countCrash(const CrashReport&, bool isOwn, Context&);
--- a/src/relay/RelayReducerChecks.cpp
+++ b/src/relay/RelayReducerChecks.cpp
@@ -161,11 +161,11 @@
     if (!server)
         return;
     if (checked.answered) {
-        clearSuspects(*server, EndProof::Report, context);
+        const LifeEvidence evidence { LifeSign::Alive, EndProof::Report, false, checked.answering };
+        recordLifeSign(*server, server->lastCheckAt, evidence, context);
         m_fleet.recordAnsweredCheck(checked.engine, checked.slowness);
         m_namedStages.clearEvidence(checked.engine);
         recordClosed(checked, context);
-        const LifeEvidence evidence { LifeSign::Alive, EndProof::Report, false, checked.answering };
         settleUnprovenEnds(checked.engine, server->lastCheckAt, evidence, context);
         dispatchAll(context);
         return;
@@ -199,7 +199,7 @@
 /// sound, and what it was asked after an end without proof it lived to answer.
 void RelayReducer::on(const event::CheckAnsweredLate& late, Context& context)
 {
-    const FleetServer* server = m_fleet.find(late.server);
+    FleetServer* server = m_fleet.find(late.server);
     if (!server)
         return;
     ++m_counters.checksAnsweredLate;
@@ -207,8 +207,8 @@
     if (late.answering.value() && late.answering != server->entry.startedAt)
         return;
     const EndProof proof = late.isIdentified ? EndProof::Identity : EndProof::Report;
-    clearSuspects(*server, proof, context);
     const LifeEvidence evidence { LifeSign::Alive, proof, late.isIdentified, late.answering };
+    recordLifeSign(*server, late.askedAt, evidence, context);
     settleUnprovenEnds(late.server, late.askedAt, evidence, context);
 }
 
--- a/src/relay/RelayReducerCrashes.cpp
+++ b/src/relay/RelayReducerCrashes.cpp
@@ -103,19 +103,22 @@
         const bool isProbeDue = server.nextProbe && context.now >= *server.nextProbe;
         if (server.lastCheckAt >= since->second && !isProbeDue)
             continue;
-        if (server.isEngine())
-            checkUrgently(*m_fleet.find(id), context);
-        else
-            probe(*m_fleet.find(id), context);
+        requestLifeSign(*m_fleet.find(id), server.entry.startedAt, context);
     }
 }
 
+/// @return whether the server can be asked for its id
+bool RelayReducer::canProbe(const FleetServer& server) const
+{
+    const Service* service = m_routes ? m_routes->service(server.entry.service) : nullptr;
+    return service && !service->healthPath.empty();
+}
+
 /// Sends a health check to a plain server, which answers no engine check, or to an engine that has to name its id. The
 /// answer may name the start of the process, too.
 void RelayReducer::probe(FleetServer& server, Context& context)
 {
-    const Service* service = m_routes ? m_routes->service(server.entry.service) : nullptr;
-    if (server.beingChecked || server.backoff.isActive(context.now) || !service || service->healthPath.empty()
+    if (server.beingChecked || server.backoff.isActive(context.now) || !canProbe(server)
         || !m_checkBudget.spendUrgent())
         return;
     sendProbe(server, context);
@@ -126,6 +129,7 @@
     const Service* service = m_routes->service(server.entry.service);
     server.beingChecked = true;
     server.lastCheckAt = context.now;
+    server.lastProbeAt = context.now;
     context.effects.emplace_back(
         effect::ProbeServer { server.entry.id, server.entry.address, service->healthPath, server.entry.startedAt });
 }
@@ -151,16 +155,16 @@
     if (!server)
         return;
     server->nextProbe.reset();
-    if (probed.finding == Finding::Alive)
-        clearSuspects(*server, EndProof::Identity, context);
-    else if (probed.finding == Finding::Ended && (probed.responded || !isPathInDoubt()))
-        recordServerEnded(*server, EndSign::RefusedConnection, context);
-    else if (!server->isEngine())
-        server->nextProbe = context.now + ReprobeInterval;
     LifeEvidence evidence { LifeSign::Silent, EndProof::Identity, true, probed.answering };
-    if (probed.finding == Finding::Alive)
+    if (probed.finding == Finding::Alive) {
         evidence.sign = LifeSign::Alive;
-    else if (probed.finding == Finding::Ended && probed.responded)
+        recordLifeSign(*server, server->lastCheckAt, evidence, context);
+    } else if (probed.finding == Finding::Ended && (probed.responded || !isPathInDoubt())) {
+        recordServerEnded(*server, EndSign::RefusedConnection, context);
+    } else if (!server->isEngine()) {
+        server->nextProbe = context.now + ReprobeInterval;
+    }
+    if (probed.finding == Finding::Ended && probed.responded)
         evidence = { LifeSign::Replaced, EndProof::LaterStart };
     else if (probed.finding == Finding::Ended && !isPathInDoubt())
         evidence = { LifeSign::Ended, EndProof::Refusal };
@@ -171,14 +175,21 @@
         checkUrgently(*server, context);
 }
 
-/// Drops the suspicion that a server, which has answered, ended under the attempts that broke off there.
-void RelayReducer::clearSuspects(const FleetServer& server, EndProof proof, Context& context)
+/// Drops the suspicion that a server ended under the attempts that broke off there before it was asked for an answer.
+/// An answer that may be of its successor at the address drops nothing, and the server is asked for its id.
+void RelayReducer::recordLifeSign(
+    FleetServer& server, TimePoint askedAt, const LifeEvidence& evidence, Context& context)
 {
-    const std::size_t cleared = m_crashEvidence.noteAlive(server.othersLoad.engine);
+    if (!evidence.identifies(server.entry.startedAt) && canProbe(server)) {
+        m_crashEvidence.noteAnswered(server.othersLoad.engine);
+        server.nextProbe = std::max(context.now, server.lastProbeAt + ReprobeInterval);
+        return;
+    }
+    const std::size_t cleared = m_crashEvidence.noteAlive(server.othersLoad.engine, askedAt);
     m_counters.suspectsCleared += cleared;
     if (cleared)
         context.effects.emplace_back(
-            effect::LogSuspectsCleared { server.entry.id, server.entry.startedAt, cleared, proof });
+            effect::LogSuspectsCleared { server.entry.id, server.entry.startedAt, cleared, evidence.proof });
 }
 
 /// Records that a server's process has ended, with the calls that it was running. A leaving server ends on purpose and
--- a/src/relay/RelayReducerEndings.cpp
+++ b/src/relay/RelayReducerEndings.cpp
@@ -86,9 +86,8 @@
 /// @param start  that the answer is needed of; zero if the server's id is used for one start only
 void RelayReducer::requestLifeSign(FleetServer& server, StartTime start, Context& context)
 {
-    const Service* service = m_routes ? m_routes->service(server.entry.service) : nullptr;
-    const bool canIdentify = service && !service->healthPath.empty();
-    if (server.isEngine() && (start.value() || !canIdentify || m_options.without.has(Mechanism::EngineChecks)))
+    const bool suffices = start.value() || !canProbe(server) || m_options.without.has(Mechanism::EngineChecks);
+    if (server.isEngine() && suffices)
         checkUrgently(server, context);
     else
         probe(server, context);
@@ -111,7 +110,7 @@
             continue;
         if (evidence.sign == LifeSign::Alive) {
             // Another start, or another server at the address, may have begun after the end.
-            if (evidence.start != waiting->start || !(evidence.isIdentified || evidence.start.value()))
+            if (!evidence.identifies(waiting->start))
                 continue;
             end.unverified.erase(waiting);
             if (end.unverified.empty())
--- a/src/relay/ServerFleet.h
+++ b/src/relay/ServerFleet.h
@@ -38,6 +38,7 @@
     TimePoint listedAt; ///< last change of the registry entry, which the server wrote shortly before
     TimePoint lastCheckAt; ///< when the last health check or probe was sent
     bool beingChecked = false; ///< whether a health check or probe is in flight
+    TimePoint lastProbeAt; ///< when the last probe was sent
     std::optional<TimePoint> nextProbe; ///< when to repeat a probe that could not tell whether the server is alive
     TimePoint checkDrawnAt; ///< when this instance last drew whether to check the server, or leave that to others
     TimePoint groupCheckedAt; ///< when this server was last suspected of having died together with another engine
--- a/tests/CrashFleet.cpp
+++ b/tests/CrashFleet.cpp
@@ -54,6 +54,8 @@
 ServiceConfiguration CrashFleet::configuration() const
 {
     ServiceConfiguration made = RelayHarness::configuration();
+    for (Service& service : made.services)
+        service.healthPath = "/health";
     for (std::size_t i = 1; i < m_options.workspaces; ++i)
         made.workspaces.push_back({ WorkspaceId("w" + std::to_string(i)), { keyOf(i) }, std::nullopt });
     return made;
--- a/tests/RequestQuarantineTest.cpp
+++ b/tests/RequestQuarantineTest.cpp
@@ -302,10 +302,17 @@
         { "its attempt broke off, and the server answers a check before it ends",
             [&](CrashEvidence& evidence) {
                 evidence.noteLost(suspect, { 1 }, at(milliseconds(0)));
-                evidence.noteAlive(1);
+                evidence.noteAlive(1, at(milliseconds(1)));
                 evidence.noteEnded(1, {}, at(milliseconds(100)));
             },
             0, 0 },
+        { "its attempt broke off, and the server answers what it was asked before",
+            [&](CrashEvidence& evidence) {
+                evidence.noteLost(suspect, { 1 }, at(milliseconds(1)));
+                evidence.noteAlive(1, at(milliseconds(0)));
+                evidence.noteEnded(1, {}, at(milliseconds(100)));
+            },
+            1, 0 },
         { "it was running on the server",
             [&](CrashEvidence& evidence) { evidence.noteEnded(1, { suspect }, at(milliseconds(0))); }, 1, 0 },
         { "its server did not answer, and its end was confirmed 3 s later",
@@ -319,7 +326,7 @@
             [&](CrashEvidence& evidence) {
                 evidence.noteSilent(1, at(milliseconds(0)));
                 evidence.noteLost(suspect, { 1 }, at(milliseconds(10)));
-                evidence.noteAlive(1);
+                evidence.noteAlive(1, at(milliseconds(20)));
             },
             0, 0 },
         { "two other servers end at about the same time",
