Count a request against which a server's end tells late

Such an attempt is reported with the next ones now if its answer had begun: only the start that has ended can have begun it. One whose answer had not begun may have been sent after the end and still counts for nothing (known_too_late).

--- a/src/relay/CrashEvidence.cpp
+++ b/src/relay/CrashEvidence.cpp
@@ -47,9 +47,8 @@
     std::erase_if(servers, [&](std::uint64_t server) {
         const auto end = m_ends.find(server);
         const bool isConfirmed = end != m_ends.end() && end->second.confirmedAt;
-        if (isConfirmed && !end->second.isSettled)
-            end->second.addSuspect(suspect);
-        m_lateCount += isConfirmed && end->second.isSettled ? 1 : 0;
+        if (isConfirmed)
+            addToConfirmed(end->second, suspect);
         return isConfirmed;
     });
     if (servers.empty())
@@ -59,6 +58,17 @@
         m_lostAttempts.pop_front();
 }
 
+void CrashEvidence::addToConfirmed(ServerEnd& end, const CrashSuspect& suspect)
+{
+    if (end.isSettled && suspect.sign != CrashSign::JustBegun) {
+        ++m_lateCount;
+        return;
+    }
+    end.addSuspect(suspect);
+    if (end.isSettled)
+        end.lateSuspects.push_back(suspect);
+}
+
 std::size_t CrashEvidence::noteAlive(std::uint64_t server, TimePoint askedAt)
 {
     m_areOpenEndCountsOutdated = true;
@@ -119,11 +129,11 @@
 {
     std::vector<CrashReport> reports;
     for (auto& [server, end] : m_ends) {
-        if (end.isSettled || !end.confirmedAt || now < *end.confirmedAt + SettleTime)
+        if (!end.confirmedAt || now < *end.confirmedAt + SettleTime)
             continue;
-        m_areOpenEndCountsOutdated = true;
-        end.isSettled = true;
-        for (const CrashSuspect& suspect : end.suspects)
+        m_areOpenEndCountsOutdated = m_areOpenEndCountsOutdated || !end.isSettled;
+        const std::vector<CrashSuspect> late = std::exchange(end.lateSuspects, {});
+        for (const CrashSuspect& suspect : std::exchange(end.isSettled, true) ? late : end.suspects)
             reports.push_back(
                 { suspect, server, now - end.detectedAt, now - end.lastAliveAt, isGroupFailure(end, suspect) });
     }
--- a/src/relay/CrashEvidence.h
+++ b/src/relay/CrashEvidence.h
@@ -59,7 +59,7 @@
 
     /// @return the number of lost attempts that were dropped before it was known whether a server had ended
     std::uint64_t expiredCount() const { return m_expiredCount; }
-    /// @return the number of lost attempts at servers whose end had been classified by then
+    /// @return the number of lost attempts that did not count, as the server's end had been classified by then
     std::uint64_t lateCount() const { return m_lateCount; }
 
 private:
@@ -76,6 +76,7 @@
         std::optional<TimePoint> confirmedAt; ///< empty while the server merely does not answer
         bool isSettled = false; ///< has been classified
         std::vector<CrashSuspect> suspects; ///< at most one per request
+        std::vector<CrashSuspect> lateSuspects; ///< of these, known since the end was classified, and not reported yet
 
         /// @return whether a suspect has a trait in common with a request
         bool hasSuspectLike(const CrashSuspect&) const;
@@ -85,6 +86,9 @@
         bool mayHaveEndedTogether(const ServerEnd&) const;
     };
 
+    /// Adds a suspect to a confirmed end. After the end has been classified, only one whose answer had begun counts, as
+    /// the attempt may otherwise have been made after the end.
+    void addToConfirmed(ServerEnd&, const CrashSuspect&);
     /// @return whether at least MinOthersInGroupFailure servers ended together with this one whose suspects have no
     ///         trait in common with this one
     bool isGroupFailure(const ServerEnd&, const CrashSuspect&) const;
--- a/tests/RequestQuarantineTest.cpp
+++ b/tests/RequestQuarantineTest.cpp
@@ -277,6 +277,28 @@
     CHECK_TRUE(quarantine.isQuarantined(request(1), at(minutes(1))));
 }
 
+// Guards against crashes that count against nothing because the connection of their request ends after the verdict.
+TEST(RequestQuarantine, AnAttemptThatBreaksOffAfterTheEndOfItsServerWasClassifiedIsASuspect)
+{
+    const struct {
+        const char* name;
+        CrashSign sign;
+        std::size_t reports;
+    } cases[] = {
+        { "its answer had begun", CrashSign::JustBegun, 1 },
+        { "it may have been sent after the end", CrashSign::Waiting, 0 },
+    };
+    for (const auto& each : cases) {
+        CrashEvidence evidence;
+        evidence.noteEnded(1, {}, at(milliseconds(0)));
+        CHECK_TRUE_TEXT(evidence.classifyEnds(at(milliseconds(400))).empty(), each.name);
+        evidence.noteLost({ { request(1) }, each.sign }, { 1 }, at(milliseconds(600)));
+        CHECK_EQUAL_TEXT(each.reports, evidence.classifyEnds(at(milliseconds(620))).size(), each.name);
+        CHECK_EQUAL_TEXT(1 - each.reports, evidence.lateCount(), each.name);
+        CHECK_TRUE_TEXT(evidence.classifyEnds(at(milliseconds(640))).empty(), each.name);
+    }
+}
+
 TEST(RequestQuarantine, EvidenceOfOneInstanceTellsACrashFromOtherEnds)
 {
     const CrashSuspect suspect { { request(1) }, CrashSign::JustBegun };
