--- a/tests/soak/retries.py
+++ b/tests/soak/retries.py
@@ -1,7 +1,8 @@
 #!/usr/bin/env python3
 """Runs entry instances as processes while servers fail in waves, and checks what the servers receive again.
 
-Usage: retries.py [--seeds FIRST-LAST] [--waves N] [--instances N] [--callers N] [--share X] [--program FILE]
+Usage: retries.py [--seeds FIRST-LAST] [--waves N] [--instances N] [--callers N] [--share X] [--wave NAME]
+           [--unnamed-starts] [--restart-s X] [--entry-s X] [--program FILE]
 
 Before each wave the instances run undisturbed until their retry budgets are full. During it nearly all runs fail, and
 instances are killed together or in turn, stopped, paused, or the store is silent. In some waves servers ask for times
@@ -83,8 +84,11 @@
 
 class RetrySoak(Soak):
     def __init__(self, seed, arguments, folder):
-        super().__init__(seed, 0, folder=folder, program=os.path.abspath(arguments.program), mutate="",
-                         net=f"127.{arguments.block}", untimed=True, instances=arguments.instances)
+        super().__init__(seed, 0, folder=folder, program=os.path.abspath(arguments.program), mutate=arguments.mutate,
+                         net=f"127.{arguments.block}", untimed=False, instances=arguments.instances,
+                         names_starts=not arguments.unnamed_starts)
+        self.fleet.restart_delay_s, self.fleet.entry_delay_s = arguments.restart_s, arguments.entry_s
+        self.only = arguments.wave
         self.waves, self.callers, self.draws = arguments.waves, arguments.callers, random.Random(f"waves {seed}")
         self.share = arguments.share
         # Attempt: (service, time sent, seconds that the caller waits).
@@ -179,6 +183,7 @@
         callers = [asyncio.create_task(self.caller()) for _ in range(self.callers)]
         kinds = [self.kill_all, self.kill_in_turn, self.stop_in_turn, self.pause_some,
                  self.kill_while_the_store_is_silent, self.servers_ask_for_rest, self.servers_end_by_requests]
+        kinds = [each for each in kinds if self.only in ("", each.__name__)]
         first = self.draws.randrange(len(kinds))
         for wave in range(self.waves):
             await asyncio.sleep(FILL_S)
@@ -261,8 +266,9 @@
     soak = RetrySoak(seed, arguments, folder)
     broken = await soak.run()
     tightest = ", ".join(f"{service} {text}" for service, text in soak.tightest.items())
+    ends = [len(times) for times in soak.fleet.crashed.values()]
     stood = sum(until - begin for begin, until in soak.stalls)
-    print(f"seed {seed}: {soak.attempts} requests; most repeats in {WINDOW_S} s: {tightest}; the checker stood still for "
+    print(f"seed {seed}: {soak.attempts} requests; most repeats in {WINDOW_S} s: {tightest}; servers ended by one cause: {ends}; the checker stood still for "
           f"{stood:.1f} s; {len(broken)} broken promises", flush=True)
     for promise, text in broken[:10]:
         print(f"  {promise}: {text} (logs: {folder})", flush=True)
@@ -276,6 +282,11 @@
     parser.add_argument("--instances", type=int, default=4)
     parser.add_argument("--callers", type=int, default=16)
     parser.add_argument("--share", type=float, default=1.0, help="of each tenth of a second that an instance may run")
+    parser.add_argument("--wave", default="", help="the only kind of wave, by the name of its method")
+    parser.add_argument("--unnamed-starts", action="store_true", help="servers take a new id at each start and do not publish when they started")
+    parser.add_argument("--restart-s", type=float, default=1.5, help="from the end of a server under a request to its next start")
+    parser.add_argument("--entry-s", type=float, default=0, help="from that start to its entry in the store")
+    parser.add_argument("--mutate", default="", help="breaks one promise on purpose, as in soak.py: backoff, crashes")
     parser.add_argument("--program", default="build/crocusmount-entry")
     parser.add_argument("--block", type=int, default=1, help="second number of the loopback addresses, 1 to 254")
     arguments = parser.parse_args()
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -236,6 +236,8 @@
         # By body or prompt part that crashes servers: (time, attempt) of each arrival, and the time of each crash.
         self.reached, self.crashed = {}, {}
         self.deadly_from = {}  # by part that crashes engines: when it begins to
+        # Of servers that end under a request: until their next start, and from that start to its entry.
+        self.restart_delay_s, self.entry_delay_s = 1.5, 0
         self.leaving_bound_s = 2.0  # from the write of the drain to the store until no new request may arrive
 
     def by_address(self, address):
@@ -305,7 +307,14 @@
         self.listener = await serve(self.behind, self._answer, self.connections)
         self.alive, self.is_starting = True, False
         self.fleet.servers[self.name] = self
-        self.register()
+        if self.fleet.entry_delay_s:
+            asyncio.get_running_loop().call_later(self.fleet.entry_delay_s, self.register_start, self.start_key)
+        else:
+            self.register()
+
+    def register_start(self, start_key):
+        if self.alive and self.start_key == start_key:
+            self.register()
 
     def start_time(self):
         return {"born": self.born_ms} if self.fleet.names_starts else {}
@@ -419,7 +428,7 @@
         return True
 
     async def _crash_under(self, cause):
-        """Crashes the server while it runs the request, and restarts it after 1.5 s."""
+        """Crashes the server while it runs the request, and restarts it."""
         await asyncio.sleep(0.05)
         if self.alive:
             self.fleet.crashed.setdefault(cause, []).append(time.monotonic())
@@ -428,7 +437,7 @@
         return False
 
     async def _start_later(self):
-        await asyncio.sleep(1.5)
+        await asyncio.sleep(self.fleet.restart_delay_s)
         if not self.alive:
             await self.start()
 
