--- a/src/relay/RelayEffect.h
+++ b/src/relay/RelayEffect.h
@@ -307,12 +307,12 @@
 
 using RelayEffect = std::variant<effect::StartAttempt, effect::CancelAttempt, effect::HoldAnswer,
     effect::ContinueAnswer, effect::AskStalledStage, effect::CheckEngine, effect::ProbeServer, effect::ShareCrashes,
-    effect::ShareSoundRuns, effect::LogCrash, effect::LogSuspectsCleared, effect::QuarantineTrait, effect::ClearTrait, effect::ReportEngineState,
-    effect::LogServerPath, effect::LogServerState, effect::LogServerLimit, effect::LogServerBackoff,
-    effect::LogRetryShare, effect::LogRetryBudget, effect::LogPermits, effect::LogStartKnowledge, effect::LogStartHold,
-    effect::RequestPermits, effect::AnswerPermits, effect::ShareServerLimit, effect::RerouteAttempt,
-    effect::LogSuspicion, effect::Refuse, effect::DeliverServerFailure, effect::CompleteAnswer, effect::LogEndVerdict,
-    effect::BreakAnswer>;
+    effect::ShareSoundRuns, effect::LogCrash, effect::LogSuspectsCleared, effect::QuarantineTrait, effect::ClearTrait,
+    effect::ReportEngineState, effect::LogServerPath, effect::LogServerState, effect::LogServerLimit,
+    effect::LogServerBackoff, effect::LogRetryShare, effect::LogRetryBudget, effect::LogPermits,
+    effect::LogStartKnowledge, effect::LogStartHold, effect::RequestPermits, effect::AnswerPermits,
+    effect::ShareServerLimit, effect::RerouteAttempt, effect::LogSuspicion, effect::Refuse,
+    effect::DeliverServerFailure, effect::CompleteAnswer, effect::LogEndVerdict, effect::BreakAnswer>;
 using RelayEffects = std::vector<RelayEffect>;
 
 } // namespace crocusmount::relay
--- a/tests/CrashFleet.cpp
+++ b/tests/CrashFleet.cpp
@@ -153,6 +153,8 @@
             if (accepted) {
                 attempt->second.chain = reroute->chain;
                 attempt->second.isSilent = false;
+                if (attempt->second.begunAt)
+                    attempt->second.begunAt = m_now;
                 attempt->second.nextEventAt = m_now + TimeToBegin;
             }
             postLater(TimeStep, instance, event::RerouteAnswered { reroute->attempt, accepted });
@@ -387,9 +389,11 @@
         if (isCrashing(attempt)) {
             if (m_now < *attempt.begunAt + TimeToCrash)
                 continue;
-            tallyOf(attempt.crashingNumber).crashTimes.push_back(m_now);
-            if (Engine* engine = findEngine(attempt.chain.hops().front().backend); engine && engine->isUp)
+            const Hop& hop = m_options.crashesLastStage ? attempt.chain.hops().back() : attempt.chain.hops().front();
+            if (Engine* engine = findEngine(hop.backend); engine && engine->isUp) {
+                tallyOf(attempt.crashingNumber).crashTimes.push_back(m_now);
                 crash(*engine);
+            }
             continue;
         }
         if (m_now < attempt.nextEventAt)
--- a/tests/CrashFleet.h
+++ b/tests/CrashFleet.h
@@ -35,6 +35,8 @@
         /// Whether streams end with their connections, in order also when their engine crashes, between two events.
         bool streamsHaveNoLength = false;
         CrashCause crashCause = CrashCause::Content;
+        /// Whether a crashing request crashes the last engine of its chain, rather than the first.
+        bool crashesLastStage = false;
         /// With CrashCause::PromptPart, all requests have a common first part and one of this many second parts.
         std::size_t subjects = 40;
         std::size_t crashingPartPosition = 1; ///< index of the crashing part in the prompt
--- a/tests/CrashingPromptPartTest.cpp
+++ b/tests/CrashingPromptPartTest.cpp
@@ -223,6 +223,29 @@
     }
 }
 
+// Guards against parts under which the last engine of a chain ends, so that the stream goes on over other engines.
+TEST(CrashingPromptPart, ThatEndsTheLastStageIsSoonSentToNoServer)
+{
+    const struct {
+        const char* name;
+        Duration restartDelay;
+        Duration registrationDelay;
+    } cases[] = {
+        { "back in 20 ms, listed 1.2 s later", milliseconds(20), milliseconds(1200) },
+        { "back in 100 ms, listed 1.2 s later", milliseconds(100), milliseconds(1200) },
+        { "back and listed in 3 s", milliseconds(3000), milliseconds(0) },
+        { "back in 3 s, listed 1.2 s later", milliseconds(3000), milliseconds(1200) },
+    };
+    for (const auto& each : cases) {
+        checkSeeds({ each.name,
+            withPart({ .instances = 9,
+                .restartDelay = each.restartDelay,
+                .registrationDelay = each.registrationDelay,
+                .crashesLastStage = true }),
+            1, 0.03, milliseconds(10), seconds(25) });
+    }
+}
+
 // Guards against a caller who names another workspace's part in requests that crash servers.
 TEST(CrashingPromptPart, IsNotBlockedInAWorkspaceBecauseOfTheRequestsOfAnother)
 {
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -844,6 +844,7 @@
     net = f"127.{arguments.block}"
     soak = Soak(seed, arguments.seconds, os.path.abspath(arguments.program), folder, arguments.mutate, net,
                 arguments.untimed, arguments.instances, not arguments.unnamed_starts, arguments.store_cuts)
+    soak.fleet.restart_delay_s, soak.fleet.entry_delay_s = arguments.restart_s, arguments.entry_s
     broken = await soak.run()
     print(f"seed {seed}: {soak.attempts} requests, {soak.served()} served, {len(broken)} broken promises", flush=True)
     for promise, text in broken[:10]:
@@ -861,6 +862,8 @@
     parser.add_argument("--untimed", action="store_true", help="leave out promises with a bound in time")
     parser.add_argument("--unnamed-starts", action="store_true", help="servers do not publish when they started, and take a new id at each start")
     parser.add_argument("--store-cuts", action="store_true", help="single instances lose the store in turn, while servers leave without notice")
+    parser.add_argument("--restart-s", type=float, default=1.5, help="from the end of a server under a request to its next start")
+    parser.add_argument("--entry-s", type=float, default=0, help="from each start of a server to its entry in the store")
     parser.add_argument("--mutate", default="", help="breaks one promise on purpose: announced, backoff, body, config, crashes, cut, leaving, limits, parts, path, runs")
     arguments = parser.parse_args()
     if "-" in arguments.seeds:
