--- a/src/relay/CrashEvidence.cpp
+++ b/src/relay/CrashEvidence.cpp
@@ -131,9 +131,11 @@
     for (auto& [server, end] : m_ends) {
         if (!end.confirmedAt || now < *end.confirmedAt + SettleTime)
             continue;
-        m_areOpenEndCountsOutdated = m_areOpenEndCountsOutdated || !end.isSettled;
+        const bool wasSettled = std::exchange(end.isSettled, true);
+        m_areOpenEndCountsOutdated = m_areOpenEndCountsOutdated || !wasSettled;
         const std::vector<CrashSuspect> late = std::exchange(end.lateSuspects, {});
-        for (const CrashSuspect& suspect : std::exchange(end.isSettled, true) ? late : end.suspects)
+        const std::vector<CrashSuspect>& unreported = wasSettled ? late : end.suspects;
+        for (const CrashSuspect& suspect : unreported)
             reports.push_back(
                 { suspect, server, now - end.detectedAt, now - end.lastAliveAt, isGroupFailure(end, suspect) });
     }
--- a/tests/CrashFleet.h
+++ b/tests/CrashFleet.h
@@ -73,11 +73,6 @@
     {
         send(instance, number, m_options.workspaces - 1, number);
     }
-    /// Sends a crashing request of a workspace.
-    void sendCrashingFrom(std::size_t workspace, std::size_t instance, std::uint8_t number)
-    {
-        send(instance, number, workspace, number);
-    }
     /// Crashes the first engines of one half of the layers at one time. Engines that are down already stay down.
     /// @param isFirstHalf  whether the engines hold the first half of the layers, or the second
     void crashEngines(std::size_t count, bool isFirstHalf);
