Count each quarantined content once against its parts

Callers saw servers end under requests that share a part of their prompts long after enough had ended (BUDGET), if the servers end at the last stage of a chain. A stream is rerouted after each end and ends four engines within 0.3 s; its content is blocked and explained all four ends, so the part that all such requests share lacked evidence.

Cause: the more servers a content ended, the less counted against its parts: one end counted, three counted nothing. The first end of each blocked content now counts against the parts of the content, like the only end of a content that is not blocked. Parts that were on the same servers in other requests get no evidence from it.

--- a/src/relay/CrashRecord.cpp
+++ b/src/relay/CrashRecord.cpp
@@ -29,11 +29,14 @@
         const std::size_t workspaceCount = known->workspaces.size();
         const bool isStronger = known->points < end.points;
         known->points = std::max(known->points, end.points);
+        const std::size_t contentCount = known->contents.size();
         known->workspaces.insert(end.workspaces.begin(), end.workspaces.end());
+        known->contents.insert(end.contents.begin(), end.contents.end());
         known->detectedAt = std::min(known->detectedAt, end.detectedAt);
         // Ages are counted from when a report arrives, so a late one seems to know of a later sign of life.
         known->lastAliveAt = std::min(std::max(known->lastAliveAt, end.lastAliveAt), known->detectedAt);
-        return !known->isRefuted && (isStronger || known->workspaces.size() > workspaceCount);
+        return !known->isRefuted
+            && (isStronger || known->workspaces.size() > workspaceCount || known->contents.size() > contentCount);
     }
     ends.push_back(end);
     if (ends.size() > MaxServersPerTrait)
--- a/src/relay/CrashRecord.h
+++ b/src/relay/CrashRecord.h
@@ -2,6 +2,7 @@
 
 #include "crocusmount/Ids.h"
 #include "crocusmount/Time.h"
+#include "relay/RequestTrait.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -25,6 +26,7 @@
         TimePoint lastAliveAt; ///< not later than the end
         bool isRefuted = false;
         std::set<WorkspaceId> workspaces; ///< of the requests with the trait that were there
+        std::set<RequestTrait::Value> contents {}; ///< of these requests
     };
 
     std::vector<End> ends; ///< one for each server, oldest first
@@ -36,7 +38,7 @@
     bool hasOwnEnd = false; ///< this instance saw one of the ends
     std::size_t position = 0; ///< among the traits of its request, see CrashSuspect
 
-    /// @return whether the end counts and was not known, or only with fewer points or workspaces
+    /// @return whether the end counts and was not known, or only with fewer points, workspaces or contents
     bool add(const End&);
     /// @return the end of a server, or null if it is not known
     End* find(std::uint64_t server);
--- a/src/relay/RequestQuarantine.cpp
+++ b/src/relay/RequestQuarantine.cpp
@@ -47,13 +47,15 @@
     std::map<WorkspaceId, std::uint32_t> pointsByWorkspace;
     TimePoint firstDetectedAt = TimePoint::max();
     TimePoint lastAliveAt = TimePoint::min();
+    std::set<RequestTrait::Value> countedContents;
     for (const End& end : record.ends) {
         if (!end.isRefuted && isExplained(end.server, trait.value) && !evidence.isQuarantined) {
             ++evidence.explainedEnds;
+            if (!isFirstOfContents(end, trait, record, countedContents))
+                continue;
+        } else if (!counts(end, trait, record)) {
             continue;
         }
-        if (!counts(end, trait, record))
-            continue;
         evidence.points += end.points;
         firstDetectedAt = std::min(firstDetectedAt, end.detectedAt);
         lastAliveAt = std::max(lastAliveAt, end.lastAliveAt);
@@ -79,11 +81,16 @@
     return record.hasRun || (trait.isPromptPart() && trait.workspace && isKnownToHaveRun(trait.ofAllWorkspaces()));
 }
 
+bool RequestQuarantine::hasLikelierCause(const End& end, const RequestTrait& trait, const Record& record) const
+{
+    return trait.isPromptPart() && hasRun(trait, record) && m_serversOfNewParts.count(end.server);
+}
+
 bool RequestQuarantine::counts(const End& end, const RequestTrait& trait, const Record& record) const
 {
-    const bool hasLikelierCause
-        = trait.isPromptPart() && hasRun(trait, record) && m_serversOfNewParts.count(end.server);
-    return !end.isRefuted && (record.quarantinedUntil || (!hasLikelierCause && !isExplained(end.server, trait.value)));
+    return !end.isRefuted
+        && (record.quarantinedUntil
+            || (!hasLikelierCause(end, trait, record) && !isExplained(end.server, trait.value)));
 }
 
 void RequestQuarantine::updateServersOfNewParts()
@@ -113,6 +120,20 @@
             [&](const RequestTrait::Value& quarantined) { return quarantined != value; });
 }
 
+bool RequestQuarantine::isFirstOfContents(const End& end, const RequestTrait& trait, const Record& record,
+    std::set<RequestTrait::Value>& countedContents) const
+{
+    if (!trait.isPromptPart() || hasLikelierCause(end, trait, record))
+        return false;
+    const std::set<RequestTrait::Value>& causes = m_explainedServers.at(end.server);
+    const bool isFirst = std::all_of(causes.begin(), causes.end(),
+        [&](const RequestTrait::Value& cause) { return end.contents.count(cause) && !countedContents.count(cause); });
+    if (!isFirst)
+        return false;
+    countedContents.insert(causes.begin(), causes.end());
+    return true;
+}
+
 bool RequestQuarantine::isCovered(const RequestTrait& trait) const
 {
     const auto record
@@ -136,10 +157,12 @@
 
 bool RequestQuarantine::add(const CrashReport& report, bool isOwn, TimePoint now)
 {
-    const End end { report.server, pointsOf(report.suspect.sign, report.isGroupFailure), now - report.age,
+    End end { report.server, pointsOf(report.suspect.sign, report.isGroupFailure), now - report.age,
         now - report.ageOfLife, false, { report.suspect.workspace() } };
     if (!end.points)
         return false;
+    if (!report.suspect.traits.empty())
+        end.contents.insert(report.suspect.traits.front().value);
     bool isNews = false;
     for (std::size_t position = 0; position < report.suspect.traits.size(); ++position) {
         const RequestTrait& trait = report.suspect.traits[position];
--- a/src/relay/RequestQuarantine.h
+++ b/src/relay/RequestQuarantine.h
@@ -22,9 +22,9 @@
 /// one workspace contributed. Otherwise a caller could name a part of other workspaces in requests that crash servers.
 ///
 /// A crash has many suspects, and most of them are harmless. A server that ended under a quarantined trait is
-/// explained, so it does not count against other traits. If several traits reach the limit together, the one with the
-/// most evidence is quarantined first, then the narrowest: the content, else the later part of the prompt, as requests
-/// share the beginning of their prompts.
+/// explained, so it does not count against other traits, except that each quarantined content counts once against its
+/// parts. If several traits reach the limit together, the one with the most evidence is quarantined first, then the
+/// narrowest: the content, else the later part of the prompt, as requests share the beginning of their prompts.
 class RequestQuarantine {
 public:
     /// What looks like a group failure to one instance may be several crashes, of which the other instances hold the
@@ -101,6 +101,14 @@
     bool hasRun(const RequestTrait&, const Record&) const;
     /// @return whether an end counts against the trait
     bool counts(const End&, const RequestTrait&, const Record&) const;
+    /// @return whether the trait is a part that ran, and the server ended under a part that is not known to have run
+    bool hasLikelierCause(const End&, const RequestTrait&, const Record&) const;
+    /// Of the ends that a blocked content explains, the first one counts against the parts of the content, like the
+    /// only end of a content that is not blocked.
+    /// @param countedContents  contents for which an end counts already; those of this end are added if it counts
+    /// @return whether the end, which blocked traits explain, counts against the trait all the same
+    bool isFirstOfContents(
+        const End&, const RequestTrait&, const Record&, std::set<RequestTrait::Value>& countedContents) const;
     /// @return whether the trait is one workspace's part, and the part is quarantined for all
     bool isCovered(const RequestTrait&) const;
     /// Updates m_serversOfNewParts.
