Soak: say which cut-off instance failed calls, and until when

The broken promise path was listed ten times without a trace, as the logs do not tell callers that follow the directory from others.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -412,7 +412,7 @@
     def judge_cuts(self):
         """Checks that callers of instances that were cut off were served like those of the others."""
         for begin, end, cut in self.cuts:
-            tries = {True: [], False: []}
+            tries, failed_after = {True: [], False: []}, {}
             others = [each for each in self.instances if each not in cut]
             for sent, instance, served in self.first_tries:
                 calm_for = sent - begin + PATH_S
@@ -420,13 +420,17 @@
                 is_comparable = any(each.calm(calm_for, sent) for each in others)
                 if begin + PATH_S <= sent < end and is_comparable and instance.calm(calm_for, sent):
                     tries[instance in cut].append(served)
+                    if instance in cut and not served:
+                        failed_after.setdefault(instance.number, []).append(sent - begin)
             failed, total = tries[True].count(False), len(tries[True]) + len(tries[False])
             if not tries[True] or not tries[False] or failed <= 10 + total / 50:
                 continue
             share = {each: sum(served) / len(served) for each, served in tries.items()}
             if share[True] < share[False] * 2 / 3:
                 self.report("path", f"{len(cut)} instances cut off served {sum(tries[True])} of {len(tries[True])} first "
-                            f"tries, the others {sum(tries[False])} of {len(tries[False])}")
+                            f"tries, the others {sum(tries[False])} of {len(tries[False])}; failed "
+                            + ", ".join(f"{len(each)} at {number} until {max(each):.1f} s after the cut"
+                                        for number, each in sorted(failed_after.items())))
 
     async def odd_entries(self):
         """Simulates another writer that leaves odd entries among those of the servers, instances and verdicts.
