--- a/tests/CrashFleet.cpp
+++ b/tests/CrashFleet.cpp
@@ -390,10 +390,9 @@
             if (m_now < *attempt.begunAt + TimeToCrash)
                 continue;
             const Hop& hop = m_options.crashesLastStage ? attempt.chain.hops().back() : attempt.chain.hops().front();
-            if (Engine* engine = findEngine(hop.backend); engine && engine->isUp) {
-                tallyOf(attempt.crashingNumber).crashTimes.push_back(m_now);
+            tallyOf(attempt.crashingNumber).crashTimes.push_back(m_now);
+            if (Engine* engine = findEngine(hop.backend); engine && engine->isUp)
                 crash(*engine);
-            }
             continue;
         }
         if (m_now < attempt.nextEventAt)
